--- /dev/null
+++ b/packages/amaranthknot/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point of the binary. */
+process.stdout.write('amaranthknot\n');
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+/** Environment documents and settings. */
+export * from './document.js';
--- /dev/null
+++ b/packages/fakes/src/memory-object-store.ts
@@ -0,0 +1,254 @@
+/**
+ * In-memory stand-in of the platform's object API. It behaves as the real one
+ * may: it can be down or slow, lose an answer after the write took effect, and
+ * answer reads with an older version.
+ */
+import * as purify from 'purify-ts';
+import type * as platform from '@amaranthknot/platform';
+
+/**
+ * What goes wrong with one call.
+ *
+ * - `none`: the call works.
+ * - `down`: refused before taking effect.
+ * - `lost_before`: no answer, and the call did not take effect.
+ * - `lost_after`: no answer, but the call took effect.
+ * - `stale`: a read answers with the object's previous version.
+ */
+export type StoreFault =
+  'none' | 'down' | 'lost_before' | 'lost_after' | 'stale';
+
+/** A call to the store, as faults and counters see it. */
+export type StoreOperation =
+  'get' | 'list' | 'create' | 'update' | 'delete' | 'watch';
+
+/** Behaviour of a stand-in store. */
+export interface MemoryObjectStoreOptions {
+  readonly clock: platform.Clock;
+  /** Decides what goes wrong with each call; nothing by default. */
+  readonly fault?: (operation: StoreOperation, kind: string) => StoreFault;
+  /** Delay of each call in milliseconds; 0 by default. */
+  readonly delayMs?: () => number;
+}
+
+const key = (kind: string, name: string): string => `${kind}/${name}`;
+
+const failure = (
+  code: platform.StoreErrorCode,
+  message: string,
+): purify.Either<platform.StoreError, never> => purify.Left({code, message});
+
+/** Events kept for watches that fall behind. */
+const EVENT_LIMIT = 100_000;
+
+/** The platform's object API, held in memory. */
+export class MemoryObjectStore implements platform.ObjectStore {
+  private version = 0;
+  private readonly objects = new Map<string, platform.StoredObject>();
+  private readonly previous = new Map<string, platform.StoredObject>();
+  private readonly events: platform.StoreEvent[] = [];
+  private wakeWatchers = new AbortController();
+  /** Calls so far by operation; a waiting watch counts as one. */
+  readonly calls: Record<StoreOperation, number> = {
+    get: 0,
+    list: 0,
+    create: 0,
+    update: 0,
+    delete: 0,
+    watch: 0,
+  };
+  /** Decides what goes wrong with each call; tests replace it. */
+  fault: (operation: StoreOperation, kind: string) => StoreFault;
+
+  constructor(private readonly options: MemoryObjectStoreOptions) {
+    this.fault = options.fault ?? (() => 'none');
+  }
+
+  get(
+    kind: string,
+    name: string,
+  ): Promise<platform.StoreResult<platform.StoredObject>> {
+    return this.call('get', kind, stale => {
+      const id = key(kind, name);
+      const found =
+        (stale ? this.previous.get(id) : undefined) ?? this.objects.get(id);
+      return found
+        ? purify.Right(found)
+        : failure('not_found', `no object ${id}`);
+    });
+  }
+
+  list(
+    kind: string,
+    prefix = '',
+  ): Promise<platform.StoreResult<platform.StoreListing>> {
+    return this.call('list', kind, () => {
+      const objects = [...this.objects.values()]
+        .filter(object => object.kind === kind)
+        .filter(object => object.name.startsWith(prefix))
+        .sort((a, b) => (a.name < b.name ? -1 : 1));
+      return purify.Right({objects, version: this.version});
+    });
+  }
+
+  create(
+    kind: string,
+    name: string,
+    value: unknown,
+  ): Promise<platform.StoreResult<platform.StoredObject>> {
+    return this.call('create', kind, () => {
+      if (this.objects.has(key(kind, name))) {
+        return failure('conflict', `${key(kind, name)} exists`);
+      }
+      return purify.Right(this.put(kind, name, value));
+    });
+  }
+
+  update(
+    kind: string,
+    name: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<platform.StoreResult<platform.StoredObject>> {
+    return this.call('update', kind, () => {
+      const error = this.checkVersion(kind, name, expectedVersion);
+      return error ?? purify.Right(this.put(kind, name, value));
+    });
+  }
+
+  delete(
+    kind: string,
+    name: string,
+    expectedVersion: number,
+  ): Promise<platform.StoreResult<void>> {
+    return this.call('delete', kind, () => {
+      const error = this.checkVersion(kind, name, expectedVersion);
+      if (error) {
+        return error;
+      }
+      const id = key(kind, name);
+      const object = this.objects.get(id);
+      this.objects.delete(id);
+      this.previous.delete(id);
+      if (object) {
+        this.version++;
+        this.publish({
+          type: 'delete',
+          object: {...object, version: this.version},
+        });
+      }
+      return purify.Right(undefined);
+    });
+  }
+
+  async watch(
+    kind: string,
+    afterVersion: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<platform.StoreResult<readonly platform.StoreEvent[]>> {
+    const end = this.options.clock.now() + waitMs;
+    const fault = this.fault('watch', kind);
+    this.calls.watch++;
+    if (fault === 'down' || fault === 'lost_before') {
+      return failure('unavailable', 'the object API is down');
+    }
+    for (;;) {
+      const events = this.events.filter(
+        event =>
+          event.object.kind === kind && event.object.version > afterVersion,
+      );
+      const left = end - this.options.clock.now();
+      if (events.length > 0 || left <= 0 || signal?.aborted) {
+        return purify.Right(events);
+      }
+      const signals = [this.wakeWatchers.signal, ...(signal ? [signal] : [])];
+      await this.options.clock.sleep(left, AbortSignal.any(signals));
+      if (this.fault('watch', kind) === 'down') {
+        return failure('unavailable', 'the object API went down');
+      }
+    }
+  }
+
+  /** Number of objects of a kind, for tests. */
+  count(kind: string): number {
+    return [...this.objects.values()].filter(object => object.kind === kind)
+      .length;
+  }
+
+  private async call<T>(
+    operation: StoreOperation,
+    kind: string,
+    apply: (stale: boolean) => platform.StoreResult<T>,
+  ): Promise<platform.StoreResult<T>> {
+    this.calls[operation]++;
+    const fault = this.fault(operation, kind);
+    const delay = this.options.delayMs?.() ?? 0;
+    if (delay > 0) {
+      await this.options.clock.sleep(delay);
+    } else {
+      await Promise.resolve();
+    }
+    switch (fault) {
+      case 'down':
+        return failure('unavailable', 'the object API is down');
+      case 'lost_before':
+        return failure('unknown', 'no answer from the object API');
+      case 'lost_after':
+        apply(false);
+        return failure('unknown', 'no answer from the object API');
+      case 'stale':
+        return apply(true);
+      case 'none':
+        return apply(false);
+    }
+  }
+
+  private checkVersion(
+    kind: string,
+    name: string,
+    expectedVersion: number,
+  ): purify.Either<platform.StoreError, never> | undefined {
+    const object = this.objects.get(key(kind, name));
+    if (!object) {
+      return failure('not_found', `no object ${key(kind, name)}`);
+    }
+    if (object.version !== expectedVersion) {
+      return failure(
+        'conflict',
+        `${key(kind, name)} is at version ${object.version}, ` +
+          `not ${expectedVersion}`,
+      );
+    }
+    return undefined;
+  }
+
+  private put(
+    kind: string,
+    name: string,
+    value: unknown,
+  ): platform.StoredObject {
+    const id = key(kind, name);
+    const before = this.objects.get(id);
+    this.version++;
+    // Values are copied as the wire would, so no caller shares them.
+    const copy: unknown = structuredClone(value);
+    const object = {kind, name, version: this.version, value: copy};
+    this.objects.set(id, object);
+    if (before) {
+      this.previous.set(id, before);
+    }
+    this.publish({type: 'put', object});
+    return object;
+  }
+
+  private publish(event: platform.StoreEvent): void {
+    this.events.push(event);
+    if (this.events.length > EVENT_LIMIT) {
+      this.events.splice(0, EVENT_LIMIT / 2);
+    }
+    const watchers = this.wakeWatchers;
+    this.wakeWatchers = new AbortController();
+    watchers.abort();
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/virtual-clock.ts
@@ -0,0 +1,81 @@
+/** Virtual time for tests: it moves only when a test moves it. */
+import * as heap from 'heap-js';
+import type * as platform from '@amaranthknot/platform';
+
+interface Timer {
+  readonly at: number;
+  readonly order: number;
+  readonly fire: () => void;
+}
+
+/** Rounds of pending promise callbacks let through before time moves. */
+const SETTLE_ROUNDS = 20;
+
+/** A clock that a test moves; sleepers wake in order of time. */
+export class VirtualClock implements platform.Clock {
+  private time = 0;
+  private order = 0;
+  private readonly timers = new heap.Heap<Timer>(
+    (a, b) => a.at - b.at || a.order - b.order,
+  );
+
+  /** @param epochMs wall time at virtual time 0. */
+  constructor(private readonly epochMs = 1_700_000_000_000) {}
+
+  now(): number {
+    return this.time;
+  }
+
+  wallTime(): number {
+    return this.epochMs + this.time;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const at = this.time + Math.max(0, ms);
+      this.timers.push({at, order: this.order++, fire: resolve});
+      signal?.addEventListener('abort', () => resolve(), {once: true});
+    });
+  }
+
+  /** Moves time on by `ms`, waking sleepers on the way. */
+  async advance(ms: number): Promise<void> {
+    const end = this.time + ms;
+    await this.settle();
+    for (;;) {
+      const next = this.timers.peek();
+      if (!next || next.at > end) {
+        break;
+      }
+      this.timers.pop();
+      this.time = next.at;
+      next.fire();
+      await this.settle();
+    }
+    this.time = end;
+    await this.settle();
+  }
+
+  /** Moves time on until `done`, at most `limitMs`; says whether it was. */
+  async advanceUntil(
+    done: () => boolean,
+    limitMs: number,
+    stepMs = 10,
+  ): Promise<boolean> {
+    const end = this.time + limitMs;
+    while (!done() && this.time < end) {
+      await this.advance(stepMs);
+    }
+    return done();
+  }
+
+  private async settle(): Promise<void> {
+    for (let round = 0; round < SETTLE_ROUNDS; round++) {
+      await Promise.resolve();
+    }
+  }
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+/** See package.json for what this package is for. */
+export {};
