Let build tools start the tools they need

Cause: lint refused node:child_process in tools/build-binary.js. The rule is for the product, whose processes start no process; a build tool is none of it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -111,6 +111,8 @@
     ...tseslint.configs.disableTypeChecked,
     rules: {
       ...tseslint.configs.disableTypeChecked.rules,
+      // Build tools are not the product: they run the tools they need.
+      'no-restricted-imports': 'off',
       'no-restricted-syntax': 'off',
       'no-undef': 'off',
     },
