Add typed messages between entry instances

Cause: instances need one checked protocol for relay, bills, evidence and the time line. Methods are schemas in one map; both ends derive their types from it, so a handler and a call can not disagree. Ruled out: a JSON-RPC client object per peer (it keeps a table of requests in flight, while HTTP already pairs each answer with its request).

--- /dev/null
+++ b/packages/protocol/src/http-transport.ts
@@ -0,0 +1,89 @@
+/** Carries messages between entry instances as HTTP requests. */
+import * as http from 'node:http';
+import * as wreck from '@hapi/wreck';
+import * as purify from 'purify-ts';
+import type * as peerTransport from './peer-transport.js';
+
+/** Path at which an instance takes messages of its peers. */
+export const INNER_PATH = '/inner/rpc';
+
+/** Largest answer taken; a whole configuration stays well below it. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/**
+ * Idle time after which a connection is closed, in milliseconds. Peers are
+ * drawn at random, so at 1,000 instances a longer time would keep up to a
+ * thousand sockets open. Below the 5 s after which Node.js servers close an
+ * idle connection: a request sent into a closing one would be lost.
+ */
+const IDLE_MS = 4_000;
+
+/** Failures to connect: no byte of the request has left. */
+const CONNECT_ERRORS: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+];
+
+const describe = (error: unknown): peerTransport.PeerError => {
+  const {message, code = ''} = error as NodeJS.ErrnoException;
+  const isConnectError = CONNECT_ERRORS.includes(code);
+  return {code: isConnectError ? 'not_sent' : 'unknown', message};
+};
+
+/** Options of the transport. */
+export interface HttpTransportOptions {
+  /** Key that all instances of an environment hold. */
+  readonly innerKey: string;
+}
+
+/** A transport with the connections that it keeps. */
+export interface HttpTransport {
+  readonly send: peerTransport.PeerTransport;
+  /** Closes all connections. */
+  close(): void;
+}
+
+/** Creates a transport that posts to `http://ADDRESS/inner/rpc`. */
+export const createHttpTransport = (
+  options: HttpTransportOptions,
+): HttpTransport => {
+  const agent = new http.Agent({keepAlive: true, timeout: IDLE_MS});
+  const client = wreck.default.defaults({
+    agent,
+    headers: {
+      authorization: `Bearer ${options.innerKey}`,
+      'content-type': 'application/json',
+    },
+  });
+  const post = async (
+    address: string,
+    payload: string,
+    timeout: number,
+  ): Promise<purify.Either<peerTransport.PeerError, string>> => {
+    const response = await client.request(
+      'POST',
+      `http://${address}${INNER_PATH}`,
+      {payload, timeout},
+    );
+    const body = await wreck.default.read(response, {
+      timeout,
+      maxBytes: MAX_ANSWER_BYTES,
+    });
+    if (response.statusCode !== 200) {
+      return purify.Left({
+        code: 'refused',
+        message: `status ${response.statusCode}`,
+      });
+    }
+    return purify.Right(String(body));
+  };
+  return {
+    send: (address, requestText, timeoutMs) =>
+      post(address, requestText, timeoutMs).catch((error: unknown) =>
+        purify.Left(describe(error)),
+      ),
+    close: () => agent.destroy(),
+  };
+};
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,6 @@
-/** See package.json for what this package is for. */
-export {};
+/** Typed messages between entry instances. */
+export * from './http-transport.js';
+export * from './messages.js';
+export * from './peer-client.js';
+export * from './peer-server.js';
+export * from './peer-transport.js';
--- /dev/null
+++ b/packages/protocol/src/messages.ts
@@ -0,0 +1,172 @@
+/**
+ * Messages between entry instances: for each method the shape of its
+ * parameters and of its result. Schemas check what arrives; types are derived
+ * from them. Both ends may run neighbouring releases during a roll-out of the
+ * product itself, so fields that a receiver does not know are ignored.
+ */
+import * as zod from 'zod';
+
+/** Longest list in one message; bounds the memory that a sender can claim. */
+const MAX_ITEMS = 2_000;
+
+const name = zod.string().min(1).max(256);
+const count = zod.number().int().nonnegative();
+const milliseconds = zod.number().nonnegative();
+
+/**
+ * What is known of an instance's life: `suspect` failed to answer someone and
+ * has not yet shown life; `dead` stayed suspect for too long.
+ */
+const peerState = zod.enum(['live', 'leaving', 'suspect', 'dead']);
+
+/** One instance as its peers know it. */
+const peer = zod.object({
+  id: name,
+  /** `host:port`, the host an IP address. */
+  address: name,
+  zone: name,
+  state: peerState,
+  /** Set by the instance itself; the higher one wins. */
+  incarnation: count,
+});
+
+/** Which configuration is in force for an environment. */
+const generation = zod.object({
+  environment: name,
+  generation: count,
+  digest: name,
+});
+
+/** A named part of an environment's document. */
+const sectionEntry = zod.object({name, digest: name});
+
+/**
+ * The step from one configuration to a later one. `baseDigest` is absent when
+ * `entries` is the whole manifest. `sections` maps digests to contents.
+ */
+const configurationChange = zod.object({
+  head: generation,
+  baseDigest: name.optional(),
+  entries: zod.array(sectionEntry).max(MAX_ITEMS),
+  removed: zod.array(name).max(MAX_ITEMS),
+  sections: zod.record(zod.string(), zod.unknown()),
+});
+
+/** Counters of one version on one instance since it started. */
+const evidence = zod.object({
+  /** Names what is counted, for instance `model@version` or a cascade. */
+  subject: name,
+  workspace: name.optional(),
+  counters: zod.record(zod.string(), zod.number()),
+});
+
+/** Schemas of parameters and results by method. */
+export const schemas = {
+  /** Tells what is in force here; answers the same, and newer sections. */
+  exchange_generations: {
+    params: zod.object({
+      from: peer,
+      heads: zod.array(generation).max(16),
+      /** Recent changes of membership. */
+      news: zod.array(peer).max(MAX_ITEMS),
+    }),
+    result: zod.object({
+      from: peer,
+      heads: zod.array(generation).max(16),
+      news: zod.array(peer).max(MAX_ITEMS),
+      /** Age of the last confirmation by the platform; absent for never. */
+      confirmedAgeMs: milliseconds.optional(),
+      /** Age of the last sign of life from each zone. */
+      zoneAgesMs: zod.record(zod.string(), milliseconds),
+      /** The step to this instance's configuration when the caller's is older. */
+      change: configurationChange.optional(),
+    }),
+  },
+  /** Fetches the step from `haveDigest`, or the whole configuration. */
+  fetch_sections: {
+    params: zod.object({environment: name, haveDigest: name.optional()}),
+    result: zod.object({change: configurationChange.optional()}),
+  },
+  /** Lists the instances that the receiver knows, for one that joins. */
+  list_peers: {
+    params: zod.object({}),
+    result: zod.object({peers: zod.array(peer).max(MAX_ITEMS)}),
+  },
+  /** Copies pending bills of `owner` to an instance in another zone. */
+  copy_bills: {
+    params: zod.object({
+      owner: name,
+      bills: zod.array(zod.unknown()).max(MAX_ITEMS),
+    }),
+    result: zod.object({accepted: count}),
+  },
+  /** Fetches the copies of bills that the receiver keeps for `owner`. */
+  fetch_bills: {
+    params: zod.object({owner: name}),
+    result: zod.object({bills: zod.array(zod.unknown())}),
+  },
+  /** Collects events of the receiver's time line, oldest first. */
+  collect_events: {
+    params: zod.object({
+      afterSequence: count,
+      limit: count.max(MAX_ITEMS),
+      filter: zod.record(zod.string(), zod.string()).optional(),
+    }),
+    result: zod.object({
+      events: zod.array(zod.unknown()).max(MAX_ITEMS),
+      /** Sequence of the last event looked at; pass it as `afterSequence`. */
+      lastSequence: count,
+    }),
+  },
+  /** Reports counters for roll-outs and cascades; they only grow. */
+  report_evidence: {
+    params: zod.object({
+      from: name,
+      /** Start of the counters, so that a restart is told from a step back. */
+      incarnation: count,
+      evidence: zod.array(evidence).max(MAX_ITEMS),
+    }),
+    result: zod.object({}),
+  },
+  /** Says that an instance leaves and must not be offered to callers. */
+  leaving: {
+    params: zod.object({from: peer}),
+    result: zod.object({}),
+  },
+} as const;
+
+type Schemas = typeof schemas;
+
+/** Name of a message between entry instances. */
+export type MethodName = keyof Schemas;
+
+/** Parameters and result of each message. */
+export type Methods = {
+  readonly [M in MethodName]: {
+    readonly params: zod.infer<Schemas[M]['params']>;
+    readonly result: zod.infer<Schemas[M]['result']>;
+  };
+};
+
+/** Parameters of a message. */
+export type Params<M extends MethodName> = Methods[M]['params'];
+
+/** Result of a message. */
+export type Result<M extends MethodName> = Methods[M]['result'];
+
+/** One instance as its peers know it. */
+export type Peer = Readonly<zod.infer<typeof peer>>;
+
+/** What is known of an instance's life. */
+export type PeerState = Peer['state'];
+
+/** Which configuration is in force for an environment. */
+export type Generation = Readonly<zod.infer<typeof generation>>;
+
+/** The step from one configuration to a later one. */
+export type ConfigurationChange = Readonly<
+  zod.infer<typeof configurationChange>
+>;
+
+/** Counters of one version on one instance since it started. */
+export type Evidence = Readonly<zod.infer<typeof evidence>>;
--- /dev/null
+++ b/packages/protocol/src/peer-server.ts
@@ -0,0 +1,53 @@
+/** Answers typed messages from other entry instances. */
+import * as rpc from 'json-rpc-2.0';
+import * as messages from './messages.js';
+
+/** Functions that answer messages; a method without one is unknown. */
+export type Handlers = {
+  readonly [M in messages.MethodName]?: (
+    params: messages.Params<M>,
+  ) => messages.Result<M> | Promise<messages.Result<M>>;
+};
+
+/** Answers requests given as text. */
+export interface PeerServer {
+  /** Resolves to the answer's text, a JSON-RPC error included; never rejects. */
+  handle(text: string): Promise<string>;
+}
+
+type Handler = (params: never) => unknown;
+
+const addMethod = (
+  server: rpc.JSONRPCServer,
+  method: messages.MethodName,
+  handler: Handler,
+): void => {
+  server.addMethod(method, (params: unknown) => {
+    const checked = messages.schemas[method].params.safeParse(params);
+    if (!checked.success) {
+      throw new rpc.JSONRPCErrorException(
+        checked.error.message,
+        rpc.JSONRPCErrorCode.InvalidParams,
+      );
+    }
+    return handler(checked.data as never);
+  });
+};
+
+/** Creates a server that dispatches to `handlers`. */
+export const createPeerServer = (handlers: Handlers): PeerServer => {
+  const server = new rpc.JSONRPCServer({errorListener: () => undefined});
+  for (const method of Object.keys(messages.schemas)) {
+    const known = method as messages.MethodName;
+    const handler = handlers[known];
+    if (handler) {
+      addMethod(server, known, handler);
+    }
+  }
+  return {
+    handle: async text => {
+      const answer = await server.receiveJSON(text);
+      return answer === null ? '' : JSON.stringify(answer);
+    },
+  };
+};
