--- /dev/null
+++ b/packages/membership/src/configuration-head.ts
@@ -0,0 +1,102 @@
+/**
+ * The accepted configuration of an environment, as the platform keeps it:
+ * immutable content-addressed objects, and one head that names the digest in
+ * force. Only the head's conditional update puts a configuration in force.
+ */
+import * as purify from 'purify-ts';
+import type * as platform from '@amaranthknot/platform';
+import * as sections from './sections.js';
+
+/** Kind of the heads, one object for each environment. */
+export const HEAD_KIND = 'configuration_head';
+
+/** Kind of sections and manifests, each named by its digest. */
+export const SECTION_KIND = 'configuration_section';
+
+/** How one generation differs from the one before. */
+export interface HeadStep {
+  readonly generation: number;
+  readonly digest: string;
+  readonly entries: readonly sections.SectionEntry[];
+  readonly removed: readonly string[];
+}
+
+/** The configuration in force for an environment. */
+export interface Head {
+  /** Grows by one with each publication. */
+  readonly generation: number;
+  /** Digest of the manifest. */
+  readonly digest: string;
+  /** Latest steps, oldest first; a watcher behind by few needs no manifest. */
+  readonly steps: readonly HeadStep[];
+  /** Identities of the latest publications, the newest last. */
+  readonly publications: readonly string[];
+}
+
+/** A head with the version that the platform keeps it under. */
+export interface StoredHead {
+  readonly head: Head;
+  readonly version: number;
+}
+
+/**
+ * Reads the head of an environment; undefined when nothing is published yet.
+ * The platform may answer with an older one.
+ */
+export const readHead = async (
+  store: platform.ObjectStore,
+  environment: string,
+): Promise<platform.StoreResult<StoredHead | undefined>> => {
+  const result = await store.get(HEAD_KIND, environment);
+  return result
+    .map((object): StoredHead | undefined => parseHead(object))
+    .chainLeft(error =>
+      error.code === 'not_found' ? purify.Right(undefined) : purify.Left(error),
+    );
+};
+
+/** Reads a head from an object of kind `HEAD_KIND`. */
+export const parseHead = (object: platform.StoredObject): StoredHead => ({
+  head: object.value as Head,
+  version: object.version,
+});
+
+/** Reads a section or manifest; its content is checked against its name. */
+export const readSection = async (
+  store: platform.ObjectStore,
+  digest: string,
+): Promise<platform.StoreResult<unknown>> => {
+  const result = await store.get(SECTION_KIND, digest);
+  return result.chain(({value}) =>
+    sections.digestOf(value) === digest
+      ? purify.Right(value)
+      : purify.Left({
+          code: 'unavailable' as const,
+          message: `section ${digest} has another content`,
+        }),
+  );
+};
+
+/** Reads the manifest with this digest. */
+export const readManifest = async (
+  store: platform.ObjectStore,
+  digest: string,
+): Promise<platform.StoreResult<sections.Manifest>> =>
+  (await readSection(store, digest)).map(value => value as sections.Manifest);
+
+/** Reads a whole document by the digest of its manifest. */
+export const readDocument = async (
+  store: platform.ObjectStore,
+  digest: string,
+): Promise<platform.StoreResult<sections.SplitDocument>> => {
+  const manifest = await readManifest(store, digest);
+  const contents = new Map<string, unknown>();
+  for (const entry of manifest.map(m => m.entries).orDefault([])) {
+    const section = await readSection(store, entry.digest);
+    if (section.isLeft()) {
+      return section;
+    }
+    contents.set(entry.digest, section.extract());
+  }
+  return manifest.map(m => ({manifest: m, sections: contents, digest}));
+};
--- /dev/null
+++ b/packages/membership/src/configuration-publisher.ts
@@ -0,0 +1,368 @@
+/** Puts a checked document in force for an environment, whole or not at all. */
+import * as crypto from 'node:crypto';
+import type * as configuration from '@amaranthknot/configuration';
+import type * as platform from '@amaranthknot/platform';
+import * as purify from 'purify-ts';
+import * as configurationHead from './configuration-head.js';
+import * as sections from './sections.js';
+import * as compareManifests from './util/compare-manifests.js';
+
+/**
+ * Why nothing, or perhaps something, was put in force.
+ *
+ * - `conflict`: another publication came first; nothing of this one is in
+ *   force. `generation` is the one that is.
+ * - `not_found`: there is nothing to promote.
+ * - `unavailable`: the platform did not take it; nothing is in force.
+ * - `unknown`: answers were lost and could not be settled; read the head
+ *   and look for `publication`.
+ */
+export interface PublishError {
+  readonly code: 'conflict' | 'not_found' | 'unavailable' | 'unknown';
+  readonly message: string;
+  readonly generation?: number;
+  readonly publication?: string;
+}
+
+/** What was put in force. */
+export interface Publication {
+  readonly generation: number;
+  readonly digest: string;
+}
+
+type PublishResult<T> = purify.Either<PublishError, T>;
+
+/**
+ * Tries for each call to the platform. Answers of a healthy platform take
+ * milliseconds, so three tries ride over a lost answer or two, while an
+ * operator in an outage is told at once instead of adding to the load.
+ */
+const TRIES = 3;
+
+/**
+ * Steps kept in a head. Watchers see each generation within a second, at the
+ * 1.05 changes/s of the design; three steps cover the ones that come together,
+ * and keep the head, which each watcher reads once per change, near 1 KB.
+ */
+const STEPS = 3;
+
+/**
+ * Identities of publications kept in a head. A publisher whose answer was lost
+ * finds its own among them; at 1.05 changes/s this settles for 15 s.
+ */
+const PUBLICATIONS = 16;
+
+const EMPTY: sections.Manifest = {entries: []};
+
+const fail = (error: platform.StoreError): PublishError => ({
+  code: error.code === 'unknown' ? 'unknown' : 'unavailable',
+  message: error.message,
+});
+
+const retry = async <T>(
+  call: () => Promise<platform.StoreResult<T>>,
+): Promise<platform.StoreResult<T>> => {
+  let result = await call();
+  for (let tries = 1; tries < TRIES; tries++) {
+    const code = result
+      .swap()
+      .map(error => error.code)
+      .extract();
+    if (code !== 'unknown' && code !== 'unavailable') {
+      return result;
+    }
+    result = await call();
+  }
+  return result;
+};
+
+/** Creates an object named by its content; one that exists is the same. */
+const createContent = async (
+  store: platform.ObjectStore,
+  digest: string,
+  value: unknown,
+): Promise<PublishResult<void>> => {
+  const result = await retry(() =>
+    store.create(configurationHead.SECTION_KIND, digest, value),
+  );
+  return result
+    .map(() => undefined)
+    .chainLeft(error =>
+      error.code === 'conflict'
+        ? purify.Right(undefined)
+        : // Nothing is in force before the head moves, so even a lost answer
+          // here leaves nothing behind but an object that no head names.
+          purify.Left({code: 'unavailable' as const, message: error.message}),
+    );
+};
+
+const createContents = async (
+  store: platform.ObjectStore,
+  contents: ReadonlyMap<string, unknown>,
+): Promise<PublishResult<void>> => {
+  for (const [digest, value] of contents) {
+    const created = await createContent(store, digest, value);
+    if (created.isLeft()) {
+      return created;
+    }
+  }
+  return purify.Right(undefined);
+};
+
+const describeConflict = (
+  environment: string,
+  generation: number | undefined,
+): PublishError => ({
+  code: 'conflict',
+  message:
+    `another publication came first: ${environment} is at generation ` +
+    `${generation ?? 'unknown'}; look at it and apply again`,
+  ...(generation === undefined ? {} : {generation}),
+});
+
+/**
+ * Reads the head to build on. A stale answer shows as a generation below the
+ * expected one, so the read is repeated before a conflict is reported.
+ */
+const readBase = async (
+  store: platform.ObjectStore,
+  environment: string,
+  expectedGeneration: number | undefined,
+): Promise<PublishResult<configurationHead.StoredHead | undefined>> => {
+  let generation = 0;
+  for (let tries = 0; tries < TRIES; tries++) {
+    const result = await retry(() =>
+      configurationHead.readHead(store, environment),
+    );
+    if (result.isLeft()) {
+      return result.mapLeft(error => ({
+        code: 'unavailable' as const,
+        message: error.message,
+      }));
+    }
+    const base = result.orDefault(undefined);
+    generation = base?.head.generation ?? 0;
+    if ((expectedGeneration ?? generation) === generation) {
+      return purify.Right(base);
+    }
+    if (generation > (expectedGeneration ?? 0)) {
+      break;
+    }
+  }
+  return purify.Left(describeConflict(environment, generation));
+};
+
+interface Move {
+  readonly store: platform.ObjectStore;
+  readonly environment: string;
+  readonly base: configurationHead.StoredHead | undefined;
+  readonly head: configurationHead.Head;
+  readonly publication: string;
+}
+
+const writeHead = (
+  move: Move,
+): Promise<platform.StoreResult<platform.StoredObject>> =>
+  move.base
+    ? move.store.update(
+        configurationHead.HEAD_KIND,
+        move.environment,
+        move.head,
+        move.base.version,
+      )
+    : move.store.create(
+        configurationHead.HEAD_KIND,
+        move.environment,
+        move.head,
+      );
+
+/**
+ * Finds out whether a write without an answer took effect: the head names the
+ * latest publications, so ours is among them also when another publication
+ * already followed. Undefined while only the old head is seen, which may be a
+ * stale answer.
+ */
+const settle = async (
+  move: Move,
+): Promise<PublishResult<boolean> | undefined> => {
+  const read = await configurationHead.readHead(move.store, move.environment);
+  const seen = read.orDefault(undefined);
+  if (!seen || seen.version <= (move.base?.version ?? 0)) {
+    return undefined;
+  }
+  return seen.head.publications.includes(move.publication)
+    ? purify.Right(true)
+    : purify.Left(describeConflict(move.environment, seen.head.generation));
+};
+
+/**
+ * Moves the head. The failure guarded against is an answer lost after the
+ * write took effect: a plain retry would then report a conflict with itself,
+ * and an operator would apply twice or believe it failed. The write is
+ * conditional on the base version, so repeating it can not apply twice, and
+ * after a conflict the head tells whose publication won.
+ */
+const moveHead = async (move: Move): Promise<PublishResult<Publication>> => {
+  const done = {generation: move.head.generation, digest: move.head.digest};
+  let mayHaveWritten = false;
+  let message = '';
+  for (let tries = 0; tries < TRIES; tries++) {
+    const result = await writeHead(move);
+    if (result.isRight()) {
+      return purify.Right(done);
+    }
+    const error = result.swap().unsafeCoerce();
+    message = error.message;
+    mayHaveWritten ||= error.code === 'unknown';
+    if (error.code === 'unavailable') {
+      continue;
+    }
+    const settled = await settle(move);
+    if (settled) {
+      return settled.map(() => done);
+    }
+    if (!mayHaveWritten) {
+      return purify.Left(describeConflict(move.environment, undefined));
+    }
+  }
+  return purify.Left(
+    mayHaveWritten
+      ? {code: 'unknown', message, publication: move.publication}
+      : {code: 'unavailable', message},
+  );
+};
+
+const createHead = (
+  base: configurationHead.Head | undefined,
+  digest: string,
+  difference: compareManifests.ManifestDifference,
+  publication: string,
+): configurationHead.Head => {
+  const generation = (base?.generation ?? 0) + 1;
+  const step = {generation, digest, ...difference};
+  return {
+    generation,
+    digest,
+    steps: [...(base?.steps ?? []), step].slice(-STEPS),
+    publications: [...(base?.publications ?? []), publication].slice(
+      -PUBLICATIONS,
+    ),
+  };
+};
+
+const readBaseManifest = async (
+  store: platform.ObjectStore,
+  base: configurationHead.StoredHead | undefined,
+): Promise<PublishResult<sections.Manifest>> => {
+  if (!base) {
+    return purify.Right(EMPTY);
+  }
+  const manifest = await retry(() =>
+    configurationHead.readManifest(store, base.head.digest),
+  );
+  return manifest.mapLeft(fail);
+};
+
+/** Choices for one publication. */
+export interface PublishOptions {
+  /** Refuse when another generation is in force; 0 means none yet. */
+  readonly expectedGeneration?: number;
+  /** Unique identity of this publication; random by default. */
+  readonly publication?: string;
+}
+
+const publishManifest = async (
+  store: platform.ObjectStore,
+  environment: string,
+  manifest: sections.Manifest,
+  contents: ReadonlyMap<string, unknown>,
+  options: PublishOptions,
+): Promise<PublishResult<Publication>> => {
+  const base = await readBase(store, environment, options.expectedGeneration);
+  if (base.isLeft()) {
+    return base;
+  }
+  const stored = base.orDefault(undefined);
+  const before = await readBaseManifest(store, stored);
+  if (before.isLeft()) {
+    return before;
+  }
+  const difference = compareManifests.compareManifests(
+    before.orDefault(EMPTY),
+    manifest,
+  );
+  const digest = sections.digestOf(manifest);
+  // What the base names is stored already: only the difference is written, so
+  // the calls for one change do not grow with the document.
+  const wanted = new Set(difference.entries.map(entry => entry.digest));
+  const fresh = [...contents].filter(([name]) => wanted.has(name));
+  const created = await createContents(
+    store,
+    new Map([...fresh, [digest, manifest] as const]),
+  );
+  if (created.isLeft()) {
+    return created;
+  }
+  const publication = options.publication ?? crypto.randomUUID();
+  const head = createHead(stored?.head, digest, difference, publication);
+  return moveHead({store, environment, base: stored, head, publication});
+};
+
+/**
+ * Puts a checked document in force: sections first, then one conditional
+ * update of the head. Interrupted before that update, nothing is in force.
+ */
+export const publishDocument = (
+  store: platform.ObjectStore,
+  environment: string,
+  document: configuration.Document,
+  expectedGeneration?: number,
+  publication?: string,
+): Promise<PublishResult<Publication>> => {
+  const split = sections.splitDocument(document);
+  return publishManifest(store, environment, split.manifest, split.sections, {
+    ...(expectedGeneration === undefined ? {} : {expectedGeneration}),
+    ...(publication === undefined ? {} : {publication}),
+  });
+};
+
+/**
+ * Puts what is in force for one environment in force for another, unchanged.
+ * `digest` is the configuration that was tried: when the other environment
+ * has moved on, also while this runs, nothing is promoted.
+ */
+export const promoteDocument = async (
+  store: platform.ObjectStore,
+  from: string,
+  to: string,
+  digest?: string,
+  options: PublishOptions = {},
+): Promise<PublishResult<Publication>> => {
+  const source = await retry(() => configurationHead.readHead(store, from));
+  if (source.isLeft()) {
+    return source.mapLeft(fail);
+  }
+  const head = source.orDefault(undefined)?.head;
+  if (!head) {
+    return purify.Left({
+      code: 'not_found',
+      message: `nothing is in force for ${from}`,
+    });
+  }
+  if (digest !== undefined && digest !== head.digest) {
+    return purify.Left(describeConflict(from, head.generation));
+  }
+  const manifest = await retry(() =>
+    configurationHead.readManifest(store, head.digest),
+  );
+  if (manifest.isLeft()) {
+    return manifest.mapLeft(fail);
+  }
+  return publishManifest(
+    store,
+    to,
+    manifest.orDefault(EMPTY),
+    new Map(),
+    options,
+  );
+};
--- /dev/null
+++ b/packages/membership/src/configuration-relay.ts
@@ -0,0 +1,265 @@
+/**
+ * The configuration in force on one instance, and the messages by which
+ * instances pass it on. Without timers: `ConfigurationFollower` drives it.
+ */
+import type * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import type * as configurationHead from './configuration-head.js';
+import * as configurationSource from './configuration-source.js';
+import * as configurationStep from './configuration-step.js';
+import * as freshness from './freshness.js';
+import type * as peers from './peers.js';
+import type * as sections from './sections.js';
+
+/**
+ * Time for one message, in milliseconds. Peers answer in a few; a second tells
+ * a dead one while the configuration still spreads within its 3 s.
+ */
+export const MESSAGE_TIMEOUT_MS = 1_000;
+
+/**
+ * Manifests kept to describe steps from, about 17 KB each at 200 sections. At
+ * 1.05 changes/s they serve peers up to 30 s behind; others get it whole.
+ */
+const KEPT_MANIFESTS = 32;
+
+/**
+ * Sections up to which a step rides on an exchange. Larger ones are fetched,
+ * once, so that a slow start does not get them from everyone it talks to.
+ */
+const INLINE_SECTIONS = 16;
+
+/** Rows of news in one message: about 120 bytes each, of 4 KB/s a node. */
+const NEWS_LIMIT = 4;
+
+/** Where a configuration came from. */
+export type ConfigurationOrigin = 'platform' | 'peer';
+
+/** Parts that a relay works with. */
+export interface ConfigurationRelayOptions {
+  readonly environment: string;
+  readonly store: platform.ObjectStore;
+  readonly transport: protocol.PeerTransport;
+  readonly peers: peers.Peers;
+  readonly clock: platform.Clock;
+  /** Called each time a higher generation is in force, and only then. */
+  readonly onChange: (
+    configuration: configurationStep.ConfigurationInForce,
+    origin: ConfigurationOrigin,
+  ) => void;
+}
+
+/** Keeps, passes on and takes in the configuration in force. */
+export class ConfigurationRelay {
+  readonly freshness = new freshness.Freshness();
+  private current: configurationStep.ConfigurationInForce | undefined;
+  private readonly manifests = new Map<number, sections.Manifest>();
+  private isFetching = false;
+
+  constructor(private readonly options: ConfigurationRelayOptions) {}
+
+  /** The configuration in force; undefined before the first. */
+  inForce(): configurationStep.ConfigurationInForce | undefined {
+    return this.current;
+  }
+
+  /** Its generation; 0 before the first. */
+  generation(): number {
+    return this.current?.generation ?? 0;
+  }
+
+  /** Moves to a head read from the platform; says whether it is in force. */
+  async adoptHead(head: configurationHead.Head): Promise<boolean> {
+    if (head.generation <= this.generation()) {
+      return head.generation === this.generation();
+    }
+    const {store, environment} = this.options;
+    const step = await configurationSource.readStep(
+      store,
+      environment,
+      this.current,
+      head,
+    );
+    step.ifRight(change => this.take(change, 'platform'));
+    return this.generation() >= head.generation;
+  }
+
+  /** Answers `exchange_generations`. */
+  handleExchange(
+    params: protocol.Params<'exchange_generations'>,
+  ): protocol.Result<'exchange_generations'> {
+    const {clock, peers} = this.options;
+    const now = clock.now();
+    peers.hear(params.from, now);
+    peers.applyNews(params.news, now);
+    const theirs = this.findGeneration(params.generations);
+    if (theirs > this.generation()) {
+      void this.fetchFrom(params.from.address);
+    }
+    const change =
+      theirs < this.generation() ? this.describeInline(theirs) : undefined;
+    const confirmedAgeMs = this.freshness.confirmedAgeMs(now);
+    return {
+      from: peers.self(),
+      generations: this.generations(),
+      news: peers.news(params.from.id, NEWS_LIMIT),
+      ...(confirmedAgeMs === undefined
+        ? {}
+        : {confirmedAgeMs: Math.ceil(confirmedAgeMs)}),
+      zoneAgesMs: this.zoneAgesMs(now),
+      ...(change ? {change} : {}),
+    };
+  }
+
+  /** Answers `fetch_sections`. */
+  handleFetch(
+    params: protocol.Params<'fetch_sections'>,
+  ): protocol.Result<'fetch_sections'> {
+    const have = params.haveGeneration ?? 0;
+    const isWanted =
+      params.environment === this.options.environment &&
+      have < this.generation();
+    const change = isWanted ? this.describeFrom(have) : undefined;
+    return change ? {change} : {};
+  }
+
+  /** Exchanges generations with a peer; says whether it answered. */
+  async exchangeWith(peer: protocol.Peer): Promise<boolean> {
+    const {clock, peers} = this.options;
+    const sentAt = clock.now();
+    const result = await protocol.callPeer(
+      this.options.transport,
+      peer.address,
+      'exchange_generations',
+      {
+        from: peers.self(),
+        generations: this.generations(),
+        news: peers.news(peer.id, NEWS_LIMIT),
+      },
+      MESSAGE_TIMEOUT_MS,
+    );
+    if (result.isLeft()) {
+      peers.fail(peer.id, clock.now());
+      return false;
+    }
+    await this.takeAnswer(result.unsafeCoerce(), peer.address, sentAt);
+    return true;
+  }
+
+  /** The bound on the age of a confirmation for a fleet of this size. */
+  boundMs(watchers: number): number {
+    return freshness.isolationBoundMs(this.options.peers.size(), watchers);
+  }
+
+  private async takeAnswer(
+    answer: protocol.Result<'exchange_generations'>,
+    address: string,
+    sentAt: number,
+  ): Promise<void> {
+    const {clock, peers} = this.options;
+    peers.hear(answer.from, clock.now());
+    peers.applyNews(answer.news, clock.now());
+    this.freshness.hear(answer.from.zone, sentAt);
+    for (const [zone, age] of Object.entries(answer.zoneAgesMs)) {
+      this.freshness.hear(zone, sentAt - age);
+    }
+    if (answer.change) {
+      this.take(answer.change, 'peer');
+    }
+    const theirs = this.findGeneration(answer.generations);
+    if (theirs > this.generation()) {
+      await this.fetchFrom(address);
+    }
+    // The peer's confirmation is for its generation: while that is not in
+    // force here, it says nothing about what is. Its age counts from before
+    // the request was sent, as the answer may have been long on its way.
+    if (answer.confirmedAgeMs !== undefined && this.generation() >= theirs) {
+      this.freshness.confirm(sentAt - answer.confirmedAgeMs);
+    }
+  }
+
+  private async fetchFrom(address: string): Promise<void> {
+    if (this.isFetching) {
+      return;
+    }
+    this.isFetching = true;
+    const have = this.generation();
+    const result = await protocol.callPeer(
+      this.options.transport,
+      address,
+      'fetch_sections',
+      {
+        environment: this.options.environment,
+        ...(have > 0 ? {haveGeneration: have} : {}),
+      },
+      MESSAGE_TIMEOUT_MS,
+    );
+    this.isFetching = false;
+    result.ifRight(({change}) => {
+      if (change) {
+        this.take(change, 'peer');
+      }
+    });
+  }
+
+  /**
+   * The only place where the configuration in force changes. Answers may come
+   * late, while another source was quicker; `takeStep` lets only a higher
+   * generation through, so what is in force never reverts.
+   */
+  private take(
+    change: protocol.ConfigurationChange,
+    origin: ConfigurationOrigin,
+  ): void {
+    if (change.environment !== this.options.environment) {
+      return;
+    }
+    configurationStep.takeStep(this.current, change).ifRight(taken => {
+      this.current = taken;
+      this.manifests.set(taken.generation, taken.manifest);
+      const oldest = [...this.manifests.keys()][0];
+      if (oldest !== undefined && this.manifests.size > KEPT_MANIFESTS) {
+        this.manifests.delete(oldest);
+      }
+      this.options.onChange(taken, origin);
+    });
+  }
+
+  private generations(): protocol.Generation[] {
+    const {environment} = this.options;
+    return [{environment, generation: this.generation()}];
+  }
+
+  private findGeneration(generations: readonly protocol.Generation[]): number {
+    return (
+      generations.find(
+        ({environment}) => environment === this.options.environment,
+      )?.generation ?? 0
+    );
+  }
+
+  private describeFrom(have: number): protocol.ConfigurationChange | undefined {
+    const manifest = this.manifests.get(have);
+    const base = manifest ? {generation: have, manifest} : undefined;
+    return this.current && configurationStep.describeStep(base, this.current);
+  }
+
+  private describeInline(
+    have: number,
+  ): protocol.ConfigurationChange | undefined {
+    const change = this.manifests.has(have)
+      ? this.describeFrom(have)
+      : undefined;
+    const size = change?.entries.length ?? 0;
+    return size <= INLINE_SECTIONS ? change : undefined;
+  }
+
+  private zoneAgesMs(now: number): Record<string, number> {
+    const {peers} = this.options;
+    const bound = this.boundMs(1);
+    return {
+      ...this.freshness.zoneAgesMs(now, bound),
+      [peers.self().zone]: 0,
+    };
+  }
+}
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -9,6 +9,9 @@
 /** Longest list in one message; bounds the memory that a sender can claim. */
 const MAX_ITEMS = 2_000;
 
+/** Environments that one instance may follow. */
+const MAX_ENVIRONMENTS = 16;
+
 const name = zod.string().min(1).max(256);
 const count = zod.number().int().nonnegative();
 const milliseconds = zod.number().nonnegative();
@@ -30,23 +33,37 @@
   incarnation: count,
 });
 
-/** Which configuration is in force for an environment. */
-const generation = zod.object({
-  environment: name,
-  generation: count,
-  digest: name,
-});
+/**
+ * Which configuration is in force for an environment. The digest is left out:
+ * one conditional update makes each generation, so the number says it all, at
+ * a sixth of the bytes of a message that every instance sends each second.
+ */
+const generation = zod.object({environment: name, generation: count});
+
+/**
+ * What an instance knows of its configuration: `confirmed` by the platform
+ * lately; `platform_out` while most zones are heard and none reaches the
+ * platform; `isolated` when it can not tell; `starting` before it has any.
+ */
+const standing = zod.enum([
+  'starting',
+  'confirmed',
+  'platform_out',
+  'isolated',
+]);
 
 /** A named part of an environment's document. */
 const sectionEntry = zod.object({name, digest: name});
 
 /**
- * The step from one configuration to a later one. `baseDigest` is absent when
- * `entries` is the whole manifest. `sections` maps digests to contents.
+ * The step from one configuration to a later one. `baseGeneration` is absent
+ * when `entries` is the whole manifest. `sections` maps digests to contents.
  */
 const configurationChange = zod.object({
-  head: generation,
-  baseDigest: name.optional(),
+  environment: name,
+  generation: count,
+  digest: name,
+  baseGeneration: count.optional(),
   entries: zod.array(sectionEntry).max(MAX_ITEMS),
   removed: zod.array(name).max(MAX_ITEMS),
   sections: zod.record(zod.string(), zod.unknown()),
@@ -66,13 +83,13 @@
   exchange_generations: {
     params: zod.object({
       from: peer,
-      heads: zod.array(generation).max(16),
+      generations: zod.array(generation).max(MAX_ENVIRONMENTS),
       /** Recent changes of membership. */
       news: zod.array(peer).max(MAX_ITEMS),
     }),
     result: zod.object({
       from: peer,
-      heads: zod.array(generation).max(16),
+      generations: zod.array(generation).max(MAX_ENVIRONMENTS),
       news: zod.array(peer).max(MAX_ITEMS),
       /** Age of the last confirmation by the platform; absent for never. */
       confirmedAgeMs: milliseconds.optional(),
@@ -82,11 +99,20 @@
       change: configurationChange.optional(),
     }),
   },
-  /** Fetches the step from `haveDigest`, or the whole configuration. */
+  /** Fetches the step from `haveGeneration`, or the whole configuration. */
   fetch_sections: {
-    params: zod.object({environment: name, haveDigest: name.optional()}),
+    params: zod.object({environment: name, haveGeneration: count.optional()}),
     result: zod.object({change: configurationChange.optional()}),
   },
+  /** Tells operators what is in force, and whether new work is taken. */
+  report_generation: {
+    params: zod.object({environment: name}),
+    result: zod.object({
+      from: peer,
+      generation: count.optional(),
+      standing,
+    }),
+  },
   /** Lists the instances that the receiver knows, for one that joins. */
   list_peers: {
     params: zod.object({}),
@@ -163,6 +189,9 @@
 /** Which configuration is in force for an environment. */
 export type Generation = Readonly<zod.infer<typeof generation>>;
 
+/** What an instance knows of its configuration. */
+export type Standing = zod.infer<typeof standing>;
+
 /** The step from one configuration to a later one. */
 export type ConfigurationChange = Readonly<
   zod.infer<typeof configurationChange>
