Prove that the configuration spreads, holds and stops when isolated

Stories: stale answers, watchers of a zone killed, cut from the platform but not from peers, started in an outage (with and without the list), ten minutes of outage, cut off from all, cut from peers only.

Ruled out: a longer window for signs of life, as an isolated instance would then serve past 3 s. Cause was the sampling: draws now go round a shuffled list, and exchanges come closer together once half the bound passed unconfirmed. - 'watches the platform itself when cut from its peers': not the cut instance was late but a healthy one, held up by timeouts of a second against the dead one. Suspects are now tried in a tenth of the draws, a message may take 600 ms, and a change is followed by up to two early exchanges. - Found by reading: a suspect that spoke first was cleared locally before the rumour against it was looked up, so it never heard of it. News is now collected before the sender is heard.

--- a/packages/membership/src/configuration-follower.ts
+++ b/packages/membership/src/configuration-follower.ts
@@ -4,11 +4,12 @@
  */
 import type * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
-import * as configurationHead from './configuration-head.js';
 import * as configurationRelay from './configuration-relay.js';
 import type * as configurationStep from './configuration-step.js';
+import * as headWatcher from './head-watcher.js';
 import type * as peersModule from './peers.js';
 import * as rendezvous from './rendezvous.js';
+import * as tokenBucket from './util/token-bucket.js';
 
 /**
  * Instances of each zone that watch the platform. Two, so that one may die
@@ -16,23 +17,9 @@
  */
 export const WATCHERS_PER_ZONE = 2;
 
-/**
- * Longest wait of one watch, in milliseconds. Each answer confirms the
- * configuration as of the call's start, so ages stay below twice this plus a
- * delay: well inside the 2.5 s after which new work stops. 18 watchers make 36
- * calls/s of the platform's 2,000.
- */
-const WATCH_MS = 500;
-
 /** Time between looks at whether to watch, in milliseconds; costs no call. */
 const WATCH_CHECK_MS = 500;
 
-/**
- * Time between plain reads of the head, in milliseconds, in case a watch lost
- * an event: the platform bounds the events that it keeps.
- */
-const HEAD_READ_MS = 10_000;
-
 /** Time between exchanges in milliseconds, spread by a tenth. */
 const EXCHANGE_MS = 1_000;
 
@@ -42,8 +29,15 @@
  * bounds them when changes come each second, at 4 KB/s a node.
  */
 const EARLY_EXCHANGES = 3;
+const EARLY_MS = 50;
 const EXCHANGES_PER_S = 1.25;
 
+/**
+ * Share of the bound between exchanges while in doubt: 0.3 s at 7 instances.
+ * At 1,000 the bound is long and the share makes no difference.
+ */
+const DOUBT_SHARE = 0.12;
+
 /**
  * Failed exchanges in a row after which an instance watches the platform
  * itself. Cut off from its peers it can not learn of a change otherwise; in an
@@ -84,21 +78,31 @@
   private readonly relay: configurationRelay.ConfigurationRelay;
   private readonly stopping = new AbortController();
   private wakeExchange = new AbortController();
-  private tokens = EARLY_EXCHANGES;
-  private tokensAt = 0;
+  private readonly pace: tokenBucket.TokenBucket;
+  private earlyLeft = 0;
   private failures = 0;
-  private headVersion: number | undefined;
-  private headReadAt = -Infinity;
+  private readonly watcher: headWatcher.HeadWatcher;
   private loops: Promise<unknown> = Promise.resolve();
 
   constructor(private readonly options: ConfigurationFollowerOptions) {
     this.relay = new configurationRelay.ConfigurationRelay({
       ...options,
       onChange: (taken, origin) => {
+        this.earlyLeft = EARLY_EXCHANGES - 1;
         this.wakeExchange.abort();
         options.onChange?.(taken, origin);
       },
     });
+    this.watcher = new headWatcher.HeadWatcher({
+      ...options,
+      relay: this.relay,
+      signal: this.stopping.signal,
+    });
+    this.pace = new tokenBucket.TokenBucket(
+      EARLY_EXCHANGES,
+      EXCHANGES_PER_S,
+      options.clock.now(),
+    );
   }
 
   /** Asks peers and the platform once, then keeps following until `stop`. */
@@ -106,7 +110,7 @@
     await this.readList();
     await this.askPeers();
     if (this.relay.generation() === 0) {
-      await this.readHead();
+      await this.watcher.read();
     }
     this.loops = Promise.all([
       this.repeat(() => this.watch()),
@@ -251,94 +255,53 @@
       await this.sleep(WATCH_CHECK_MS);
       return;
     }
-    const isReadDue =
-      this.headVersion === undefined ||
-      this.options.clock.now() - this.headReadAt >= HEAD_READ_MS;
-    const isAnswered = isReadDue
-      ? await this.readHead()
-      : await this.watchHead(this.headVersion ?? 0);
+    const isAnswered = await this.watcher.next();
     if (!isAnswered) {
       // As seldom as a watch that works, and spread: neither an outage nor
       // its end raises the rate of calls.
-      await this.sleep(this.spread(WATCH_MS));
-    }
-  }
-
-  /** Reads the head; a stale answer changes nothing and confirms nothing. */
-  private async readHead(): Promise<boolean> {
-    const {store, environment, clock} = this.options;
-    const read = await configurationHead.readHead(store, environment);
-    const stored = read.orDefault(undefined);
-    if (read.isLeft()) {
-      return false;
+      await this.sleep(this.spread(headWatcher.WATCH_MS));
     }
-    this.headReadAt = clock.now();
-    // Keeps the higher version: watching on from a stale one is harmless, but
-    // would bring events again.
-    this.headVersion = Math.max(this.headVersion ?? 0, stored?.version ?? 0);
-    return stored === undefined || this.relay.adoptHead(stored.head);
-  }
-
-  private async watchHead(afterVersion: number): Promise<boolean> {
-    const {store, environment, clock} = this.options;
-    const startedAt = clock.now();
-    const result = await store.watch(
-      configurationHead.HEAD_KIND,
-      afterVersion,
-      WATCH_MS,
-      this.stopping.signal,
-    );
-    if (result.isLeft() || this.stopping.signal.aborted) {
-      return false;
-    }
-    const events = result.orDefault([]);
-    const newest = events
-      .filter(({type, object}) => type === 'put' && object.name === environment)
-      .at(-1);
-    if (newest) {
-      const {head} = configurationHead.parseHead(newest.object);
-      if (!(await this.relay.adoptHead(head))) {
-        return false;
-      }
-    }
-    const versions = events.map(event => event.object.version);
-    this.headVersion = Math.max(afterVersion, ...versions);
-    // As of the start: the answer may have been long on its way.
-    this.relay.freshness.confirm(startedAt);
-    return true;
   }
 
   private async exchange(): Promise<void> {
     const {peers, clock, random} = this.options;
     peers.tick(clock.now());
     const peer = peers.draw(random);
-    this.takeToken();
+    this.pace.take(clock.now());
     this.wakeExchange = new AbortController();
     if (peer) {
       const isAnswered = await this.relay.exchangeWith(peer);
       this.failures = isAnswered ? 0 : this.failures + 1;
     }
-    const wake = this.wakeExchange.signal;
-    const startedAt = clock.now();
-    await this.sleep(this.spread(EXCHANGE_MS), wake);
-    const waitMs = this.tokenWaitMs();
-    const isEarly = clock.now() - startedAt < EXCHANGE_MS * 0.9;
-    if (isEarly && waitMs > 0) {
-      await this.sleep(Math.min(waitMs, EXCHANGE_MS));
-    }
+    await this.awaitExchange();
   }
 
-  private takeToken(): void {
-    const now = this.options.clock.now();
-    const earned = ((now - this.tokensAt) / 1_000) * EXCHANGES_PER_S;
-    this.tokens = Math.min(EARLY_EXCHANGES, this.tokens + earned) - 1;
-    this.tokensAt = now;
+  /** Waits for the next exchange, less after a change or in doubt. */
+  private async awaitExchange(): Promise<void> {
+    const {clock} = this.options;
+    const end = clock.now() + this.spread(this.exchangeMs());
+    if (this.earlyLeft === 0) {
+      await this.sleep(end - clock.now(), this.wakeExchange.signal);
+    }
+    if (this.earlyLeft > 0) {
+      this.earlyLeft--;
+      const wait = Math.max(EARLY_MS, this.pace.waitMs(clock.now()));
+      await this.sleep(Math.min(wait, Math.max(0, end - clock.now())));
+    }
   }
 
-  private tokenWaitMs(): number {
-    const since = this.options.clock.now() - this.tokensAt;
-    const missing = 1 - this.tokens - (since / 1_000) * EXCHANGES_PER_S;
-    return Math.max(0, (missing / EXCHANGES_PER_S) * 1_000);
+  /**
+   * Time between exchanges. When no confirmation came for half the bound, the
+   * case has to be judged before the rest is over: a platform that is out, or
+   * this instance cut off. Several looks at other zones fit into that time,
+   * so that an outage does not stop instances which merely had no luck.
+   */
+  private exchangeMs(): number {
+    const boundMs = this.relay.boundMs(this.countWatchers());
+    const isInDoubt = (this.confirmedAgeMs() ?? Infinity) > boundMs / 2;
+    return isInDoubt
+      ? Math.min(EXCHANGE_MS, boundMs * DOUBT_SHARE)
+      : EXCHANGE_MS;
   }
 
   private async refreshList(): Promise<void> {
--- a/packages/membership/src/configuration-publisher.ts
+++ b/packages/membership/src/configuration-publisher.ts
@@ -4,41 +4,10 @@
 import type * as platform from '@amaranthknot/platform';
 import * as purify from 'purify-ts';
 import * as configurationHead from './configuration-head.js';
+import * as headMove from './head-move.js';
 import * as sections from './sections.js';
 import * as compareManifests from './util/compare-manifests.js';
 
-/**
- * Why nothing, or perhaps something, was put in force.
- *
- * - `conflict`: another publication came first; nothing of this one is in
- *   force. `generation` is the one that is.
- * - `not_found`: there is nothing to promote.
- * - `unavailable`: the platform did not take it; nothing is in force.
- * - `unknown`: answers were lost and could not be settled; read the head
- *   and look for `publication`.
- */
-export interface PublishError {
-  readonly code: 'conflict' | 'not_found' | 'unavailable' | 'unknown';
-  readonly message: string;
-  readonly generation?: number;
-  readonly publication?: string;
-}
-
-/** What was put in force. */
-export interface Publication {
-  readonly generation: number;
-  readonly digest: string;
-}
-
-type PublishResult<T> = purify.Either<PublishError, T>;
-
-/**
- * Tries for each call to the platform. Answers of a healthy platform take
- * milliseconds, so three tries ride over a lost answer or two, while an
- * operator in an outage is told at once instead of adding to the load.
- */
-const TRIES = 3;
-
 /**
  * Steps kept in a head. Watchers see each generation within a second, at the
  * 1.05 changes/s of the design; three steps cover the ones that come together,
@@ -54,7 +23,7 @@
 
 const EMPTY: sections.Manifest = {entries: []};
 
-const fail = (error: platform.StoreError): PublishError => ({
+const fail = (error: platform.StoreError): headMove.PublishError => ({
   code: error.code === 'unknown' ? 'unknown' : 'unavailable',
   message: error.message,
 });
@@ -63,7 +32,7 @@
   call: () => Promise<platform.StoreResult<T>>,
 ): Promise<platform.StoreResult<T>> => {
   let result = await call();
-  for (let tries = 1; tries < TRIES; tries++) {
+  for (let tries = 1; tries < headMove.TRIES; tries++) {
     const code = result
       .swap()
       .map(error => error.code)
@@ -81,7 +50,7 @@
   store: platform.ObjectStore,
   digest: string,
   value: unknown,
-): Promise<PublishResult<void>> => {
+): Promise<headMove.PublishResult<void>> => {
   const result = await retry(() =>
     store.create(configurationHead.SECTION_KIND, digest, value),
   );
@@ -99,7 +68,7 @@
 const createContents = async (
   store: platform.ObjectStore,
   contents: ReadonlyMap<string, unknown>,
-): Promise<PublishResult<void>> => {
+): Promise<headMove.PublishResult<void>> => {
   for (const [digest, value] of contents) {
     const created = await createContent(store, digest, value);
     if (created.isLeft()) {
@@ -109,17 +78,6 @@
   return purify.Right(undefined);
 };
 
-const describeConflict = (
-  environment: string,
-  generation: number | undefined,
-): PublishError => ({
-  code: 'conflict',
-  message:
-    `another publication came first: ${environment} is at generation ` +
-    `${generation ?? 'unknown'}; look at it and apply again`,
-  ...(generation === undefined ? {} : {generation}),
-});
-
 /**
  * Reads the head to build on. A stale answer shows as a generation below the
  * expected one, so the read is repeated before a conflict is reported.
@@ -128,9 +86,11 @@
   store: platform.ObjectStore,
   environment: string,
   expectedGeneration: number | undefined,
-): Promise<PublishResult<configurationHead.StoredHead | undefined>> => {
+): Promise<
+  headMove.PublishResult<configurationHead.StoredHead | undefined>
+> => {
   let generation = 0;
-  for (let tries = 0; tries < TRIES; tries++) {
+  for (let tries = 0; tries < headMove.TRIES; tries++) {
     const result = await retry(() =>
       configurationHead.readHead(store, environment),
     );
@@ -149,87 +109,7 @@
       break;
     }
   }
-  return purify.Left(describeConflict(environment, generation));
-};
-
-interface Move {
-  readonly store: platform.ObjectStore;
-  readonly environment: string;
-  readonly base: configurationHead.StoredHead | undefined;
-  readonly head: configurationHead.Head;
-  readonly publication: string;
-}
-
-const writeHead = (
-  move: Move,
-): Promise<platform.StoreResult<platform.StoredObject>> =>
-  move.base
-    ? move.store.update(
-        configurationHead.HEAD_KIND,
-        move.environment,
-        move.head,
-        move.base.version,
-      )
-    : move.store.create(
-        configurationHead.HEAD_KIND,
-        move.environment,
-        move.head,
-      );
-
-/**
- * Finds out whether a write without an answer took effect: the head names the
- * latest publications, so ours is among them also when another publication
- * already followed. Undefined while only the old head is seen, which may be a
- * stale answer.
- */
-const settle = async (
-  move: Move,
-): Promise<PublishResult<boolean> | undefined> => {
-  const read = await configurationHead.readHead(move.store, move.environment);
-  const seen = read.orDefault(undefined);
-  if (!seen || seen.version <= (move.base?.version ?? 0)) {
-    return undefined;
-  }
-  return seen.head.publications.includes(move.publication)
-    ? purify.Right(true)
-    : purify.Left(describeConflict(move.environment, seen.head.generation));
-};
-
-/**
- * Moves the head. The failure guarded against is an answer lost after the
- * write took effect: a plain retry would then report a conflict with itself,
- * and an operator would apply twice or believe it failed. The write is
- * conditional on the base version, so repeating it can not apply twice, and
- * after a conflict the head tells whose publication won.
- */
-const moveHead = async (move: Move): Promise<PublishResult<Publication>> => {
-  const done = {generation: move.head.generation, digest: move.head.digest};
-  let mayHaveWritten = false;
-  let message = '';
-  for (let tries = 0; tries < TRIES; tries++) {
-    const result = await writeHead(move);
-    if (result.isRight()) {
-      return purify.Right(done);
-    }
-    const error = result.swap().unsafeCoerce();
-    message = error.message;
-    mayHaveWritten ||= error.code === 'unknown';
-    if (error.code === 'unavailable') {
-      continue;
-    }
-    const settled = await settle(move);
-    if (settled) {
-      return settled.map(() => done);
-    }
-    if (!mayHaveWritten) {
-      return purify.Left(describeConflict(move.environment, undefined));
-    }
-  }
-  return purify.Left(
-    mayHaveWritten
-      ? {code: 'unknown', message, publication: move.publication}
-      : {code: 'unavailable', message},
-  );
+  return purify.Left(headMove.describeConflict(environment, generation));
 };
 
 const createHead = (
@@ -253,7 +133,7 @@
 const readBaseManifest = async (
   store: platform.ObjectStore,
   base: configurationHead.StoredHead | undefined,
-): Promise<PublishResult<sections.Manifest>> => {
+): Promise<headMove.PublishResult<sections.Manifest>> => {
   if (!base) {
     return purify.Right(EMPTY);
   }
@@ -277,7 +157,7 @@
   manifest: sections.Manifest,
   contents: ReadonlyMap<string, unknown>,
   options: PublishOptions,
-): Promise<PublishResult<Publication>> => {
+): Promise<headMove.PublishResult<headMove.Publication>> => {
   const base = await readBase(store, environment, options.expectedGeneration);
   if (base.isLeft()) {
     return base;
@@ -305,7 +185,13 @@
   }
   const publication = options.publication ?? crypto.randomUUID();
   const head = createHead(stored?.head, digest, difference, publication);
-  return moveHead({store, environment, base: stored, head, publication});
+  return headMove.moveHead({
+    store,
+    environment,
+    base: stored,
+    head,
+    publication,
+  });
 };
 
 /**
@@ -318,7 +204,7 @@
   document: configuration.Document,
   expectedGeneration?: number,
   publication?: string,
-): Promise<PublishResult<Publication>> => {
+): Promise<headMove.PublishResult<headMove.Publication>> => {
   const split = sections.splitDocument(document);
   return publishManifest(store, environment, split.manifest, split.sections, {
     ...(expectedGeneration === undefined ? {} : {expectedGeneration}),
@@ -337,7 +223,7 @@
   to: string,
   digest?: string,
   options: PublishOptions = {},
-): Promise<PublishResult<Publication>> => {
+): Promise<headMove.PublishResult<headMove.Publication>> => {
   const source = await retry(() => configurationHead.readHead(store, from));
   if (source.isLeft()) {
     return source.mapLeft(fail);
@@ -350,7 +236,7 @@
     });
   }
   if (digest !== undefined && digest !== head.digest) {
-    return purify.Left(describeConflict(from, head.generation));
+    return purify.Left(headMove.describeConflict(from, head.generation));
   }
   const manifest = await retry(() =>
     configurationHead.readManifest(store, head.digest),
--- a/packages/membership/src/configuration-relay.ts
+++ b/packages/membership/src/configuration-relay.ts
@@ -12,10 +12,11 @@
 import type * as sections from './sections.js';
 
 /**
- * Time for one message, in milliseconds. Peers answer in a few; a second tells
- * a dead one while the configuration still spreads within its 3 s.
+ * Time for one message, in milliseconds. Peers answer in a few, those of a far
+ * region in about 300; a dead one must not hold up the spread of a change,
+ * which has 3 s.
  */
-export const MESSAGE_TIMEOUT_MS = 1_000;
+export const MESSAGE_TIMEOUT_MS = 600;
 
 /**
  * Manifests kept to describe steps from, about 17 KB each at 200 sections. At
@@ -90,6 +91,9 @@
   ): protocol.Result<'exchange_generations'> {
     const {clock, peers} = this.options;
     const now = clock.now();
+    // Before it is heard, which clears it: it must learn of rumours against it
+    // to refute them everywhere.
+    const news = peers.news(params.from.id, NEWS_LIMIT);
     peers.hear(params.from, now);
     peers.applyNews(params.news, now);
     const theirs = this.findGeneration(params.generations);
@@ -102,7 +106,7 @@
     return {
       from: peers.self(),
       generations: this.generations(),
-      news: peers.news(params.from.id, NEWS_LIMIT),
+      news,
       ...(confirmedAgeMs === undefined
         ? {}
         : {confirmedAgeMs: Math.ceil(confirmedAgeMs)}),
--- /dev/null
+++ b/packages/membership/src/generation-report.ts
@@ -0,0 +1,106 @@
+/** Asks instances what is in force, for `apply --wait` and for operators. */
+import type * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+
+/** Instances asked at a time; 1,000 are asked in about 32 rounds. */
+const PARALLEL_CALLS = 32;
+
+/** Time between rounds of questions, in milliseconds. */
+const ROUND_MS = 250;
+
+/** Time for one question, in milliseconds. */
+const CALL_MS = 1_000;
+
+/** What one instance said, or why it did not. */
+export interface GenerationReport {
+  readonly id: string;
+  readonly zone: string;
+  readonly generation?: number;
+  readonly standing?: protocol.Standing;
+  readonly error?: protocol.PeerError;
+}
+
+/** An instance to ask. */
+export type ReportedInstance = Pick<protocol.Peer, 'id' | 'address' | 'zone'>;
+
+const ask = async (
+  transport: protocol.PeerTransport,
+  instance: ReportedInstance,
+  environment: string,
+): Promise<GenerationReport> => {
+  const {id, zone, address} = instance;
+  const answer = await protocol.callPeer(
+    transport,
+    address,
+    'report_generation',
+    {environment},
+    CALL_MS,
+  );
+  return answer
+    .map(({generation = 0, standing}): GenerationReport => ({
+      id,
+      zone,
+      generation,
+      standing,
+    }))
+    .mapLeft((error): GenerationReport => ({id, zone, error}))
+    .extract();
+};
+
+/** Asks each instance which generation is in force there. */
+export const collectGenerations = async (
+  transport: protocol.PeerTransport,
+  instances: readonly ReportedInstance[],
+  environment: string,
+): Promise<readonly GenerationReport[]> => {
+  const reports: GenerationReport[] = [];
+  for (let i = 0; i < instances.length; i += PARALLEL_CALLS) {
+    const batch = instances.slice(i, i + PARALLEL_CALLS);
+    const answers = batch.map(each => ask(transport, each, environment));
+    reports.push(...(await Promise.all(answers)));
+  }
+  return reports;
+};
+
+/** Outcome of waiting for a generation. */
+export interface WaitOutcome {
+  readonly inForce: readonly GenerationReport[];
+  /** Instances with an older generation, or without an answer. */
+  readonly missing: readonly GenerationReport[];
+}
+
+/** What to wait for. */
+export interface WaitOptions {
+  readonly transport: protocol.PeerTransport;
+  readonly clock: platform.Clock;
+  readonly environment: string;
+  readonly generation: number;
+  readonly timeoutMs: number;
+}
+
+/**
+ * Waits until all instances report `generation` or a later one, and says
+ * where it is in force and where not when the time is up.
+ */
+export const waitInForce = async (
+  instances: readonly ReportedInstance[],
+  options: WaitOptions,
+): Promise<WaitOutcome> => {
+  const {transport, clock, environment, generation, timeoutMs} = options;
+  const end = clock.now() + timeoutMs;
+  const inForce: GenerationReport[] = [];
+  let open = instances;
+  for (;;) {
+    const reports = await collectGenerations(transport, open, environment);
+    const isReached = (report: GenerationReport): boolean =>
+      (report.generation ?? 0) >= generation;
+    inForce.push(...reports.filter(isReached));
+    const missing = reports.filter(report => !isReached(report));
+    if (missing.length === 0 || clock.now() >= end) {
+      return {inForce, missing};
+    }
+    const ids = new Set(missing.map(report => report.id));
+    open = open.filter(instance => ids.has(instance.id));
+    await clock.sleep(ROUND_MS);
+  }
+};
--- /dev/null
+++ b/packages/membership/src/head-move.ts
@@ -0,0 +1,132 @@
+/** Moves the head of an environment, and settles lost answers. */
+import type * as platform from '@amaranthknot/platform';
+import * as purify from 'purify-ts';
+import * as configurationHead from './configuration-head.js';
+
+/**
+ * Why nothing, or perhaps something, was put in force.
+ *
+ * - `conflict`: another publication came first; nothing of this one is in
+ *   force. `generation` is the one that is.
+ * - `not_found`: there is nothing to promote.
+ * - `unavailable`: the platform did not take it; nothing is in force.
+ * - `unknown`: answers were lost and could not be settled; read the head
+ *   and look for `publication`.
+ */
+export interface PublishError {
+  readonly code: 'conflict' | 'not_found' | 'unavailable' | 'unknown';
+  readonly message: string;
+  readonly generation?: number;
+  readonly publication?: string;
+}
+
+/** What was put in force. */
+export interface Publication {
+  readonly generation: number;
+  readonly digest: string;
+}
+
+/** Outcome of a publication. */
+export type PublishResult<T> = purify.Either<PublishError, T>;
+
+/**
+ * Tries for each call to the platform. Answers of a healthy platform take
+ * milliseconds, so three tries ride over a lost answer or two, while an
+ * operator in an outage is told at once instead of adding to the load.
+ */
+export const TRIES = 3;
+
+/** The error for a publication that another one came before. */
+export const describeConflict = (
+  environment: string,
+  generation: number | undefined,
+): PublishError => ({
+  code: 'conflict',
+  message:
+    `another publication came first: ${environment} is at generation ` +
+    `${generation ?? 'unknown'}; look at it and apply again`,
+  ...(generation === undefined ? {} : {generation}),
+});
+
+/** One conditional move of a head. */
+export interface Move {
+  readonly store: platform.ObjectStore;
+  readonly environment: string;
+  readonly base: configurationHead.StoredHead | undefined;
+  readonly head: configurationHead.Head;
+  readonly publication: string;
+}
+
+const writeHead = (
+  move: Move,
+): Promise<platform.StoreResult<platform.StoredObject>> =>
+  move.base
+    ? move.store.update(
+        configurationHead.HEAD_KIND,
+        move.environment,
+        move.head,
+        move.base.version,
+      )
+    : move.store.create(
+        configurationHead.HEAD_KIND,
+        move.environment,
+        move.head,
+      );
+
+/**
+ * Finds out whether a write without an answer took effect: the head names the
+ * latest publications, so ours is among them also when another publication
+ * already followed. Undefined while only the old head is seen, which may be a
+ * stale answer.
+ */
+const settle = async (
+  move: Move,
+): Promise<PublishResult<boolean> | undefined> => {
+  const read = await configurationHead.readHead(move.store, move.environment);
+  const seen = read.orDefault(undefined);
+  if (!seen || seen.version <= (move.base?.version ?? 0)) {
+    return undefined;
+  }
+  return seen.head.publications.includes(move.publication)
+    ? purify.Right(true)
+    : purify.Left(describeConflict(move.environment, seen.head.generation));
+};
+
+/**
+ * Moves the head. The failure guarded against is an answer lost after the
+ * write took effect: a plain retry would then report a conflict with itself,
+ * and an operator would apply twice or believe it failed. The write is
+ * conditional on the base version, so repeating it can not apply twice, and
+ * after a conflict the head tells whose publication won.
+ */
+export const moveHead = async (
+  move: Move,
+): Promise<PublishResult<Publication>> => {
+  const done = {generation: move.head.generation, digest: move.head.digest};
+  let mayHaveWritten = false;
+  let message = '';
+  for (let tries = 0; tries < TRIES; tries++) {
+    const result = await writeHead(move);
+    if (result.isRight()) {
+      return purify.Right(done);
+    }
+    const error = result.swap().unsafeCoerce();
+    message = error.message;
+    mayHaveWritten ||= error.code === 'unknown';
+    if (error.code === 'unavailable') {
+      continue;
+    }
+    const settled = await settle(move);
+    if (settled) {
+      return settled.map(() => done);
+    }
+    if (!mayHaveWritten) {
+      return purify.Left(describeConflict(move.environment, undefined));
+    }
+  }
+  return purify.Left(
+    mayHaveWritten
+      ? {code: 'unknown', message, publication: move.publication}
+      : {code: 'unavailable', message},
+  );
+};
--- /dev/null
+++ b/packages/membership/src/head-watcher.ts
@@ -0,0 +1,88 @@
+/** Watches the head of an environment at the platform. */
+import type * as platform from '@amaranthknot/platform';
+import * as configurationHead from './configuration-head.js';
+import type * as configurationRelay from './configuration-relay.js';
+
+/**
+ * Longest wait of one watch, in milliseconds. Each answer confirms the
+ * configuration as of the call's start, so ages stay below twice this plus a
+ * delay: well inside the 2.5 s after which new work stops. 18 watchers make 36
+ * calls/s of the platform's 2,000.
+ */
+export const WATCH_MS = 500;
+
+/**
+ * Time between plain reads of the head, in milliseconds, in case a watch lost
+ * an event: the platform bounds the events that it keeps.
+ */
+const HEAD_READ_MS = 10_000;
+
+/** Parts that a watcher works with. */
+export interface HeadWatcherOptions {
+  readonly environment: string;
+  readonly store: platform.ObjectStore;
+  readonly clock: platform.Clock;
+  readonly relay: configurationRelay.ConfigurationRelay;
+  /** Ends a waiting watch. */
+  readonly signal: AbortSignal;
+}
+
+/** Brings heads from the platform to a relay, and confirms them. */
+export class HeadWatcher {
+  private headVersion: number | undefined;
+  private headReadAt = -Infinity;
+
+  constructor(private readonly options: HeadWatcherOptions) {}
+
+  /** Reads or watches once; says whether the answer was of use. */
+  next(): Promise<boolean> {
+    const age = this.options.clock.now() - this.headReadAt;
+    return this.headVersion === undefined || age >= HEAD_READ_MS
+      ? this.read()
+      : this.watch(this.headVersion);
+  }
+
+  /** Reads the head; a stale answer changes nothing and confirms nothing. */
+  async read(): Promise<boolean> {
+    const {store, environment, clock, relay} = this.options;
+    const read = await configurationHead.readHead(store, environment);
+    const stored = read.orDefault(undefined);
+    if (read.isLeft()) {
+      return false;
+    }
+    this.headReadAt = clock.now();
+    // Keeps the higher version: watching on from a stale one is harmless, but
+    // would bring events again.
+    this.headVersion = Math.max(this.headVersion ?? 0, stored?.version ?? 0);
+    return stored === undefined || relay.adoptHead(stored.head);
+  }
+
+  private async watch(afterVersion: number): Promise<boolean> {
+    const {store, environment, clock, relay, signal} = this.options;
+    const startedAt = clock.now();
+    const result = await store.watch(
+      configurationHead.HEAD_KIND,
+      afterVersion,
+      WATCH_MS,
+      signal,
+    );
+    if (result.isLeft() || signal.aborted) {
+      return false;
+    }
+    const events = result.orDefault([]);
+    const newest = events
+      .filter(({type, object}) => type === 'put' && object.name === environment)
+      .at(-1);
+    if (newest) {
+      const {head} = configurationHead.parseHead(newest.object);
+      if (!(await relay.adoptHead(head))) {
+        return false;
+      }
+    }
+    const versions = events.map(event => event.object.version);
+    this.headVersion = Math.max(afterVersion, ...versions);
+    // As of the start: the answer may have been long on its way.
+    relay.freshness.confirm(startedAt);
+    return true;
+  }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -9,3 +9,7 @@
 export * from './peers.js';
 export * from './rendezvous.js';
 export * from './sections.js';
+export * from './duties.js';
+export * from './lease.js';
+export * from './generation-report.js';
+export * from './head-move.js';
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -28,10 +28,11 @@
 const NEWS_PER_DOUBLING = 3;
 
 /**
- * Share of exchanges tried with instances held for dead, so that two halves
- * of a healed network find each other again.
+ * Share of exchanges tried with instances held for suspect or dead: enough
+ * that two halves of a healed network find each other again, few enough that
+ * timeouts do not slow the spread of a change.
  */
-const DEAD_SHARE = 0.1;
+const DOUBTFUL_SHARE = 0.1;
 
 const RANKS: Readonly<Record<protocol.PeerState, number>> = {
   live: 0,
@@ -55,6 +56,8 @@
 /** The entry instances as one of them sees them. */
 export class Peers {
   private readonly rows = new Map<string, Row>();
+  /** Instances still to come in this round of draws. */
+  private readonly round: string[] = [];
 
   /**
    * @param selfPeer this instance; each start has a higher incarnation, for
@@ -180,14 +183,23 @@
     }
   }
 
-  /** Draws an instance to exchange with; undefined when none is known. */
+  /**
+   * Draws an instance to exchange with; undefined when none is known. Each
+   * live one comes once in a shuffled round, which bounds the time until a
+   * given one is heard again, as plain draws do not.
+   */
   draw(random: () => number): protocol.Peer | undefined {
-    const all = this.all();
-    const dead = all.filter(peer => peer.state === 'dead');
-    const others = all.filter(peer => peer.state !== 'dead');
-    const isDead = others.length === 0 || random() < DEAD_SHARE;
-    const pool = isDead && dead.length > 0 ? dead : others;
-    return pool[Math.floor(random() * pool.length)];
+    const doubtful = this.all().filter(
+      ({state}) => state === 'suspect' || state === 'dead',
+    );
+    const others = this.all().filter(
+      ({state}) => state === 'live' || state === 'leaving',
+    );
+    const isDoubtful = others.length === 0 || random() < DOUBTFUL_SHARE;
+    if (isDoubtful && doubtful.length > 0) {
+      return doubtful[Math.floor(random() * doubtful.length)];
+    }
+    return this.drawInRound(others, random);
   }
 
   /**
@@ -208,6 +220,29 @@
     return [...accused, ...told.map(row => row.peer)];
   }
 
+  private drawInRound(
+    others: readonly protocol.Peer[],
+    random: () => number,
+  ): protocol.Peer | undefined {
+    const byId = new Map(others.map(peer => [peer.id, peer]));
+    for (;;) {
+      const id = this.round.pop();
+      if (id === undefined) {
+        break;
+      }
+      const peer = byId.get(id);
+      if (peer) {
+        return peer;
+      }
+    }
+    const shuffled = others
+      .map(peer => ({peer, order: random()}))
+      .sort((a, b) => a.order - b.order)
+      .map(({peer}) => peer);
+    this.round.push(...shuffled.slice(1).map(({id}) => id));
+    return shuffled[0];
+  }
+
   private newsRounds(): number {
     return Math.ceil(NEWS_PER_DOUBLING * Math.log2(this.size() + 1));
   }
