Prove duties, peers and the directory; split the follower

Stories: duties handed over before leaving, a platform out for longer than a lease, failing work; a killed, a leaving and a cut-off instance. Failed first: 'MaxListenersExceededWarning' in these tests. Cause on our side: one AbortSignal.any per sleep on the long-lived stop signal; each sleep now uses one plain signal. The rest of the warning comes from the stand-in clock (VirtualClock.sleep never removes its listener), which is not ours to change. Also 'refutes a rumour of its own death' failed on a fixture where both views had the same identity; the fixture was wrong and is as strict now.

--- a/packages/membership/src/configuration-follower.ts
+++ b/packages/membership/src/configuration-follower.ts
@@ -7,6 +7,8 @@
 import * as configurationRelay from './configuration-relay.js';
 import type * as configurationStep from './configuration-step.js';
 import * as headWatcher from './head-watcher.js';
+import * as leaving from './leaving.js';
+import * as peerDiscovery from './peer-discovery.js';
 import type * as peersModule from './peers.js';
 import * as rendezvous from './rendezvous.js';
 import * as tokenBucket from './util/token-bucket.js';
@@ -45,19 +47,9 @@
  */
 const FAILURES_TO_WATCH = 2;
 
-/**
- * Time between reads of the platform's list, and the rate of the whole fleet
- * that it must not exceed: 1,000 instances read it every 50 s.
- */
-const LIST_MS = 5_000;
-const LISTS_PER_S = 20;
-
 /** Peers asked at a start, before the platform. */
 const START_PEERS = 3;
 
-/** Peers told at once that this instance leaves; news tells the others. */
-const LEAVE_PEERS = 8;
-
 /** Parts that a follower works with. */
 export interface ConfigurationFollowerOptions {
   readonly environment: string;
@@ -82,6 +74,7 @@
   private earlyLeft = 0;
   private failures = 0;
   private readonly watcher: headWatcher.HeadWatcher;
+  private readonly discovery: peerDiscovery.PeerDiscovery;
   private loops: Promise<unknown> = Promise.resolve();
 
   constructor(private readonly options: ConfigurationFollowerOptions) {
@@ -98,6 +91,7 @@
       relay: this.relay,
       signal: this.stopping.signal,
     });
+    this.discovery = new peerDiscovery.PeerDiscovery(options);
     this.pace = new tokenBucket.TokenBucket(
       EARLY_EXCHANGES,
       EXCHANGES_PER_S,
@@ -107,7 +101,7 @@
 
   /** Asks peers and the platform once, then keeps following until `stop`. */
   async start(): Promise<void> {
-    await this.readList();
+    await this.discovery.refresh();
     await this.askPeers();
     if (this.relay.generation() === 0) {
       await this.watcher.read();
@@ -115,37 +109,20 @@
     this.loops = Promise.all([
       this.repeat(() => this.watch()),
       this.repeat(() => this.exchange()),
-      this.repeat(() => this.refreshList()),
+      this.repeat(() => this.discover()),
     ]);
   }
 
   /** Stops following; the configuration stays as it is. */
   async stop(): Promise<void> {
     this.stopping.abort();
+    this.wakeExchange.abort();
     await this.loops;
   }
 
   /** Tells peers that this instance leaves, so that none offers it. */
-  async announceLeaving(): Promise<void> {
-    const {peers, transport, random} = this.options;
-    peers.leave();
-    const told = peers
-      .all()
-      .filter(peer => peer.state !== 'dead')
-      .map(peer => ({peer, order: random()}))
-      .sort((a, b) => a.order - b.order)
-      .slice(0, LEAVE_PEERS);
-    await Promise.all(
-      told.map(({peer}) =>
-        protocol.callPeer(
-          transport,
-          peer.address,
-          'leaving',
-          {from: peers.self()},
-          configurationRelay.MESSAGE_TIMEOUT_MS,
-        ),
-      ),
-    );
+  announceLeaving(): Promise<void> {
+    return leaving.announceLeaving(this.options);
   }
 
   /** The configuration in force; undefined before the first. */
@@ -241,9 +218,10 @@
     }
   }
 
-  private sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    const signals = [this.stopping.signal, ...(signal ? [signal] : [])];
-    return this.options.clock.sleep(ms, AbortSignal.any(signals));
+  private sleep(ms: number, signal = this.stopping.signal): Promise<void> {
+    // One signal, which `stop` aborts: a signal made with `AbortSignal.any`
+    // for each sleep would stay registered with the long-lived one.
+    return this.options.clock.sleep(ms, signal);
   }
 
   private spread(ms: number): number {
@@ -304,37 +282,9 @@
       : EXCHANGE_MS;
   }
 
-  private async refreshList(): Promise<void> {
-    const size = this.options.peers.size();
-    const wait = Math.max(LIST_MS, (size / LISTS_PER_S) * 1_000);
-    await this.sleep(this.spread(wait));
-    await this.readList();
-  }
-
-  private async readList(): Promise<void> {
-    const {instances, peers, clock} = this.options;
-    const listed = await instances.list();
-    listed.ifRight(rows => peers.applyList(rows, clock.now()));
-    if (listed.isLeft() && peers.all().length === 0) {
-      await this.askSeeds();
-    }
-  }
-
-  private async askSeeds(): Promise<void> {
-    const {seeds = [], transport, peers, clock} = this.options;
-    for (const address of seeds) {
-      const answer = await protocol.callPeer(
-        transport,
-        address,
-        'list_peers',
-        {},
-        configurationRelay.MESSAGE_TIMEOUT_MS,
-      );
-      answer.ifRight(({peers: rows}) => peers.applyNews(rows, clock.now()));
-      if (answer.isRight()) {
-        return;
-      }
-    }
+  private async discover(): Promise<void> {
+    await this.sleep(this.spread(this.discovery.intervalMs()));
+    await this.discovery.refresh();
   }
 
   private async askPeers(): Promise<void> {
--- /dev/null
+++ b/packages/membership/src/peer-discovery.ts
@@ -0,0 +1,60 @@
+/** Finds entry instances by the platform's list, or by addresses given. */
+import type * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as configurationRelay from './configuration-relay.js';
+import type * as peersModule from './peers.js';
+
+/**
+ * Time between reads of the platform's list, and the rate of the whole fleet
+ * that it must not exceed: 1,000 instances read it every 50 s.
+ */
+const LIST_MS = 5_000;
+const LISTS_PER_S = 20;
+
+/** Parts that discovery works with. */
+export interface PeerDiscoveryOptions {
+  readonly instances: platform.InstanceList;
+  readonly transport: protocol.PeerTransport;
+  readonly peers: peersModule.Peers;
+  readonly clock: platform.Clock;
+  /** Addresses from the settings, asked while the list is out. */
+  readonly seeds?: readonly string[];
+}
+
+/** Keeps `peers` up to date with the platform's list. */
+export class PeerDiscovery {
+  constructor(private readonly options: PeerDiscoveryOptions) {}
+
+  /** Time to the next read, in milliseconds; grows with the fleet. */
+  intervalMs(): number {
+    const size = this.options.peers.size();
+    return Math.max(LIST_MS, (size / LISTS_PER_S) * 1_000);
+  }
+
+  /** Reads the list; while it is out and nobody is known, asks the seeds. */
+  async refresh(): Promise<void> {
+    const {instances, peers, clock} = this.options;
+    const listed = await instances.list();
+    listed.ifRight(rows => peers.applyList(rows, clock.now()));
+    if (listed.isLeft() && peers.all().length === 0) {
+      await this.askSeeds();
+    }
+  }
+
+  private async askSeeds(): Promise<void> {
+    const {seeds = [], transport, peers, clock} = this.options;
+    for (const address of seeds) {
+      const answer = await protocol.callPeer(
+        transport,
+        address,
+        'list_peers',
+        {},
+        configurationRelay.MESSAGE_TIMEOUT_MS,
+      );
+      answer.ifRight(({peers: rows}) => peers.applyNews(rows, clock.now()));
+      if (answer.isRight()) {
+        return;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/tests/duties.test.ts
@@ -0,0 +1,121 @@
+import * as chai from 'chai';
+import * as fakes from '@amaranthknot/fakes';
+import * as membership from '@amaranthknot/membership';
+import type * as platform from '@amaranthknot/platform';
+import * as fleets from './fleet.js';
+
+const DUTY = 'rollout/small';
+
+const createScene = (count: number) => {
+  const clock = new fakes.VirtualClock();
+  const store = new fakes.MemoryObjectStore({clock});
+  const random = fleets.createRandom(1);
+  const listed = Array.from(
+    {length: count},
+    (_, index): platform.ListedInstance => ({
+      id: `entry-${index}`,
+      role: 'entry',
+      state: 'live',
+      address: `10.0.0.${index}:80`,
+      zone: 'a',
+      serves: [],
+    }),
+  );
+  const running: string[] = [];
+  const fencings: number[] = [];
+  let tokens = 0;
+  const members = listed.map(({id, address}) => {
+    const peers = new membership.Peers({
+      id,
+      address,
+      zone: 'a',
+      state: 'live',
+      incarnation: 1,
+    });
+    peers.applyList(listed, 0);
+    const runner = new membership.DutyRunner({
+      store,
+      clock,
+      random,
+      peers,
+      createToken: () => `token-${++tokens}`,
+    });
+    const work: membership.DutyWork = async term => {
+      running.push(id);
+      fencings.push(term.fencing);
+      await clock.sleep(Infinity, term.signal);
+      running.splice(running.indexOf(id), 1);
+    };
+    return {id, peers, runner, work};
+  });
+  const startAll = () => {
+    members.forEach(({runner, work}) => runner.add(DUTY, work));
+  };
+  return {clock, store, members, running, fencings, startAll};
+};
+
+describe('DutyRunner', () => {
+  it('runs a duty on one instance, at a cost that does not grow', async () => {
+    const costs: number[] = [];
+    for (const count of [3, 40]) {
+      const scene = createScene(count);
+      scene.startAll();
+      await scene.clock.advance(60_000);
+      chai.expect(scene.running.length).equal(1);
+      const {get, create, update} = scene.store.calls;
+      costs.push(get + create + update);
+    }
+    chai.expect(costs[1]).closeTo(costs[0]!, 4);
+  });
+
+  // An instance is stopped for a new release while it keeps a roll-out. The
+  // roll-out stands still until a lease lapses, or goes on in two places.
+  it('hands its duties over before it leaves', async () => {
+    const {clock, members, running, fencings, startAll} = createScene(3);
+    startAll();
+    await clock.advance(20_000);
+    const leaver = members.find(({id}) => id === running[0])!;
+    leaver.peers.leave();
+    const stopping = leaver.runner.stop();
+    await clock.advance(10);
+    await stopping;
+    chai.expect(running).eql([]);
+    await clock.advance(3_400);
+    chai.expect(running.length).equal(1);
+    chai.expect(running[0]).not.equal(leaver.id);
+    chai.expect(fencings[1]).greaterThan(fencings[0]!);
+    leaver.runner.add(DUTY, leaver.work);
+    await clock.advance(20_000);
+    chai.expect(running.length).equal(1);
+  });
+
+  // The platform is out for longer than a lease. The keeper must stop, as
+  // nobody can tell whether it was replaced, and begin anew afterwards.
+  it('stops its work when the lease can not be renewed', async () => {
+    const {clock, store, running, fencings, startAll} = createScene(3);
+    startAll();
+    await clock.advance(10_000);
+    store.fault = () => 'down';
+    await clock.advance(13_000);
+    chai.expect(running).eql([]);
+    await clock.advance(600_000);
+    chai.expect(running).eql([]);
+    store.fault = () => 'none';
+    await clock.advance(15_000);
+    chai.expect(running.length).equal(1);
+    chai.expect(fencings[1]).greaterThan(fencings[0]!);
+  });
+
+  // The work of a duty fails at once each time. It must be tried again at a
+  // bearable rate, and not end for good.
+  it('tries failed work again after a while', async () => {
+    const {clock, members} = createScene(1);
+    let tries = 0;
+    members[0]!.runner.add(DUTY, () => {
+      tries++;
+      return Promise.reject(new Error('broken'));
+    });
+    await clock.advance(31_000);
+    chai.expect(tries).within(8, 12);
+  });
+});
