--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,6 +52,8 @@
       'no-var': 'error',
       'no-restricted-syntax': ['error', ...NAMESPACE_IMPORTS],
       'no-restricted-imports': ['error', {patterns: FORBIDDEN}],
+      // Libraries type their classes by structure; winston's Console is one.
+      '@typescript-eslint/no-unsafe-class-instance-assignment': 'off',
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
       '@typescript-eslint/restrict-template-expressions': [
         'error',
@@ -68,6 +70,12 @@
       '@typescript-eslint/naming-convention': [
         'error',
         {selector: 'typeLike', format: ['PascalCase']},
+        // The cases of purify-ts's Either and Maybe are spelled this way.
+        {
+          selector: 'objectLiteralMethod',
+          filter: {regex: '^(Left|Right|Just|Nothing)$', match: true},
+          format: null,
+        },
         {
           selector: ['function', 'method', 'parameter'],
           format: ['camelCase'],
--- /dev/null
+++ b/packages/entry/src/api-error.ts
@@ -0,0 +1,90 @@
+/**
+ * Errors towards callers: OpenAI-style JSON with a code, whether the request
+ * ran, and when to come back.
+ */
+
+/** What went wrong, as callers and operators read it. */
+export type ApiErrorCode =
+  | 'invalid_request'
+  | 'invalid_key'
+  | 'invalid_session'
+  | 'not_allowed'
+  | 'model_not_found'
+  | 'service_not_found'
+  | 'idempotency_key_required'
+  | 'idempotency_key_reused'
+  | 'request_in_progress'
+  | 'outcome_unknown'
+  | 'over_capacity'
+  | 'deadline_unreachable'
+  | 'no_upstream'
+  | 'upstream_failed'
+  | 'not_ready'
+  | 'shutting_down'
+  | 'platform_out'
+  | 'internal';
+
+/** Whether the request ran; `not_run` is said only when certain. */
+export type Ran = 'not_run' | 'unknown' | 'ran';
+
+/** A refusal or failure as the caller gets it. */
+export interface ApiError {
+  readonly code: ApiErrorCode;
+  readonly ran: Ran;
+  readonly message: string;
+  /** When to come back, in milliseconds; absent when it is of no use. */
+  readonly retryAfterMs?: number;
+}
+
+const STATUS: Record<ApiErrorCode, number> = {
+  invalid_request: 400,
+  invalid_key: 401,
+  invalid_session: 400,
+  not_allowed: 403,
+  model_not_found: 404,
+  service_not_found: 404,
+  idempotency_key_required: 400,
+  idempotency_key_reused: 422,
+  request_in_progress: 409,
+  outcome_unknown: 409,
+  over_capacity: 429,
+  deadline_unreachable: 429,
+  no_upstream: 503,
+  upstream_failed: 502,
+  not_ready: 503,
+  shutting_down: 503,
+  platform_out: 503,
+  internal: 500,
+};
+
+/** HTTP status of an error. */
+export const statusOf = (error: ApiError): number => STATUS[error.code];
+
+/** JSON body of an error, in the shape that OpenAI clients read. */
+export const toErrorBody = (
+  error: ApiError,
+  requestId: string,
+): {readonly error: Readonly<Record<string, unknown>>} => ({
+  error: {
+    message: error.message,
+    type: statusOf(error) < 500 ? 'invalid_request_error' : 'server_error',
+    param: null,
+    code: error.code,
+    ran: error.ran,
+    request_id: requestId,
+    ...(error.retryAfterMs === undefined
+      ? {}
+      : {retry_after_ms: Math.ceil(error.retryAfterMs)}),
+  },
+});
+
+/** Value of `Retry-After`: whole seconds, at least one. */
+export const toRetryAfter = (retryAfterMs: number): string =>
+  String(Math.max(1, Math.ceil(retryAfterMs / 1000)));
+
+/**
+ * Time to stay away, with jitter: callers refused in the same moment must not
+ * all return in the same moment.
+ */
+export const drawRetryAfter = (baseMs: number, random: () => number): number =>
+  baseMs * (0.5 + random());
--- /dev/null
+++ b/packages/entry/src/session-token.ts
@@ -0,0 +1,64 @@
+/**
+ * Session tokens: the first answer returns a token that carries the session's
+ * versions, signed with a key that all instances hold, so that any instance
+ * keeps a session on its version without shared state.
+ */
+import * as jsonwebtoken from 'jsonwebtoken';
+import * as purify from 'purify-ts';
+import * as zod from 'zod';
+
+/** Versions that a session keeps, by model. */
+export type SessionPins = Readonly<Record<string, string>>;
+
+/** What a token says. */
+export interface Session {
+  readonly workspace: string;
+  readonly id: string;
+  readonly pins: SessionPins;
+}
+
+/** Why a token is refused. */
+export type SessionProblem = 'malformed' | 'expired' | 'other_workspace';
+
+/** Life of a token in seconds: a working day and the night after it. */
+export const DEFAULT_TOKEN_SECONDS = 24 * 60 * 60;
+
+const ALGORITHM = 'HS256';
+
+const CLAIMS = zod.object({
+  ws: zod.string(),
+  sid: zod.string(),
+  pins: zod.record(zod.string(), zod.string()),
+});
+
+/** Signs a session. */
+export const signSession = (
+  session: Session,
+  key: string,
+  seconds = DEFAULT_TOKEN_SECONDS,
+): string =>
+  jsonwebtoken.default.sign(
+    {ws: session.workspace, sid: session.id, pins: session.pins},
+    key,
+    {algorithm: ALGORITHM, expiresIn: seconds},
+  );
+
+/** Reads a token that must belong to `workspace`. */
+export const verifySession = (
+  token: string,
+  key: string,
+  workspace: string,
+): purify.Either<SessionProblem, Session> => {
+  try {
+    const claims = CLAIMS.parse(
+      jsonwebtoken.default.verify(token, key, {algorithms: [ALGORITHM]}),
+    );
+    if (claims.ws !== workspace) {
+      return purify.Left('other_workspace');
+    }
+    return purify.Right({workspace, id: claims.sid, pins: claims.pins});
+  } catch (error) {
+    const name = error instanceof Error ? error.name : '';
+    return purify.Left(name === 'TokenExpiredError' ? 'expired' : 'malformed');
+  }
+};
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,3 +1,6 @@
 /** Small stand-ins of outside systems, for tests, benches and the demo. */
+export * from './engine-server.js';
 export * from './memory-object-store.js';
+export * from './platform-server.js';
+export * from './service-server.js';
 export * from './virtual-clock.js';
--- /dev/null
+++ b/packages/fakes/src/platform-server.ts
@@ -0,0 +1,187 @@
+/**
+ * Stand-in of the platform over HTTP: the object API, the instance list and
+ * the rating service, with the faults that tests ask for.
+ */
+import * as hapi from '@hapi/hapi';
+import type * as platform from '@amaranthknot/platform';
+import * as memoryObjectStore from './memory-object-store.js';
+
+/** Behaviour of the stand-in platform. */
+export interface PlatformServerOptions {
+  readonly clock: platform.Clock;
+  /** Port on 127.0.0.1; 0 picks a free one. */
+  readonly port?: number;
+  readonly instances?: readonly platform.ListedInstance[];
+}
+
+/** What the platform does with calls. */
+export type PlatformMode = 'up' | 'down' | 'lost_after';
+
+interface ObjectParams {
+  readonly kind: string;
+  readonly name: string;
+}
+
+const paramsOf = (request: hapi.Request): ObjectParams =>
+  request.params as unknown as ObjectParams;
+
+const STATUS_BY_CODE: Record<platform.StoreErrorCode, number> = {
+  conflict: 409,
+  not_found: 404,
+  unavailable: 503,
+  unknown: 504,
+};
+
+/** A running stand-in platform. */
+export class PlatformServer {
+  readonly store: memoryObjectStore.MemoryObjectStore;
+  private readonly server: hapi.Server;
+  private instances: readonly platform.ListedInstance[];
+  /** What happens to calls from now on. */
+  mode: PlatformMode = 'up';
+
+  constructor(options: PlatformServerOptions) {
+    this.instances = options.instances ?? [];
+    this.store = new memoryObjectStore.MemoryObjectStore({
+      clock: options.clock,
+      fault: () => this.faultNow(),
+    });
+    this.server = hapi.server({
+      host: '127.0.0.1',
+      port: options.port ?? 0,
+      routes: {payload: {maxBytes: 4 * 1024 * 1024}},
+    });
+    this.addRoutes();
+  }
+
+  /** Base URL once started. */
+  get url(): string {
+    return this.server.info.uri;
+  }
+
+  /** Replaces the list of instances. */
+  setInstances(instances: readonly platform.ListedInstance[]): void {
+    this.instances = instances;
+  }
+
+  async start(): Promise<void> {
+    await this.server.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.server.stop({timeout: 100});
+  }
+
+  private faultNow(): memoryObjectStore.StoreFault {
+    switch (this.mode) {
+      case 'up':
+        return 'none';
+      case 'down':
+        return 'down';
+      case 'lost_after':
+        return 'lost_after';
+    }
+  }
+
+  private addRoutes(): void {
+    const path = '/objects/{kind}/{name}';
+    this.server.route([
+      {
+        method: 'GET',
+        path,
+        handler: (request, h) => {
+          const {kind, name} = paramsOf(request);
+          return this.reply(h, this.store.get(kind, name));
+        },
+      },
+      {
+        method: 'POST',
+        path,
+        handler: (request, h) => {
+          const {kind, name} = paramsOf(request);
+          const {value} = request.payload as {value: unknown};
+          return this.reply(h, this.store.create(kind, name, value));
+        },
+      },
+      {
+        method: 'PUT',
+        path,
+        handler: (request, h) => {
+          const {kind, name} = paramsOf(request);
+          const {value} = request.payload as {value: unknown};
+          const version = Number(request.headers['if-match']);
+          return this.reply(h, this.store.update(kind, name, value, version));
+        },
+      },
+      {
+        method: 'DELETE',
+        path,
+        handler: (request, h) => {
+          const {kind, name} = paramsOf(request);
+          const version = Number(request.headers['if-match']);
+          return this.reply(h, this.store.delete(kind, name, version));
+        },
+      },
+      {
+        method: 'GET',
+        path: '/objects/{kind}',
+        handler: (request, h) => {
+          const kind = paramsOf(request).kind;
+          const {prefix} = request.query as {prefix?: string};
+          return this.reply(h, this.store.list(kind, prefix));
+        },
+      },
+      {
+        method: 'GET',
+        path: '/watch/{kind}',
+        handler: (request, h) => {
+          const kind = paramsOf(request).kind;
+          const query = request.query as {after: string; wait_ms: string};
+          const events = this.store.watch(
+            kind,
+            Number(query.after),
+            Number(query.wait_ms),
+          );
+          return this.reply(
+            h,
+            events.then(found => found.map(list => ({events: list}))),
+          );
+        },
+      },
+      {
+        method: 'GET',
+        path: '/instances',
+        handler: (_request, h) =>
+          this.mode === 'down'
+            ? h.response({error: 'down'}).code(503)
+            : {instances: this.instances},
+      },
+      {
+        method: 'POST',
+        path: '/instances/{name}',
+        handler: request => {
+          const listed = request.payload as platform.ListedInstance;
+          this.register(listed);
+          return {registered: listed.id};
+        },
+      },
+    ]);
+  }
+
+  /** Adds or replaces one row of the instance list. */
+  register(listed: platform.ListedInstance): void {
+    const others = this.instances.filter(row => row.id !== listed.id);
+    this.instances = [...others, listed];
+  }
+
+  private async reply<T>(
+    h: hapi.ResponseToolkit,
+    result: Promise<platform.StoreResult<T>>,
+  ): Promise<hapi.ResponseObject> {
+    const outcome = await result;
+    return outcome.caseOf({
+      Left: error => h.response({...error}).code(STATUS_BY_CODE[error.code]),
+      Right: value => h.response(value ?? {}).code(200),
+    });
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/service-server.ts
@@ -0,0 +1,72 @@
+/** Stand-in of a plain service, such as seat booking, that counts its runs. */
+import * as hapi from '@hapi/hapi';
+
+/** What the service does wrong. */
+export type ServiceFault = 'none' | 'refuse' | 'cut_after' | 'cut_before';
+
+/** A call that the service ran. */
+export interface ServiceRun {
+  readonly method: string;
+  readonly path: string;
+  readonly requestId: string;
+}
+
+/** A running stand-in service. */
+export class ServiceServer {
+  private readonly server: hapi.Server;
+  /** Calls that ran, in order. */
+  readonly runs: ServiceRun[] = [];
+  /** What goes wrong from now on. */
+  fault: ServiceFault = 'none';
+
+  constructor(
+    readonly name: string,
+    port = 0,
+  ) {
+    this.server = hapi.server({host: '127.0.0.1', port});
+    this.server.route({
+      method: '*',
+      path: '/{path*}',
+      handler: (request, h) => this.run(request, h),
+    });
+  }
+
+  /** Address as `ip:port` once started. */
+  get address(): string {
+    return `127.0.0.1:${this.server.info.port}`;
+  }
+
+  async start(): Promise<void> {
+    await this.server.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.server.stop({timeout: 100});
+  }
+
+  private run(
+    request: hapi.Request,
+    h: hapi.ResponseToolkit,
+  ): hapi.ResponseObject | symbol {
+    if (this.fault === 'refuse') {
+      return h.response({error: {code: 'busy', ran: false}}).code(429);
+    }
+    if (this.fault === 'cut_before') {
+      request.raw.req.destroy();
+      return h.abandon;
+    }
+    const requestId = [request.headers['x-request-id']].flat().join('');
+    this.runs.push({
+      method: request.method.toUpperCase(),
+      path: request.path,
+      requestId,
+    });
+    if (this.fault === 'cut_after') {
+      request.raw.res.destroy();
+      return h.abandon;
+    }
+    return h
+      .response({service: this.name, run: this.runs.length})
+      .header('x-request-id', requestId);
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http-client.ts
@@ -0,0 +1,105 @@
+/** HTTP to the platform: one client with kept connections, typed failures. */
+import * as http from 'node:http';
+import * as purify from 'purify-ts';
+import * as wreck from '@hapi/wreck';
+import type * as objectStore from './object-store.js';
+
+/** Longest wait for the platform's answer, in milliseconds. */
+export const DEFAULT_TIMEOUT_MS = 2_000;
+
+/** Largest answer taken from the platform: a listing of values up to 1 MB. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/** Where the platform is and how to authenticate to it. */
+export interface Endpoint {
+  /** Base URL without a trailing slash. */
+  readonly url: string;
+  /** Sent as a bearer token; none when absent. */
+  readonly key?: string;
+  readonly timeoutMs?: number;
+}
+
+/** An answer of the platform. */
+export interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Failures that prove that no byte of the request was taken. */
+const NEVER_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+interface NodeFailure {
+  readonly code?: string;
+  readonly cause?: NodeFailure;
+  readonly data?: {readonly code?: string} | null;
+}
+
+const codeOf = (failure: NodeFailure): string | undefined =>
+  failure.code ?? failure.data?.code ?? failure.cause?.code;
+
+/**
+ * Names a failed exchange. Only a refused connection proves that nothing
+ * happened; a timeout or reset may have come after a write took effect.
+ */
+const describeFailure = (failure: unknown): objectStore.StoreError => {
+  const code = codeOf(failure as NodeFailure);
+  const message = failure instanceof Error ? failure.message : String(failure);
+  if (code !== undefined && NEVER_SENT.has(code)) {
+    return {code: 'unavailable', message};
+  }
+  return {code: 'unknown', message};
+};
+
+/** Sends requests to one platform endpoint. */
+export class HttpClient {
+  private readonly client: typeof wreck.default;
+
+  constructor(private readonly endpoint: Endpoint) {
+    const agent = new http.Agent({keepAlive: true, maxSockets: 64});
+    this.client = wreck.default.defaults({
+      agent,
+      timeout: endpoint.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+      ...(endpoint.key
+        ? {headers: {authorization: `Bearer ${endpoint.key}`}}
+        : {}),
+    });
+  }
+
+  /** Sends one request; `extraMs` lengthens the timeout for a watch. */
+  async send(
+    method: string,
+    path: string,
+    options: {
+      readonly body?: unknown;
+      readonly headers?: Readonly<Record<string, string>>;
+      readonly extraMs?: number;
+    } = {},
+  ): Promise<purify.Either<objectStore.StoreError, Answer>> {
+    const timeout =
+      (this.endpoint.timeoutMs ?? DEFAULT_TIMEOUT_MS) + (options.extraMs ?? 0);
+    try {
+      const response = await this.client.request(
+        method,
+        this.endpoint.url + path,
+        {
+          timeout,
+          headers: {
+            'content-type': 'application/json',
+            ...options.headers,
+          },
+          ...(options.body === undefined
+            ? {}
+            : {payload: JSON.stringify(options.body)}),
+        },
+      );
+      const body: unknown = await wreck.default.read(response, {
+        json: true,
+        timeout,
+        maxBytes: MAX_ANSWER_BYTES,
+      });
+      return purify.Right({status: response.statusCode ?? 0, body});
+    } catch (failure) {
+      return purify.Left(describeFailure(failure));
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http-object-store.ts
@@ -0,0 +1,131 @@
+/** Adapter of the platform's object API over HTTP and JSON. */
+import * as purify from 'purify-ts';
+import * as zod from 'zod';
+import type * as httpClient from './http-client.js';
+import type * as objectStore from './object-store.js';
+
+const OBJECT = zod.object({
+  kind: zod.string(),
+  name: zod.string(),
+  version: zod.number(),
+  value: zod.unknown(),
+});
+
+const LISTING = zod.object({
+  objects: zod.array(OBJECT),
+  version: zod.number(),
+});
+
+const EVENTS = zod.object({
+  events: zod.array(
+    zod.object({type: zod.enum(['put', 'delete']), object: OBJECT}),
+  ),
+});
+
+const toError = (answer: httpClient.Answer): objectStore.StoreError => {
+  const message = `the object API answered ${answer.status}`;
+  switch (answer.status) {
+    case 404:
+      return {code: 'not_found', message};
+    case 409:
+      return {code: 'conflict', message};
+    case 429:
+    case 503:
+      // Refused before any work, as the platform's page promises.
+      return {code: 'unavailable', message};
+    default:
+      return {code: 'unknown', message};
+  }
+};
+
+const pathOf = (kind: string, name: string): string =>
+  `/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
+
+/** Reads an answer by its schema; a malformed one counts as lost. */
+const parseAnswer = <T>(
+  answer: httpClient.Answer,
+  schema: zod.ZodType<T>,
+): objectStore.StoreResult<T> => {
+  if (answer.status >= 300) {
+    return purify.Left(toError(answer));
+  }
+  const parsed = schema.safeParse(answer.body);
+  return parsed.success
+    ? purify.Right(parsed.data)
+    : purify.Left({code: 'unknown', message: 'malformed answer'});
+};
+
+/** The object API reached over HTTP. */
+export class HttpObjectStore implements objectStore.ObjectStore {
+  constructor(private readonly client: httpClient.HttpClient) {}
+
+  async get(
+    kind: string,
+    name: string,
+  ): Promise<objectStore.StoreResult<objectStore.StoredObject>> {
+    const answer = await this.client.send('GET', pathOf(kind, name));
+    return answer.chain(found => parseAnswer(found, OBJECT));
+  }
+
+  async list(
+    kind: string,
+    prefix = '',
+  ): Promise<objectStore.StoreResult<objectStore.StoreListing>> {
+    const query = `?prefix=${encodeURIComponent(prefix)}`;
+    const path = `/objects/${encodeURIComponent(kind)}${query}`;
+    const answer = await this.client.send('GET', path);
+    return answer.chain(found => parseAnswer(found, LISTING));
+  }
+
+  async create(
+    kind: string,
+    name: string,
+    value: unknown,
+  ): Promise<objectStore.StoreResult<objectStore.StoredObject>> {
+    const answer = await this.client.send('POST', pathOf(kind, name), {
+      body: {value},
+    });
+    return answer.chain(found => parseAnswer(found, OBJECT));
+  }
+
+  async update(
+    kind: string,
+    name: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<objectStore.StoreResult<objectStore.StoredObject>> {
+    const answer = await this.client.send('PUT', pathOf(kind, name), {
+      body: {value},
+      headers: {'if-match': String(expectedVersion)},
+    });
+    return answer.chain(found => parseAnswer(found, OBJECT));
+  }
+
+  async delete(
+    kind: string,
+    name: string,
+    expectedVersion: number,
+  ): Promise<objectStore.StoreResult<void>> {
+    const answer = await this.client.send('DELETE', pathOf(kind, name), {
+      headers: {'if-match': String(expectedVersion)},
+    });
+    return answer.chain(found =>
+      found.status < 300
+        ? purify.Right(undefined)
+        : purify.Left(toError(found)),
+    );
+  }
+
+  async watch(
+    kind: string,
+    afterVersion: number,
+    waitMs: number,
+  ): Promise<objectStore.StoreResult<readonly objectStore.StoreEvent[]>> {
+    const query = `?after=${afterVersion}&wait_ms=${waitMs}`;
+    const path = `/watch/${encodeURIComponent(kind)}${query}`;
+    const answer = await this.client.send('GET', path, {extraMs: waitMs});
+    return answer
+      .chain(found => parseAnswer(found, EVENTS))
+      .map(found => found.events);
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,7 @@
 /** Ports to the platform, one adapter each. */
 export * from './clock.js';
+export * from './http-client.js';
+export * from './http-instance-list.js';
+export * from './http-object-store.js';
 export * from './instance-list.js';
 export * from './object-store.js';
--- /dev/null
+++ b/packages/telemetry/src/event-ring.ts
@@ -0,0 +1,97 @@
+/** The time line of one process: a bounded ring of typed events. */
+import * as hybridClock from './hybrid-clock.js';
+
+/** What happened. */
+export type EventName =
+  | 'instance_started'
+  | 'instance_leaving'
+  | 'instance_stopped'
+  | 'configuration_in_force'
+  | 'configuration_unconfirmed'
+  | 'peer_joined'
+  | 'peer_lost'
+  | 'lease_acquired'
+  | 'lease_lost'
+  | 'request_received'
+  | 'request_queued'
+  | 'request_refused'
+  | 'stage_started'
+  | 'stage_answered'
+  | 'stage_escalated'
+  | 'stream_resumed'
+  | 'upstream_failed'
+  | 'upstream_cold'
+  | 'answer_discarded'
+  | 'claim_granted'
+  | 'claim_repeated'
+  | 'claim_refused'
+  | 'answer_given'
+  | 'answer_unknown'
+  | 'request_cancelled'
+  | 'bill_recorded'
+  | 'bills_recovered'
+  | 'rollout_step'
+  | 'rollout_stopped'
+  | 'zone_changed'
+  | 'platform_unavailable'
+  | 'platform_available';
+
+/** What an event is about; all optional, for filters. */
+export interface Subject {
+  readonly request?: string;
+  readonly workspace?: string;
+  readonly model?: string;
+  readonly version?: string;
+  readonly upstream?: string;
+  readonly zone?: string;
+  readonly detail?: string;
+}
+
+/** One event on the time line. */
+export interface TimelineEvent extends Subject {
+  readonly name: EventName;
+  readonly instance: string;
+  readonly sequence: number;
+  readonly stamp: hybridClock.Stamp;
+}
+
+/** Events kept for each process; the oldest go first. */
+export const DEFAULT_RING_SIZE = 10_000;
+
+/** Keeps the latest events of one process. */
+export class EventRing {
+  private readonly events: TimelineEvent[] = [];
+  private sequence = 0;
+
+  constructor(
+    readonly instance: string,
+    private readonly clock: hybridClock.HybridClock,
+    private readonly size = DEFAULT_RING_SIZE,
+  ) {}
+
+  /** Records an event. */
+  record(name: EventName, subject: Subject = {}): void {
+    this.events[this.sequence % this.size] = {
+      name,
+      instance: this.instance,
+      sequence: this.sequence,
+      stamp: this.clock.next(),
+      ...subject,
+    };
+    this.sequence++;
+  }
+
+  /** Events from `afterSequence` on, oldest first, at most `limit`. */
+  read(afterSequence = -1, limit = this.size): readonly TimelineEvent[] {
+    const oldest = Math.max(0, this.sequence - this.size, afterSequence + 1);
+    const end = Math.min(this.sequence, oldest + limit);
+    const found: TimelineEvent[] = [];
+    for (let i = oldest; i < end; i++) {
+      const event = this.events[i % this.size];
+      if (event) {
+        found.push(event);
+      }
+    }
+    return found;
+  }
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,2 +1,6 @@
-/** See package.json for what this package is for. */
-export {};
+/** Logs, metrics and the time line. */
+export * from './event-ring.js';
+export * from './hybrid-clock.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './timeline.js';
--- /dev/null
+++ b/packages/upstreams/src/engine-client.ts
@@ -0,0 +1,216 @@
+/**
+ * Client of a model engine: opens one streamed completion and yields its
+ * chunks. It never retries; what it reports says whether work may have begun.
+ */
+import * as http from 'node:http';
+import * as eventsourceParser from 'eventsource-parser';
+import * as wreck from '@hapi/wreck';
+import * as zod from 'zod';
+import type * as answerAssembler from './answer-assembler.js';
+
+/** Whether the upstream may have begun the work. */
+export type Ran = 'not_run' | 'unknown' | 'ran';
+
+/** A call to an engine. */
+export interface EngineCall {
+  /** `ip:port`. */
+  readonly address: string;
+  readonly requestId: string;
+  /** `model@version`. */
+  readonly model: string;
+  readonly messages: readonly unknown[];
+  /** Tokens already held by the caller; 0 for a new answer. */
+  readonly resumeFrom: number;
+  readonly priority: string;
+  readonly maxTokens?: number;
+}
+
+/** Why a stream ended without its last chunk. */
+export type EngineFailureCode =
+  | 'unreachable'
+  | 'overloaded'
+  | 'not_loaded'
+  | 'engine_error'
+  | 'broken_stream'
+  | 'aborted';
+
+/** A failed stream. */
+export interface EngineFailure {
+  readonly code: EngineFailureCode;
+  readonly ran: Ran;
+  readonly message: string;
+}
+
+/** What a stream yields: chunks, then at most one failure. */
+export type EngineItem =
+  | {readonly kind: 'chunk'; readonly chunk: answerAssembler.Chunk}
+  | {readonly kind: 'failed'; readonly failure: EngineFailure};
+
+/** Opens a stream of chunks. */
+export type EngineStream = (
+  call: EngineCall,
+  signal: AbortSignal,
+) => AsyncIterable<EngineItem>;
+
+/** Longest silence on a stream, in milliseconds, before it counts as broken. */
+export const DEFAULT_IDLE_MS = 10_000;
+
+const CHUNK = zod.object({
+  id: zod.string(),
+  offset: zod.number(),
+  choices: zod.array(
+    zod.object({
+      delta: zod.object({content: zod.string().optional()}),
+      finish_reason: zod.string().nullable().optional(),
+    }),
+  ),
+  usage: zod.object({completion_tokens: zod.number()}).optional(),
+  confidence: zod.number().optional(),
+});
+
+const parseChunk = (data: string): answerAssembler.Chunk | undefined => {
+  const parsed = CHUNK.safeParse(JSON.parse(data));
+  if (!parsed.success) {
+    return undefined;
+  }
+  const choice = parsed.data.choices[0];
+  const reason = choice?.finish_reason;
+  const chunk = {
+    id: parsed.data.id,
+    offset: parsed.data.offset,
+    text: choice?.delta.content ?? '',
+  };
+  if (!reason) {
+    return chunk;
+  }
+  const end = {
+    finishReason: reason,
+    completionTokens: parsed.data.usage?.completion_tokens ?? chunk.offset,
+    confidence: parsed.data.confidence ?? 1,
+  };
+  return {...chunk, end};
+};
+
+const failed = (
+  code: EngineFailureCode,
+  ran: Ran,
+  message: string,
+): EngineItem => ({kind: 'failed', failure: {code, ran, message}});
+
+const codeOf = (error: unknown): string => {
+  const failure = error as {
+    code?: string;
+    data?: {code?: string} | null;
+    message?: string;
+  };
+  return failure.code ?? failure.data?.code ?? failure.message ?? '';
+};
+
+/** Failures of a connection that prove that no byte was taken. */
+const NEVER_CONNECTED = /ECONNREFUSED|EHOSTUNREACH|ENETUNREACH/;
+
+const describeBreak = (code: string, signal: AbortSignal): EngineItem => {
+  if (NEVER_CONNECTED.test(code)) {
+    return failed('unreachable', 'not_run', code);
+  }
+  return failed(signal.aborted ? 'aborted' : 'broken_stream', 'unknown', code);
+};
+
+const describeStatus = (status: number): EngineItem => {
+  switch (status) {
+    case 429:
+    case 503:
+      return failed('overloaded', 'not_run', 'the engine is at its limit');
+    case 404:
+      return failed('not_loaded', 'not_run', 'the engine lacks the version');
+    default:
+      return failed('engine_error', 'ran', `the engine answered ${status}`);
+  }
+};
+
+/** Yields the chunks of an open response; a malformed one ends the stream. */
+async function* readChunks(
+  response: http.IncomingMessage,
+): AsyncGenerator<EngineItem> {
+  let pending: string[] = [];
+  const parser = eventsourceParser.createParser({
+    onEvent: event => pending.push(event.data),
+  });
+  response.setEncoding('utf8');
+  for await (const text of response as AsyncIterable<string>) {
+    parser.feed(text);
+    const events = pending;
+    pending = [];
+    for (const data of events) {
+      if (data === '[DONE]') {
+        continue;
+      }
+      const chunk = parseChunk(data);
+      if (!chunk) {
+        return;
+      }
+      yield {kind: 'chunk', chunk};
+    }
+  }
+}
+
+/** Creates a client over kept connections, bounded to `maxSockets` each. */
+export const createEngineClient = (
+  maxSockets = 256,
+  idleMs = DEFAULT_IDLE_MS,
+): EngineStream => {
+  const agent = new http.Agent({keepAlive: true, maxSockets});
+  return async function* (call, signal) {
+    if (signal.aborted) {
+      yield failed('aborted', 'not_run', 'aborted before the call');
+      return;
+    }
+    const url = `http://${call.address}/v1/chat/completions`;
+    const payload = JSON.stringify({
+      model: call.model,
+      messages: call.messages,
+      request_id: call.requestId,
+      resume_from: call.resumeFrom,
+      priority: call.priority,
+      stream: true,
+      ...(call.maxTokens === undefined ? {} : {max_tokens: call.maxTokens}),
+    });
+    const sending = wreck.default.request('POST', url, {
+      agent,
+      payload,
+      headers: {'content-type': 'application/json'},
+    });
+    const abort = () => sending.req.destroy(new Error('aborted'));
+    signal.addEventListener('abort', abort);
+    sending.req.setTimeout(idleMs, () =>
+      sending.req.destroy(new Error('idle')),
+    );
+    try {
+      const response = await sending;
+      if (response.statusCode !== 200) {
+        response.resume();
+        yield describeStatus(response.statusCode ?? 0);
+        return;
+      }
+      yield* readChunks(response);
+      yield failed('broken_stream', 'ran', 'the stream ended early');
+    } catch (error) {
+      const code = codeOf(error);
+      yield describeBreak(code, signal);
+    } finally {
+      signal.removeEventListener('abort', abort);
+      // Frees the engine's slot when the reader stops before the end.
+      if (!sending.req.closed && !sending.req.destroyed) {
+        closeUnlessDrained(sending.req);
+      }
+    }
+  };
+};
+
+/** Destroys a connection whose response was not read to its end. */
+const closeUnlessDrained = (request: http.ClientRequest): void => {
+  const response = (request as {res?: http.IncomingMessage}).res;
+  if (!response?.complete) {
+    request.destroy();
+  }
+};
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,2 +1,11 @@
-/** See package.json for what this package is for. */
-export {};
+/** Clients of model engines and plain services. */
+export * from './answer-assembler.js';
+export * from './engine-client.js';
+export * from './run-completion.js';
+export {
+  createServiceClient,
+  type ServiceAnswer,
+  type ServiceCall,
+  type ServiceClient,
+  type ServiceFailure,
+} from './service-client.js';
--- /dev/null
+++ b/packages/upstreams/src/run-completion.ts
@@ -0,0 +1,176 @@
+/**
+ * Runs one completion to its end on upstreams of one version: resumes a broken
+ * stream at its offset, on the same upstream or another, and passes each token
+ * on once. An answer without its end is never passed on as whole.
+ */
+import * as answerAssembler from './answer-assembler.js';
+import type * as engineClient from './engine-client.js';
+
+/** One upstream chosen for an attempt. */
+export interface Placement {
+  readonly upstream: string;
+  readonly address: string;
+  /** Reports the attempt's end, for load and latency accounting. */
+  readonly settle: (outcome: AttemptOutcome) => void;
+}
+
+/** How an attempt on one upstream ended. */
+export type AttemptOutcome = 'finished' | 'refused' | 'failed' | 'cancelled';
+
+/** What a run yields: tokens, then one `finished` or `failed`. */
+export type CompletionItem =
+  | {readonly kind: 'token'; readonly text: string}
+  | {
+      readonly kind: 'finished';
+      readonly end: answerAssembler.AnswerEnd;
+      readonly upstream: string;
+    }
+  | {readonly kind: 'failed'; readonly failure: engineClient.EngineFailure};
+
+/** What a run tells while it goes on, for the time line. */
+export type CompletionNotice =
+  | {readonly kind: 'started'; readonly upstream: string}
+  | {
+      readonly kind: 'discarded';
+      readonly upstream: string;
+      readonly reason: 'crossed' | 'doubled' | 'gap';
+    }
+  | {
+      readonly kind: 'attempt_failed';
+      readonly upstream: string;
+      readonly failure: engineClient.EngineFailure;
+      readonly offset: number;
+    };
+
+/** What a run needs. */
+export interface CompletionParts {
+  readonly open: engineClient.EngineStream;
+  /** Picks an upstream, avoiding those tried; undefined when there is none. */
+  readonly place: (tried: readonly string[]) => Placement | undefined;
+  /** Whether one more attempt fits the retry budget. */
+  readonly mayRetry: () => boolean;
+  readonly notify: (notice: CompletionNotice) => void;
+}
+
+/** A completion to run; the upstream is chosen for each attempt. */
+export type CompletionRequest = Omit<
+  engineClient.EngineCall,
+  'address' | 'resumeFrom'
+>;
+
+/**
+ * Attempts for one completion. A zone or a switch takes several upstreams at
+ * once, so two are too few; past five the fault is in the request or
+ * everywhere, and more attempts only add load.
+ */
+export const MAX_ATTEMPTS = 5;
+
+const NO_UPSTREAM: engineClient.EngineFailure = {
+  code: 'unreachable',
+  ran: 'not_run',
+  message: 'no upstream may take the request',
+};
+
+const toOutcome = (failure: engineClient.EngineFailure): AttemptOutcome => {
+  if (failure.code === 'aborted') {
+    return 'cancelled';
+  }
+  return failure.ran === 'not_run' ? 'refused' : 'failed';
+};
+
+/** The most that any attempt may have run. */
+const worstOf = (a: engineClient.Ran, b: engineClient.Ran): engineClient.Ran =>
+  a === 'ran' || b === 'ran'
+    ? 'ran'
+    : a === 'unknown' || b === 'unknown'
+      ? 'unknown'
+      : 'not_run';
+
+/** Yields the attempt's items; ends with a failure unless it finished. */
+async function* runAttempt(
+  parts: CompletionParts,
+  request: CompletionRequest,
+  placement: Placement,
+  assembler: answerAssembler.AnswerAssembler,
+  signal: AbortSignal,
+): AsyncGenerator<CompletionItem> {
+  const {upstream, address} = placement;
+  const call = {...request, address, resumeFrom: assembler.offset};
+  parts.notify({kind: 'started', upstream});
+  for await (const item of parts.open(call, signal)) {
+    if (item.kind === 'failed') {
+      yield item;
+      return;
+    }
+    const verdict = assembler.take(item.chunk);
+    switch (verdict.kind) {
+      case 'token':
+        yield verdict;
+        break;
+      case 'end':
+        yield {kind: 'finished', end: verdict.end, upstream};
+        return;
+      case 'discarded':
+        parts.notify({kind: 'discarded', upstream, reason: verdict.reason});
+        break;
+    }
+  }
+}
+
+/** Runs a completion on upstreams of one version. */
+export async function* runCompletion(
+  parts: CompletionParts,
+  request: CompletionRequest,
+  signal: AbortSignal,
+): AsyncGenerator<CompletionItem> {
+  const assembler = new answerAssembler.AnswerAssembler(request.requestId);
+  const tried: string[] = [];
+  let ran: engineClient.Ran = 'not_run';
+  let last = NO_UPSTREAM;
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    if (attempt > 0 && !parts.mayRetry()) {
+      break;
+    }
+    const placement = parts.place(tried);
+    if (!placement) {
+      break;
+    }
+    tried.push(placement.upstream);
+    let failure: engineClient.EngineFailure | undefined;
+    let settled: AttemptOutcome = 'cancelled';
+    try {
+      const items = runAttempt(parts, request, placement, assembler, signal);
+      for await (const item of items) {
+        if (item.kind === 'failed') {
+          failure = item.failure;
+          settled = toOutcome(failure);
+          break;
+        }
+        if (item.kind === 'finished') {
+          settled = 'finished';
+          yield item;
+          return;
+        }
+        yield item;
+      }
+    } finally {
+      placement.settle(settled);
+    }
+    last = failure ?? {
+      code: 'broken_stream',
+      ran: 'unknown',
+      message: 'the stream ended early',
+    };
+    ran = worstOf(ran, last.ran);
+    parts.notify({
+      kind: 'attempt_failed',
+      upstream: placement.upstream,
+      failure: last,
+      offset: assembler.offset,
+    });
+    if (last.code === 'aborted') {
+      break;
+    }
+  }
+  yield {kind: 'failed', failure: {...last, ran}};
+}
