Rank identities by rendezvous hashing

Shared by placement, grants and watchers: processes must agree on an order without talking. Sorting all identities costs O(n log n), fine for lists that change rarely; hot paths keep the ranking.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,2 +1,2 @@
-/** See package.json for what this package is for. */
-export {};
+/** Pure decisions under load; see package.json. One line per file, sorted. */
+export * from './rendezvous.js';
--- /dev/null
+++ b/packages/decisions/src/rendezvous.ts
@@ -0,0 +1,46 @@
+/**
+ * Rendezvous (highest random weight) hashing: every process ranks the same
+ * identities for a key in the same order, without talking to another.
+ */
+import * as murmurhash from 'murmurhash';
+
+interface Ranked {
+  readonly id: string;
+  readonly weight: number;
+}
+
+/** 32-bit hash of a string. */
+export const hashText = (text: string): number => murmurhash.v3(text);
+
+/** Mixes two 32-bit hashes into one (MurmurHash3's finalizer). */
+export const mixHashes = (a: number, b: number): number => {
+  let mixed = a ^ Math.imul(b, 0x9e3779b1);
+  mixed ^= mixed >>> 16;
+  mixed = Math.imul(mixed, 0x85ebca6b);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, 0xc2b2ae35);
+  mixed ^= mixed >>> 16;
+  return mixed >>> 0;
+};
+
+const compare = (a: Ranked, b: Ranked): number =>
+  b.weight - a.weight || (a.id < b.id ? -1 : a.id > b.id ? 1 : 0);
+
+/**
+ * Ranks `ids` for `key`, first choice first; at most `count` are returned.
+ * Removing an identity leaves the order of all others as it was, so that the
+ * loss of one instance moves only the keys it ranked first for.
+ */
+export const rankByRendezvous = (
+  key: string,
+  ids: readonly string[],
+  count: number = ids.length,
+): readonly string[] => {
+  const keyHash = hashText(key);
+  const ranked = ids.map(id => ({
+    id,
+    weight: mixHashes(keyHash, hashText(id)),
+  }));
+  ranked.sort(compare);
+  return ranked.slice(0, count).map(entry => entry.id);
+};
