--- /dev/null
+++ b/packages/decisions/tests/retry-budget.test.ts
@@ -0,0 +1,50 @@
+import * as chai from 'chai';
+import * as decisions from '@amaranthknot/decisions';
+
+const countRetries = (
+  budget: decisions.RetryBudget,
+  target: string,
+): number => {
+  let retries = 0;
+  while (budget.tryRetry(target)) {
+    retries++;
+  }
+  return retries;
+};
+
+describe('RetryBudget', () => {
+  const cases = [
+    {attempts: 0, retries: 1},
+    {attempts: 10, retries: 2},
+    {attempts: 50, retries: 6},
+    {attempts: 100_000, retries: decisions.DEFAULT_RETRY_BURST},
+  ];
+  for (const {attempts, retries} of cases) {
+    it(`allows ${retries} retries after ${attempts} attempts`, () => {
+      const budget = new decisions.RetryBudget();
+      for (let i = 0; i < attempts; i++) {
+        budget.recordAttempt('upstream');
+      }
+      chai.expect(countRetries(budget, 'upstream')).equal(retries);
+    });
+  }
+
+  // Callers see a failing model stay down after its cause is gone: each
+  // failed attempt was tried again, so that the upstream got twice the load
+  // that felled it. Cause: retries without a bound.
+  it('adds at most a tenth when every attempt fails', () => {
+    const budget = new decisions.RetryBudget();
+    let retries = 0;
+    for (let i = 0; i < 10_000; i++) {
+      budget.recordAttempt('upstream');
+      retries += budget.tryRetry('upstream') ? 1 : 0;
+    }
+    chai.expect(retries).within(990, 1001);
+  });
+
+  it('keeps the budgets of targets apart', () => {
+    const budget = new decisions.RetryBudget();
+    countRetries(budget, 'failing');
+    chai.expect(budget.tryRetry('healthy')).equal(true);
+  });
+});
