Learn cascades by priced quality and posterior sampling

First version of the cascade policy, so that its API can be wired.

Cause: a request should cost no more than its workspace's quality needs, with ratings sampled, late or missing. Ruled out: fixed thresholds per task (cannot trade tasks against each other within one workspace) and counting per score bin (too few ratings per bin). One price of a bad answer per workspace, moved by each rating, and a logistic belief per model and task.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,2 +1,5 @@
-/** See package.json for what this package is for. */
-export {};
+/** Pure decision logic: time and random numbers are arguments. */
+export * from './cascade-plan.js';
+export * from './cascade.js';
+export * from './logistic-estimate.js';
+export * from './stage-belief.js';
--- /dev/null
+++ b/packages/decisions/src/stage-belief.ts
@@ -0,0 +1,168 @@
+/**
+ * What is known of one model's answers to one kind of task: how often they
+ * pass given the engine's own score, and how scores are spread.
+ */
+import * as estimate from './logistic-estimate.js';
+
+/** Belief about one stage. Plain JSON. */
+export interface StageBelief {
+  readonly pass: estimate.LogisticBelief;
+  /** Weighted counts of answers by score bin, the last bin for no score. */
+  readonly direct: readonly number[];
+  /** The same for answers after an earlier stage's was rejected. */
+  readonly escalated: readonly number[];
+}
+
+/** Cost of what follows a stage's answer. */
+export interface Stakes {
+  /** Price of passing on a bad answer. */
+  readonly badAnswer: number;
+  /** Expected loss of going on instead; infinite at the last stage. */
+  readonly goingOn: number;
+}
+
+/** Which answers of a stage are worth passing on. */
+export interface Acceptance {
+  /** Lowest score accepted; above 1 accepts none. */
+  readonly threshold: number;
+  /** Whether an answer without a score is accepted. */
+  readonly unscored: boolean;
+}
+
+/** Scores beyond these log odds tell no more. */
+const LOGIT_LIMIT = 4;
+const BIN_COUNT = 8;
+const UNSCORED_BIN = BIN_COUNT;
+/** Answers after which a score's share in the histogram is renewed. */
+const HISTOGRAM_WINDOW = 1000;
+/** Answers that the first, flat histogram counts for. */
+const HISTOGRAM_PRIOR = 8;
+/** Threshold that no score reaches. */
+const ACCEPT_NONE = 2;
+/** Coefficients: base, score, escalated, unscored. */
+const FIRST_MEAN = [0, 0.5, 0, 0];
+const FIRST_VARIANCE = [4, 0.5, 1, 1];
+
+const BIN_LOGITS = Array.from({length: BIN_COUNT}, (_, i) =>
+  estimate.boundedLogit((i + 0.5) / BIN_COUNT, LOGIT_LIMIT),
+);
+
+const createHistogram = (): readonly number[] =>
+  Array.from({length: BIN_COUNT + 1}, () => HISTOGRAM_PRIOR / (BIN_COUNT + 1));
+
+/** The belief about a model never seen on this kind of task. */
+export const createStageBelief = (): StageBelief => ({
+  pass: estimate.createBelief(FIRST_MEAN, FIRST_VARIANCE),
+  direct: createHistogram(),
+  escalated: createHistogram(),
+});
+
+const findBin = (score: number | undefined): number =>
+  score === undefined
+    ? UNSCORED_BIN
+    : Math.min(BIN_COUNT - 1, Math.max(0, Math.floor(score * BIN_COUNT)));
+
+const countBin = (
+  histogram: readonly number[],
+  bin: number,
+): readonly number[] => {
+  const total = histogram.reduce((sum, n) => sum + n, 0);
+  const keep = total >= HISTOGRAM_WINDOW ? 1 - 1 / HISTOGRAM_WINDOW : 1;
+  return histogram.map((n, i) => n * keep + (i === bin ? 1 : 0));
+};
+
+/** Counts an answer's score, rated or not. */
+export const countScore = (
+  belief: StageBelief,
+  escalated: boolean,
+  score: number | undefined,
+): StageBelief => {
+  const bin = findBin(score);
+  return escalated
+    ? {...belief, escalated: countBin(belief.escalated, bin)}
+    : {...belief, direct: countBin(belief.direct, bin)};
+};
+
+/** Takes in the rating, 0 to 1, of an answer. */
+export const rateAnswer = (
+  belief: StageBelief,
+  escalated: boolean,
+  score: number | undefined,
+  rating: number,
+): StageBelief => {
+  const x = score === undefined ? 0 : estimate.boundedLogit(score, LOGIT_LIMIT);
+  const features = [1, x, escalated ? 1 : 0, score === undefined ? 1 : 0];
+  return {
+    ...belief,
+    pass: estimate.updateBelief(belief.pass, features, rating),
+  };
+};
+
+/** Widens the belief about passing, as ratings of the task pass by. */
+export const ageStageBelief = (
+  belief: StageBelief,
+  growth: number,
+): StageBelief => ({
+  ...belief,
+  pass: estimate.ageBelief(belief.pass, FIRST_VARIANCE, growth),
+});
+
+/** Log odds of passing, without the score's part. */
+const findBase = (
+  coefficients: readonly number[],
+  escalated: boolean,
+  unscored: boolean,
+): number => {
+  const [base = 0, , shift = 0, missing = 0] = coefficients;
+  return base + (escalated ? shift : 0) + (unscored ? missing : 0);
+};
+
+/** A higher score is never taken as a sign of a worse answer. */
+const findSlope = (coefficients: readonly number[]): number =>
+  Math.max(0, coefficients[1] ?? 0);
+
+/** Expected loss after a stage answered: pass the answer on, or go on. */
+export const findLoss = (
+  belief: StageBelief,
+  coefficients: readonly number[],
+  escalated: boolean,
+  stakes: Stakes,
+): number => {
+  const histogram = escalated ? belief.escalated : belief.direct;
+  const slope = findSlope(coefficients);
+  let total = 0;
+  let loss = 0;
+  for (let bin = 0; bin <= BIN_COUNT; bin++) {
+    const unscored = bin === UNSCORED_BIN;
+    const base = findBase(coefficients, escalated, unscored);
+    const score = unscored ? 0 : slope * (BIN_LOGITS[bin] ?? 0);
+    const bad = stakes.badAnswer * (1 - estimate.sigmoid(base + score));
+    const count = histogram[bin] ?? 0;
+    total += count;
+    loss += count * Math.min(bad, stakes.goingOn);
+  }
+  return loss / total;
+};
+
+/** Which answers lose less by being passed on than by going on. */
+export const findAcceptance = (
+  coefficients: readonly number[],
+  escalated: boolean,
+  stakes: Stakes,
+): Acceptance => {
+  const needed = 1 - stakes.goingOn / stakes.badAnswer;
+  if (needed <= 0) {
+    return {threshold: 0, unscored: true};
+  }
+  const wanted = Math.log(needed / (1 - needed));
+  const unscored = findBase(coefficients, escalated, true) >= wanted;
+  const missing = wanted - findBase(coefficients, escalated, false);
+  const slope = findSlope(coefficients);
+  if (missing <= -slope * LOGIT_LIMIT) {
+    return {threshold: 0, unscored};
+  }
+  if (missing > slope * LOGIT_LIMIT) {
+    return {threshold: ACCEPT_NONE, unscored};
+  }
+  return {threshold: estimate.sigmoid(missing / slope), unscored};
+};
