--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,2 +1,11 @@
-/** See package.json for what this package is for. */
-export {};
+/** Pure decision logic: time and random numbers are arguments. */
+export * from './admission.js';
+export * from './cascade-plan.js';
+export * from './cascade.js';
+export * from './logistic-estimate.js';
+export * from './moving-estimate.js';
+export * from './rendezvous.js';
+export * from './retry-budget.js';
+export * from './slot-pool.js';
+export * from './stage-belief.js';
+export * from './workspace-queue.js';
