--- /dev/null
+++ b/packages/entry/src/chat-sessions.ts
@@ -0,0 +1,120 @@
+/**
+ * Keeps a session on its versions: from its token, or from the session id
+ * that the caller chose itself.
+ */
+import type * as hapi from '@hapi/hapi';
+import * as purify from 'purify-ts';
+import type * as apiError from './api-error.js';
+import type * as entryParts from './entry-parts.js';
+import * as requestContext from './request-context.js';
+import type * as resolvePlan from './resolve-plan.js';
+import * as selectVersion from './select-version.js';
+import * as sessionToken from './session-token.js';
+
+/** Header that carries a session token, both ways. */
+export const TOKEN_HEADER = 'x-session-token';
+
+/** Header with a session id of the caller's own. */
+export const SESSION_HEADER = 'x-session-id';
+
+/** Longest session id that a caller may choose. */
+const MAX_SESSION_ID = 256;
+
+/** The session of one request. */
+export interface RequestSession {
+  readonly id: string;
+  /** Whether the caller chose the id, so that it may come without a token. */
+  readonly isCallersOwn: boolean;
+  readonly pins: sessionToken.SessionPins;
+}
+
+const refuse = (
+  message: string,
+): purify.Either<apiError.ApiError, RequestSession> =>
+  purify.Left({code: 'invalid_session', ran: 'not_run', message});
+
+/** Reads the session of a request; a new one when it names none. */
+export const readSession = (
+  parts: entryParts.EntryParts,
+  request: hapi.Request,
+  workspace: string,
+): purify.Either<apiError.ApiError, RequestSession> => {
+  const token = requestContext.readHeader(request, TOKEN_HEADER);
+  if (token !== undefined) {
+    return sessionToken
+      .verifySession(token, parts.sessionKey, workspace)
+      .map(({id, pins}) => ({id, pins, isCallersOwn: false}))
+      .mapLeft(problem => ({
+        code: 'invalid_session',
+        ran: 'not_run',
+        message: `the session token is refused: ${problem}`,
+      }));
+  }
+  const own = requestContext.readHeader(request, SESSION_HEADER);
+  if (own !== undefined && own.length > MAX_SESSION_ID) {
+    return refuse(`a session id has at most ${MAX_SESSION_ID} characters`);
+  }
+  return own === undefined
+    ? purify.Right({id: parts.newId(), isCallersOwn: false, pins: {}})
+    : purify.Right({id: own, isCallersOwn: true, pins: {}});
+};
+
+/** Versions of a plan's stages, and the pins that the session keeps. */
+export interface PlanVersions {
+  readonly byModel: ReadonlyMap<string, string>;
+  readonly pins: sessionToken.SessionPins;
+}
+
+/** Chooses the version of each stage once, before the request runs. */
+export const chooseVersions = async (
+  parts: entryParts.EntryParts,
+  workspace: string,
+  session: RequestSession,
+  plan: resolvePlan.Plan,
+): Promise<PlanVersions> => {
+  const byModel = new Map<string, string>();
+  const sessionKey = `${workspace}/${session.id}`;
+  for (const {model, versions} of plan.stages) {
+    const pinned = session.pins[model.name];
+    const assigned = parts.assignVersion(model.name, sessionKey);
+    const wanted = selectVersion.selectVersion({
+      model,
+      ...(versions ? {allowed: versions} : {}),
+      ...(pinned === undefined ? {} : {pinned}),
+      ...(assigned === undefined ? {} : {assigned}),
+    });
+    if (wanted === undefined) {
+      continue;
+    }
+    const version = session.isCallersOwn
+      ? await keepOwn(parts, workspace, session.id, {model, versions}, wanted)
+      : wanted;
+    byModel.set(model.name, version);
+  }
+  return {byModel, pins: {...session.pins, ...Object.fromEntries(byModel)}};
+};
+
+const keepOwn = async (
+  parts: entryParts.EntryParts,
+  workspace: string,
+  sessionId: string,
+  stage: {
+    readonly model: resolvePlan.PlanStage['model'];
+    readonly versions: readonly string[] | undefined;
+  },
+  wanted: string,
+): Promise<string> => {
+  const {model, versions} = stage;
+  const pinned = await parts.pinVersion(
+    workspace,
+    sessionId,
+    model.name,
+    wanted,
+  );
+  const kept = selectVersion.selectVersion({
+    model,
+    pinned,
+    ...(versions ? {allowed: versions} : {}),
+  });
+  return kept ?? wanted;
+};
--- /dev/null
+++ b/packages/entry/src/entry-parts.ts
@@ -0,0 +1,90 @@
+/** What the caller-facing server is built from; the wiring passes it in. */
+import type * as configuration from '@amaranthknot/configuration';
+import type * as decisions from '@amaranthknot/decisions';
+import type * as ledger from '@amaranthknot/ledger';
+import type * as platform from '@amaranthknot/platform';
+import type * as telemetry from '@amaranthknot/telemetry';
+import type * as upstreams from '@amaranthknot/upstreams';
+import type * as admissionGate from './admission-gate.js';
+import type * as chatRunner from './chat-runner.js';
+
+/** The configuration that this instance works by. */
+export interface InForce {
+  readonly environment: string;
+  readonly generation: number;
+  readonly digest: string;
+  readonly document: configuration.Document;
+}
+
+/** An address offered to callers. */
+export interface OfferedAddress {
+  readonly address: string;
+  readonly zone: string;
+}
+
+/** Bounds of the caller-facing server. */
+export interface EntryLimits {
+  readonly maxBodyBytes: number;
+  readonly requestTimeoutMs: number;
+  /** How long callers may keep an answer of `/v1/entry-instances`. */
+  readonly addressMaxAgeMs: number;
+  /** Longest wait for requests in progress at a planned stop. */
+  readonly stopGraceMs: number;
+}
+
+/** Where one attempt of a chat stage may run. */
+export type PlaceStage = (
+  run: chatRunner.StageRun,
+  tried: readonly string[],
+) => upstreams.Placement | undefined;
+
+/** Where a plain service may be called; undefined when nowhere. */
+export type PlaceService = (service: string) => upstreams.Placement | undefined;
+
+/** Everything the server needs. */
+export interface EntryParts {
+  readonly instanceId: string;
+  readonly listen: {readonly host: string; readonly port: number};
+  readonly zone: string;
+  readonly limits: EntryLimits;
+  readonly clock: platform.Clock;
+  readonly random: () => number;
+  readonly newId: () => string;
+  readonly sessionKey: string;
+  readonly operatorDigest: string;
+  readonly innerKey: string;
+  /** Undefined until a first configuration, or when it is too old to act on. */
+  readonly inForce: () => InForce | undefined;
+  /** Addresses for callers, best first; never this one when it is leaving. */
+  readonly offerAddresses: (zone?: string) => readonly OfferedAddress[];
+  readonly admission: admissionGate.AdmissionGate;
+  readonly cascades: decisions.CascadePolicy;
+  /** Version that a roll-out gives to a session that has none. */
+  readonly assignVersion: (
+    model: string,
+    sessionKey: string,
+  ) => string | undefined;
+  /** Version that a caller's own session id keeps, or takes from now on. */
+  readonly pinVersion: (
+    workspace: string,
+    sessionId: string,
+    model: string,
+    version: string,
+  ) => Promise<string>;
+  readonly placeStage: PlaceStage;
+  readonly placeService: PlaceService;
+  readonly openEngine: upstreams.EngineStream;
+  readonly callService: upstreams.ServiceClient;
+  readonly mayRetry: (model: string) => boolean;
+  readonly claims: ledger.ClaimKeeper;
+  readonly bills: ledger.BillKeeper;
+  readonly events: telemetry.EventRing;
+  readonly metrics: telemetry.Metrics;
+  readonly logger: telemetry.Logger;
+  /** Answers a message of another entry instance. */
+  readonly handlePeer: (text: string) => Promise<string>;
+  /** State for operators, as JSON. */
+  readonly describeState: () => object;
+  /** Notes how good an answer was rated. */
+  readonly noteRating: (rating: decisions.CascadeRating) => void;
+}
--- /dev/null
+++ b/packages/entry/src/entry-server.ts
@@ -0,0 +1,278 @@
+/** The caller-facing server of one entry instance. */
+import * as hapi from '@hapi/hapi';
+import * as apiError from './api-error.js';
+import * as authenticate from './authenticate.js';
+import * as chatRoutes from './chat-routes.js';
+import type * as entryParts from './entry-parts.js';
+import * as requestContext from './request-context.js';
+import * as resolvePlan from './resolve-plan.js';
+import * as serviceRoutes from './service-routes.js';
+
+/** Time in milliseconds a slow caller may take to send its body. */
+const BODY_TIMEOUT_MS = 10_000;
+
+/** Largest message between entry instances, in bytes. */
+const MAX_PEER_BODY_BYTES = 8 * 1024 * 1024;
+
+/** Serves callers, operators and peers. */
+export class EntryServer {
+  private readonly server: hapi.Server;
+  private readonly chat: chatRoutes.ChatRoutes;
+  private readonly services: serviceRoutes.ServiceRoutes;
+  private leaving = false;
+  private active = 0;
+
+  constructor(private readonly parts: entryParts.EntryParts) {
+    this.chat = new chatRoutes.ChatRoutes(parts);
+    this.services = new serviceRoutes.ServiceRoutes(parts);
+    this.server = hapi.server({
+      host: parts.listen.host,
+      port: parts.listen.port,
+      routes: {payload: {maxBytes: parts.limits.maxBodyBytes}},
+      // Errors of our own carry a code; hapi's log would be a second one.
+      debug: false,
+    });
+    this.server.ext('onPreResponse', (request, h) =>
+      this.formatBoom(request, h),
+    );
+    this.addCallerRoutes();
+    this.addOperatorRoutes();
+  }
+
+  /** Port once started. */
+  get port(): number {
+    return Number(this.server.info.port);
+  }
+
+  async start(): Promise<void> {
+    await this.server.start();
+  }
+
+  /** Says that this instance leaves; it goes on serving. */
+  leave(): void {
+    this.leaving = true;
+  }
+
+  /** Requests of callers in progress. */
+  get inProgress(): number {
+    return this.active;
+  }
+
+  /** Stops listening; waits for requests in progress within the grace. */
+  async stop(): Promise<void> {
+    await this.server.stop({timeout: this.parts.limits.stopGraceMs});
+  }
+
+  private addCallerRoutes(): void {
+    const raw = {
+      parse: false,
+      output: 'data',
+      maxBytes: this.parts.limits.maxBodyBytes,
+      timeout: BODY_TIMEOUT_MS,
+    } as const;
+    this.server.route([
+      {
+        method: 'POST',
+        path: '/v1/chat/completions',
+        options: {payload: raw},
+        handler: (request, h) =>
+          this.track(request, () => this.chat.handle(request, h)),
+      },
+      {
+        method: ['POST', 'PUT', 'PATCH', 'DELETE'],
+        path: '/services/{service}/{path*}',
+        options: {payload: raw},
+        handler: (request, h) =>
+          this.track(request, () => this.services.handle(request, h)),
+      },
+      {
+        method: 'GET',
+        path: '/services/{service}/{path*}',
+        handler: (request, h) =>
+          this.track(request, () => this.services.handle(request, h)),
+      },
+      {
+        method: 'GET',
+        path: '/v1/models',
+        handler: (request, h) => this.listModels(request, h),
+      },
+      {
+        method: 'GET',
+        path: '/v1/entry-instances',
+        handler: (request, h) => this.listAddresses(request, h),
+      },
+    ]);
+  }
+
+  private addOperatorRoutes(): void {
+    this.server.route([
+      {method: 'GET', path: '/healthz', handler: () => ({status: 'ok'})},
+      {
+        method: 'GET',
+        path: '/readyz',
+        handler: (_request, h) => {
+          const ready = !this.leaving && this.parts.inForce() !== undefined;
+          return h
+            .response({ready, leaving: this.leaving})
+            .code(ready ? 200 : 503);
+        },
+      },
+      {
+        method: 'GET',
+        path: '/metrics',
+        handler: async (request, h) => {
+          if (!this.isOperator(request)) {
+            return this.refuseOperator(h);
+          }
+          const {registry} = this.parts.metrics;
+          return h.response(await registry.metrics()).type('text/plain');
+        },
+      },
+      {
+        method: 'GET',
+        path: '/operator/state',
+        handler: (request, h) =>
+          this.isOperator(request)
+            ? h.response(this.parts.describeState())
+            : this.refuseOperator(h),
+      },
+      {
+        method: 'GET',
+        path: '/operator/events',
+        handler: (request, h) => {
+          if (!this.isOperator(request)) {
+            return this.refuseOperator(h);
+          }
+          const {after} = request.query as {after?: string};
+          const events = this.parts.events.read(Number(after ?? -1));
+          return h.response({events});
+        },
+      },
+      {
+        method: 'POST',
+        path: '/inner/rpc',
+        options: {
+          payload: {
+            parse: false,
+            output: 'data',
+            maxBytes: MAX_PEER_BODY_BYTES,
+          },
+        },
+        handler: async (request, h) => {
+          if (!this.isPeer(request)) {
+            return this.refuseOperator(h);
+          }
+          const text = (request.payload as Buffer).toString('utf8');
+          const answer = await this.parts.handlePeer(text);
+          return h.response(answer).type('application/json');
+        },
+      },
+    ]);
+  }
+
+  /** Counts requests in progress until their last byte is sent. */
+  private track(
+    request: hapi.Request,
+    handle: () => Promise<hapi.ResponseObject>,
+  ): Promise<hapi.ResponseObject> {
+    this.active++;
+    request.raw.res.once('close', () => this.active--);
+    return handle();
+  }
+
+  private listModels(
+    request: hapi.Request,
+    h: hapi.ResponseToolkit,
+  ): hapi.ResponseObject {
+    return requestContext.createContext(this.parts, request).caseOf({
+      Left: error => requestContext.replyError(h, error, this.parts.newId()),
+      Right: ({workspace, inForce}) => {
+        const {document} = inForce;
+        const cascades = document.cascades.map(cascade => cascade.name);
+        const models = document.models.map(model => model.name);
+        const data = [...cascades, ...models]
+          .filter(name =>
+            resolvePlan.resolvePlan(document, workspace, name).isRight(),
+          )
+          .map(id => ({
+            id,
+            object: 'model',
+            created: 0,
+            owned_by: 'amaranthknot',
+          }));
+        return h.response({object: 'list', data});
+      },
+    });
+  }
+
+  private listAddresses(
+    request: hapi.Request,
+    h: hapi.ResponseToolkit,
+  ): hapi.ResponseObject {
+    const {zone} = request.query as {zone?: string};
+    const maxAgeMs = this.parts.limits.addressMaxAgeMs;
+    const seconds = Math.floor(maxAgeMs / 1000);
+    return h
+      .response({
+        instances: this.parts.offerAddresses(zone),
+        max_age_ms: maxAgeMs,
+      })
+      .header('cache-control', `max-age=${seconds}`);
+  }
+
+  private isOperator(request: hapi.Request): boolean {
+    const header = requestContext.readHeader(request, 'authorization');
+    const key = authenticate.readBearerKey(header);
+    return (
+      key !== undefined &&
+      authenticate.equalDigests(
+        authenticate.digestKey(key),
+        this.parts.operatorDigest,
+      )
+    );
+  }
+
+  private isPeer(request: hapi.Request): boolean {
+    const header = requestContext.readHeader(request, 'authorization');
+    const key = authenticate.readBearerKey(header);
+    const expected = authenticate.digestKey(this.parts.innerKey);
+    return (
+      key !== undefined &&
+      authenticate.equalDigests(authenticate.digestKey(key), expected)
+    );
+  }
+
+  private refuseOperator(h: hapi.ResponseToolkit): hapi.ResponseObject {
+    const message = 'this needs a key of its own';
+    const error = {code: 'invalid_key', ran: 'not_run', message} as const;
+    return requestContext.replyError(h, error, this.parts.newId());
+  }
+
+  /** Gives hapi's own errors, such as a body too large, our shape. */
+  private formatBoom(
+    request: hapi.Request,
+    h: hapi.ResponseToolkit,
+  ): hapi.ResponseObject | symbol {
+    const {response} = request;
+    if (!('isBoom' in response)) {
+      return h.continue;
+    }
+    const status = response.output.statusCode;
+    const isOurs = status >= 500;
+    if (isOurs) {
+      const {message, stack} = response;
+      this.parts.logger.error('request failed', {message, stack});
+    }
+    // hapi refuses a body or path before any handler of ours runs; a failure
+    // inside a handler may have come after the work began.
+    const error: apiError.ApiError = isOurs
+      ? {code: 'internal', ran: 'unknown', message: 'internal error'}
+      : {
+          code: 'invalid_request',
+          ran: 'not_run',
+          message: response.message,
+        };
+    const requestId = this.parts.newId();
+    return requestContext.replyError(h, error, requestId).code(status);
+  }
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,10 @@
-/** See package.json for what this package is for. */
-export {};
+/** The caller-facing server. */
+export * from './admission-gate.js';
+export * from './api-error.js';
+export * from './authenticate.js';
+export * from './chat-runner.js';
+export * from './entry-parts.js';
+export * from './entry-server.js';
+export * from './resolve-plan.js';
+export * from './select-version.js';
+export * from './session-token.js';
--- /dev/null
+++ b/packages/entry/src/service-routes.ts
@@ -0,0 +1,390 @@
+/**
+ * `/services/NAME/...`: plain services, passed through. A call whose method is
+ * not idempotent runs at most once: it is claimed before the first byte is
+ * sent, and a retry under its key gets the recorded answer.
+ */
+import type * as hapi from '@hapi/hapi';
+import * as purify from 'purify-ts';
+import type * as configuration from '@amaranthknot/configuration';
+import * as ledger from '@amaranthknot/ledger';
+import type * as upstreams from '@amaranthknot/upstreams';
+import type * as apiError from './api-error.js';
+import type * as entryParts from './entry-parts.js';
+import * as requestContext from './request-context.js';
+
+/** Longest idempotency key that a caller may choose. */
+const MAX_KEY_LENGTH = 256;
+
+/** When to ask again after a call whose outcome is not known, in ms. */
+const ASK_AGAIN_MS = 2_000;
+
+/** A call of a plain service. */
+interface ServiceRequest {
+  readonly context: requestContext.RequestContext;
+  readonly service: configuration.Service;
+  readonly isIdempotent: boolean;
+  readonly identity: ledger.RequestIdentity;
+  readonly method: string;
+  readonly path: string;
+  readonly body: Buffer;
+  readonly contentType?: string;
+}
+
+type Answer = purify.Either<apiError.ApiError, upstreams.ServiceAnswer>;
+
+const refuse = (
+  code: apiError.ApiErrorCode,
+  message: string,
+): purify.Either<apiError.ApiError, never> =>
+  purify.Left({code, ran: 'not_run', message});
+
+/** Text answers are recorded as they are, others as base64 behind a mark. */
+const BASE64_MARK = 'base64:';
+
+const encodeAnswer = (answer: upstreams.ServiceAnswer): string => {
+  const text = answer.body.toString('utf8');
+  const isText = Buffer.from(text, 'utf8').equals(answer.body);
+  const body = isText
+    ? `text:${text}`
+    : BASE64_MARK + answer.body.toString('base64');
+  return `${answer.contentType}\n${body}`;
+};
+
+const decodeAnswer = (
+  status: number,
+  recorded: string,
+): upstreams.ServiceAnswer => {
+  const end = recorded.indexOf('\n');
+  const body = recorded.slice(end + 1);
+  const encoded = body.slice(body.indexOf(':') + 1);
+  const encoding = body.startsWith(BASE64_MARK) ? 'base64' : 'utf8';
+  return {
+    status,
+    contentType: recorded.slice(0, end),
+    body: Buffer.from(encoded, encoding),
+  };
+};
+
+const toApiError = (failure: upstreams.ServiceFailure): apiError.ApiError => {
+  const {ran, message} = failure;
+  return ran === 'not_run'
+    ? {code: 'no_upstream', ran, message, retryAfterMs: ASK_AGAIN_MS}
+    : {code: 'outcome_unknown', ran, message, retryAfterMs: ASK_AGAIN_MS};
+};
+
+/** Answers calls of plain services. */
+export class ServiceRoutes {
+  constructor(private readonly parts: entryParts.EntryParts) {}
+
+  /** Handles one call. */
+  async handle(
+    request: hapi.Request,
+    h: hapi.ResponseToolkit,
+  ): Promise<hapi.ResponseObject> {
+    const read = this.read(request);
+    if (read.isLeft()) {
+      return requestContext.replyError(h, read.extract(), this.parts.newId());
+    }
+    const call = read.unsafeCoerce();
+    const {requestId} = call.context;
+    const admitted = await requestContext.admit(this.parts, call.context);
+    if (admitted.isLeft()) {
+      return this.reply(h, call, purify.Left(admitted.extract()));
+    }
+    const release = admitted.unsafeCoerce();
+    try {
+      const answer = call.isIdempotent
+        ? await this.runIdempotent(call)
+        : await this.runOnce(call);
+      return this.reply(h, call, answer);
+    } catch (error) {
+      // A defect here must not say `not_run` of a call that may have run.
+      this.parts.logger.error('service call failed', {requestId, error});
+      const message = 'internal error';
+      return this.reply(
+        h,
+        call,
+        purify.Left({code: 'internal', ran: 'unknown', message}),
+      );
+    } finally {
+      release();
+    }
+  }
+
+  private read(
+    request: hapi.Request,
+  ): purify.Either<apiError.ApiError, ServiceRequest> {
+    const {parts} = this;
+    return requestContext.createContext(parts, request).chain(context => {
+      const {service: name, path = ''} = request.params as unknown as {
+        service: string;
+        path?: string;
+      };
+      const {document} = context.inForce;
+      const service = document.services.find(found => found.name === name);
+      const isAllowed = context.workspace.allowed.some(
+        target => target.kind === 'service' && target.service === name,
+      );
+      if (!service || !isAllowed) {
+        return refuse('service_not_found', `no service ${name} here`);
+      }
+      const method = request.method.toUpperCase();
+      const isIdempotent = service.idempotentMethods.includes(method);
+      const key = requestContext.readHeader(request, 'idempotency-key');
+      if (!isIdempotent && key === undefined) {
+        return refuse(
+          'idempotency_key_required',
+          `${method} of ${name} runs at most once: send an Idempotency-Key`,
+        );
+      }
+      if (key !== undefined && key.length > MAX_KEY_LENGTH) {
+        return refuse(
+          'invalid_request',
+          `an Idempotency-Key has at most ${MAX_KEY_LENGTH} characters`,
+        );
+      }
+      const contentType = requestContext.readHeader(request, 'content-type');
+      return purify.Right({
+        context,
+        service,
+        isIdempotent,
+        identity: ledger.identifyRequest(
+          context.workspace.name,
+          key,
+          context.requestId,
+        ),
+        method,
+        path: `/${path}${request.url.search}`,
+        body: Buffer.isBuffer(request.payload)
+          ? request.payload
+          : Buffer.alloc(0),
+        ...(contentType === undefined ? {} : {contentType}),
+      });
+    });
+  }
+
+  private async runIdempotent(call: ServiceRequest): Promise<Answer> {
+    const accepted = this.checkBills();
+    if (accepted.isLeft()) {
+      return accepted;
+    }
+    return this.billAnswer(call, await this.send(call));
+  }
+
+  private async runOnce(call: ServiceRequest): Promise<Answer> {
+    const {parts} = this;
+    const accepted = this.checkBills();
+    if (accepted.isLeft()) {
+      return accepted;
+    }
+    const fingerprint = ledger.fingerprintRequest(
+      call.service.name,
+      call.method,
+      call.path,
+      call.body.toString('base64'),
+    );
+    const claimed = await parts.claims.claim(call.identity, fingerprint);
+    this.noteClaim(call, claimed);
+    switch (claimed.kind) {
+      case 'granted':
+        return this.runClaimed(call, claimed.claim);
+      case 'already':
+        return this.repeat(claimed.outcome);
+      case 'mismatch':
+        return refuse(
+          'idempotency_key_reused',
+          'this Idempotency-Key came before with another request',
+        );
+      case 'refused':
+        return purify.Left({
+          code: 'platform_out',
+          ran: 'not_run',
+          message: 'the request cannot be claimed now',
+          retryAfterMs: claimed.retryAfterMs,
+        });
+    }
+  }
+
+  private async runClaimed(
+    call: ServiceRequest,
+    claim: ledger.Claim,
+  ): Promise<Answer> {
+    const {claims} = this.parts;
+    const answer = await this.send(call);
+    if (answer.isLeft()) {
+      const failure = answer.extract();
+      if (failure.ran === 'not_run') {
+        await claims.abandon(claim);
+      }
+      return answer;
+    }
+    const {status, ...rest} = answer.unsafeCoerce();
+    const body = encodeAnswer({status, ...rest});
+    // The bill comes first: once the answer is recorded, a retry on another
+    // instance may hand it out, and it must be billed by then.
+    const billed = await this.billAnswer(call, answer);
+    await claims.finish(claim, {kind: 'answer', status, body});
+    return billed;
+  }
+
+  private repeat(outcome: ledger.ClaimOutcome | undefined): Answer {
+    if (outcome === undefined) {
+      return purify.Left({
+        code: 'outcome_unknown',
+        ran: 'unknown',
+        message: 'an earlier attempt under this key has no recorded answer',
+        retryAfterMs: ASK_AGAIN_MS,
+      });
+    }
+    if (outcome.kind === 'digest') {
+      return purify.Left({
+        code: 'outcome_unknown',
+        ran: 'ran',
+        message: `it ran with status ${outcome.status}; the answer was too large to keep`,
+      });
+    }
+    return purify.Right(decodeAnswer(outcome.status, outcome.body));
+  }
+
+  private async send(call: ServiceRequest): Promise<Answer> {
+    const {parts} = this;
+    const placement = parts.placeService(call.service.name);
+    if (!placement) {
+      return purify.Left({
+        code: 'no_upstream',
+        ran: 'not_run',
+        message: `no upstream of ${call.service.name} may take the call`,
+        retryAfterMs: ASK_AGAIN_MS,
+      });
+    }
+    const {requestId} = call.context;
+    const {upstream} = placement;
+    parts.events.record('stage_started', {
+      request: requestId,
+      upstream,
+      detail: `${call.method} ${call.service.name}`,
+    });
+    // A call that may not be repeated is not cut when its caller leaves: its
+    // answer is recorded for the caller's retry.
+    const signal = call.isIdempotent
+      ? call.context.signal
+      : new AbortController().signal;
+    const answer = await parts.callService(
+      {
+        address: placement.address,
+        method: call.method,
+        path: call.path,
+        requestId: call.isIdempotent ? requestId : call.identity.name,
+        ...(call.contentType === undefined
+          ? {}
+          : {contentType: call.contentType}),
+        ...(call.body.length > 0 ? {body: call.body} : {}),
+      },
+      signal,
+    );
+    placement.settle(answer.isRight() ? 'finished' : 'failed');
+    answer.ifLeft(failure =>
+      parts.events.record('upstream_failed', {
+        request: requestId,
+        upstream,
+        detail: `${failure.code} ${failure.ran}`,
+      }),
+    );
+    return answer.mapLeft(toApiError);
+  }
+
+  private checkBills(): purify.Either<apiError.ApiError, true> {
+    return this.parts.bills.mayAccept().mapLeft(refusal => ({
+      code: 'platform_out',
+      ran: 'not_run',
+      message: 'bills cannot be kept safe now',
+      retryAfterMs: refusal.retryAfterMs,
+    }));
+  }
+
+  private async billAnswer(
+    call: ServiceRequest,
+    answer: Answer,
+  ): Promise<Answer> {
+    if (answer.isLeft()) {
+      return answer;
+    }
+    const {parts} = this;
+    const workspace = call.context.workspace.name;
+    const safe = await parts.bills.record({
+      identity: call.identity.name,
+      workspace,
+      model: call.service.name,
+      version: '',
+      cost: call.service.costPerCall,
+      tokens: 0,
+      atWallMs: parts.clock.wallTime(),
+    });
+    const subject = {request: call.context.requestId, workspace};
+    if (safe === 'at_risk') {
+      return purify.Left({
+        code: 'outcome_unknown',
+        ran: 'ran',
+        message: 'it ran; its bill could not be kept safe yet',
+        retryAfterMs: ASK_AGAIN_MS,
+      });
+    }
+    parts.events.record('bill_recorded', {...subject, detail: safe});
+    parts.metrics.cost.inc({workspace}, call.service.costPerCall);
+    return answer;
+  }
+
+  private noteClaim(call: ServiceRequest, claimed: ledger.ClaimResult): void {
+    const subject = {
+      request: call.context.requestId,
+      workspace: call.context.workspace.name,
+      detail: call.identity.name,
+    };
+    switch (claimed.kind) {
+      case 'granted':
+        this.parts.events.record('claim_granted', subject);
+        break;
+      case 'already':
+      case 'mismatch':
+        this.parts.events.record('claim_repeated', subject);
+        break;
+      case 'refused':
+        this.parts.events.record('claim_refused', subject);
+        break;
+    }
+  }
+
+  private reply(
+    h: hapi.ResponseToolkit,
+    call: ServiceRequest,
+    answer: Answer,
+  ): hapi.ResponseObject {
+    const {requestId, workspace} = call.context;
+    const outcome = answer.caseOf<string>({
+      Left: error => error.code,
+      Right: () => 'answered',
+    });
+    this.parts.metrics.requests.inc({workspace: workspace.name, outcome});
+    return answer.caseOf({
+      Left: error => {
+        this.parts.events.record(
+          error.ran === 'not_run' ? 'request_refused' : 'answer_unknown',
+          {request: requestId, workspace: workspace.name, detail: error.code},
+        );
+        return requestContext.replyError(h, error, requestId);
+      },
+      Right: found => {
+        this.parts.events.record('answer_given', {
+          request: requestId,
+          workspace: workspace.name,
+          detail: call.service.name,
+        });
+        return h
+          .response(found.body)
+          .code(found.status)
+          .type(found.contentType)
+          .header('x-request-id', requestId);
+      },
+    });
+  }
+}
