--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -8,6 +8,7 @@
  * large ones, and work that is finished only after its caller has gone.
  */
 import * as heap from 'heap-js';
+import * as fairShare from './fair-share.js';
 import * as slotPool from './slot-pool.js';
 import * as workspaceQueue from './workspace-queue.js';
 
@@ -49,23 +50,11 @@
 
 type Request = workspaceQueue.AdmissionRequest;
 type Entry = workspaceQueue.QueuedRequest;
-type Priority = workspaceQueue.AdmissionPriority;
 type Workspace = workspaceQueue.WorkspaceQueue;
 
 /** Waiting requests by default: some 10 MB of requests of 10 kB. */
 export const DEFAULT_MAX_QUEUED = 1000;
 
-/**
- * Lead in virtual time by priority, in mean service times. An urgent request
- * goes ahead of others by this much and no more, so that a workspace which
- * calls everything urgent cannot starve the rest.
- */
-const LEAD: Readonly<Record<Priority, number>> = {
-  door_check: 20,
-  interactive: 4,
-  batch: 0,
-};
-
 /** Deviations kept free after the mean service time, as in TCP's timeout. */
 const SERVICE_DEVIATIONS = 4;
 
@@ -73,23 +62,13 @@
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 30_000;
 
-const isAhead = (
-  tag: number,
-  bestTag: number,
-  entry: Entry,
-  best: Entry | undefined,
-): boolean =>
-  tag < bestTag ||
-  (tag === bestTag && best !== undefined && entry.order < best.order);
-
 /** Admission of one entry instance. Holds state; time is an argument. */
 export class AdmissionQueue {
   private readonly slots: slotPool.SlotPool;
   private readonly maxQueued: number;
-  private virtualTime = 0;
   private order = 0;
   private queuedCount = 0;
-  private readonly workspaces = new Map<string, Workspace>();
+  private readonly shares: fairShare.FairShare;
   private readonly waiting = new Map<string, Entry>();
   private readonly expiries = new heap.Heap<Entry>(
     workspaceQueue.compareByDeadline,
@@ -97,6 +76,7 @@
 
   constructor(private readonly options: AdmissionOptions) {
     this.slots = new slotPool.SlotPool(options.capacity);
+    this.shares = new fairShare.FairShare(this.slots);
     this.maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
   }
 
@@ -116,19 +96,26 @@
     return this.dispatch(nowMs);
   }
 
-  /** Admits a request, lets it wait, or refuses it at once. */
+  /**
+   * Admits a request, lets it wait, or refuses it at once.
+   *
+   * @throws Error when a request of this identity waits or runs already.
+   */
   offer(request: Request, nowMs: number): AdmissionOutcome {
+    if (this.waiting.has(request.id) || this.slots.has(request.id)) {
+      throw new Error(`request ${request.id} was offered twice`);
+    }
     this.slots.see(request.priority, nowMs);
-    const workspace = this.findWorkspace(request.workspace);
+    const workspace = this.shares.findWorkspace(request.workspace);
     const entry = this.createEntry(request, workspace, nowMs);
-    const waitMs = this.estimateEntryWait(entry, workspace, nowMs);
+    const waitMs = this.shares.estimateWaitMs(entry, workspace, nowMs);
     const reason = this.findRefusal(entry, workspace, waitMs, nowMs);
     if (reason) {
-      this.forgetIfIdle(request.workspace, workspace);
+      this.shares.forgetIfIdle(request.workspace, workspace);
       const retryAfterMs = this.drawRetryAfter(waitMs);
       return {kind: 'refused', reason, retryAfterMs};
     }
-    this.enqueue(entry, workspace);
+    this.enqueue(entry);
     const admitted = this.dispatch(nowMs);
     return admitted.includes(request)
       ? {kind: 'admitted'}
@@ -141,7 +128,7 @@
     if (!running) {
       return [];
     }
-    this.settle(running, nowMs - running.admittedMs);
+    this.shares.settle(running, nowMs - running.admittedMs);
     return this.dispatch(nowMs);
   }
 
@@ -184,31 +171,13 @@
 
   /** Wait that a request offered now would have, in milliseconds. */
   estimateWaitMs(request: Request, nowMs: number): number {
-    const workspace = this.findWorkspace(request.workspace);
+    const workspace = this.shares.findWorkspace(request.workspace);
     const entry = this.createEntry(request, workspace, nowMs);
-    const waitMs = this.estimateEntryWait(entry, workspace, nowMs);
-    this.forgetIfIdle(request.workspace, workspace);
+    const waitMs = this.shares.estimateWaitMs(entry, workspace, nowMs);
+    this.shares.forgetIfIdle(request.workspace, workspace);
     return waitMs;
   }
 
-  private findWorkspace(name: string): Workspace {
-    const found = this.workspaces.get(name);
-    if (found) {
-      return found;
-    }
-    const created = new workspaceQueue.WorkspaceQueue(this.virtualTime);
-    this.workspaces.set(name, created);
-    return created;
-  }
-
-  /** Drops a workspace that owes nothing, so that state stays bounded. */
-  private forgetIfIdle(name: string, workspace: Workspace): void {
-    const isSettled = workspace.virtualTime <= this.virtualTime;
-    if (workspace.isIdle && isSettled && !workspace.serviceTime.hasSamples) {
-      this.workspaces.delete(name);
-    }
-  }
-
   private createEntry(
     request: Request,
     workspace: Workspace,
@@ -264,19 +233,15 @@
     return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
   }
 
-  private enqueue(entry: Entry, workspace: Workspace): void {
-    if (workspace.isIdle) {
-      // Time spent idle earns no credit, or a burst would follow each pause.
-      workspace.virtualTime = Math.max(workspace.virtualTime, this.virtualTime);
-    }
-    workspace.push(entry);
+  private enqueue(entry: Entry): void {
+    this.shares.push(entry);
     this.waiting.set(entry.request.id, entry);
     this.expiries.push(entry);
     this.queuedCount++;
   }
 
   private dequeue(entry: Entry): void {
-    this.workspaces.get(entry.request.workspace)?.leave(entry);
+    this.shares.findWorkspace(entry.request.workspace).leave(entry);
     this.waiting.delete(entry.request.id);
     this.queuedCount--;
     if (this.expiries.length > 2 * this.queuedCount + 64) {
@@ -301,7 +266,7 @@
   private dispatch(nowMs: number): readonly Request[] {
     const admitted: Request[] = [];
     while (this.slots.inFlight < this.slots.capacity && this.queuedCount > 0) {
-      const entry = this.chooseNext(nowMs);
+      const entry = this.shares.chooseNext(nowMs);
       if (!entry) {
         break;
       }
@@ -311,96 +276,13 @@
     return admitted;
   }
 
-  private chooseNext(nowMs: number): Entry | undefined {
-    const isOpen = (priority: Priority) => this.slots.isOpen(priority, nowMs);
-    let best: Entry | undefined;
-    let bestTag = Infinity;
-    let floor = Infinity;
-    for (const workspace of this.workspaces.values()) {
-      const entry =
-        workspace.queued > 0 ? workspace.head(nowMs, isOpen) : undefined;
-      if (!entry || workspace.inFlight >= entry.request.maxConcurrent) {
-        continue;
-      }
-      floor = Math.min(floor, workspace.virtualTime);
-      const tag = this.tagOf(workspace, entry);
-      if (isAhead(tag, bestTag, entry, best)) {
-        best = entry;
-        bestTag = tag;
-      }
-    }
-    if (best) {
-      this.virtualTime = Math.max(this.virtualTime, floor);
-    }
-    return best;
-  }
-
-  private tagOf(workspace: Workspace, entry: Entry): number {
-    const lead = LEAD[entry.request.priority] * this.slots.meanServiceMs;
-    return workspace.virtualTime - lead;
-  }
-
   private admit(entry: Entry, nowMs: number): void {
     const {request, serviceMs} = entry;
     this.dequeue(entry);
-    const workspace = this.findWorkspace(request.workspace);
-    workspace.inFlight++;
-    workspace.virtualTime += serviceMs / request.weight;
+    this.shares.charge(entry);
     this.slots.take(request, serviceMs, nowMs);
   }
 
-  /** Charges a workspace for the slot time that a request really took. */
-  private settle(running: slotPool.RunningRequest, heldMs: number): void {
-    const {request} = running;
-    const workspace = this.findWorkspace(request.workspace);
-    workspace.inFlight--;
-    workspace.virtualTime += (heldMs - running.chargedMs) / request.weight;
-    workspace.serviceTime.add(heldMs);
-  }
-
-  /**
-   * Slot time that runs before `entry`, over the rate of service: the wait
-   * under fair queueing, not under first come, first served.
-   */
-  private estimateEntryWait(
-    entry: Entry,
-    workspace: Workspace,
-    nowMs: number,
-  ): number {
-    const {request} = entry;
-    const isBelowLimit = workspace.inFlight < request.maxConcurrent;
-    const hasSlot = this.slots.isOpen(request.priority, nowMs);
-    const ownAhead = workspace.serviceAheadOf(entry);
-    if (hasSlot && isBelowLimit && ownAhead === 0) {
-      return 0;
-    }
-    const start = Math.max(workspace.virtualTime, this.virtualTime);
-    const lead = LEAD[request.priority] * this.slots.meanServiceMs;
-    const tag = start + ownAhead / request.weight - lead;
-    let ahead = ownAhead + this.slots.meanServiceMs;
-    for (const other of this.workspaces.values()) {
-      if (other !== workspace && other.queued > 0) {
-        ahead += this.serviceBefore(other, tag, nowMs);
-      }
-    }
-    return (ahead / this.slots.capacity) * this.slots.stallFactor(nowMs);
-  }
-
-  /** Slot time a workspace gets before its virtual time reaches `tag`. */
-  private serviceBefore(
-    workspace: Workspace,
-    tag: number,
-    nowMs: number,
-  ): number {
-    const head = workspace.head(nowMs, () => true);
-    if (!head) {
-      return 0;
-    }
-    const behind = tag - this.tagOf(workspace, head);
-    const share = Math.max(0, behind) * head.request.weight;
-    return Math.min(workspace.queuedServiceMs, share);
-  }
-
   /** Time until all that waits now has been admitted. */
   private estimateDrainMs(nowMs: number): number {
     const work = this.queuedCount * this.slots.meanServiceMs;
--- /dev/null
+++ b/packages/decisions/src/fair-share.ts
@@ -0,0 +1,158 @@
+/**
+ * Order of service over workspaces: start-time fair queueing in slot time,
+ * with a bounded lead for urgent priorities, and the wait that follows from it.
+ */
+import type * as slotPool from './slot-pool.js';
+import * as workspaceQueue from './workspace-queue.js';
+
+type Entry = workspaceQueue.QueuedRequest;
+type Priority = workspaceQueue.AdmissionPriority;
+type Workspace = workspaceQueue.WorkspaceQueue;
+
+/**
+ * Lead in virtual time by priority, in mean service times. An urgent request
+ * goes ahead of others by this much and no more, so that a workspace which
+ * calls everything urgent cannot starve the rest.
+ */
+const LEAD: Readonly<Record<Priority, number>> = {
+  door_check: 20,
+  interactive: 4,
+  batch: 0,
+};
+
+const isAhead = (
+  tag: number,
+  bestTag: number,
+  entry: Entry,
+  best: Entry | undefined,
+): boolean =>
+  tag < bestTag ||
+  (tag === bestTag && best !== undefined && entry.order < best.order);
+
+/** Shares the slots of a pool between workspaces. */
+export class FairShare {
+  private virtualTime = 0;
+  private readonly workspaces = new Map<string, Workspace>();
+
+  constructor(private readonly slots: slotPool.SlotPool) {}
+
+  /** State of a workspace, created at its first request. */
+  findWorkspace(name: string): Workspace {
+    const found = this.workspaces.get(name);
+    if (found) {
+      return found;
+    }
+    const created = new workspaceQueue.WorkspaceQueue(this.virtualTime);
+    this.workspaces.set(name, created);
+    return created;
+  }
+
+  /** Drops a workspace that owes nothing, so that state stays bounded. */
+  forgetIfIdle(name: string, workspace: Workspace): void {
+    const isSettled = workspace.virtualTime <= this.virtualTime;
+    if (workspace.isIdle && isSettled && !workspace.serviceTime.hasSamples) {
+      this.workspaces.delete(name);
+    }
+  }
+
+  /** Puts a request into its workspace's queue. */
+  push(entry: Entry): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    if (workspace.queued === 0) {
+      // Time spent without demand earns no credit, or a burst after each
+      // pause would hold up everyone else.
+      workspace.virtualTime = Math.max(workspace.virtualTime, this.virtualTime);
+    }
+    workspace.push(entry);
+  }
+
+  /** Charges the workspace of an admitted request for its expected time. */
+  charge(entry: Entry): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    workspace.inFlight++;
+    workspace.virtualTime += entry.serviceMs / entry.request.weight;
+  }
+
+  /** Charges a workspace for the slot time that a request really took. */
+  settle(running: slotPool.RunningRequest, heldMs: number): void {
+    const {request} = running;
+    const workspace = this.findWorkspace(request.workspace);
+    workspace.inFlight--;
+    workspace.virtualTime += (heldMs - running.chargedMs) / request.weight;
+    workspace.serviceTime.add(heldMs);
+  }
+
+  /** The request to run next: that of the workspace furthest behind. */
+  chooseNext(nowMs: number): Entry | undefined {
+    const isOpen = (priority: Priority) => this.slots.isOpen(priority, nowMs);
+    let best: Entry | undefined;
+    let bestTag = Infinity;
+    let floor = Infinity;
+    for (const workspace of this.workspaces.values()) {
+      const entry =
+        workspace.queued > 0 ? workspace.head(nowMs, isOpen) : undefined;
+      if (!entry || workspace.inFlight >= entry.request.maxConcurrent) {
+        continue;
+      }
+      floor = Math.min(floor, workspace.virtualTime);
+      const tag = this.tagOf(workspace, entry);
+      if (isAhead(tag, bestTag, entry, best)) {
+        best = entry;
+        bestTag = tag;
+      }
+    }
+    if (best) {
+      this.virtualTime = Math.max(this.virtualTime, floor);
+    }
+    return best;
+  }
+
+  private tagOf(workspace: Workspace, entry: Entry): number {
+    const lead = LEAD[entry.request.priority] * this.slots.meanServiceMs;
+    return workspace.virtualTime - lead;
+  }
+
+  /**
+   * Slot time that runs before `entry`, over the rate of service: the wait
+   * under fair queueing, not under first come, first served.
+   */
+  estimateWaitMs(entry: Entry, workspace: Workspace, nowMs: number): number {
+    const {request} = entry;
+    const isBelowLimit = workspace.inFlight < request.maxConcurrent;
+    const hasSlot = this.slots.isOpen(request.priority, nowMs);
+    const ownAhead = workspace.serviceAheadOf(entry);
+    if (hasSlot && isBelowLimit && ownAhead === 0) {
+      return 0;
+    }
+    const start = Math.max(workspace.virtualTime, this.virtualTime);
+    const lead = LEAD[request.priority] * this.slots.meanServiceMs;
+    const tag = start + ownAhead / request.weight - lead;
+    let ahead = ownAhead + this.slots.meanServiceMs;
+    for (const other of this.workspaces.values()) {
+      if (other !== workspace && other.queued > 0) {
+        ahead += this.serviceBefore(other, tag, nowMs);
+      }
+    }
+    const sharedMs = ahead / this.slots.capacity;
+    // A workspace at its own bound waits for its own work to end.
+    const ownMs = isBelowLimit
+      ? 0
+      : (ownAhead + this.slots.meanServiceMs) / request.maxConcurrent;
+    return Math.max(sharedMs, ownMs) * this.slots.stallFactor(nowMs);
+  }
+
+  /** Slot time a workspace gets before its virtual time reaches `tag`. */
+  private serviceBefore(
+    workspace: Workspace,
+    tag: number,
+    nowMs: number,
+  ): number {
+    const head = workspace.head(nowMs, () => true);
+    if (!head) {
+      return 0;
+    }
+    const behind = tag - this.tagOf(workspace, head);
+    const share = Math.max(0, behind) * head.request.weight;
+    return Math.min(workspace.queuedServiceMs, share);
+  }
+}
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -56,6 +56,11 @@
     return this.running.size;
   }
 
+  /** Whether a request holds a slot. */
+  has(id: string): boolean {
+    return this.running.has(id);
+  }
+
   /** Mean time that a request holds a slot, in milliseconds, at least 1. */
   get meanServiceMs(): number {
     return this.serviceTime.hasSamples
--- /dev/null
+++ b/packages/decisions/src/upstream-load.ts
@@ -0,0 +1,180 @@
+/**
+ * What one entry instance knows of an upstream: its own requests there, the
+ * load last reported, and how long answers take.
+ */
+import * as movingEstimate from './moving-estimate.js';
+
+/** How a request to an upstream ended. */
+export type UpstreamAnswer = 'answered' | 'failed' | 'cancelled';
+
+/** Width and number of the time slots in which own requests are remembered. */
+const HISTORY_STEP_MS = 250;
+const HISTORY_STEPS = 32;
+
+/** Age at which a report says nothing about the present. */
+const REPORT_LIFE_MS = 8000;
+
+/**
+ * Weight of a fresh report against own requests. Every instance sees the same
+ * report, so that all of them together answer a difference of 1 by
+ * w / (1 - w): below 1, and the herd dies out; at 1 and above it swings.
+ */
+const REPORT_WEIGHT = 0.3;
+
+/**
+ * Time in which half of a measured slowness is forgotten without new samples,
+ * or an upstream once slow would never be tried again.
+ */
+const SLOWNESS_HALF_LIFE_MS = 10_000;
+
+/** Largest power of 2 by which failures in a row make an upstream look slow. */
+const MAX_FAILURE_POWER = 6;
+
+/** Quiet time, in mean latencies, after which an upstream counts as stalled. */
+const STALL_LATENCIES = 3;
+
+/** Load and latency of one upstream as one entry instance sees them. */
+export class UpstreamLoad {
+  /** Own requests in progress there. */
+  inFlight = 0;
+  private readonly latency = new movingEstimate.MovingEstimate();
+  private readonly history = new Uint32Array(HISTORY_STEPS);
+  private historyStep = 0;
+  private lastChangeMs = 0;
+  private lastSampleMs = 0;
+  private failures = 0;
+  private reportedLoad = 0;
+  private ownAtReport = 0;
+  private reportMs = -Infinity;
+
+  /** @param slots requests that the upstream batches at once. */
+  constructor(
+    readonly id: string,
+    readonly zone: string,
+    public slots: number,
+  ) {}
+
+  /** Notes that a request was sent. */
+  start(nowMs: number): void {
+    this.roll(nowMs);
+    if (this.inFlight === 0) {
+      this.lastChangeMs = nowMs;
+    }
+    this.inFlight++;
+  }
+
+  /**
+   * Notes the end of a request.
+   *
+   * @param latencyMs time of a comparable unit of work: to the first token for
+   *   model engines, of the whole call for plain services.
+   */
+  finish(answer: UpstreamAnswer, latencyMs: number, nowMs: number): void {
+    this.roll(nowMs);
+    this.inFlight = Math.max(0, this.inFlight - 1);
+    this.lastChangeMs = nowMs;
+    switch (answer) {
+      case 'answered':
+        this.failures = 0;
+        this.latency.add(latencyMs);
+        this.lastSampleMs = nowMs;
+        break;
+      case 'failed':
+        this.failures++;
+        this.lastSampleMs = nowMs;
+        break;
+      case 'cancelled':
+        break;
+    }
+  }
+
+  /**
+   * Takes in a report.
+   *
+   * @param load requests at the upstream, from all entry instances.
+   * @param measuredMs when it was measured; reports come late.
+   */
+  report(load: number, measuredMs: number): void {
+    if (measuredMs <= this.reportMs) {
+      return;
+    }
+    this.roll(measuredMs);
+    this.reportedLoad = load;
+    this.reportMs = measuredMs;
+    this.ownAtReport = this.ownAt(measuredMs);
+  }
+
+  /** Load of the last report, and own requests there at that moment. */
+  get lastReport(): {readonly load: number; readonly own: number} {
+    return {load: this.reportedLoad, own: this.ownAtReport};
+  }
+
+  /** Whether the last report still counts. */
+  hasReport(nowMs: number): boolean {
+    return nowMs - this.reportMs < REPORT_LIFE_MS;
+  }
+
+  /**
+   * Expected requests at the upstream from all entry instances.
+   *
+   * @param scale requests of all instances for each own one.
+   */
+  expectedLoad(scale: number, nowMs: number): number {
+    const extrapolated = this.inFlight * scale;
+    if (!this.hasReport(nowMs)) {
+      return extrapolated;
+    }
+    // The report is brought up to date by what this instance did since.
+    const since = this.inFlight - this.ownAtReport;
+    const corrected = Math.max(0, this.reportedLoad + since);
+    return (1 - REPORT_WEIGHT) * extrapolated + REPORT_WEIGHT * corrected;
+  }
+
+  /** Mean latency measured, or undefined before the first answer. */
+  get measuredLatencyMs(): number | undefined {
+    return this.latency.hasSamples ? this.latency.mean : undefined;
+  }
+
+  /**
+   * Latency to expect, relative to `usualMs`, at least that of a sound
+   * upstream that answers as usual.
+   *
+   * - Failing fast looks like being quick: without the failures a broken
+   *   upstream would draw all requests.
+   * - A stalled upstream gives no samples: its silence counts instead.
+   */
+  slowness(usualMs: number, nowMs: number): number {
+    const measured = this.latency.hasSamples ? this.latency.mean : usualMs;
+    const ratio = measured / usualMs;
+    const power = Math.min(this.failures, MAX_FAILURE_POWER);
+    const age = Math.max(0, nowMs - this.lastSampleMs);
+    const memory = 2 ** (-age / SLOWNESS_HALF_LIFE_MS);
+    const remembered = 1 + (ratio * 2 ** power - 1) * memory;
+    return Math.max(remembered, this.silence(usualMs, nowMs));
+  }
+
+  private silence(usualMs: number, nowMs: number): number {
+    if (this.inFlight === 0) {
+      return 0;
+    }
+    return (nowMs - this.lastChangeMs) / (STALL_LATENCIES * usualMs);
+  }
+
+  /** Brings the history up to `nowMs`. */
+  private roll(nowMs: number): void {
+    const step = Math.floor(nowMs / HISTORY_STEP_MS);
+    const first = Math.max(this.historyStep, step - HISTORY_STEPS + 1);
+    for (let passed = first; passed < step; passed++) {
+      this.history[passed % HISTORY_STEPS] = this.inFlight;
+    }
+    this.historyStep = Math.max(step, this.historyStep);
+  }
+
+  private ownAt(timeMs: number): number {
+    const step = Math.floor(timeMs / HISTORY_STEP_MS);
+    if (step >= this.historyStep || this.historyStep - step >= HISTORY_STEPS) {
+      return this.inFlight;
+    }
+    return this.history[step % HISTORY_STEPS] ?? this.inFlight;
+  }
+}
