Parse and check environment documents

parseDocument reads a TOML environment document and reports all its problems at once, each with file, line, dotted key, code and nearest valid name.

The schema library passes over keys named __proto__, so that a workspace of that name would have vanished without a word; they are refused by a walk of their own. Names such as 'constructor' are looked up as own properties only.

Rules may allow one workspace 200 targets at most and a document 2,000 workspaces, so that '*' rules can't fill the memory of every instance.

A target with a version pins its workspace to that version in cascades as well; isModelAllowed is the one place that says so.

--- /dev/null
+++ b/packages/configuration/src/access.ts
@@ -0,0 +1,42 @@
+/** Collects what all access rules together allow each workspace. */
+import type * as documents from './document.js';
+import * as tables from './document-tables.js';
+import * as targets from './target.js';
+
+/** Stands for all workspaces in a rule. */
+export const ALL_WORKSPACES = '*';
+
+/** Targets by workspace, each once, in sorted order. */
+export type Access = ReadonlyMap<string, readonly documents.Target[]>;
+
+const listMembers = (
+  rule: tables.RuleEntry,
+  workspaces: readonly string[],
+): readonly string[] =>
+  rule.workspaces.includes(ALL_WORKSPACES) ? workspaces : rule.workspaces;
+
+/**
+ * Collects the targets of each workspace. It stops one past `MAX_ALLOWED`, so
+ * that a document of many rules for all workspaces is refused before it fills
+ * the memory.
+ */
+export const collectAccess = (document: tables.Tables): Access => {
+  const texts = new Map<string, Set<string>>(
+    document.workspaces.names.map(name => [name, new Set()]),
+  );
+  for (const {rule} of document.rules) {
+    for (const name of listMembers(rule, document.workspaces.names)) {
+      const own = texts.get(name);
+      const room = tables.MAX_ALLOWED + 1 - (own?.size ?? 0);
+      for (const text of room > 0 ? rule.allow : []) {
+        own?.add(text);
+      }
+    }
+  }
+  return new Map(
+    [...texts].map(([name, own]) => [
+      name,
+      [...own].sort().flatMap(text => targets.parseTarget(text).toList()),
+    ]),
+  );
+};
--- /dev/null
+++ b/packages/configuration/src/check-access.ts
@@ -0,0 +1,181 @@
+/** Checks of access rules: what they name, and what they leave reachable. */
+import type * as documents from './document.js';
+import type * as problems from './problem.js';
+import type * as tables from './document-tables.js';
+import * as rules from './access.js';
+import * as checkModels from './check-models.js';
+import * as targets from './target.js';
+
+const checkModelTarget = (
+  path: problems.KeyPath,
+  name: string,
+  version: string | undefined,
+  document: tables.Tables,
+): readonly problems.Finding[] => {
+  const model = document.models.entries.get(name);
+  if (model === undefined || version === undefined) {
+    const {names} = document.models;
+    return checkModels.findDangling(path, 'model', name, names);
+  }
+  const versions = Object.keys(model.versions);
+  return checkModels.findDangling(path, 'version', version, versions);
+};
+
+const checkTarget = (
+  path: problems.KeyPath,
+  text: string,
+  document: tables.Tables,
+): readonly problems.Finding[] => {
+  const target = targets.parseTarget(text).extractNullable();
+  if (target === null) {
+    const message = `"${text}" is none of cascade:NAME, model:NAME, model:NAME@VERSION, service:NAME`;
+    return [{path, code: 'invalid_value', message}];
+  }
+  switch (target.kind) {
+    case 'cascade': {
+      const {names} = document.cascades;
+      return checkModels.findDangling(path, 'cascade', target.cascade, names);
+    }
+    case 'service': {
+      const {names} = document.services;
+      return checkModels.findDangling(path, 'service', target.service, names);
+    }
+    case 'model':
+      return checkModelTarget(path, target.model, target.version, document);
+  }
+};
+
+const checkRule = (
+  {index, rule}: tables.PlacedRule,
+  document: tables.Tables,
+): readonly problems.Finding[] => [
+  ...rule.workspaces.flatMap((name, item) => {
+    const path = ['rules', index, 'workspaces', item];
+    const {names} = document.workspaces;
+    return name === rules.ALL_WORKSPACES
+      ? []
+      : checkModels.findDangling(path, 'workspace', name, names);
+  }),
+  ...rule.allow.flatMap((text, item) =>
+    checkTarget(['rules', index, 'allow', item], text, document),
+  ),
+];
+
+/** Whether the workspace may run any live version of a model. */
+const canRun = (
+  allowed: readonly documents.Target[],
+  name: string,
+  document: tables.Tables,
+  through?: documents.Cascade,
+): boolean => {
+  const model = document.models.entries.get(name);
+  if (model === undefined) {
+    return true; // Reported as dangling or misshapen already.
+  }
+  return Object.entries(model.versions).some(
+    ([version, {state}]) =>
+      state === 'active' &&
+      targets.isModelAllowed(allowed, name, version, through),
+  );
+};
+
+/** Whether a target lets the workspace do anything at all. */
+const isUseful = (
+  target: documents.Target,
+  allowed: readonly documents.Target[],
+  document: tables.Tables,
+): boolean => {
+  switch (target.kind) {
+    case 'service':
+      return true;
+    case 'model':
+      return canRun(allowed, target.model, document);
+    case 'cascade': {
+      const name = target.cascade;
+      const stages = document.cascades.entries.get(name)?.stages ?? [];
+      return (
+        stages.length === 0 ||
+        stages.some(stage => canRun(allowed, stage, document, {name, stages}))
+      );
+    }
+  }
+};
+
+const checkDefaultCascade = (
+  name: string,
+  allowed: readonly documents.Target[],
+  document: tables.Tables,
+): readonly problems.Finding[] => {
+  const cascade = document.workspaces.entries.get(name)?.default_cascade;
+  if (cascade === undefined) {
+    return [];
+  }
+  const path = ['workspaces', name, 'default_cascade'];
+  const {names} = document.cascades;
+  if (!names.includes(cascade)) {
+    return checkModels.findDangling(path, 'cascade', cascade, names);
+  }
+  const message = `no rule allows this workspace cascade "${cascade}"`;
+  return targets.isCascadeAllowed(allowed, cascade)
+    ? []
+    : [{path, code: 'cascade_not_allowed', message}];
+};
+
+const checkWorkspace = (
+  name: string,
+  allowed: readonly documents.Target[],
+  document: tables.Tables,
+): readonly problems.Finding[] => {
+  const message = 'the rules leave this workspace with nothing it may run';
+  const path = ['workspaces', name];
+  return [
+    ...(allowed.some(target => isUseful(target, allowed, document))
+      ? []
+      : [{path, code: 'nothing_allowed' as const, message}]),
+    ...checkDefaultCascade(name, allowed, document),
+  ];
+};
+
+/**
+ * A stage that none of the cascade's workspaces may run is never reached. A
+ * cascade that no rule allows yet is left alone: it is being prepared.
+ */
+const checkReach = (
+  cascade: documents.Cascade,
+  access: rules.Access,
+  document: tables.Tables,
+): readonly problems.Finding[] => {
+  const users = [...access.values()].filter(allowed =>
+    targets.isCascadeAllowed(allowed, cascade.name),
+  );
+  if (users.length === 0) {
+    return [];
+  }
+  return cascade.stages.flatMap((stage, index) => {
+    const path = ['cascades', cascade.name, 'stages', index];
+    const message = `no workspace that uses the cascade may run "${stage}"`;
+    return users.some(allowed => canRun(allowed, stage, document, cascade))
+      ? []
+      : [{path, code: 'unreachable_stage' as const, message}];
+  });
+};
+
+/** Checks the rules and what they leave each workspace and cascade. */
+export const checkAccess = (
+  document: tables.Tables,
+  access: rules.Access,
+): readonly problems.Finding[] => {
+  const findings = document.rules.flatMap(rule => checkRule(rule, document));
+  if (document.hasBrokenRules) {
+    return findings; // With a rule missing, what is allowed is not known.
+  }
+  return [
+    ...findings,
+    ...[...access].flatMap(([name, allowed]) =>
+      checkWorkspace(name, allowed, document),
+    ),
+    ...[...document.cascades.entries].flatMap(([name, {stages}]) =>
+      checkReach({name, stages}, access, document),
+    ),
+  ];
+};
--- /dev/null
+++ b/packages/configuration/src/check-sizes.ts
@@ -0,0 +1,43 @@
+/** Checks that no table has more entries than an instance is built to hold. */
+import type * as problems from './problem.js';
+import * as access from './access.js';
+import * as tables from './document-tables.js';
+
+const MAX_BY_TABLE: Readonly<Record<tables.TableName, number>> = {
+  models: tables.MAX_ENTRIES,
+  cascades: tables.MAX_ENTRIES,
+  services: tables.MAX_ENTRIES,
+  workspaces: tables.MAX_WORKSPACES,
+  zones: tables.MAX_ENTRIES,
+  rollouts: tables.MAX_ENTRIES,
+};
+
+const checkSize = (
+  path: problems.KeyPath,
+  size: number,
+  max: number,
+  what: string,
+): readonly problems.Finding[] => {
+  const message = `${size} ${what}, more than the ${max} allowed`;
+  return size <= max ? [] : [{path, code: 'out_of_range', message}];
+};
+
+/** Checks the numbers of entries, versions and allowed targets. */
+export const checkSizes = (
+  document: tables.Tables,
+  allowed: access.Access,
+): readonly problems.Finding[] => [
+  ...Object.entries(MAX_BY_TABLE).flatMap(([table, max]) => {
+    const {names} = document[table as tables.TableName];
+    return checkSize([table], names.length, max, table);
+  }),
+  ...[...document.models.entries].flatMap(([name, {versions}]) => {
+    const size = Object.keys(versions).length;
+    const path = ['models', name, 'versions'];
+    return checkSize(path, size, tables.MAX_VERSIONS, 'versions');
+  }),
+  ...[...allowed].flatMap(([name, {length}]) => {
+    const path = ['workspaces', name];
+    return checkSize(path, length, tables.MAX_ALLOWED, 'allowed targets');
+  }),
+];
--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -98,6 +98,12 @@
   readonly steps: readonly number[];
 }
 
+/** How sessions are kept. */
+export interface Sessions {
+  /** How long a session token holds, in milliseconds. */
+  readonly tokenMaxAgeMs: number;
+}
+
 /** A whole environment. Arrays are sorted by name. */
 export interface Document {
   readonly models: readonly Model[];
@@ -106,4 +112,6 @@
   readonly workspaces: readonly Workspace[];
   readonly zones: readonly Zone[];
   readonly rollouts: readonly Rollout[];
+  /** Absent when the document leaves sessions to the product's defaults. */
+  readonly sessions?: Sessions;
 }
--- /dev/null
+++ b/packages/configuration/src/parse-document.ts
@@ -0,0 +1,132 @@
+/** Reads an environment document from TOML and checks it completely. */
+import * as purify from 'purify-ts';
+import type * as documents from './document.js';
+import type * as problems from './problem.js';
+import * as access from './access.js';
+import * as checkAccess from './check-access.js';
+import * as checkKeysAndZones from './check-keys-and-zones.js';
+import * as checkModels from './check-models.js';
+import * as checkSizes from './check-sizes.js';
+import * as tables from './document-tables.js';
+import * as shapes from './util/check-shape.js';
+import * as readToml from './util/read-toml.js';
+
+/** Largest document in bytes; the object API holds values up to a megabyte. */
+export const MAX_DOCUMENT_BYTES = 1_000_000;
+
+const DIGEST_PREFIX = 'sha256:';
+
+const listSorted = <T, R>(
+  table: tables.Table<T>,
+  create: (name: string, entry: T) => R,
+): readonly R[] =>
+  [...table.entries]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([name, entry]) => create(name, entry));
+
+const createVersion = (
+  name: string,
+  entry: tables.Entry<'models'>['versions'][string],
+): documents.Version => ({
+  name,
+  state: entry.state,
+  ...(entry.successor === undefined ? {} : {successor: entry.successor}),
+});
+
+const createModel = (
+  name: string,
+  entry: tables.Entry<'models'>,
+): documents.Model => ({
+  name,
+  costPerThousandTokens: entry.cost_per_thousand_tokens,
+  defaultVersion: entry.default_version,
+  versions: Object.entries(entry.versions)
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([version, value]) => createVersion(version, value)),
+});
+
+const createService = (
+  name: string,
+  entry: tables.Entry<'services'>,
+): documents.Service => ({
+  name,
+  costPerCall: entry.cost_per_call,
+  idempotentMethods: [...new Set(entry.idempotent_methods)].sort(),
+});
+
+const createWorkspace = (
+  name: string,
+  entry: tables.Entry<'workspaces'>,
+  allowed: readonly documents.Target[],
+): documents.Workspace => ({
+  name,
+  keyDigests: entry.keys
+    .map(key => key.slice(DIGEST_PREFIX.length).toLowerCase())
+    .sort(),
+  qualityTarget: entry.quality_target,
+  priority: entry.priority,
+  weight: entry.weight,
+  limits: {
+    maxConcurrent: entry.limits.max_concurrent,
+    maxQueued: entry.limits.max_queued,
+    maxWaitMs: entry.limits.max_wait_ms,
+  },
+  ...(entry.default_cascade === undefined
+    ? {}
+    : {defaultCascade: entry.default_cascade}),
+  allowed,
+});
+
+const createSessions = (
+  entry: tables.Tables['sessions'],
+): Pick<documents.Document, 'sessions'> =>
+  entry?.token_max_age_ms === undefined
+    ? {}
+    : {sessions: {tokenMaxAgeMs: entry.token_max_age_ms}};
+
+const createDocument = (
+  checked: tables.Tables,
+  allowed: access.Access,
+): documents.Document => ({
+  models: listSorted(checked.models, createModel),
+  cascades: listSorted(checked.cascades, (name, {stages}) => ({name, stages})),
+  services: listSorted(checked.services, createService),
+  workspaces: listSorted(checked.workspaces, (name, entry) =>
+    createWorkspace(name, entry, allowed.get(name) ?? []),
+  ),
+  zones: listSorted(checked.zones, (name, {state}) => ({name, state})),
+  rollouts: listSorted(checked.rollouts, (model, entry) => ({
+    model,
+    from: entry.from,
+    to: entry.to,
+    state: entry.state,
+    steps: entry.steps,
+  })),
+  ...createSessions(checked.sessions),
+});
+
+/**
+ * Parses and checks an environment document.
+ *
+ * @param file name of the file, for the problems.
+ * @return the document, or all its problems in order of lines.
+ */
+export const parseDocument = (
+  text: string,
+  file: string,
+): purify.Either<readonly problems.Problem[], documents.Document> =>
+  readToml.readToml(text, file, MAX_DOCUMENT_BYTES).chain(source => {
+    const checked = tables.readTables(source.data);
+    const allowed = access.collectAccess(checked);
+    const findings = [
+      ...shapes.checkShape(source.data, tables.documentSchema),
+      ...checkSizes.checkSizes(checked, allowed),
+      ...checkModels.checkModels(checked),
+      ...checkAccess.checkAccess(checked, allowed),
+      ...checkKeysAndZones.checkKeyDigests(checked.workspaces),
+      ...checkKeysAndZones.checkZones(checked.zones),
+    ];
+    return findings.length === 0
+      ? purify.Right(createDocument(checked, allowed))
+      : purify.Left(readToml.placeFindings(source, findings));
+  });
--- /dev/null
+++ b/packages/configuration/tests/parse-document.test.ts
@@ -0,0 +1,382 @@
+import * as chai from 'chai';
+import * as configuration from '@amaranthknot/configuration';
+
+const digest = (digit: string): string => `sha256:${digit.repeat(64)}`;
+
+/** A valid document; each part can be replaced as TOML text. */
+const createText = (parts: Readonly<Record<string, string>> = {}): string =>
+  Object.values({
+    models: `
+[models.small]
+cost_per_thousand_tokens = 0.1
+default_version = "v2"
+[models.small.versions.v1]
+state = "withdrawn"
+successor = "v2"
+[models.small.versions.v2]
+[models.small.versions.v3]
+[models.large]
+cost_per_thousand_tokens = 2
+default_version = "v1"
+versions.v1 = {}
+`,
+    cascades: '[cascades.draft]\nstages = ["small", "large"]\n',
+    services: '[services.seats]\ncost_per_call = 0.01\n',
+    workspaces: `
+[workspaces.north]
+keys = ["${digest('a')}"]
+default_cascade = "draft"
+[workspaces.south]
+keys = ["${digest('b')}"]
+[workspaces.south.limits]
+max_concurrent = 4
+`,
+    rules: `
+[[rules]]
+workspaces = ["*"]
+allow = ["cascade:draft"]
+[[rules]]
+workspaces = ["south"]
+allow = ["model:small@v2", "service:seats"]
+`,
+    zones: '[zones.z1]\n[zones.z2]\nstate = "out"\n',
+    rollouts: `
+[rollouts.small]
+from = "v2"
+to = "v3"
+steps = [0.1, 1]
+`,
+    ...parts,
+  }).join('');
+
+const parse = (text: string) =>
+  configuration.parseDocument(text, 'trial.toml').extract();
+
+const problemsOf = (text: string): readonly configuration.Problem[] =>
+  configuration.parseDocument(text, 'trial.toml').swap().orDefault([]);
+
+describe('parseDocument', () => {
+  it('reads a valid document and fills in defaults', () => {
+    const document = parse(createText()) as configuration.Document;
+    chai
+      .expect(document.models.map(model => model.name))
+      .eql(['large', 'small']);
+    chai.expect(document.workspaces[0]).eql({
+      name: 'north',
+      keyDigests: ['a'.repeat(64)],
+      qualityTarget: 0.95,
+      priority: 'interactive',
+      weight: 1,
+      limits: {maxConcurrent: 64, maxQueued: 256, maxWaitMs: 10_000},
+      defaultCascade: 'draft',
+      allowed: [{kind: 'cascade', cascade: 'draft'}],
+    });
+    chai.expect(document.rollouts[0]?.state).equal('running');
+  });
+
+  const model = (body: string): string =>
+    `[models.small]\ncost_per_thousand_tokens = 0.1\n${body}\n` +
+    '[models.large]\ncost_per_thousand_tokens = 2\ndefault_version = "v1"\n' +
+    'versions.v1 = {}\n';
+  const workspace = (body: string): string =>
+    `[workspaces.north]\nkeys = ["${digest('a')}"]\n${body}\n` +
+    `[workspaces.south]\nkeys = ["${digest('b')}"]\n`;
+  const rollout = (body: string): string => `[rollouts.small]\n${body}\n`;
+  const rule = (allow: string, workspaces = '*'): string =>
+    `[[rules]]\nworkspaces = ["${workspaces}"]\nallow = ${allow}\n`;
+
+  // Each row: what is planted, the part, and code, key and nearest name.
+  const invalid: readonly (readonly [
+    string,
+    Readonly<Record<string, string>>,
+    configuration.ProblemCode,
+    string,
+    string?,
+  ])[] = [
+    ['bad syntax', {zones: '[zones.z1\n'}, 'syntax', '(file)'],
+    ['an unknown table', {other: '[zone.x]\n'}, 'unknown_key', 'zone', 'zones'],
+    [
+      'an unknown key',
+      {workspaces: workspace('wieght = 2')},
+      'unknown_key',
+      'workspaces.north.wieght',
+      'weight',
+    ],
+    [
+      'an unknown nested key',
+      {workspaces: workspace('limits.max_queue = 2')},
+      'unknown_key',
+      'workspaces.north.limits.max_queue',
+      'max_queued',
+    ],
+    [
+      'a reserved name',
+      {other: `[workspaces.__proto__]\nkeys = ["${digest('c')}"]\n`},
+      'unknown_key',
+      'workspaces.__proto__',
+    ],
+    [
+      'a wrong type',
+      {workspaces: workspace('weight = "2"')},
+      'wrong_type',
+      'workspaces.north.weight',
+    ],
+    [
+      'a quality target above 1',
+      {workspaces: workspace('quality_target = 1.5')},
+      'out_of_range',
+      'workspaces.north.quality_target',
+    ],
+    [
+      'a weight of nought',
+      {workspaces: workspace('weight = 0')},
+      'out_of_range',
+      'workspaces.north.weight',
+    ],
+    [
+      'an unknown priority',
+      {workspaces: workspace('priority = "interactiv"')},
+      'invalid_value',
+      'workspaces.north.priority',
+      'interactive',
+    ],
+    [
+      'a key that is no digest',
+      {workspaces: workspace('').replace(digest('b'), 'secret')},
+      'invalid_value',
+      'workspaces.south.keys.0',
+    ],
+    [
+      'a name with an at sign',
+      {zones: '[zones."z@1"]\n[zones.z2]\n'},
+      'invalid_name',
+      'zones."z@1"',
+    ],
+    ['no zones table', {zones: ''}, 'missing_key', 'zones'],
+    [
+      'a dangling default version',
+      {
+        models: model(
+          'default_version = "v22"\nversions.v2 = {}\nversions.v3 = {}',
+        ),
+      },
+      'dangling_name',
+      'models.small.default_version',
+      'v2',
+    ],
+    [
+      'a default version named as an inherited property',
+      {
+        models: model(
+          'default_version = "constructor"\nversions.v2 = {}\nversions.v3 = {}',
+        ),
+      },
+      'dangling_name',
+      'models.small.default_version',
+    ],
+    [
+      'a withdrawn default version',
+      {
+        models: model(
+          'default_version = "v1"\nversions.v2 = {}\nversions.v3 = {}\n' +
+            'versions.v1 = {state = "withdrawn", successor = "v2"}',
+        ),
+      },
+      'default_withdrawn',
+      'models.small.default_version',
+    ],
+    [
+      'a withdrawn version without successor',
+      {
+        models: model(
+          'default_version = "v2"\nversions.v2 = {}\nversions.v3 = {}\n' +
+            'versions.v1 = {state = "withdrawn"}',
+        ),
+      },
+      'no_live_successor',
+      'models.small.versions.v1',
+    ],
+    [
+      'a withdrawn version that succeeds itself',
+      {
+        models: model(
+          'default_version = "v2"\nversions.v2 = {}\nversions.v3 = {}\n' +
+            'versions.v1 = {state = "withdrawn", successor = "v1"}',
+        ),
+      },
+      'successor_cycle',
+      'models.small.versions.v1',
+    ],
+    [
+      'a cascade of an unknown model',
+      {cascades: '[cascades.draft]\nstages = ["smal", "large"]\n'},
+      'dangling_name',
+      'cascades.draft.stages.0',
+      'small',
+    ],
+    [
+      'a cascade with a stage twice',
+      {cascades: '[cascades.draft]\nstages = ["small", "large", "small"]\n'},
+      'duplicate',
+      'cascades.draft.stages.2',
+    ],
+    [
+      'a costlier stage before a cheaper one',
+      {cascades: '[cascades.draft]\nstages = ["large", "small"]\n'},
+      'cost_order',
+      'cascades.draft.stages.1',
+    ],
+    [
+      'a stage that every user of the cascade is pinned away from',
+      {rules: rule('["cascade:draft", "model:small@v1"]')},
+      'unreachable_stage',
+      'cascades.draft.stages.0',
+    ],
+    [
+      'a rule for an unknown workspace',
+      {rules: rule('["cascade:draft"]') + rule('["model:small"]', 'nort')},
+      'dangling_name',
+      'rules.1.workspaces.0',
+      'north',
+    ],
+    [
+      'a rule for an unknown version',
+      {rules: rule('["cascade:draft", "model:large@v9"]')},
+      'dangling_name',
+      'rules.0.allow.1',
+      'v1',
+    ],
+    [
+      'a rule with a target of another form',
+      {rules: rule('["cascade:draft", "small"]')},
+      'invalid_value',
+      'rules.0.allow.1',
+    ],
+    [
+      'a workspace that no rule names',
+      {rules: rule('["cascade:draft"]', 'north')},
+      'nothing_allowed',
+      'workspaces.south',
+    ],
+    [
+      'a workspace left with a withdrawn version only',
+      {
+        rules:
+          rule('["cascade:draft"]', 'north') +
+          rule('["model:small@v1"]', 'south'),
+      },
+      'nothing_allowed',
+      'workspaces.south',
+    ],
+    [
+      'a default cascade that no rule allows',
+      {rules: rule('["model:small"]')},
+      'cascade_not_allowed',
+      'workspaces.north.default_cascade',
+    ],
+    [
+      'all zones out',
+      {zones: '[zones.z1]\nstate = "out"\n'},
+      'all_zones_out',
+      'zones',
+    ],
+    [
+      'roll-out steps that do not grow',
+      {rollouts: rollout('from = "v2"\nto = "v3"\nsteps = [0.5, 0.5, 1]')},
+      'steps_not_growing',
+      'rollouts.small.steps.1',
+    ],
+    [
+      'roll-out steps that end below 1',
+      {rollouts: rollout('from = "v2"\nto = "v3"\nsteps = [0.5]')},
+      'steps_not_complete',
+      'rollouts.small.steps',
+    ],
+    [
+      'a roll-out to a withdrawn version',
+      {rollouts: rollout('from = "v2"\nto = "v1"\nsteps = [1]')},
+      'rollout_withdrawn',
+      'rollouts.small.to',
+    ],
+    [
+      'a roll-out to the same version',
+      {rollouts: rollout('from = "v2"\nto = "v2"\nsteps = [1]')},
+      'rollout_to_itself',
+      'rollouts.small.to',
+    ],
+    [
+      'a key of two workspaces',
+      {workspaces: workspace('').replace(digest('b'), digest('A'))},
+      'duplicate_key_digest',
+      'workspaces.south.keys.0',
+    ],
+  ];
+  for (const [title, parts, code, key, nearest] of invalid) {
+    it(`refuses ${title}`, () => {
+      const found = problemsOf(createText(parts));
+      chai
+        .expect(found.map(problem => [problem.code, problem.key]))
+        .deep.include([code, key]);
+      const problem = found.find(one => one.code === code);
+      chai.expect(problem?.nearest).equal(nearest);
+      chai.expect(problem?.file).equal('trial.toml');
+    });
+  }
+
+  it('reports all problems with their lines, in order', () => {
+    const text = createText({
+      zones: '[zones.z1]\nstat = "in"\n\n[zones.z2]\nstate = "off"\n',
+      rules: rule('[\n"cascade:draft",\n"cascade:draught"]'),
+    });
+    const lines = text.split('\n');
+    const found = problemsOf(text).map(
+      problem => lines[(problem.line ?? 0) - 1],
+    );
+    chai
+      .expect(found)
+      .eql(['"cascade:draught"]', 'stat = "in"', 'state = "off"']);
+  });
+
+  it('refuses more than a megabyte before parsing it', () => {
+    const text = `${createText()}# ${'x'.repeat(1_000_000)}`;
+    chai.expect(problemsOf(text).map(one => one.code)).eql(['too_large']);
+  });
+
+  it('shows a problem in one line', () => {
+    const [problem] = problemsOf(createText({other: '[zone.x]\n'}));
+    chai
+      .expect(problem && configuration.formatProblem(problem))
+      .match(
+        /^trial\.toml:\d+: zone: unknown key "zone"; did you mean "zones"\? \[unknown_key\]$/,
+      );
+  });
+});
+
+describe('isModelAllowed', () => {
+  const cascade = {name: 'draft', stages: ['small', 'large']};
+  const draft = {kind: 'cascade', cascade: 'draft'} as const;
+  const small = {kind: 'model', model: 'small'} as const;
+  const pinned = {...small, version: 'v1'} as const;
+  const cases: readonly (readonly [
+    string,
+    readonly configuration.Target[],
+    string,
+    boolean,
+    boolean,
+  ])[] = [
+    ['nothing', [], 'v1', false, false],
+    ['a cascade, within it only', [draft], 'v1', false, true],
+    ['a model everywhere', [small], 'v1', true, true],
+    ['the pinned version', [draft, pinned], 'v1', true, true],
+    ['no other than the pinned version', [draft, pinned], 'v2', false, false],
+    ['all versions beside a pin', [small, pinned], 'v2', true, true],
+  ];
+  for (const [title, allowed, version, direct, within] of cases) {
+    it(`allows ${title}`, () => {
+      const answers = [undefined, cascade].map(through =>
+        configuration.isModelAllowed(allowed, 'small', version, through),
+      );
+      chai.expect(answers).eql([direct, within]);
+    });
+  }
+});
