--- /dev/null
+++ b/packages/configuration/src/address.ts
@@ -0,0 +1,27 @@
+/** Reading and writing of `IP:port`. */
+import * as net from 'node:net';
+import * as purify from 'purify-ts';
+import type * as settings from './settings.js';
+
+const MAX_PORT = 65_535;
+const ADDRESS = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/;
+
+/** Reads `192.0.2.7:8080` or `[2001:db8::7]:8080`; nothing for other text. */
+export const parseAddress = (text: string): purify.Maybe<settings.Address> => {
+  const match = ADDRESS.exec(text);
+  const bracketed = match?.[1];
+  const host = bracketed ?? match?.[2] ?? '';
+  const port = Number(match?.[3] ?? Number.NaN);
+  const version = bracketed === undefined ? 4 : 6;
+  return net.isIP(host) === version && port <= MAX_PORT
+    ? purify.Just({host, port})
+    : purify.Nothing;
+};
+
+/** Writes an address as `parseAddress` reads it. */
+export const formatAddress = ({host, port}: settings.Address): string =>
+  host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+
+/** Whether an address means all of a machine's own, and reaches none. */
+export const isUnspecified = ({host}: settings.Address): boolean =>
+  host === '0.0.0.0' || /^[0:]+$/.test(host);
--- a/packages/configuration/src/check-keys-and-zones.ts
+++ b/packages/configuration/src/check-keys-and-zones.ts
@@ -1,6 +1,6 @@
 /** Checks of keys and zones. */
 import type * as problems from './problem.js';
-import type * as tables from './document-tables.js';
+import * as tables from './document-tables.js';
 
 /**
  * A key that stands twice would make the caller's workspace, and so its bill
@@ -13,7 +13,7 @@
   const findings: problems.Finding[] = [];
   for (const [name, workspace] of workspaces.entries) {
     workspace.keys.forEach((key, index) => {
-      const digest = key.toLowerCase();
+      const digest = tables.readKeyDigest(key);
       const owner = owners.get(digest);
       if (owner === undefined) {
         owners.set(digest, name);
--- a/packages/configuration/src/document-tables.ts
+++ b/packages/configuration/src/document-tables.ts
@@ -64,7 +64,8 @@
 
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
 
-const name = zod
+/** Schema of all names. */
+export const nameSchema = zod
   .string()
   .max(MAX_NAME_LENGTH)
   .regex(NAME, 'must start with a letter or digit, then also have ". _ -"');
@@ -74,17 +75,17 @@
 
 const version = zod.strictObject({
   state: zod.enum(['active', 'withdrawn']).default(DEFAULT_VERSION_STATE),
-  successor: name.optional(),
+  successor: nameSchema.optional(),
 });
 
 const model = zod.strictObject({
   cost_per_thousand_tokens: cost,
-  default_version: name,
-  versions: zod.record(name, version),
+  default_version: nameSchema,
+  versions: zod.record(nameSchema, version),
 });
 
 const cascade = zod.strictObject({
-  stages: zod.array(name).min(1).max(MAX_STAGES),
+  stages: zod.array(nameSchema).min(1).max(MAX_STAGES),
 });
 
 const service = zod.strictObject({
@@ -105,18 +106,23 @@
   max_wait_ms: zod.int().min(0).max(MAX_WAIT_MS).default(DEFAULT_MAX_WAIT_MS),
 });
 
-const keyDigest = zod
+/** Schema of the digest of a key. */
+export const keyDigestSchema = zod
   .string()
   .regex(/^sha256:[0-9a-fA-F]{64}$/, 'must be "sha256:" and 64 hex digits');
 
+/** The hex digits of a key's digest, in lower case. */
+export const readKeyDigest = (written: string): string =>
+  written.slice(written.indexOf(':') + 1).toLowerCase();
+
 const workspace = zod.strictObject({
-  keys: zod.array(keyDigest).min(1).max(MAX_KEYS),
+  keys: zod.array(keyDigestSchema).min(1).max(MAX_KEYS),
   quality_target: share.default(DEFAULT_QUALITY_TARGET),
   priority: zod
     .enum(['door_check', 'interactive', 'batch'])
     .default(DEFAULT_PRIORITY),
   weight: zod.number().gt(0).max(MAX_WEIGHT).default(DEFAULT_WEIGHT),
-  default_cascade: name.optional(),
+  default_cascade: nameSchema.optional(),
   limits: limits.default(() => limits.parse({})),
 });
 
@@ -130,8 +136,8 @@
 });
 
 const rollout = zod.strictObject({
-  from: name,
-  to: name,
+  from: nameSchema,
+  to: nameSchema,
   state: zod
     .enum(['running', 'paused', 'withdrawn'])
     .default(DEFAULT_ROLLOUT_STATE),
@@ -160,13 +166,13 @@
 
 /** Schema of the whole file. */
 export const documentSchema = zod.strictObject({
-  models: zod.record(name, model),
-  cascades: zod.record(name, cascade).default({}),
-  services: zod.record(name, service).default({}),
-  workspaces: zod.record(name, workspace),
+  models: zod.record(nameSchema, model),
+  cascades: zod.record(nameSchema, cascade).default({}),
+  services: zod.record(nameSchema, service).default({}),
+  workspaces: zod.record(nameSchema, workspace),
   rules: zod.array(rule).max(MAX_RULES).default([]),
-  zones: zod.record(name, zone),
-  rollouts: zod.record(name, rollout).default({}),
+  zones: zod.record(nameSchema, zone),
+  rollouts: zod.record(nameSchema, rollout).default({}),
   sessions: sessions.optional(),
 });
 
--- a/packages/configuration/src/parse-document.ts
+++ b/packages/configuration/src/parse-document.ts
@@ -14,8 +14,6 @@
 /** Largest document in bytes; the object API holds values up to a megabyte. */
 export const MAX_DOCUMENT_BYTES = 1_000_000;
 
-const DIGEST_PREFIX = 'sha256:';
-
 const listSorted = <T, R>(
   table: tables.Table<T>,
   create: (name: string, entry: T) => R,
@@ -60,9 +58,7 @@
   allowed: readonly documents.Target[],
 ): documents.Workspace => ({
   name,
-  keyDigests: entry.keys
-    .map(key => key.slice(DIGEST_PREFIX.length).toLowerCase())
-    .sort(),
+  keyDigests: entry.keys.map(tables.readKeyDigest).sort(),
   qualityTarget: entry.quality_target,
   priority: entry.priority,
   weight: entry.weight,
--- a/packages/configuration/src/util/check-shape.ts
+++ b/packages/configuration/src/util/check-shape.ts
@@ -82,15 +82,25 @@
       return [{path, code: 'invalid_name', message: describeKey(issue)}];
     case 'invalid_value':
       return [describeValue(issue, path, raw)];
+    case 'invalid_union':
+      return [describeUnion(issue.message, path, raw)];
     case 'invalid_format':
     case 'not_multiple_of':
-    case 'invalid_union':
     case 'invalid_element':
     case 'custom':
       return [{path, code: 'invalid_value', message: issue.message}];
   }
 };
 
+const describeUnion = (
+  message: string,
+  path: problems.KeyPath,
+  raw: unknown,
+): problems.Finding => {
+  const isMissing = readValue(raw, path) === undefined;
+  return {path, code: isMissing ? 'missing_key' : 'invalid_value', message};
+};
+
 const describeKey = (issue: zod.core.$ZodIssueInvalidKey): string =>
   issue.issues.map(inner => inner.message).join('; ');
 
