Split documents into content-addressed sections

A test shows that one zone's change touches one section, and that a document written and read again has the same digest.

joinSections checks each value against its digest and refuses sections it does not know: leaving out one of a later program could leave out a rule.

A table can be longer as a section than in TOML's short forms (40,000 versions as 'v1={}'); such a document is refused by the check, not by the platform.

--- a/packages/configuration/src/parse-document.ts
+++ b/packages/configuration/src/parse-document.ts
@@ -7,7 +7,9 @@
 import * as checkKeysAndZones from './check-keys-and-zones.js';
 import * as checkModels from './check-models.js';
 import * as checkSizes from './check-sizes.js';
+import * as formatDocument from './format-document.js';
 import * as tables from './document-tables.js';
+import * as sections from './sections.js';
 import * as shapes from './util/check-shape.js';
 import * as readToml from './util/read-toml.js';
 
@@ -101,6 +103,42 @@
   ...createSessions(checked.sessions),
 });
 
+/** A table may be longer in its sections than in TOML's short forms. */
+const checkSections = (
+  document: documents.Document,
+): readonly problems.Finding[] => {
+  const split = sections.splitDocument(document);
+  return sections.listOversizedSections(split).map(name => ({
+    path: [name],
+    code: 'too_large',
+    message: `more than ${sections.MAX_SECTION_BYTES} bytes when published`,
+  }));
+};
+
+/** Checks TOML data completely, and only then makes it a document. */
+const readDocument = (
+  source: readToml.TomlFile,
+): purify.Either<readonly problems.Problem[], documents.Document> => {
+  const checked = tables.readTables(source.data);
+  const allowed = access.collectAccess(checked);
+  const findings = [
+    ...shapes.checkShape(source.data, tables.documentSchema),
+    ...checkSizes.checkSizes(checked, allowed),
+    ...checkModels.checkModels(checked),
+    ...checkAccess.checkAccess(checked, allowed),
+    ...checkKeysAndZones.checkKeyDigests(checked.workspaces),
+    ...checkKeysAndZones.checkZones(checked.zones),
+  ];
+  if (findings.length > 0) {
+    return purify.Left(readToml.placeFindings(source, findings));
+  }
+  const document = createDocument(checked, allowed);
+  const oversized = checkSections(document);
+  return oversized.length === 0
+    ? purify.Right(document)
+    : purify.Left(readToml.placeFindings(source, oversized));
+};
+
 /**
  * Parses and checks an environment document.
  *
@@ -111,18 +149,19 @@
   text: string,
   file: string,
 ): purify.Either<readonly problems.Problem[], documents.Document> =>
-  readToml.readToml(text, file, MAX_DOCUMENT_BYTES).chain(source => {
-    const checked = tables.readTables(source.data);
-    const allowed = access.collectAccess(checked);
-    const findings = [
-      ...shapes.checkShape(source.data, tables.documentSchema),
-      ...checkSizes.checkSizes(checked, allowed),
-      ...checkModels.checkModels(checked),
-      ...checkAccess.checkAccess(checked, allowed),
-      ...checkKeysAndZones.checkKeyDigests(checked.workspaces),
-      ...checkKeysAndZones.checkZones(checked.zones),
-    ];
-    return findings.length === 0
-      ? purify.Right(createDocument(checked, allowed))
-      : purify.Left(readToml.placeFindings(source, findings));
+  readToml.readToml(text, file, MAX_DOCUMENT_BYTES).chain(readDocument);
+
+/**
+ * Checks a document that a command changed, as if it had been written anew.
+ *
+ * @param source where it comes from, for the problems; they have no lines.
+ */
+export const checkDocument = (
+  document: documents.Document,
+  source: string,
+): purify.Either<readonly problems.Problem[], documents.Document> =>
+  readDocument({
+    file: source,
+    data: formatDocument.writeTables(document),
+    lines: new Map(),
   });
--- /dev/null
+++ b/packages/configuration/src/util/canonical-json.ts
@@ -0,0 +1,26 @@
+/** One text for each JSON value, and its digest. */
+import * as crypto from 'node:crypto';
+
+/**
+ * Writes a JSON value with sorted keys and no white space, so that equal
+ * values have equal texts. Members that are undefined are left out.
+ */
+export const formatCanonicalJson = (value: unknown): string => {
+  if (typeof value !== 'object' || value === null) {
+    return JSON.stringify(value);
+  }
+  if (Array.isArray(value)) {
+    return `[${value.map(formatCanonicalJson).join(',')}]`;
+  }
+  const members = Object.entries(value)
+    .filter(([, member]) => member !== undefined)
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([key, member]) => {
+      return `${JSON.stringify(key)}:${formatCanonicalJson(member)}`;
+    });
+  return `{${members.join(',')}}`;
+};
+
+/** SHA-256 of a value's canonical JSON, in lower-case hex. */
+export const digestValue = (value: unknown): string =>
+  crypto.createHash('sha256').update(formatCanonicalJson(value)).digest('hex');
--- a/packages/configuration/tests/parse-document.test.ts
+++ b/packages/configuration/tests/parse-document.test.ts
@@ -342,6 +342,23 @@
     chai.expect(problemsOf(text).map(one => one.code)).eql(['too_large']);
   });
 
+  it('refuses a table that is too large once published', () => {
+    const many = (count: number, write: (index: number) => string): string =>
+      Array.from({length: count}, (_, index) => write(index)).join('');
+    const text = createText({
+      more: many(
+        400,
+        index =>
+          `[models.m${index}]\ncost_per_thousand_tokens = 1\n` +
+          'default_version = "v0"\n[models.m' +
+          `${index}.versions]\n${many(100, version => `v${version}={}\n`)}`,
+      ),
+    });
+    chai
+      .expect(problemsOf(text).map(one => [one.code, one.key]))
+      .eql([['too_large', 'models']]);
+  });
+
   it('shows a problem in one line', () => {
     const [problem] = problemsOf(createText({other: '[zone.x]\n'}));
     chai
--- /dev/null
+++ b/packages/configuration/tests/sections.test.ts
@@ -0,0 +1,199 @@
+import * as chai from 'chai';
+import * as configuration from '@amaranthknot/configuration';
+
+const createDocument = (): configuration.Document => ({
+  models: [
+    {
+      name: 'small',
+      costPerThousandTokens: 0.1,
+      defaultVersion: 'v1',
+      versions: [
+        {name: 'v1', state: 'active'},
+        {name: 'v2', state: 'active'},
+      ],
+    },
+  ],
+  cascades: [{name: 'draft', stages: ['small']}],
+  services: [{name: 'seats', costPerCall: 0.5, idempotentMethods: ['list']}],
+  workspaces: ['north', 'south'].map((name, index) => ({
+    name,
+    keyDigests: [String(index).repeat(64)],
+    qualityTarget: 0.9,
+    priority: 'batch',
+    weight: 2,
+    limits: {maxConcurrent: 1, maxQueued: 2, maxWaitMs: 3},
+    defaultCascade: 'draft',
+    allowed: [
+      {kind: 'cascade', cascade: 'draft'},
+      {kind: 'model', model: 'small', version: 'v1'},
+    ],
+  })),
+  zones: [
+    {name: 'z.1', state: 'in'},
+    {name: 'z2', state: 'in'},
+  ],
+  rollouts: [
+    {model: 'small', from: 'v1', to: 'v2', state: 'running', steps: [0.1, 1]},
+  ],
+  sessions: {tokenMaxAgeMs: 60_000},
+});
+
+const putZoneOut = (
+  document: configuration.Document,
+): configuration.Document => ({
+  ...document,
+  zones: document.zones.map(zone =>
+    zone.name === 'z.1' ? {...zone, state: 'out'} : zone,
+  ),
+});
+
+const index = (
+  sections: readonly configuration.Section[],
+): ReadonlyMap<string, unknown> =>
+  new Map(sections.map(section => [section.digest, section.value]));
+
+describe('formatDocument', () => {
+  it('writes TOML that reads back to an equal document', () => {
+    const text = configuration.formatDocument(createDocument());
+    const read = configuration.parseDocument(text, 'copy.toml');
+    chai.expect(read.extract()).eql(createDocument());
+  });
+});
+
+describe('checkDocument', () => {
+  it('refuses a change that takes the last zone out', () => {
+    const document = {
+      ...createDocument(),
+      zones: [{name: 'z2', state: 'out'} as const],
+    };
+    const found = configuration.checkDocument(document, 'trial').swap();
+    chai
+      .expect(found.orDefault([]).map(({code, key}) => [code, key]))
+      .eql([['all_zones_out', 'zones']]);
+  });
+});
+
+describe('splitDocument', () => {
+  it('gives sections that join to an equal document', () => {
+    const split = configuration.splitDocument(createDocument());
+    // The platform and peers hold copies, with members in their own order.
+    const values = index(
+      split.sections.map(section => ({
+        ...section,
+        value: JSON.parse(JSON.stringify(section.value)) as unknown,
+      })),
+    );
+    const joined = configuration.joinSections(split.manifest, digest =>
+      values.get(digest),
+    );
+    chai.expect(joined.extract()).eql(createDocument());
+  });
+
+  it('gives one digest whatever the order of members', () => {
+    const document = createDocument();
+    const reversed = Object.fromEntries(
+      Object.entries(document).reverse(),
+    ) as unknown as configuration.Document;
+    chai
+      .expect(configuration.digestDocument(reversed))
+      .equal(configuration.digestDocument(document));
+  });
+
+  it('touches one section when one zone changes', () => {
+    const before = configuration.splitDocument(createDocument());
+    const after = configuration.splitDocument(putZoneOut(createDocument()));
+    const changed = configuration.listChangedSections(
+      before.manifest,
+      after.manifest,
+    );
+    chai.expect(changed).eql(['zones']);
+    chai.expect(after.digest).not.equal(before.digest);
+  });
+});
+
+describe('joinSections', () => {
+  const split = configuration.splitDocument(createDocument());
+  const [models] = split.sections;
+  const values = index(split.sections);
+  const {models: _, ...withoutModels} = split.manifest.sections;
+  const cases: readonly (readonly [
+    string,
+    Readonly<Record<string, string>>,
+    (digest: string) => unknown,
+    string,
+  ])[] = [
+    [
+      'a section that is not at hand',
+      split.manifest.sections,
+      digest => (digest === models!.digest ? undefined : values.get(digest)),
+      'missing_section',
+    ],
+    [
+      'a manifest without a table',
+      withoutModels,
+      digest => values.get(digest),
+      'missing_section',
+    ],
+    [
+      'a value that was changed on its way',
+      split.manifest.sections,
+      digest => (digest === models!.digest ? [] : values.get(digest)),
+      'digest_mismatch',
+    ],
+    [
+      'a section of a later program',
+      {...split.manifest.sections, quotas: models!.digest},
+      digest => values.get(digest),
+      'unknown_section',
+    ],
+    [
+      'a section of another shape',
+      {
+        ...split.manifest.sections,
+        models: split.manifest.sections['sessions']!,
+      },
+      digest => values.get(digest),
+      'invalid_section',
+    ],
+  ];
+  for (const [title, sections, findValue, code] of cases) {
+    it(`refuses ${title}`, () => {
+      const errors = configuration.joinSections({sections}, findValue).swap();
+      chai.expect(errors.orDefault([]).map(one => one.code)).eql([code]);
+    });
+  }
+});
+
+describe('diffDocuments', () => {
+  it('lists changes in the words of the file', () => {
+    const before = createDocument();
+    const [north, ...others] = before.workspaces;
+    const after: configuration.Document = {
+      ...putZoneOut(before),
+      services: [],
+      workspaces: [
+        {...north!, weight: 3, allowed: north!.allowed.slice(0, 1)},
+        ...others,
+      ],
+    };
+    const lines = configuration
+      .diffDocuments(before, after)
+      .map(configuration.formatChange);
+    chai
+      .expect(lines)
+      .eql([
+        '- services.seats {"cost_per_call":0.5,"idempotent_methods":["list"]}',
+        '- workspaces.north.allowed."model:small@v1"',
+        '~ workspaces.north.weight 2 -> 3',
+        '~ zones."z.1".state "in" -> "out"',
+      ]);
+  });
+
+  it('finds nothing between equal documents', () => {
+    const changes = configuration.diffDocuments(
+      createDocument(),
+      createDocument(),
+    );
+    chai.expect(changes).eql([]);
+  });
+});
