Wire the parts of an entry instance

Cause: the parts stood apart. One tsyringe module registers them by factory; the instance runs their loops and the planned stop.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,6 +71,11 @@
         'error',
         {selector: 'typeLike', format: ['PascalCase']},
         // The cases of purify-ts's Either and Maybe are spelled this way.
+        // Messages on the wire are named in snake case.
+        {
+          selector: 'objectLiteralMethod',
+          format: ['camelCase', 'snake_case'],
+        },
         {
           selector: 'objectLiteralMethod',
           filter: {regex: '^(Left|Right|Just|Nothing)$', match: true},
--- /dev/null
+++ b/packages/amaranthknot/src/entry-instance.ts
@@ -0,0 +1,127 @@
+/** One running entry instance: its parts, its loops, its planned stop. */
+import * as instanceParts from './instance-parts.js';
+import type * as instanceOptions from './instance-options.js';
+import * as loadPoller from './load-poller.js';
+
+/** How often the platform's instance list is read, in milliseconds. */
+const LIST_INTERVAL_MS = 2_000;
+
+/** How often copies of dead instances' bills are looked for, in ms. */
+const RECOVER_INTERVAL_MS = 5_000;
+
+/** How often claims that were given up are cleared away, in ms. */
+const SETTLE_INTERVAL_MS = 3_000;
+
+/** How often a planned stop looks whether its requests are done, in ms. */
+const DRAIN_CHECK_MS = 50;
+
+/** Longest wait for one load report, in milliseconds. */
+const REPORT_TIMEOUT_MS = 1_000;
+
+/** An entry instance. */
+export class EntryInstance {
+  private readonly get: instanceParts.Resolve;
+  private readonly stopping = new AbortController();
+  private loops: Promise<unknown> = Promise.resolve();
+
+  constructor(private readonly options: instanceOptions.InstanceOptions) {
+    this.get = instanceParts.wireParts(options);
+  }
+
+  /** Resolves one part, for tests and the demo. */
+  get parts(): instanceParts.Resolve {
+    return this.get;
+  }
+
+  /** Starts serving; resolves when a configuration is known or cannot be. */
+  async start(): Promise<void> {
+    const {get} = this;
+    get('events').record('instance_started');
+    await get('server').start();
+    await get('follower').start();
+    await this.refreshUpstreams();
+    const reports = loadPoller.createLoadReader(REPORT_TIMEOUT_MS);
+    const {signal} = this.stopping;
+    this.loops = Promise.all([
+      get('bills').run(signal),
+      this.repeat(LIST_INTERVAL_MS, () => this.refreshUpstreams()),
+      this.repeat(loadPoller.REPORT_INTERVAL_MS, () =>
+        loadPoller.pollLoad(get('directory'), reports),
+      ),
+      this.repeat(RECOVER_INTERVAL_MS, () => this.recoverBills()),
+      this.repeat(SETTLE_INTERVAL_MS, () => get('claims').settleVoid()),
+    ]);
+    get('logger').info('serving', {
+      address: this.options.advertise,
+      generation: get('follower').generationInForce(),
+    });
+  }
+
+  /**
+   * Graceful shutdown. Callers may hold this address for the directory's
+   * max-age, so the instance first stops being offered, then serves on that
+   * long and until the last request is done, and only then closes.
+   */
+  async stop(): Promise<void> {
+    const {get} = this;
+    const {clock, settings} = this.options;
+    const {addressMaxAgeMs, stopGraceMs} = settings.limits;
+    const deadline = clock.now() + stopGraceMs;
+    get('events').record('instance_leaving');
+    get('logger').info('leaving');
+    get('server').leave();
+    await get('follower').announceLeaving();
+    await clock.sleep(addressMaxAgeMs);
+    while (get('server').inProgress > 0 && clock.now() < deadline) {
+      await clock.sleep(DRAIN_CHECK_MS);
+    }
+    await get('server').stop();
+    await get('bills').flush();
+    this.stopping.abort();
+    await get('follower').stop();
+    await this.loops;
+    get('transport').close();
+    get('events').record('instance_stopped');
+    get('logger').info('stopped');
+  }
+
+  private async refreshUpstreams(): Promise<void> {
+    const listed = await this.get('instanceList').list();
+    listed.ifRight(instances => this.get('directory').applyList(instances));
+  }
+
+  /** Writes the bills that instances which died left here as copies. */
+  private async recoverBills(): Promise<void> {
+    const {get} = this;
+    for (const owner of get('billCopies').owners()) {
+      const peers = get('peers').all();
+      const peer = peers.find(known => owner.startsWith(`${known.id}.`));
+      if (peer && peer.state !== 'dead') {
+        continue;
+      }
+      const pending = get('billCopies').of(owner);
+      const recovered = await get('bills').recover(owner, pending);
+      recovered.ifRight(count => {
+        get('billCopies').drop(owner);
+        get('events').record('bills_recovered', {
+          detail: `${count} of ${owner}`,
+        });
+      });
+    }
+  }
+
+  private async repeat(
+    intervalMs: number,
+    act: () => Promise<unknown>,
+  ): Promise<void> {
+    const {clock} = this.options;
+    const {signal} = this.stopping;
+    for (;;) {
+      await clock.sleep(intervalMs, signal);
+      if (signal.aborted) {
+        return;
+      }
+      await act();
+    }
+  }
+}
--- /dev/null
+++ b/packages/amaranthknot/src/instance-options.ts
@@ -0,0 +1,19 @@
+/** What one entry instance is started with. */
+import type * as configuration from '@amaranthknot/configuration';
+import type * as platform from '@amaranthknot/platform';
+
+/** Secrets in plain text, read from the settings or their files. */
+export interface Secrets {
+  readonly innerKey: string;
+  readonly sessionKey: string;
+  readonly platformKey?: string;
+}
+
+/** Settings, secrets and clock of one instance. */
+export interface InstanceOptions {
+  readonly settings: configuration.Settings;
+  readonly secrets: Secrets;
+  readonly clock: platform.Clock;
+  /** `ip:port` at which others reach this instance. */
+  readonly advertise: string;
+}
--- /dev/null
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -0,0 +1,346 @@
+/**
+ * The one module that wires the parts of an entry instance. Parts are
+ * registered by factory; each is made once, when first asked for.
+ */
+import 'reflect-metadata';
+import * as crypto from 'node:crypto';
+import * as tsyringe from 'tsyringe';
+import * as decisions from '@amaranthknot/decisions';
+import * as entry from '@amaranthknot/entry';
+import * as ledger from '@amaranthknot/ledger';
+import * as membership from '@amaranthknot/membership';
+import * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as telemetry from '@amaranthknot/telemetry';
+import * as upstreams from '@amaranthknot/upstreams';
+import type * as instanceOptions from './instance-options.js';
+
+/** Parts of a running instance, by token. */
+export interface Parts {
+  readonly options: instanceOptions.InstanceOptions;
+  readonly incarnation: string;
+  readonly store: platform.ObjectStore;
+  readonly instanceList: platform.InstanceList;
+  readonly transport: protocol.HttpTransport;
+  readonly peers: membership.Peers;
+  readonly follower: membership.ConfigurationFollower;
+  readonly events: telemetry.EventRing;
+  readonly metrics: telemetry.Metrics;
+  readonly logger: telemetry.Logger;
+  readonly placement: decisions.Placement;
+  readonly directory: entry.UpstreamDirectory;
+  readonly admission: entry.AdmissionGate;
+  readonly claims: ledger.ClaimKeeper;
+  readonly bills: ledger.BillKeeper;
+  readonly billCopies: entry.BillCopies;
+  readonly pins: entry.PinRegistry;
+  readonly retries: decisions.RetryBudget;
+  readonly cascades: decisions.CascadePolicy;
+  readonly peerServer: protocol.PeerServer;
+  readonly server: entry.EntryServer;
+}
+
+/** Resolves one part. */
+export type Resolve = <K extends keyof Parts>(token: K) => Parts[K];
+
+type Factories = {readonly [K in keyof Parts]: (get: Resolve) => Parts[K]};
+
+/** Copies of a pending bill that survive the loss of an instance and a zone. */
+const BILL_COPIES = 2;
+
+/** Longest time to ask a claim's owner, in milliseconds. */
+const ASK_OWNER_MS = 500;
+
+const random = (): number => Math.random();
+
+const createHttp = (url: string, key: string | undefined) =>
+  new platform.HttpClient({url, ...(key === undefined ? {} : {key})});
+
+const createPeers = (get: Resolve): membership.Peers => {
+  const {settings, clock} = get('options');
+  const {id, zone} = settings.instance;
+  return new membership.Peers({
+    id,
+    zone,
+    address: get('options').advertise,
+    state: 'live',
+    incarnation: Math.floor(clock.wallTime()),
+  });
+};
+
+const createFollower = (get: Resolve): membership.ConfigurationFollower => {
+  const {settings, clock} = get('options');
+  return new membership.ConfigurationFollower({
+    environment: settings.instance.environment,
+    store: get('store'),
+    instances: get('instanceList'),
+    transport: get('transport').send,
+    peers: get('peers'),
+    clock,
+    random,
+    onChange: taken => {
+      get('events').record('configuration_in_force', {
+        detail: `generation ${taken.generation}`,
+      });
+    },
+  });
+};
+
+const findOwner = (get: Resolve, incarnation: string) =>
+  get('peers')
+    .all()
+    .find(peer => incarnation.startsWith(`${peer.id}.`));
+
+const createClaims = (get: Resolve): ledger.ClaimKeeper =>
+  new ledger.ClaimKeeper({
+    store: get('store'),
+    clock: get('options').clock,
+    random,
+    newToken: () => crypto.randomUUID(),
+    incarnation: get('incarnation'),
+    askOwner: async (incarnation, owner) => {
+      const peer = findOwner(get, incarnation);
+      if (!peer) {
+        return 'no_answer';
+      }
+      const answer = await protocol.callPeer(
+        get('transport').send,
+        peer.address,
+        'describe_claim',
+        {incarnation, owner},
+        ASK_OWNER_MS,
+      );
+      return answer.map(({state}) => state).orDefault('no_answer');
+    },
+  });
+
+const createBillCopies = (get: Resolve): entry.BillCopies =>
+  new entry.BillCopies({
+    zone: get('options').settings.instance.zone,
+    transport: get('transport').send,
+    peers: () => get('peers').all(),
+    quorum: BILL_COPIES,
+  });
+
+const createBills = (get: Resolve): ledger.BillKeeper =>
+  new ledger.BillKeeper({
+    store: get('store'),
+    clock: get('options').clock,
+    random,
+    incarnation: get('incarnation'),
+    copyToPeers: batch => get('billCopies').copy(batch),
+    limits: {
+      maxPending: get('options').settings.limits.maxPendingBills,
+      copyQuorum: BILL_COPIES,
+    },
+  });
+
+const excludedZones = (get: Resolve): ReadonlySet<string> => {
+  const zones = get('follower').inForce()?.document.zones ?? [];
+  return new Set(
+    zones.filter(zone => zone.state === 'out').map(zone => zone.name),
+  );
+};
+
+const createDirectory = (get: Resolve): entry.UpstreamDirectory =>
+  new entry.UpstreamDirectory({
+    placement: get('placement'),
+    clock: get('options').clock,
+    excludedZones: () => excludedZones(get),
+  });
+
+const createPeerServer = (get: Resolve): protocol.PeerServer =>
+  protocol.createPeerServer({
+    ...get('follower').handlers(),
+    copy_bills: ({owner, bills, writtenLanes}) => ({
+      accepted: get('billCopies').keep(
+        owner,
+        bills as readonly ledger.PendingBill[],
+        writtenLanes,
+      ),
+    }),
+    fetch_bills: ({owner}) => ({bills: [...get('billCopies').of(owner)]}),
+    describe_claim: ({incarnation, owner}) => ({
+      state:
+        incarnation === get('incarnation')
+          ? get('claims').describeOwner(owner)
+          : 'no_answer',
+    }),
+    collect_events: ({afterSequence, limit}) => {
+      const events = get('events').read(afterSequence, limit);
+      const lastSequence = events.at(-1)?.sequence ?? afterSequence;
+      return {events: [...events], lastSequence};
+    },
+  });
+
+/** Addresses for callers: none in a zone that is out, while others are left. */
+const offerAddresses = (
+  get: Resolve,
+  zone?: string,
+): readonly entry.OfferedAddress[] => {
+  const out = excludedZones(get);
+  const peers = get('peers');
+  const all = [peers.self(), ...peers.all()];
+  const inside = all.filter(peer => !out.has(peer.zone));
+  const offered = inside.length > 0 ? inside : all;
+  const {addresses} = membership.orderAddresses(zone, offered, random);
+  return addresses.map(address => ({
+    address,
+    zone: all.find(peer => peer.address === address)?.zone ?? '',
+  }));
+};
+
+const describeState = (get: Resolve): object => {
+  const follower = get('follower');
+  const peers = get('peers');
+  return {
+    instance: peers.self(),
+    environment: follower.inForce()?.environment,
+    generation: follower.generationInForce(),
+    digest: follower.inForce()?.digest,
+    standing: follower.standing(),
+    confirmed_age_ms: follower.confirmedAgeMs(),
+    peers: peers.all(),
+    in_flight: get('admission').inFlight,
+    pending_bills: get('bills').pending().length,
+    copies_held: get('billCopies').owners().length,
+    upstreams: get('directory')
+      .all()
+      .map(({id, zone, state, serves}) => ({
+        id,
+        zone,
+        state,
+        serves,
+        in_flight: get('placement').find(id)?.inFlight ?? 0,
+      })),
+  };
+};
+
+const createServer = (get: Resolve): entry.EntryServer => {
+  const {settings, secrets, clock} = get('options');
+  const follower = get('follower');
+  return new entry.EntryServer({
+    instanceId: settings.instance.id,
+    listen: settings.instance.listen,
+    zone: settings.instance.zone,
+    limits: settings.limits,
+    clock,
+    random,
+    newId: () => crypto.randomUUID(),
+    sessionKey: secrets.sessionKey,
+    operatorDigest: settings.keys.operatorDigest,
+    innerKey: secrets.innerKey,
+    inForce: () => (follower.mayTakeWork() ? follower.inForce() : undefined),
+    offerAddresses: zone => offerAddresses(get, zone),
+    admission: get('admission'),
+    cascades: get('cascades'),
+    assignVersion: () => undefined,
+    pinVersion: (workspace, sessionId, model, version) =>
+      get('pins').pin(workspace, sessionId, model, version),
+    placeStage: (run, tried) =>
+      get('directory').place({
+        target: `${run.model}@${run.version}`,
+        affinityKey: run.call.affinityKey,
+        tried,
+      }),
+    placeService: target => get('directory').place({target}),
+    openEngine: upstreams.createEngineClient(),
+    callService: upstreams.createServiceClient(),
+    noteAttempt: model => get('retries').recordAttempt(model),
+    mayRetry: model => get('retries').tryRetry(model),
+    claims: get('claims'),
+    bills: get('bills'),
+    events: get('events'),
+    metrics: get('metrics'),
+    logger: get('logger'),
+    handlePeer: text => get('peerServer').handle(text),
+    describeState: () => describeState(get),
+    noteRating: rating => get('cascades').observeRating(rating),
+  });
+};
+
+const createEvents = (get: Resolve): telemetry.EventRing => {
+  const {settings, clock} = get('options');
+  return new telemetry.EventRing(
+    settings.instance.id,
+    new telemetry.HybridClock(() => clock.wallTime()),
+    settings.limits.maxTimelineEvents,
+  );
+};
+
+const createFactories = (
+  options: instanceOptions.InstanceOptions,
+): Factories => ({
+  options: () => options,
+  incarnation: () =>
+    `${options.settings.instance.id}.${crypto.randomBytes(6).toString('hex')}`,
+  store: () =>
+    new platform.HttpObjectStore(
+      createHttp(
+        options.settings.platform.objectApi,
+        options.secrets.platformKey,
+      ),
+    ),
+  instanceList: () =>
+    new platform.HttpInstanceList(
+      createHttp(
+        options.settings.platform.instanceList,
+        options.secrets.platformKey,
+      ),
+    ),
+  transport: () =>
+    protocol.createHttpTransport({innerKey: options.secrets.innerKey}),
+  peers: createPeers,
+  follower: createFollower,
+  events: createEvents,
+  metrics: () => new telemetry.Metrics(),
+  logger: () =>
+    telemetry.createLogger(
+      options.settings.instance.id,
+      options.settings.log.level,
+    ),
+  placement: () =>
+    new decisions.Placement({
+      instanceId: options.settings.instance.id,
+      zone: options.settings.instance.zone,
+      random,
+    }),
+  directory: createDirectory,
+  admission: () =>
+    new entry.AdmissionGate(
+      new decisions.AdmissionQueue({
+        capacity: options.settings.limits.maxInFlight,
+        random,
+      }),
+      options.clock,
+    ),
+  claims: createClaims,
+  bills: createBills,
+  billCopies: createBillCopies,
+  pins: get => new entry.PinRegistry(get('store')),
+  retries: () => new decisions.RetryBudget(),
+  cascades: () => new decisions.CascadePolicy(),
+  peerServer: createPeerServer,
+  server: createServer,
+});
+
+/** Registers all parts; returns how to get one. */
+export const wireParts = (
+  options: instanceOptions.InstanceOptions,
+): Resolve => {
+  const container = tsyringe.container.createChildContainer();
+  const get: Resolve = token => container.resolve(token);
+  const register = <K extends keyof Parts>(
+    token: K,
+    factory: Factories[K],
+  ): void => {
+    container.register(token, {
+      useFactory: tsyringe.instanceCachingFactory(() => factory(get)),
+    });
+  };
+  const factories = createFactories(options);
+  for (const token of Object.keys(factories) as (keyof Parts)[]) {
+    register(token, factories[token]);
+  }
+  return get;
+};
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -184,6 +184,7 @@
   ): AsyncGenerator<upstreams.CompletionItem> {
     const {parts} = this;
     const {requestId, request, workspace} = run.call;
+    parts.noteAttempt(run.model);
     return upstreams.runCompletion(
       {
         open: parts.openEngine,
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -75,6 +75,8 @@
   readonly placeService: PlaceService;
   readonly openEngine: upstreams.EngineStream;
   readonly callService: upstreams.ServiceClient;
+  /** Notes a first attempt, which earns a part of a retry. */
+  readonly noteAttempt: (model: string) => void;
   readonly mayRetry: (model: string) => boolean;
   readonly claims: ledger.ClaimKeeper;
   readonly bills: ledger.BillKeeper;
--- /dev/null
+++ b/packages/entry/src/upstream-directory.ts
@@ -0,0 +1,139 @@
+/**
+ * Which upstreams exist and which one gets the next attempt: the platform's
+ * list and load reports on one side, the pure placement on the other.
+ */
+import type * as decisions from '@amaranthknot/decisions';
+import type * as platform from '@amaranthknot/platform';
+import type * as upstreams from '@amaranthknot/upstreams';
+
+/** Slots of an upstream that has not reported any. */
+const DEFAULT_SLOTS = 16;
+
+/** What the directory works with. */
+export interface UpstreamDirectoryOptions {
+  readonly placement: decisions.Placement;
+  readonly clock: platform.Clock;
+  /** Zones that operators have taken out. */
+  readonly excludedZones: () => ReadonlySet<string>;
+  /** Whether one more request fits an upstream that may be cold. */
+  readonly mayStart?: (upstreamId: string) => boolean;
+}
+
+/** What has to run, and with what it shares a prefix. */
+export interface UpstreamRequest {
+  /** `model@version`, or the name of a plain service. */
+  readonly target: string;
+  readonly affinityKey?: string;
+  readonly tried?: readonly string[];
+}
+
+const ANSWER_BY_OUTCOME: Record<
+  upstreams.AttemptOutcome,
+  decisions.UpstreamAnswer
+> = {
+  finished: 'answered',
+  refused: 'failed',
+  failed: 'failed',
+  cancelled: 'cancelled',
+};
+
+/** Places attempts on live upstreams. */
+export class UpstreamDirectory {
+  private listed = new Map<string, platform.ListedInstance>();
+  private readonly slots = new Map<string, number>();
+
+  constructor(private readonly options: UpstreamDirectoryOptions) {}
+
+  /**
+   * Takes in the platform's list. An empty list is taken for a fault of the
+   * platform while upstreams are known: forgetting all of them at once would
+   * refuse every request.
+   */
+  applyList(instances: readonly platform.ListedInstance[]): void {
+    const found = instances.filter(instance => instance.role !== 'entry');
+    if (found.length === 0 && this.listed.size > 0) {
+      return;
+    }
+    this.listed = new Map(found.map(instance => [instance.id, instance]));
+    this.refreshCandidates();
+  }
+
+  /** Takes in an upstream's load report. */
+  applyReport(
+    id: string,
+    report: {readonly inFlight: number; readonly slots: number},
+  ): void {
+    const now = this.options.clock.now();
+    if (this.slots.get(id) !== report.slots) {
+      this.slots.set(id, report.slots);
+      this.refreshCandidates();
+    }
+    this.options.placement.report(id, report.inFlight, now);
+  }
+
+  /** Engines whose load this instance needs, with their addresses. */
+  watched(): readonly {readonly id: string; readonly address: string}[] {
+    return [...this.options.placement.watchedIds()]
+      .map(id => this.listed.get(id))
+      .filter(instance => instance?.role === 'engine')
+      .map(instance => ({
+        id: instance?.id ?? '',
+        address: instance?.address ?? '',
+      }));
+  }
+
+  /** All upstreams, for status. */
+  all(): readonly platform.ListedInstance[] {
+    return [...this.listed.values()];
+  }
+
+  /** Chooses an upstream and notes the start of an attempt. */
+  place(request: UpstreamRequest): upstreams.Placement | undefined {
+    const {placement, clock, excludedZones} = this.options;
+    const tried = new Set(request.tried ?? []);
+    const started = clock.now();
+    const outcome = placement.choose(
+      {
+        target: request.target,
+        excludedZones: excludedZones(),
+        accepts: id => !tried.has(id) && this.accepts(id),
+        ...(request.affinityKey === undefined
+          ? {}
+          : {affinityKey: request.affinityKey}),
+      },
+      started,
+    );
+    if (outcome.kind === 'unplaced') {
+      return undefined;
+    }
+    const id = outcome.upstreamId;
+    placement.start(id, started);
+    let firstMs: number | undefined;
+    return {
+      upstream: id,
+      address: this.listed.get(id)?.address ?? '',
+      noteFirst: () => (firstMs ??= clock.now() - started),
+      settle: end => {
+        const now = clock.now();
+        const latencyMs = firstMs ?? now - started;
+        placement.finish(id, ANSWER_BY_OUTCOME[end], latencyMs, now);
+      },
+    };
+  }
+
+  private accepts(id: string): boolean {
+    const state = this.listed.get(id)?.state;
+    return state === 'live' && (this.options.mayStart?.(id) ?? true);
+  }
+
+  private refreshCandidates(): void {
+    this.options.placement.setCandidates(
+      [...this.listed.values()].map(({id, zone, serves}) => ({
+        id,
+        zone,
+        serves,
+        slots: this.slots.get(id) ?? DEFAULT_SLOTS,
+      })),
+    );
+  }
+}
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -123,6 +123,8 @@
     params: zod.object({
       owner: name,
       bills: zod.array(zod.unknown()).max(MAX_ITEMS),
+      /** Lanes that are in the object API, whose copies can go. */
+      writtenLanes: zod.array(name).max(MAX_ITEMS),
     }),
     result: zod.object({accepted: count}),
   },
@@ -154,6 +156,11 @@
     }),
     result: zod.object({}),
   },
+  /** Asks whether a claim that the receiver made is void. */
+  describe_claim: {
+    params: zod.object({incarnation: name, owner: name}),
+    result: zod.object({state: zod.enum(['void', 'in_use', 'no_answer'])}),
+  },
   /** Says that an instance leaves and must not be offered to callers. */
   leaving: {
     params: zod.object({from: peer}),
--- a/packages/protocol/tests/peer-messages.test.ts
+++ b/packages/protocol/tests/peer-messages.test.ts
@@ -34,7 +34,7 @@
       connect(server),
       'a:1',
       'copy_bills',
-      {owner: 'one', bills: [{}, {}]},
+      {owner: 'one', bills: [{}, {}], writtenLanes: []},
       100,
     );
     chai.expect(result.extract()).eql({accepted: 2});
--- a/packages/upstreams/src/run-completion.ts
+++ b/packages/upstreams/src/run-completion.ts
@@ -10,6 +10,8 @@
 export interface Placement {
   readonly upstream: string;
   readonly address: string;
+  /** Notes the first token, whose latency tells how loaded it is. */
+  readonly noteFirst?: () => void;
   /** Reports the attempt's end, for load and latency accounting. */
   readonly settle: (outcome: AttemptOutcome) => void;
 }
@@ -105,6 +107,7 @@
     const verdict = assembler.take(item.chunk);
     switch (verdict.kind) {
       case 'token':
+        placement.noteFirst?.();
         yield verdict;
         break;
       case 'end':
