--- a/packages/configuration/src/address.ts
+++ b/packages/configuration/src/address.ts
@@ -1,6 +1,7 @@
 /** Reading and writing of `IP:port`. */
 import * as net from 'node:net';
 import * as purify from 'purify-ts';
+import * as zod from 'zod';
 import type * as settings from './settings.js';
 
 const MAX_PORT = 65_535;
@@ -25,3 +26,11 @@
 /** Whether an address means all of a machine's own, and reaches none. */
 export const isUnspecified = ({host}: settings.Address): boolean =>
   host === '0.0.0.0' || /^[0:]+$/.test(host);
+
+/** Schema of an address as text. */
+export const addressSchema = zod
+  .string()
+  .refine(
+    text => parseAddress(text).isJust(),
+    'must be IP:port, as 192.0.2.7:8080 or [2001:db8::7]:8080',
+  );
--- a/packages/configuration/src/document-tables.ts
+++ b/packages/configuration/src/document-tables.ts
@@ -14,8 +14,16 @@
 export const MAX_VERSIONS = 100;
 /** Most stages of a cascade; each may cost a caller one whole answer's wait. */
 export const MAX_STAGES = 8;
-/** Most methods of a service that may be repeated. */
-export const MAX_METHODS = 200;
+/** HTTP methods that a service may take. */
+export const METHODS = [
+  'GET',
+  'HEAD',
+  'OPTIONS',
+  'PUT',
+  'DELETE',
+  'POST',
+  'PATCH',
+] as const;
 /** Most keys of one workspace, two generations of a thousand applications. */
 export const MAX_KEYS = 2_000;
 /** Most requests of a workspace in progress or queued on one instance. */
@@ -90,10 +98,7 @@
 
 const service = zod.strictObject({
   cost_per_call: cost,
-  idempotent_methods: zod
-    .array(zod.string().min(1).max(MAX_NAME_LENGTH))
-    .max(MAX_METHODS)
-    .default([]),
+  idempotent_methods: zod.array(zod.enum(METHODS)).default([]),
 });
 
 const limits = zod.strictObject({
--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -39,7 +39,7 @@
   readonly name: string;
   /** Price of one call, in the operators' accounting unit. */
   readonly costPerCall: number;
-  /** Methods whose calls may be repeated; all others run at most once. */
+  /** HTTP methods whose calls may be repeated; others run at most once. */
   readonly idempotentMethods: readonly string[];
 }
 
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -4,6 +4,7 @@
 export * from './document.js';
 export * from './format-document.js';
 export * from './parse-document.js';
+export * from './parse-instances.js';
 export * from './parse-settings.js';
 export * from './problem.js';
 export * from './read-secret.js';
--- /dev/null
+++ b/packages/configuration/src/parse-instances.ts
@@ -0,0 +1,72 @@
+/**
+ * Reads a list of instances from TOML, for the stand-in platform. A real
+ * platform keeps its own list.
+ */
+import * as purify from 'purify-ts';
+import * as zod from 'zod';
+import type * as problems from './problem.js';
+import * as addresses from './address.js';
+import * as tables from './document-tables.js';
+import * as shapes from './util/check-shape.js';
+import * as readToml from './util/read-toml.js';
+
+/** Largest list, in bytes. */
+export const MAX_INSTANCES_BYTES = 1_000_000;
+
+/** Most entries that one instance serves. */
+export const MAX_SERVED = 200;
+
+/** One instance, in the shape of the platform's list. */
+export interface InstanceEntry {
+  readonly id: string;
+  readonly role: 'entry' | 'engine' | 'service';
+  readonly state: 'live' | 'leaving';
+  /** `IP:port`. */
+  readonly address: string;
+  readonly zone: string;
+  /** Models an engine can run, as `model@version`; a service's one name. */
+  readonly serves: readonly string[];
+}
+
+const schema = zod.strictObject({
+  instances: zod
+    .array(
+      zod.strictObject({
+        id: tables.nameSchema,
+        role: zod.enum(['entry', 'engine', 'service']),
+        state: zod.enum(['live', 'leaving']).default('live'),
+        address: addresses.addressSchema,
+        zone: tables.nameSchema,
+        serves: zod.array(zod.string().min(1)).max(MAX_SERVED).default([]),
+      }),
+    )
+    .min(1),
+});
+
+const checkIds = (
+  instances: readonly {readonly id: string}[],
+): readonly problems.Finding[] => {
+  const ids = instances.map(({id}) => id);
+  return ids.flatMap((id, index) => {
+    const path = ['instances', index, 'id'];
+    const message = `an instance before it has the id "${id}" already`;
+    return ids.indexOf(id) === index
+      ? []
+      : [{path, code: 'duplicate' as const, message}];
+  });
+};
+
+/** Parses a list of instances; all its problems are reported. */
+export const parseInstances = (
+  text: string,
+  file: string,
+): purify.Either<readonly problems.Problem[], readonly InstanceEntry[]> =>
+  readToml.readToml(text, file, MAX_INSTANCES_BYTES).chain(source => {
+    const parsed = schema.safeParse(source.data);
+    const findings = parsed.success
+      ? checkIds(parsed.data.instances)
+      : shapes.checkShape(source.data, schema);
+    return parsed.success && findings.length === 0
+      ? purify.Right(parsed.data.instances)
+      : purify.Left(readToml.placeFindings(source, findings));
+  });
--- a/packages/configuration/src/parse-settings.ts
+++ b/packages/configuration/src/parse-settings.ts
@@ -19,12 +19,6 @@
 /** Longest age of an address answer; a stop waits this long for callers. */
 export const MAX_ADDRESS_AGE_MS = 600_000;
 
-const ADDRESS_MESSAGE = 'must be IP:port, as 192.0.2.7:8080 or [2001:db8::7]:1';
-
-const address = zod
-  .string()
-  .refine(text => addresses.parseAddress(text).isJust(), ADDRESS_MESSAGE);
-
 const endpoint = zod.url({
   protocol: /^https?$/,
   error: issue =>
@@ -74,8 +68,8 @@
     zone: tables.nameSchema,
     region: tables.nameSchema,
     environment: tables.nameSchema,
-    listen: address,
-    advertise: address.optional(),
+    listen: addresses.addressSchema,
+    advertise: addresses.addressSchema.optional(),
   }),
   platform: zod.strictObject({
     object_api: endpoint,
--- a/packages/configuration/tests/sections.test.ts
+++ b/packages/configuration/tests/sections.test.ts
@@ -14,7 +14,7 @@
     },
   ],
   cascades: [{name: 'draft', stages: ['small']}],
-  services: [{name: 'seats', costPerCall: 0.5, idempotentMethods: ['list']}],
+  services: [{name: 'seats', costPerCall: 0.5, idempotentMethods: ['GET']}],
   workspaces: ['north', 'south'].map((name, index) => ({
     name,
     keyDigests: [String(index).repeat(64)],
@@ -182,7 +182,7 @@
     chai
       .expect(lines)
       .eql([
-        '- services.seats {"cost_per_call":0.5,"idempotent_methods":["list"]}',
+        '- services.seats {"cost_per_call":0.5,"idempotent_methods":["GET"]}',
         '- workspaces.north.allowed."model:small@v1"',
         '~ workspaces.north.weight 2 -> 3',
         '~ zones."z.1".state "in" -> "out"',
