Check histories of claims and bills in virtual time

Cause: races between retries, kills, pauses, lost and stale answers do not show in single-step tests.

--- /dev/null
+++ b/packages/bench/src/histories/simulated-instance.ts
@@ -0,0 +1,112 @@
+/** One entry instance of a simulated run, with the product's own ledger. */
+import * as ledger from '@amaranthknot/ledger';
+import type * as platform from '@amaranthknot/platform';
+import * as lifelines from './lifeline.js';
+
+/** What an instance reaches of its peers. */
+export interface Peers {
+  /** Live peers in other zones as this instance believes, best first. */
+  candidates(self: SimulatedInstance): readonly string[];
+  isBelievedDead(incarnation: string): boolean;
+  send(
+    from: SimulatedInstance,
+    peer: string,
+    batch: ledger.CopyBatch,
+  ): Promise<boolean>;
+  askOwner(
+    from: SimulatedInstance,
+    incarnation: string,
+    owner: string,
+  ): Promise<ledger.OwnerAnswer>;
+}
+
+/** What a simulated instance is made of. */
+export interface SimulatedInstanceOptions {
+  readonly incarnation: string;
+  readonly zone: string;
+  readonly clock: platform.Clock;
+  readonly store: platform.ObjectStore;
+  readonly random: () => number;
+  readonly peers: Peers;
+}
+
+/** Bounds chosen so that a run of a minute meets many segments. */
+const BILL_LIMITS: Partial<ledger.BillLimits> = {
+  flushIntervalMs: 2_000,
+  maxSegmentBills: 4,
+};
+
+const ROUND_MS = 1_000;
+
+/** An entry instance that can be killed or paused between any two steps. */
+export class SimulatedInstance {
+  readonly lifeline: lifelines.Lifeline;
+  readonly claims: ledger.ClaimKeeper;
+  readonly bills: ledger.BillKeeper;
+  readonly holder: ledger.CopyHolder;
+  private readonly copies: ledger.PeerCopies;
+  private readonly clock: platform.Clock;
+  private tokens = 0;
+  private seenPeers = '';
+
+  constructor(private readonly options: SimulatedInstanceOptions) {
+    const {incarnation, peers, random} = options;
+    this.lifeline = new lifelines.Lifeline(options.clock);
+    this.clock = this.lifeline.guardClock();
+    const store = this.lifeline.guardStore(options.store);
+    const shared = {store, clock: this.clock, random, incarnation};
+    this.claims = new ledger.ClaimKeeper({
+      ...shared,
+      newToken: () => `${incarnation}#${this.tokens++}`,
+      askOwner: (owner, token) =>
+        this.lifeline.guard(peers.askOwner(this, owner, token)),
+    });
+    this.holder = new ledger.CopyHolder({clock: this.clock});
+    this.copies = new ledger.PeerCopies({
+      quorum: ledger.DEFAULT_BILL_LIMITS.copyQuorum,
+      candidates: () => peers.candidates(this),
+      send: (peer, batch) => this.lifeline.guard(peers.send(this, peer, batch)),
+      pending: () => this.bills.pending(),
+    });
+    this.bills = new ledger.BillKeeper({
+      ...shared,
+      limits: BILL_LIMITS,
+      copyToPeers: batch => this.copies.copy(batch),
+    });
+  }
+
+  get incarnation(): string {
+    return this.options.incarnation;
+  }
+
+  get zone(): string {
+    return this.options.zone;
+  }
+
+  /** Starts the loops that the product's wiring runs. */
+  start(signal: AbortSignal): void {
+    void this.bills.run(signal);
+    void this.runRounds(signal);
+  }
+
+  private async runRounds(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.clock.sleep(ROUND_MS * (0.5 + this.options.random()));
+      await this.runRound();
+    }
+  }
+
+  private async runRound(): Promise<void> {
+    const {peers} = this.options;
+    const candidates = peers.candidates(this).join();
+    if (candidates !== this.seenPeers) {
+      this.seenPeers = candidates;
+      await this.copies.changeMembership(this.incarnation);
+    }
+    await this.holder.recoverDead(
+      incarnation => peers.isBelievedDead(incarnation),
+      (incarnation, pending) => this.bills.recover(incarnation, pending),
+    );
+    await this.claims.settleVoid();
+  }
+}
--- a/packages/ledger/src/bill-limits.ts
+++ b/packages/ledger/src/bill-limits.ts
@@ -32,7 +32,7 @@
   maxSegmentBills: 1_000,
   maxPending: 50_000,
   copyQuorum: 2,
-  copyTimeoutMs: 300,
+  copyTimeoutMs: 1_000,
   gatherMs: 100,
   safeTimeoutMs: 2_000,
   callTimeoutMs: 1_000,
--- a/packages/ledger/src/bills.ts
+++ b/packages/ledger/src/bills.ts
@@ -135,9 +135,10 @@
 
   /** Writes bills at the flush interval until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.wake.abort(), {once: true});
     while (!signal.aborted) {
-      const wake = AbortSignal.any([signal, this.wake.signal]);
-      await this.options.clock.sleep(this.nextIntervalMs(), wake);
+      const {clock} = this.options;
+      await clock.sleep(this.nextIntervalMs(), this.wake.signal);
       this.wake = new AbortController();
       await this.tick();
     }
@@ -178,14 +179,24 @@
       this.unsafe.delete(identity);
       return 'copied';
     }
-    return this.writeThrough(identity);
+    return this.writeThrough(identity, copies);
   }
 
-  /** Without enough peers the bill goes to the platform before the answer. */
-  private async writeThrough(identity: string): Promise<RecordResult> {
+  /**
+   * Without enough peers the bill goes to the platform before the answer; in
+   * an outage one copy has to do, as the answer would otherwise be withheld.
+   */
+  private async writeThrough(
+    identity: string,
+    copies: number,
+  ): Promise<RecordResult> {
     const {clock} = this.options;
     const deadline = clock.now() + this.limits.safeTimeoutMs;
     while (clock.now() < deadline) {
+      if (this.platformOut && copies > 0) {
+        this.unsafe.delete(identity);
+        return 'copied';
+      }
       await clock.sleep(this.limits.gatherMs);
       const lane = this.lanes.find(identity);
       if (lane === undefined || (await this.write(lane))) {
--- /dev/null
+++ b/packages/ledger/src/peer-copies.ts
@@ -0,0 +1,102 @@
+/** Copies of this instance's pending bills on peers in other zones. */
+import type * as billTypes from './bill.js';
+import * as chooseReplicas from './choose-replicas.js';
+import type * as copyQueue from './copy-queue.js';
+
+/** What copies to peers work with. */
+export interface PeerCopiesOptions {
+  readonly quorum: number;
+  /** Live peers in other zones, the preferred (by rendezvous) first. */
+  readonly candidates: () => readonly string[];
+  /** Sends a batch; whether the peer holds it now. Bounds its own time. */
+  readonly send: (peer: string, batch: copyQueue.CopyBatch) => Promise<boolean>;
+  /** All bills of this instance that are not in the object API. */
+  readonly pending: () => readonly billTypes.PendingBill[];
+  readonly choose?: chooseReplicas.ReplicaChoice;
+}
+
+/** Peers tried for one batch beyond the quorum, so that an answer can end. */
+const MAX_REPLACEMENTS = 2;
+
+/**
+ * Keeps a set of replicas which hold all pending bills. `copy` is meant as
+ * `copyToPeers` of a `BillKeeper`.
+ */
+export class PeerCopies {
+  private replicas: readonly string[] = [];
+  private last: Promise<unknown> = Promise.resolve();
+  /** Bills sent to a peer anew because the set of replicas changed. */
+  recopied = 0;
+
+  constructor(private readonly options: PeerCopiesOptions) {}
+
+  /**
+   * Sends a batch to all replicas; answers how many hold it now. One batch at
+   * a time: two at once could each drop a peer that the other counts on.
+   */
+  copy(batch: copyQueue.CopyBatch): Promise<number> {
+    const copied = this.last.then(() => this.copyNow(batch));
+    this.last = copied;
+    return copied;
+  }
+
+  /** Replaces replicas that left; call it when the list of peers changed. */
+  async changeMembership(incarnation: string): Promise<number> {
+    const pending = this.options.pending();
+    if (pending.length === 0) {
+      this.replicas = this.choose([]);
+      return this.replicas.length;
+    }
+    return this.copy({incarnation, bills: [], writtenLanes: []});
+  }
+
+  private async copyNow(batch: copyQueue.CopyBatch): Promise<number> {
+    let refused: readonly string[] = [];
+    for (let round = 0; round <= MAX_REPLACEMENTS; round++) {
+      refused = [...refused, ...(await this.sendToAll(batch, refused))];
+      if (this.replicas.length >= this.options.quorum) {
+        break;
+      }
+    }
+    return this.replicas.length;
+  }
+
+  /** @returns peers that did not take the batch */
+  private async sendToAll(
+    batch: copyQueue.CopyBatch,
+    refused: readonly string[],
+  ): Promise<readonly string[]> {
+    const before = this.replicas;
+    const wanted = this.choose(refused);
+    const sent = wanted.map(async peer => {
+      const taken = await this.sendTo(peer, batch, before.includes(peer));
+      return {peer, taken};
+    });
+    const results = await Promise.all(sent);
+    const holders = results.filter(result => result.taken);
+    this.replicas = holders.map(result => result.peer);
+    return results.filter(result => !result.taken).map(result => result.peer);
+  }
+
+  /** A new replica gets everything pending: it may be the only one to live. */
+  private async sendTo(
+    peer: string,
+    batch: copyQueue.CopyBatch,
+    holdsEarlier: boolean,
+  ): Promise<boolean> {
+    if (holdsEarlier) {
+      const empty = batch.bills.length + batch.writtenLanes.length === 0;
+      return empty || this.options.send(peer, batch);
+    }
+    const pending = this.options.pending();
+    this.recopied += pending.length - batch.bills.length;
+    return this.options.send(peer, {...batch, bills: pending});
+  }
+
+  private choose(refused: readonly string[]): readonly string[] {
+    const {candidates, quorum, choose} = this.options;
+    const usable = candidates().filter(peer => !refused.includes(peer));
+    const chosen = choose ?? chooseReplicas.chooseLoosely;
+    return chosen(this.replicas, usable, quorum);
+  }
+}
