--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -115,7 +115,7 @@
       const retryAfterMs = this.drawRetryAfter(waitMs);
       return {kind: 'refused', reason, retryAfterMs};
     }
-    this.enqueue(entry);
+    this.enqueue(entry, nowMs);
     const admitted = this.dispatch(nowMs);
     return admitted.includes(request)
       ? {kind: 'admitted'}
@@ -233,8 +233,8 @@
     return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
   }
 
-  private enqueue(entry: Entry): void {
-    this.shares.push(entry);
+  private enqueue(entry: Entry, nowMs: number): void {
+    this.shares.push(entry, nowMs);
     this.waiting.set(entry.request.id, entry);
     this.expiries.push(entry);
     this.queuedCount++;
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -56,14 +56,14 @@
   }
 
   /** Puts a request into its workspace's queue. */
-  push(entry: Entry): void {
+  push(entry: Entry, nowMs: number): void {
     const workspace = this.findWorkspace(entry.request.workspace);
     if (workspace.queued === 0) {
       // Time spent without demand earns no credit, or a burst after each
       // pause would hold up everyone else.
       workspace.virtualTime = Math.max(workspace.virtualTime, this.virtualTime);
     }
-    workspace.push(entry);
+    workspace.push(entry, nowMs);
   }
 
   /** Charges the workspace of an admitted request for its expected time. */
@@ -127,13 +127,12 @@
     const start = Math.max(workspace.virtualTime, this.virtualTime);
     const lead = LEAD[request.priority] * this.slots.meanServiceMs;
     const tag = start + ownAhead / request.weight - lead;
-    let ahead = ownAhead + this.slots.meanServiceMs;
-    for (const other of this.workspaces.values()) {
-      if (other !== workspace && other.queued > 0) {
-        ahead += this.serviceBefore(other, tag, nowMs);
-      }
-    }
-    const sharedMs = ahead / this.slots.capacity;
+    const own = ownAhead + this.slots.meanServiceMs;
+    const queuedMs = this.waitBehind(own, tag, workspace, 0, nowMs);
+    // Requests that come during the wait go ahead too, where their workspace
+    // is behind in virtual time; without them the wait is guessed too short
+    // for large workspaces, and their requests wait only to be given up on.
+    const sharedMs = this.waitBehind(own, tag, workspace, queuedMs, nowMs);
     // A workspace at its own bound waits for its own work to end.
     const ownMs = isBelowLimit
       ? 0
@@ -141,18 +140,34 @@
     return Math.max(sharedMs, ownMs) * this.slots.stallFactor(nowMs);
   }
 
+  private waitBehind(
+    ownMs: number,
+    tag: number,
+    workspace: Workspace,
+    horizonMs: number,
+    nowMs: number,
+  ): number {
+    let ahead = ownMs;
+    for (const other of this.workspaces.values()) {
+      if (other !== workspace && (other.queued > 0 || horizonMs > 0)) {
+        ahead += this.serviceBefore(other, tag, horizonMs, nowMs);
+      }
+    }
+    return ahead / this.slots.capacity;
+  }
+
   /** Slot time a workspace gets before its virtual time reaches `tag`. */
   private serviceBefore(
     workspace: Workspace,
     tag: number,
+    horizonMs: number,
     nowMs: number,
   ): number {
+    const arriving = workspace.demandAt(nowMs) * horizonMs;
     const head = workspace.head(nowMs, () => true);
-    if (!head) {
-      return 0;
-    }
-    const behind = tag - this.tagOf(workspace, head);
-    const share = Math.max(0, behind) * head.request.weight;
-    return Math.min(workspace.queuedServiceMs, share);
+    const start = Math.max(workspace.virtualTime, this.virtualTime);
+    const from = head ? this.tagOf(workspace, head) : start;
+    const share = Math.max(0, tag - from) * workspace.weight;
+    return Math.min(workspace.queuedServiceMs + arriving, share);
   }
 }
--- a/packages/decisions/src/rendezvous.ts
+++ b/packages/decisions/src/rendezvous.ts
@@ -10,7 +10,7 @@
 }
 
 /** 32-bit hash of a string. */
-export const hashText = (text: string): number => murmurhash.v3(text);
+export const hashText = (text: string): number => murmurhash.default.v3(text);
 
 /** Mixes two 32-bit hashes into one (MurmurHash3's finalizer). */
 export const mixHashes = (a: number, b: number): number => {
--- a/packages/decisions/src/workspace-queue.ts
+++ b/packages/decisions/src/workspace-queue.ts
@@ -48,6 +48,9 @@
 export const compareByDeadline = (a: QueuedRequest, b: QueuedRequest): number =>
   a.admitByMs - b.admitByMs || a.order - b.order;
 
+/** Time over which demand is averaged: some waits long, so that it is steady. */
+const DEMAND_WINDOW_MS = 2000;
+
 type Queues = Readonly<Record<AdmissionPriority, heap.Heap<QueuedRequest>>>;
 
 const createHeap = () => new heap.Heap<QueuedRequest>(compareByDeadline);
@@ -56,12 +59,16 @@
 export class WorkspaceQueue {
   /** Slot time used so far, divided by the weight (slot-milliseconds). */
   virtualTime: number;
+  /** Weight of the last request taken in. */
+  weight = 1;
   inFlight = 0;
   queued = 0;
   /** Slot time that the waiting requests are expected to take. */
   queuedServiceMs = 0;
   /** Time that this workspace's requests hold a slot. */
   readonly serviceTime = new movingEstimate.MovingEstimate();
+  private demand = 0;
+  private demandMs = 0;
   private readonly queues: Queues = {
     door_check: createHeap(),
     interactive: createHeap(),
@@ -76,12 +83,20 @@
     return this.inFlight === 0 && this.queued === 0;
   }
 
-  push(entry: QueuedRequest): void {
+  push(entry: QueuedRequest, nowMs: number): void {
+    this.demand = this.demandAt(nowMs) + entry.serviceMs / DEMAND_WINDOW_MS;
+    this.demandMs = nowMs;
+    this.weight = entry.request.weight;
     this.queues[entry.request.priority].push(entry);
     this.queued++;
     this.queuedServiceMs += entry.serviceMs;
   }
 
+  /** Slots that the requests taken in lately keep busy. */
+  demandAt(nowMs: number): number {
+    return this.demand * Math.exp((this.demandMs - nowMs) / DEMAND_WINDOW_MS);
+  }
+
   /** Takes a waiting request out; its place in the heap is swept later. */
   leave(entry: QueuedRequest): void {
     entry.state = 'left';
