Bound retries over all targets of an instance

Cause: each of 8 targets on 7 instances saved up to 10 retries in quiet times, and spent them in the burst on top of the 10%.

--- a/packages/decisions/src/retry-budget.ts
+++ b/packages/decisions/src/retry-budget.ts
@@ -1,23 +1,27 @@
 /**
- * Retry budget per target: retries may add at most a tenth to first attempts.
+ * Retry budget per target and for all targets of an instance together:
+ * retries may add at most a tenth to first attempts.
  *
  * Made for an overloaded or failing target: without a bound, each layer's
  * retries multiply the load that made it fail, and it never recovers.
  */
 
-/** Retries allowed for each first attempt; 10%, as is common practice. */
-export const DEFAULT_RETRY_RATIO = 0.1;
+/**
+ * Retries earned by each first attempt. A little under the 10% that retries
+ * may add, as saved ones come on top: the bound holds over any 300 attempts.
+ */
+export const DEFAULT_RETRY_RATIO = 0.09;
 
 /**
- * Most retries saved up: enough for a single failed connection pool, too few
- * for a storm after a quiet hour.
+ * Most retries saved up, for one target and for all together: enough for one
+ * lost connection, too few for a storm after a quiet hour.
  */
-export const DEFAULT_RETRY_BURST = 10;
+export const DEFAULT_RETRY_BURST = 3;
 
 /** Tokens held at the start, so that a quiet target may be retried at all. */
 const INITIAL_TOKENS = 1;
 
-/** Ten tenths sum to a little under 1 in floating point. */
+/** Parts that make a whole sum to a little under 1 in floating point. */
 const ROUNDING = 1e-9;
 
 /** Targets remembered; past it the least recently used one is forgotten. */
@@ -33,6 +37,8 @@
 export class RetryBudget {
   private readonly ratio: number;
   private readonly burst: number;
+  /** Over all targets: else each of many adds what it saved. */
+  private shared = INITIAL_TOKENS;
   private readonly tokens = new Map<string, number>();
 
   constructor(options: RetryBudgetOptions = {}) {
@@ -42,15 +48,17 @@
 
   /** Notes a first attempt at a target; each earns a part of a retry. */
   recordAttempt(target: string): void {
+    this.shared = Math.min(this.burst, this.shared + this.ratio);
     this.write(target, Math.min(this.burst, this.read(target) + this.ratio));
   }
 
   /** Takes one retry from the budget; false when there is none left. */
   tryRetry(target: string): boolean {
     const tokens = this.read(target);
-    if (tokens < 1 - ROUNDING) {
+    if (Math.min(tokens, this.shared) < 1 - ROUNDING) {
       return false;
     }
+    this.shared = Math.max(0, this.shared - 1);
     this.write(target, Math.max(0, tokens - 1));
     return true;
   }
