Hold expected waits against their error of late

Cause: 4.3% of refusals in the burst were requests given up on after 2 s of waiting, as expected waits were too short about as often as too long.

--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -115,7 +115,7 @@
       const retryAfterMs = this.drawRetryAfter(waitMs);
       return {kind: 'refused', reason, retryAfterMs};
     }
-    this.enqueue(entry, nowMs);
+    this.enqueue({...entry, estimatedWaitMs: waitMs}, nowMs);
     const admitted = this.dispatch(nowMs);
     return admitted.includes(request)
       ? {kind: 'admitted'}
@@ -144,6 +144,7 @@
         return refusals;
       }
       this.dequeue(entry);
+      this.shares.recordWait(entry, nowMs);
       refusals.push({
         request: entry.request,
         reason: 'wait_expired',
@@ -203,6 +204,8 @@
       admitByMs,
       serviceMs,
       order: this.order++,
+      offeredMs: nowMs,
+      estimatedWaitMs: 0,
       state: 'queued',
     };
   }
@@ -217,7 +220,7 @@
       return 'no_capacity';
     }
     // Work that would end after its deadline takes a slot and helps no one.
-    if (nowMs + waitMs > entry.admitByMs) {
+    if (nowMs + waitMs * workspace.waitMargin > entry.admitByMs) {
       return 'deadline_unreachable';
     }
     if (waitMs === 0) {
@@ -279,6 +282,7 @@
   private admit(entry: Entry, nowMs: number): void {
     const {request, serviceMs} = entry;
     this.dequeue(entry);
+    this.shares.recordWait(entry, nowMs);
     this.shares.charge(entry);
     this.slots.take(request, serviceMs, nowMs);
   }
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -66,6 +66,11 @@
     workspace.push(entry, nowMs);
   }
 
+  /** Notes how long a request waited, to judge later expectations. */
+  recordWait(entry: Entry, nowMs: number): void {
+    this.findWorkspace(entry.request.workspace).recordWait(entry, nowMs);
+  }
+
   /** Charges the workspace of an admitted request for its expected time. */
   charge(entry: Entry): void {
     const workspace = this.findWorkspace(entry.request.workspace);
--- a/packages/decisions/src/workspace-queue.ts
+++ b/packages/decisions/src/workspace-queue.ts
@@ -39,6 +39,9 @@
   readonly admitByMs: number;
   /** Slot time it is expected to take. */
   readonly serviceMs: number;
+  readonly offeredMs: number;
+  /** Wait that was expected when it was offered; 0 for none. */
+  readonly estimatedWaitMs: number;
   /** Grows with each offer; breaks ties. */
   readonly order: number;
   state: 'queued' | 'left';
@@ -51,6 +54,10 @@
 /** Time over which demand is averaged: some waits long, so that it is steady. */
 const DEMAND_WINDOW_MS = 2000;
 
+/** Deviations of the waits' error kept free, and the bounds of the margin. */
+const MARGIN_DEVIATIONS = 2;
+const MAX_MARGIN = 3;
+
 type Queues = Readonly<Record<AdmissionPriority, heap.Heap<QueuedRequest>>>;
 
 const createHeap = () => new heap.Heap<QueuedRequest>(compareByDeadline);
@@ -67,6 +74,8 @@
   queuedServiceMs = 0;
   /** Time that this workspace's requests hold a slot. */
   readonly serviceTime = new movingEstimate.MovingEstimate();
+  /** Measured over expected waits. */
+  private readonly waitError = new movingEstimate.MovingEstimate();
   private demand = 0;
   private demandMs = 0;
   private readonly queues: Queues = {
@@ -92,6 +101,24 @@
     this.queuedServiceMs += entry.serviceMs;
   }
 
+  /** Notes how long a request waited, against what was expected. */
+  recordWait(entry: QueuedRequest, nowMs: number): void {
+    if (entry.estimatedWaitMs > 0) {
+      this.waitError.add((nowMs - entry.offeredMs) / entry.estimatedWaitMs);
+    }
+  }
+
+  /**
+   * Factor on expected waits when they are held against a deadline. A request
+   * that waits and is given up on lost its time; one refused at once did not.
+   * So the expectation errs on the long side, by as much as it erred lately.
+   */
+  get waitMargin(): number {
+    const {mean, deviation} = this.waitError;
+    const margin = mean + MARGIN_DEVIATIONS * deviation;
+    return Math.min(MAX_MARGIN, Math.max(1, margin));
+  }
+
   /** Slots that the requests taken in lately keep busy. */
   demandAt(nowMs: number): number {
     return this.demand * Math.exp((this.demandMs - nowMs) / DEMAND_WINDOW_MS);
