--- a/packages/decisions/src/workspace-queue.ts
+++ b/packages/decisions/src/workspace-queue.ts
@@ -39,6 +39,9 @@
   readonly admitByMs: number;
   /** Slot time it is expected to take. */
   readonly serviceMs: number;
+  readonly offeredMs: number;
+  /** Wait that was expected when it was offered; 0 for none. */
+  readonly estimatedWaitMs: number;
   /** Grows with each offer; breaks ties. */
   readonly order: number;
   state: 'queued' | 'left';
@@ -48,6 +51,13 @@
 export const compareByDeadline = (a: QueuedRequest, b: QueuedRequest): number =>
   a.admitByMs - b.admitByMs || a.order - b.order;
 
+/** Time over which demand is averaged: some waits long, so that it is steady. */
+const DEMAND_WINDOW_MS = 2000;
+
+/** Deviations of the waits' error kept free, and the bounds of the margin. */
+const MARGIN_DEVIATIONS = 2;
+const MAX_MARGIN = 3;
+
 type Queues = Readonly<Record<AdmissionPriority, heap.Heap<QueuedRequest>>>;
 
 const createHeap = () => new heap.Heap<QueuedRequest>(compareByDeadline);
@@ -56,12 +66,18 @@
 export class WorkspaceQueue {
   /** Slot time used so far, divided by the weight (slot-milliseconds). */
   virtualTime: number;
+  /** Weight of the last request taken in. */
+  weight = 1;
   inFlight = 0;
   queued = 0;
   /** Slot time that the waiting requests are expected to take. */
   queuedServiceMs = 0;
   /** Time that this workspace's requests hold a slot. */
   readonly serviceTime = new movingEstimate.MovingEstimate();
+  /** Measured over expected waits. */
+  private readonly waitError = new movingEstimate.MovingEstimate();
+  private demand = 0;
+  private demandMs = 0;
   private readonly queues: Queues = {
     door_check: createHeap(),
     interactive: createHeap(),
@@ -76,12 +92,38 @@
     return this.inFlight === 0 && this.queued === 0;
   }
 
-  push(entry: QueuedRequest): void {
+  push(entry: QueuedRequest, nowMs: number): void {
+    this.demand = this.demandAt(nowMs) + entry.serviceMs / DEMAND_WINDOW_MS;
+    this.demandMs = nowMs;
+    this.weight = entry.request.weight;
     this.queues[entry.request.priority].push(entry);
     this.queued++;
     this.queuedServiceMs += entry.serviceMs;
   }
 
+  /** Notes how long a request waited, against what was expected. */
+  recordWait(entry: QueuedRequest, nowMs: number): void {
+    if (entry.estimatedWaitMs > 0) {
+      this.waitError.add((nowMs - entry.offeredMs) / entry.estimatedWaitMs);
+    }
+  }
+
+  /**
+   * Factor on expected waits when they are held against a deadline. A request
+   * that waits and is given up on lost its time; one refused at once did not.
+   * So the expectation errs on the long side, by as much as it erred lately.
+   */
+  get waitMargin(): number {
+    const {mean, deviation} = this.waitError;
+    const margin = mean + MARGIN_DEVIATIONS * deviation;
+    return Math.min(MAX_MARGIN, Math.max(1, margin));
+  }
+
+  /** Slots that the requests taken in lately keep busy. */
+  demandAt(nowMs: number): number {
+    return this.demand * Math.exp((this.demandMs - nowMs) / DEMAND_WINDOW_MS);
+  }
+
   /** Takes a waiting request out; its place in the heap is swept later. */
   leave(entry: QueuedRequest): void {
     entry.state = 'left';
