Run the whole path in one process: npm run demo

Cause: nothing showed that the parts work together. The demo starts stand-ins and three entry instances, applies examples/meetups.toml, and sends a request that passes at the cheap stage, one that escalates, a stream, and one booking twice under one key.

--- /dev/null
+++ b/packages/amaranthknot/src/commands/serve.ts
@@ -0,0 +1,118 @@
+/** `amaranthknot serve`: runs one entry instance until it is told to stop. */
+import * as configuration from '@amaranthknot/configuration';
+import * as platform from '@amaranthknot/platform';
+import * as meow from 'meow';
+import type * as command from '../command.js';
+import * as entryInstance from '../entry-instance.js';
+import type * as instanceOptions from '../instance-options.js';
+
+const HELP = `
+  Runs one entry instance. SIGTERM and SIGINT stop it gracefully: it is no
+  longer offered to callers, serves on until old answers of the directory have
+  expired and the last request is done, then exits.
+
+  Usage
+    $ amaranthknot serve --settings FILE
+
+  Options
+    --settings FILE  settings of this instance (TOML)
+
+  Example
+    $ amaranthknot serve --settings examples/settings.toml
+
+  Exit codes
+    0 stopped gracefully; 1 settings refused; 2 wrong command line
+`;
+
+const findSecrets = (
+  settings: configuration.Settings,
+  readFile: (path: string) => string,
+): instanceOptions.Secrets | configuration.SecretError => {
+  const {keys} = settings;
+  const inner = configuration.readSecret(keys.innerKey, readFile);
+  const session = configuration.readSecret(keys.sessionKey, readFile);
+  const own = settings.platform.key;
+  const platformKey = own && configuration.readSecret(own, readFile);
+  for (const secret of [inner, session, platformKey]) {
+    if (secret?.isLeft()) {
+      return secret.extract();
+    }
+  }
+  return {
+    innerKey: inner.orDefault(''),
+    sessionKey: session.orDefault(''),
+    ...(platformKey ? {platformKey: platformKey.orDefault('')} : {}),
+  };
+};
+
+const waitForSignal = (): Promise<NodeJS.Signals> =>
+  new Promise(resolve => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+
+const readSettings = (
+  path: string,
+  streams: command.CommandStreams,
+): configuration.Settings | undefined => {
+  let text: string;
+  try {
+    text = streams.readFile(path);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    streams.err(`${path}: ${reason}\n`);
+    return undefined;
+  }
+  return configuration
+    .parseSettings(text, path)
+    .mapLeft(problems => {
+      for (const problem of problems) {
+        streams.err(`${configuration.formatProblem(problem)}\n`);
+      }
+    })
+    .orDefault(undefined as never);
+};
+
+const run = async (
+  args: readonly string[],
+  streams: command.CommandStreams,
+): Promise<command.ExitCode> => {
+  const cli = meow.default(HELP, {
+    importMeta: import.meta,
+    argv: args,
+    flags: {settings: {type: 'string'}},
+  });
+  const path = cli.flags.settings;
+  if (path === undefined) {
+    streams.err('serve needs --settings FILE\n');
+    return 2;
+  }
+  const settings = readSettings(path, streams);
+  if (!settings) {
+    return 1;
+  }
+  const secrets = findSecrets(settings, streams.readFile);
+  if (!('innerKey' in secrets)) {
+    streams.err(`${secrets.path}: ${secrets.message}\n`);
+    return 1;
+  }
+  const {listen, advertise} = settings.instance;
+  const instance = new entryInstance.EntryInstance({
+    settings,
+    secrets,
+    clock: platform.systemClock,
+    advertise: configuration.formatAddress(advertise ?? listen),
+  });
+  const stopped = waitForSignal();
+  await instance.start();
+  await stopped;
+  await instance.stop();
+  return 0;
+};
+
+/** The command. */
+export const serve: command.Command = {
+  summary: 'run one entry instance',
+  help: HELP,
+  run,
+};
--- /dev/null
+++ b/packages/fakes/src/stand-ins.ts
@@ -0,0 +1,113 @@
+/**
+ * All stand-ins of one deployment in one process: the platform, and each
+ * engine and service that an instances file lists.
+ */
+import * as toml from 'smol-toml';
+import * as zod from 'zod';
+import type * as platform from '@amaranthknot/platform';
+import * as engineServer from './engine-server.js';
+import * as platformServer from './platform-server.js';
+import * as serviceServer from './service-server.js';
+
+const INSTANCES = zod.object({
+  instances: zod.array(
+    zod.object({
+      id: zod.string(),
+      role: zod.enum(['entry', 'engine', 'service']),
+      state: zod.enum(['live', 'leaving']).default('live'),
+      address: zod.string(),
+      zone: zod.string(),
+      serves: zod.array(zod.string()).default([]),
+    }),
+  ),
+});
+
+/** Reads an instances file; throws on a malformed one. */
+export const parseInstances = (
+  text: string,
+): readonly platform.ListedInstance[] =>
+  INSTANCES.parse(toml.parse(text)).instances;
+
+/** Word in a prompt that cheap models answer with little confidence. */
+export const HARD_WORD = 'hard';
+
+const LOW_CONFIDENCE = 0.05;
+const HIGH_CONFIDENCE = 0.98;
+
+/** Confidence of a stand-in engine: small models fail at hard prompts. */
+export const scoreByPrompt = (prompt: string, model: string): number =>
+  prompt.includes(HARD_WORD) && model.includes('small')
+    ? LOW_CONFIDENCE
+    : HIGH_CONFIDENCE;
+
+/** What to start. */
+export interface StandInsOptions {
+  readonly clock: platform.Clock;
+  readonly instances: readonly platform.ListedInstance[];
+  /** Port of the platform; 0 picks a free one. */
+  readonly platformPort?: number;
+  /** Whether engines and services take free ports in place of listed ones. */
+  readonly freePorts?: boolean;
+  /** Time between an engine's tokens, in milliseconds. */
+  readonly tokenMs?: number;
+}
+
+/** Running stand-ins. */
+export interface StandIns {
+  readonly platform: platformServer.PlatformServer;
+  readonly engines: ReadonlyMap<string, engineServer.EngineServer>;
+  readonly services: ReadonlyMap<string, serviceServer.ServiceServer>;
+  stop(): Promise<void>;
+}
+
+const portOf = (address: string): number =>
+  Number(address.slice(address.lastIndexOf(':') + 1));
+
+/** Starts the platform and all listed engines and services. */
+export const startStandIns = async (
+  options: StandInsOptions,
+): Promise<StandIns> => {
+  const {clock, instances, freePorts, tokenMs} = options;
+  const engines = new Map<string, engineServer.EngineServer>();
+  const services = new Map<string, serviceServer.ServiceServer>();
+  const listed: platform.ListedInstance[] = [];
+  for (const row of instances) {
+    const port = freePorts ? 0 : portOf(row.address);
+    if (row.role === 'engine') {
+      const server = new engineServer.EngineServer({
+        id: row.id,
+        clock,
+        port,
+        serves: row.serves,
+        confidence: scoreByPrompt,
+        ...(tokenMs === undefined ? {} : {tokenMs}),
+      });
+      await server.start();
+      engines.set(row.id, server);
+      listed.push({...row, address: server.address});
+    } else if (row.role === 'service') {
+      const name = row.serves[0] ?? row.id;
+      const server = new serviceServer.ServiceServer(name, port);
+      await server.start();
+      services.set(row.id, server);
+      listed.push({...row, address: server.address});
+    } else {
+      listed.push(row);
+    }
+  }
+  const platformStandIn = new platformServer.PlatformServer({
+    clock,
+    port: options.platformPort ?? 0,
+    instances: listed,
+  });
+  await platformStandIn.start();
+  const servers = [...engines.values(), ...services.values(), platformStandIn];
+  return {
+    platform: platformStandIn,
+    engines,
+    services,
+    stop: async () => {
+      await Promise.all(servers.map(server => server.stop()));
+    },
+  };
+};
