Build one binary whose commands read flags without import.meta

Cause: meow refuses to start without import.meta, which a CommonJS bundle lacks; the binary's demo failed with a TypeError.

--- a/packages/amaranthknot/src/commands/demo.ts
+++ b/packages/amaranthknot/src/commands/demo.ts
@@ -11,9 +11,10 @@
 import * as membership from '@amaranthknot/membership';
 import * as platform from '@amaranthknot/platform';
 import * as telemetry from '@amaranthknot/telemetry';
-import * as meow from 'meow';
 import type * as command from '../command.js';
+import * as readFlags from '../read-flags.js';
 import * as entryInstance from '../entry-instance.js';
+import * as demoRatings from './demo-ratings.js';
 import * as demoRequests from './demo-requests.js';
 
 const HELP = `
@@ -109,9 +110,13 @@
       secrets,
       clock: platform.systemClock,
       advertise,
+      random: demoRatings.createDemoRandom(i),
     });
   });
   await Promise.all(instances.map(instance => instance.start()));
+  for (const instance of instances) {
+    demoRatings.rateAnswers(instance.parts('cascades'));
+  }
   return instances;
 };
 
@@ -165,21 +170,22 @@
   args: readonly string[],
   streams: command.CommandStreams,
 ): Promise<command.ExitCode> => {
-  const cli = meow.default(HELP, {
-    importMeta: import.meta,
-    argv: args,
-    flags: {
-      document: {type: 'string', default: 'examples/meetups.toml'},
-      instances: {type: 'string', default: 'examples/meetups-instances.toml'},
-      timeline: {type: 'boolean', default: false},
-    },
+  const read = readFlags.readFlags(args, {
+    document: {type: 'string', default: 'examples/meetups.toml'},
+    instances: {type: 'string', default: 'examples/meetups-instances.toml'},
+    timeline: {type: 'boolean', default: false},
   });
-  const text = fs.readFileSync(cli.flags.document, 'utf8');
+  if (read.isLeft()) {
+    streams.err(`${read.extract()}\n`);
+    return 2;
+  }
+  const {flags} = read.unsafeCoerce();
+  const text = fs.readFileSync(flags.document, 'utf8');
   const document = configuration
-    .parseDocument(text, cli.flags.document)
+    .parseDocument(text, flags.document)
     .unsafeCoerce();
   const listed = standIns.parseInstances(
-    fs.readFileSync(cli.flags.instances, 'utf8'),
+    fs.readFileSync(flags.instances, 'utf8'),
   );
   const running = await standIns.startStandIns({
     clock: platform.systemClock,
@@ -198,7 +204,7 @@
   const results = await demoRequests.sendRequests(addresses, running);
   const bills = await readBills(running, instances);
   const holds = printReport(streams, results, bills);
-  if (cli.flags.timeline) {
+  if (flags.timeline) {
     const rings = instances.map(instance => instance.parts('events').read());
     for (const event of telemetry.mergeTimelines(rings)) {
       streams.out(`${telemetry.formatEvent(event)}\n`);
--- a/packages/amaranthknot/src/commands/fakes.ts
+++ b/packages/amaranthknot/src/commands/fakes.ts
@@ -1,8 +1,8 @@
 /** `amaranthknot fakes`: the stand-ins alone, for trying things by hand. */
 import * as standIns from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
-import * as meow from 'meow';
 import type * as command from '../command.js';
+import * as readFlags from '../read-flags.js';
 
 const DEFAULT_PORT = 7000;
 
@@ -42,18 +42,19 @@
   args: readonly string[],
   streams: command.CommandStreams,
 ): Promise<command.ExitCode> => {
-  const cli = meow.default(HELP, {
-    importMeta: import.meta,
-    argv: args,
-    flags: {
-      instances: {type: 'string'},
-      port: {type: 'number', default: DEFAULT_PORT},
-      entry: {type: 'string', isMultiple: true},
-      tokenMs: {type: 'number', default: 0},
-    },
+  const read = readFlags.readFlags(args, {
+    instances: {type: 'string'},
+    port: {type: 'number', default: DEFAULT_PORT},
+    entry: {type: 'string', isMultiple: true},
+    tokenMs: {type: 'number', default: 0},
   });
-  const {instances, port, tokenMs} = cli.flags;
-  const entries = cli.flags.entry ?? [];
+  if (read.isLeft()) {
+    streams.err(`${read.extract()}\n`);
+    return 2;
+  }
+  const {flags} = read.unsafeCoerce();
+  const {instances, port, tokenMs} = flags;
+  const entries = flags.entry ?? [];
   const bad = entries.find(text => !parseEntry(text));
   if (instances === undefined || bad !== undefined) {
     streams.err(
--- a/packages/amaranthknot/src/commands/serve.ts
+++ b/packages/amaranthknot/src/commands/serve.ts
@@ -1,8 +1,8 @@
 /** `amaranthknot serve`: runs one entry instance until it is told to stop. */
 import * as configuration from '@amaranthknot/configuration';
 import * as platform from '@amaranthknot/platform';
-import * as meow from 'meow';
 import type * as command from '../command.js';
+import * as readFlags from '../read-flags.js';
 import * as entryInstance from '../entry-instance.js';
 import type * as instanceOptions from '../instance-options.js';
 
@@ -77,12 +77,13 @@
   args: readonly string[],
   streams: command.CommandStreams,
 ): Promise<command.ExitCode> => {
-  const cli = meow.default(HELP, {
-    importMeta: import.meta,
-    argv: args,
-    flags: {settings: {type: 'string'}},
-  });
-  const path = cli.flags.settings;
+  const read = readFlags.readFlags(args, {settings: {type: 'string'}});
+  if (read.isLeft()) {
+    streams.err(`${read.extract()}\n`);
+    return 2;
+  }
+  const {flags} = read.unsafeCoerce();
+  const path = flags.settings;
   if (path === undefined) {
     streams.err('serve needs --settings FILE\n');
     return 2;
--- a/packages/amaranthknot/src/instance-options.ts
+++ b/packages/amaranthknot/src/instance-options.ts
@@ -16,4 +16,6 @@
   readonly clock: platform.Clock;
   /** `ip:port` at which others reach this instance. */
   readonly advertise: string;
+  /** Uniform in [0, 1), for cascades and jitter; seeded in demo and tests. */
+  readonly random?: () => number;
 }
--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -225,7 +225,7 @@
     zone: settings.instance.zone,
     limits: settings.limits,
     clock,
-    random,
+    random: get('options').random ?? random,
     newId: () => crypto.randomUUID(),
     sessionKey: secrets.sessionKey,
     operatorDigest: settings.keys.operatorDigest,
