--- /dev/null
+++ b/packages/decisions/src/admission.ts
@@ -0,0 +1,304 @@
+/**
+ * Admission at one entry instance: which request runs now, which waits, which
+ * is refused. Weighted fair queueing over workspaces in slot time, with
+ * bounded borrowing for urgent priorities.
+ *
+ * Made for the lunch-hour burst: several times capacity for minutes, most of
+ * it from a few large workspaces. It prevents small workspaces waiting behind
+ * large ones, and work that is finished only after its caller has gone.
+ */
+import * as heap from 'heap-js';
+import * as fairShare from './fair-share.js';
+import * as slotPool from './slot-pool.js';
+import * as workspaceQueue from './workspace-queue.js';
+
+/** Why a request was not admitted; in each case it has not run. */
+export type AdmissionRefusalReason =
+  | 'no_capacity'
+  | 'queue_full'
+  | 'workspace_queue_full'
+  | 'deadline_unreachable'
+  | 'wait_expired';
+
+/** What becomes of an offered request. */
+export type AdmissionOutcome =
+  | {readonly kind: 'admitted'}
+  | {readonly kind: 'queued'; readonly estimatedWaitMs: number}
+  | {
+      readonly kind: 'refused';
+      readonly reason: AdmissionRefusalReason;
+      /** When to come back, with jitter, in milliseconds. */
+      readonly retryAfterMs: number;
+    };
+
+/** A waiting request that was given up on. */
+export interface AdmissionRefusal {
+  readonly request: workspaceQueue.AdmissionRequest;
+  readonly reason: AdmissionRefusalReason;
+  readonly retryAfterMs: number;
+}
+
+/** Settings of an admission queue. */
+export interface AdmissionOptions {
+  /** Requests that may run at once; changes by `setCapacity`. */
+  readonly capacity: number;
+  /** Requests that may wait, over all workspaces. */
+  readonly maxQueued?: number;
+  /** Uniform random numbers in [0, 1), for jitter. */
+  readonly random: () => number;
+}
+
+type Request = workspaceQueue.AdmissionRequest;
+type Entry = workspaceQueue.QueuedRequest;
+type Workspace = workspaceQueue.WorkspaceQueue;
+
+/** Waiting requests by default: some 10 MB of requests of 10 kB. */
+export const DEFAULT_MAX_QUEUED = 1000;
+
+/** Deviations kept free after the mean service time, as in TCP's timeout. */
+const SERVICE_DEVIATIONS = 4;
+
+/** Shortest and longest time a refused caller is told to stay away. */
+const MIN_RETRY_AFTER_MS = 250;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+/** Admission of one entry instance. Holds state; time is an argument. */
+export class AdmissionQueue {
+  private readonly slots: slotPool.SlotPool;
+  private readonly maxQueued: number;
+  private order = 0;
+  private queuedCount = 0;
+  private readonly shares: fairShare.FairShare;
+  private readonly waiting = new Map<string, Entry>();
+  private readonly expiries = new heap.Heap<Entry>(
+    workspaceQueue.compareByDeadline,
+  );
+
+  constructor(private readonly options: AdmissionOptions) {
+    this.slots = new slotPool.SlotPool(options.capacity);
+    this.shares = new fairShare.FairShare(this.slots);
+    this.maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
+  }
+
+  /** Requests that run. */
+  get inFlight(): number {
+    return this.slots.inFlight;
+  }
+
+  /** Requests that wait. */
+  get queued(): number {
+    return this.queuedCount;
+  }
+
+  /** Changes the number of slots; returns the requests now admitted. */
+  setCapacity(capacity: number, nowMs: number): readonly Request[] {
+    this.slots.capacity = capacity;
+    return this.dispatch(nowMs);
+  }
+
+  /**
+   * Admits a request, lets it wait, or refuses it at once.
+   *
+   * @throws Error when a request of this identity waits or runs already.
+   */
+  offer(request: Request, nowMs: number): AdmissionOutcome {
+    if (this.waiting.has(request.id) || this.slots.has(request.id)) {
+      throw new Error(`request ${request.id} was offered twice`);
+    }
+    this.slots.see(request.priority, nowMs);
+    const workspace = this.shares.findWorkspace(request.workspace);
+    const entry = this.createEntry(request, workspace, nowMs);
+    const waitMs = this.shares.estimateWaitMs(entry, workspace, nowMs);
+    const reason = this.findRefusal(entry, workspace, waitMs, nowMs);
+    if (reason) {
+      this.shares.forgetIfIdle(request.workspace, workspace);
+      const retryAfterMs = this.drawRetryAfter(waitMs);
+      return {kind: 'refused', reason, retryAfterMs};
+    }
+    this.enqueue({...entry, estimatedWaitMs: waitMs}, nowMs);
+    const admitted = this.dispatch(nowMs);
+    return admitted.includes(request)
+      ? {kind: 'admitted'}
+      : {kind: 'queued', estimatedWaitMs: waitMs};
+  }
+
+  /** Frees the slot of a request; returns the requests now admitted. */
+  release(id: string, nowMs: number): readonly Request[] {
+    const running = this.slots.release(id, nowMs);
+    if (!running) {
+      return [];
+    }
+    this.shares.settle(running, nowMs - running.admittedMs);
+    return this.dispatch(nowMs);
+  }
+
+  /**
+   * Gives up on waiting requests whose last moment has passed. Call it at
+   * `nextExpiryMs`, so that the caller gets its answer at once.
+   */
+  expire(nowMs: number): readonly AdmissionRefusal[] {
+    const refusals: AdmissionRefusal[] = [];
+    for (;;) {
+      const entry = this.peekExpiry();
+      if (!entry || entry.admitByMs >= nowMs) {
+        return refusals;
+      }
+      this.dequeue(entry);
+      this.shares.recordWait(entry, nowMs);
+      refusals.push({
+        request: entry.request,
+        reason: 'wait_expired',
+        retryAfterMs: this.drawRetryAfter(this.estimateDrainMs(nowMs)),
+      });
+    }
+  }
+
+  /** First moment at which `expire` has work, or undefined. */
+  nextExpiryMs(): number | undefined {
+    const entry = this.peekExpiry();
+    // `expire` gives up strictly after the last moment.
+    return entry === undefined ? undefined : entry.admitByMs + 1;
+  }
+
+  /** Forgets a request whose caller left; returns the ones now admitted. */
+  cancel(id: string, nowMs: number): readonly Request[] {
+    const entry = this.waiting.get(id);
+    if (!entry) {
+      return this.release(id, nowMs);
+    }
+    this.dequeue(entry);
+    return [];
+  }
+
+  /** Wait that a request offered now would have, in milliseconds. */
+  estimateWaitMs(request: Request, nowMs: number): number {
+    const workspace = this.shares.findWorkspace(request.workspace);
+    const entry = this.createEntry(request, workspace, nowMs);
+    const waitMs = this.shares.estimateWaitMs(entry, workspace, nowMs);
+    this.shares.forgetIfIdle(request.workspace, workspace);
+    return waitMs;
+  }
+
+  private createEntry(
+    request: Request,
+    workspace: Workspace,
+    nowMs: number,
+  ): Entry {
+    const estimate = workspace.serviceTime.hasSamples
+      ? workspace.serviceTime
+      : this.slots.serviceTime;
+    const measured = estimate.hasSamples
+      ? estimate.mean
+      : this.slots.meanServiceMs;
+    const serviceMs = request.expectedServiceMs ?? measured;
+    const slackMs = request.deadlineMs - nowMs;
+    const fullMargin = serviceMs + SERVICE_DEVIATIONS * estimate.deviation;
+    // Where deadlines are tight, half of the time is left for waiting.
+    const marginMs = Math.min(fullMargin, Math.max(serviceMs, slackMs / 2));
+    const admitByMs = Math.min(
+      request.deadlineMs - marginMs,
+      nowMs + request.maxWaitMs,
+    );
+    return {
+      request,
+      admitByMs,
+      serviceMs,
+      order: this.order++,
+      offeredMs: nowMs,
+      estimatedWaitMs: 0,
+      state: 'queued',
+    };
+  }
+
+  private findRefusal(
+    entry: Entry,
+    workspace: Workspace,
+    waitMs: number,
+    nowMs: number,
+  ): AdmissionRefusalReason | undefined {
+    if (this.slots.capacity < 1) {
+      return 'no_capacity';
+    }
+    // Work that would end after its deadline takes a slot and helps no one.
+    if (nowMs + waitMs * workspace.waitMargin > entry.admitByMs) {
+      return 'deadline_unreachable';
+    }
+    if (waitMs === 0) {
+      return undefined;
+    }
+    if (this.queuedCount >= this.maxQueued) {
+      return 'queue_full';
+    }
+    // Dynamic threshold: no workspace queues more than what is still free, so
+    // that large ones leave room for those that come after them.
+    const free = this.maxQueued - this.queuedCount;
+    const bound = Math.min(entry.request.maxQueued, free);
+    return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
+  }
+
+  private enqueue(entry: Entry, nowMs: number): void {
+    this.shares.push(entry, nowMs);
+    this.waiting.set(entry.request.id, entry);
+    this.expiries.push(entry);
+    this.queuedCount++;
+  }
+
+  private dequeue(entry: Entry): void {
+    this.shares.findWorkspace(entry.request.workspace).leave(entry);
+    this.waiting.delete(entry.request.id);
+    this.queuedCount--;
+    if (this.expiries.length > 2 * this.queuedCount + 64) {
+      const waiting = this.expiries.heapArray.filter(
+        other => other.state === 'queued',
+      );
+      this.expiries.init(waiting);
+    }
+  }
+
+  private peekExpiry(): Entry | undefined {
+    for (;;) {
+      const entry = this.expiries.peek();
+      if (entry?.state !== 'left') {
+        return entry;
+      }
+      this.expiries.pop();
+    }
+  }
+
+  /** Admits waiting requests, the workspace furthest behind first. */
+  private dispatch(nowMs: number): readonly Request[] {
+    const admitted: Request[] = [];
+    while (this.slots.inFlight < this.slots.capacity && this.queuedCount > 0) {
+      const entry = this.shares.chooseNext(nowMs);
+      if (!entry) {
+        break;
+      }
+      this.admit(entry, nowMs);
+      admitted.push(entry.request);
+    }
+    return admitted;
+  }
+
+  private admit(entry: Entry, nowMs: number): void {
+    const {request, serviceMs} = entry;
+    this.dequeue(entry);
+    this.shares.recordWait(entry, nowMs);
+    this.shares.charge(entry);
+    this.slots.take(request, serviceMs, nowMs);
+  }
+
+  /** Time until all that waits now has been admitted. */
+  private estimateDrainMs(nowMs: number): number {
+    const work = this.queuedCount * this.slots.meanServiceMs;
+    return (
+      (work / Math.max(1, this.slots.capacity)) * this.slots.stallFactor(nowMs)
+    );
+  }
+
+  /** Jitter over the whole span keeps refused callers from returning as one. */
+  private drawRetryAfter(waitMs: number): number {
+    const base = Math.max(MIN_RETRY_AFTER_MS, waitMs);
+    const bounded = Math.min(base, MAX_RETRY_AFTER_MS / 2);
+    return Math.round(bounded * (1 + this.options.random()));
+  }
+}
