Take sections and rendezvous ranks from their packages

Sections come from configuration and ranks from decisions; the copies here go. A manifest is now a map of names to digests.

--- a/packages/membership/src/configuration-follower.ts
+++ b/packages/membership/src/configuration-follower.ts
@@ -2,6 +2,7 @@
  * Keeps one instance's configuration up to date: a few instances of each zone
  * watch the platform, all exchange generations with random peers.
  */
+import * as decisions from '@amaranthknot/decisions';
 import type * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
 import * as configurationRelay from './configuration-relay.js';
@@ -10,7 +11,6 @@
 import * as leaving from './leaving.js';
 import * as peerDiscovery from './peer-discovery.js';
 import type * as peersModule from './peers.js';
-import * as rendezvous from './rendezvous.js';
 import * as tokenBucket from './util/token-bucket.js';
 
 /**
@@ -197,7 +197,7 @@
     const key = `watch/${environment}/${zone}`;
     return (
       this.failures >= FAILURES_TO_WATCH ||
-      rendezvous.rankByRendezvous(key, ids, WATCHERS_PER_ZONE).includes(id)
+      decisions.rankByRendezvous(key, ids, WATCHERS_PER_ZONE).includes(id)
     );
   }
 
--- a/packages/membership/src/configuration-head.ts
+++ b/packages/membership/src/configuration-head.ts
@@ -3,9 +3,10 @@
  * immutable content-addressed objects, and one head that names the digest in
  * force. Only the head's conditional update puts a configuration in force.
  */
-import * as purify from 'purify-ts';
+import * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
-import * as sections from './sections.js';
+import * as purify from 'purify-ts';
+import type * as compareManifests from './util/compare-manifests.js';
 
 /** Kind of the heads, one object for each environment. */
 export const HEAD_KIND = 'configuration_head';
@@ -17,7 +18,7 @@
 export interface HeadStep {
   readonly generation: number;
   readonly digest: string;
-  readonly entries: readonly sections.SectionEntry[];
+  readonly entries: readonly compareManifests.SectionEntry[];
   readonly removed: readonly string[];
 }
 
@@ -68,7 +69,7 @@
 ): Promise<platform.StoreResult<unknown>> => {
   const result = await store.get(SECTION_KIND, digest);
   return result.chain(({value}) =>
-    sections.digestOf(value) === digest
+    configuration.isSectionIntact({name: digest, digest, value})
       ? purify.Right(value)
       : purify.Left({
           code: 'unavailable' as const,
@@ -81,22 +82,33 @@
 export const readManifest = async (
   store: platform.ObjectStore,
   digest: string,
-): Promise<platform.StoreResult<sections.Manifest>> =>
-  (await readSection(store, digest)).map(value => value as sections.Manifest);
+): Promise<platform.StoreResult<configuration.Manifest>> =>
+  (await readSection(store, digest)).map(
+    value => value as configuration.Manifest,
+  );
 
 /** Reads a whole document by the digest of its manifest. */
 export const readDocument = async (
   store: platform.ObjectStore,
   digest: string,
-): Promise<platform.StoreResult<sections.SplitDocument>> => {
+): Promise<platform.StoreResult<configuration.Document>> => {
   const manifest = await readManifest(store, digest);
+  if (manifest.isLeft()) {
+    return manifest;
+  }
+  const {sections} = manifest.unsafeCoerce();
   const contents = new Map<string, unknown>();
-  for (const entry of manifest.map(m => m.entries).orDefault([])) {
-    const section = await readSection(store, entry.digest);
+  for (const each of Object.values(sections)) {
+    const section = await readSection(store, each);
     if (section.isLeft()) {
       return section;
     }
-    contents.set(entry.digest, section.extract());
+    contents.set(each, section.extract());
   }
-  return manifest.map(m => ({manifest: m, sections: contents, digest}));
+  return configuration
+    .joinSections({sections}, each => contents.get(each))
+    .mapLeft(([error]) => ({
+      code: 'unavailable' as const,
+      message: `${error?.section ?? ''}: ${error?.message ?? ''}`,
+    }));
 };
--- a/packages/membership/src/configuration-publisher.ts
+++ b/packages/membership/src/configuration-publisher.ts
@@ -1,11 +1,10 @@
 /** Puts a checked document in force for an environment, whole or not at all. */
 import * as crypto from 'node:crypto';
-import type * as configuration from '@amaranthknot/configuration';
+import * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import * as purify from 'purify-ts';
 import * as configurationHead from './configuration-head.js';
 import * as headMove from './head-move.js';
-import * as sections from './sections.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /**
@@ -21,8 +20,6 @@
  */
 const PUBLICATIONS = 16;
 
-const EMPTY: sections.Manifest = {entries: []};
-
 const fail = (error: platform.StoreError): headMove.PublishError => ({
   code: error.code === 'unknown' ? 'unknown' : 'unavailable',
   message: error.message,
@@ -133,9 +130,9 @@
 const readBaseManifest = async (
   store: platform.ObjectStore,
   base: configurationHead.StoredHead | undefined,
-): Promise<headMove.PublishResult<sections.Manifest>> => {
+): Promise<headMove.PublishResult<configuration.Manifest>> => {
   if (!base) {
-    return purify.Right(EMPTY);
+    return purify.Right(compareManifests.EMPTY_MANIFEST);
   }
   const manifest = await retry(() =>
     configurationHead.readManifest(store, base.head.digest),
@@ -154,7 +151,7 @@
 const publishManifest = async (
   store: platform.ObjectStore,
   environment: string,
-  manifest: sections.Manifest,
+  manifest: configuration.Manifest,
   contents: ReadonlyMap<string, unknown>,
   options: PublishOptions,
 ): Promise<headMove.PublishResult<headMove.Publication>> => {
@@ -168,10 +165,10 @@
     return before;
   }
   const difference = compareManifests.compareManifests(
-    before.orDefault(EMPTY),
+    before.orDefault(compareManifests.EMPTY_MANIFEST),
     manifest,
   );
-  const digest = sections.digestOf(manifest);
+  const digest = configuration.digestManifest(manifest);
   // What the base names is stored already: only the difference is written, so
   // the calls for one change do not grow with the document.
   const wanted = new Set(difference.entries.map(entry => entry.digest));
@@ -205,8 +202,11 @@
   expectedGeneration?: number,
   publication?: string,
 ): Promise<headMove.PublishResult<headMove.Publication>> => {
-  const split = sections.splitDocument(document);
-  return publishManifest(store, environment, split.manifest, split.sections, {
+  const split = configuration.splitDocument(document);
+  const contents = new Map(
+    split.sections.map(({digest, value}) => [digest, value]),
+  );
+  return publishManifest(store, environment, split.manifest, contents, {
     ...(expectedGeneration === undefined ? {} : {expectedGeneration}),
     ...(publication === undefined ? {} : {publication}),
   });
@@ -247,7 +247,7 @@
   return publishManifest(
     store,
     to,
-    manifest.orDefault(EMPTY),
+    manifest.orDefault(compareManifests.EMPTY_MANIFEST),
     new Map(),
     options,
   );
--- a/packages/membership/src/configuration-relay.ts
+++ b/packages/membership/src/configuration-relay.ts
@@ -2,6 +2,7 @@
  * The configuration in force on one instance, and the messages by which
  * instances pass it on. Without timers: `ConfigurationFollower` drives it.
  */
+import type * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
 import type * as configurationHead from './configuration-head.js';
@@ -9,7 +10,6 @@
 import * as configurationStep from './configuration-step.js';
 import * as freshness from './freshness.js';
 import type * as peers from './peers.js';
-import type * as sections from './sections.js';
 
 /**
  * Time for one message, in milliseconds. Peers answer in a few, those of a far
@@ -54,7 +54,7 @@
 export class ConfigurationRelay {
   readonly freshness = new freshness.Freshness();
   private current: configurationStep.ConfigurationInForce | undefined;
-  private readonly manifests = new Map<number, sections.Manifest>();
+  private readonly manifests = new Map<number, configuration.Manifest>();
   private isFetching = false;
 
   constructor(private readonly options: ConfigurationRelayOptions) {}
--- a/packages/membership/src/configuration-source.ts
+++ b/packages/membership/src/configuration-source.ts
@@ -1,10 +1,10 @@
 /** Reads from the platform what an instance lacks of an accepted head. */
+import type * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import * as configurationHead from './configuration-head.js';
 import type * as configurationStep from './configuration-step.js';
-import type * as sections from './sections.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /**
@@ -14,13 +14,11 @@
  */
 const PARALLEL_READS = 8;
 
-const EMPTY: sections.Manifest = {entries: []};
-
 /** Builds the manifest from the head's latest steps, when they reach back. */
 const followSteps = (
   current: configurationStep.ConfigurationInForce | undefined,
   head: configurationHead.Head,
-): sections.Manifest | undefined => {
+): configuration.Manifest | undefined => {
   const from = current?.generation ?? 0;
   const steps = head.steps.filter(step => step.generation > from);
   if (steps.length !== head.generation - from) {
@@ -28,7 +26,7 @@
   }
   return steps.reduce(
     compareManifests.applyDifference,
-    current?.manifest ?? EMPTY,
+    current?.manifest ?? compareManifests.EMPTY_MANIFEST,
   );
 };
 
@@ -68,7 +66,10 @@
   if (manifest.isLeft()) {
     return manifest;
   }
-  const {entries} = manifest.orDefault(EMPTY);
+  const {entries} = compareManifests.compareManifests(
+    compareManifests.EMPTY_MANIFEST,
+    manifest.orDefault(compareManifests.EMPTY_MANIFEST),
+  );
   const missing = entries
     .map(entry => entry.digest)
     .filter(digest => !current?.sections.has(digest));
--- a/packages/membership/src/configuration-step.ts
+++ b/packages/membership/src/configuration-step.ts
@@ -1,8 +1,7 @@
 /** Moves a configuration to a later generation; never to an earlier one. */
-import type * as configuration from '@amaranthknot/configuration';
+import * as configuration from '@amaranthknot/configuration';
 import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
-import * as sections from './sections.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /** A whole, checked configuration. */
@@ -10,7 +9,7 @@
   readonly environment: string;
   readonly generation: number;
   readonly digest: string;
-  readonly manifest: sections.Manifest;
+  readonly manifest: configuration.Manifest;
   /** Contents of all sections by digest. */
   readonly sections: ReadonlyMap<string, unknown>;
   readonly document: configuration.Document;
@@ -28,32 +27,23 @@
   readonly message: string;
 }
 
-const EMPTY: sections.Manifest = {entries: []};
-
 const fail = (
   code: StepError['code'],
   message: string,
 ): purify.Either<StepError, never> => purify.Left({code, message});
 
+/** Contents of a manifest's sections: those that are known, else the fresh. */
 const pickSections = (
-  manifest: sections.Manifest,
+  manifest: configuration.Manifest,
   known: ReadonlyMap<string, unknown> | undefined,
   fresh: Readonly<Record<string, unknown>>,
-): purify.Either<StepError, Map<string, unknown>> => {
-  const picked = new Map<string, unknown>();
-  for (const {name, digest} of manifest.entries) {
-    if (known?.has(digest)) {
-      picked.set(digest, known.get(digest));
-      continue;
-    }
-    const content = fresh[digest];
-    if (content === undefined || sections.digestOf(content) !== digest) {
-      return fail('corrupt', `section ${name} is missing or altered`);
-    }
-    picked.set(digest, content);
-  }
-  return purify.Right(picked);
-};
+): ReadonlyMap<string, unknown> =>
+  new Map(
+    Object.values(manifest.sections).map(digest => [
+      digest,
+      known?.get(digest) ?? fresh[digest],
+    ]),
+  );
 
 /**
  * Takes a step from what is in force, if any. Only a higher generation is
@@ -72,36 +62,39 @@
     return fail('other_base', `the step starts at ${baseGeneration}`);
   }
   const base =
-    baseGeneration === undefined ? EMPTY : (current?.manifest ?? EMPTY);
+    baseGeneration === undefined
+      ? compareManifests.EMPTY_MANIFEST
+      : (current?.manifest ?? compareManifests.EMPTY_MANIFEST);
   const manifest = compareManifests.applyDifference(base, step);
-  if (sections.digestOf(manifest) !== digest) {
+  if (configuration.digestManifest(manifest) !== digest) {
     return fail('corrupt', `the manifest does not match ${digest}`);
   }
-  return pickSections(manifest, current?.sections, step.sections).chain(
-    picked =>
-      sections
-        .joinSections(manifest, picked)
-        .mapLeft(message => ({code: 'corrupt' as const, message}))
-        .map(document => ({
-          environment,
-          generation,
-          digest,
-          manifest,
-          sections: picked,
-          document,
-        })),
-  );
+  const picked = pickSections(manifest, current?.sections, step.sections);
+  return configuration
+    .joinSections(manifest, each => picked.get(each))
+    .mapLeft(([error]) => ({
+      code: 'corrupt' as const,
+      message: `${error?.section ?? ''}: ${error?.message ?? ''}`,
+    }))
+    .map(document => ({
+      environment,
+      generation,
+      digest,
+      manifest,
+      sections: picked,
+      document,
+    }));
 };
 
 /** Describes the step to `to`, from `base` or from nothing. */
 export const describeStep = (
   base:
-    | {readonly generation: number; readonly manifest: sections.Manifest}
+    | {readonly generation: number; readonly manifest: configuration.Manifest}
     | undefined,
   to: ConfigurationInForce,
 ): protocol.ConfigurationChange => {
   const difference = compareManifests.compareManifests(
-    base?.manifest ?? EMPTY,
+    base?.manifest ?? compareManifests.EMPTY_MANIFEST,
     to.manifest,
   );
   const contents = difference.entries.map(
--- a/packages/membership/src/duties.ts
+++ b/packages/membership/src/duties.ts
@@ -2,10 +2,10 @@
  * Runs named duties, such as one roll-out or the orders to one pool, each on
  * one instance at a time: the one that holds the duty's lease.
  */
+import * as decisions from '@amaranthknot/decisions';
 import type * as platform from '@amaranthknot/platform';
 import * as lease from './lease.js';
 import type * as peersModule from './peers.js';
-import * as rendezvous from './rendezvous.js';
 
 /**
  * Instances that try to take a duty's lease: its best by rendezvous hash. Two,
@@ -164,7 +164,7 @@
   private isCandidate(name: string): boolean {
     const {peers} = this.options;
     const ids = peers.candidates().map(peer => peer.id);
-    return rendezvous
+    return decisions
       .rankByRendezvous(`duty/${name}`, ids, DUTY_CANDIDATES)
       .includes(peers.self().id);
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -7,8 +7,6 @@
 export * from './directory.js';
 export * from './freshness.js';
 export * from './peers.js';
-export * from './rendezvous.js';
-export * from './sections.js';
 export * from './duties.js';
 export * from './lease.js';
 export * from './generation-report.js';
--- a/packages/membership/src/util/compare-manifests.ts
+++ b/packages/membership/src/util/compare-manifests.ts
@@ -1,44 +1,45 @@
-/** Compares manifests of two configurations. */
-import type * as sections from '../sections.js';
+/** Differences between the manifests of two configurations. */
+import * as configuration from '@amaranthknot/configuration';
+
+/** A named section and the digest of its content. */
+export interface SectionEntry {
+  readonly name: string;
+  readonly digest: string;
+}
 
 /** What has to change in one manifest to get another. */
 export interface ManifestDifference {
-  readonly entries: readonly sections.SectionEntry[];
+  readonly entries: readonly SectionEntry[];
   readonly removed: readonly string[];
 }
 
-const toMap = (manifest: sections.Manifest): Map<string, string> =>
-  new Map(manifest.entries.map(({name, digest}) => [name, digest]));
+/** The manifest of no document. */
+export const EMPTY_MANIFEST: configuration.Manifest = {sections: {}};
 
 /** Finds the entries to set and the names to remove. */
 export const compareManifests = (
-  from: sections.Manifest,
-  to: sections.Manifest,
-): ManifestDifference => {
-  const before = toMap(from);
-  const after = toMap(to);
-  return {
-    entries: to.entries.filter(
-      entry => before.get(entry.name) !== entry.digest,
-    ),
-    removed: [...before.keys()].filter(name => !after.has(name)),
-  };
-};
+  from: configuration.Manifest,
+  to: configuration.Manifest,
+): ManifestDifference => ({
+  entries: configuration
+    .listChangedSections(from, to)
+    .map(name => ({name, digest: to.sections[name] ?? ''})),
+  removed: Object.keys(from.sections).filter(
+    name => !Object.hasOwn(to.sections, name),
+  ),
+});
 
 /** Applies a difference to a manifest. */
 export const applyDifference = (
-  from: sections.Manifest,
+  from: configuration.Manifest,
   difference: ManifestDifference,
-): sections.Manifest => {
-  const after = toMap(from);
+): configuration.Manifest => {
+  const after = new Map(Object.entries(from.sections));
   for (const name of difference.removed) {
     after.delete(name);
   }
   for (const {name, digest} of difference.entries) {
     after.set(name, digest);
   }
-  const names = [...after.keys()].sort((a, b) => (a < b ? -1 : 1));
-  return {
-    entries: names.map(name => ({name, digest: after.get(name) ?? ''})),
-  };
+  return {sections: Object.fromEntries(after)};
 };
--- a/packages/membership/tests/configuration-publisher.test.ts
+++ b/packages/membership/tests/configuration-publisher.test.ts
@@ -27,9 +27,8 @@
   if (digest === undefined) {
     return undefined;
   }
-  const split = (await membership.readDocument(store, digest)).unsafeCoerce();
-  return membership.joinSections(split.manifest, split.sections).unsafeCoerce()
-    .models[0]!.defaultVersion;
+  const document = await membership.readDocument(store, digest);
+  return document.unsafeCoerce().models[0]!.defaultVersion;
 };
 
 const codeOf = (result: Awaited<ReturnType<typeof publish>>): string =>
