--- a/packages/membership/src/configuration-follower.ts
+++ b/packages/membership/src/configuration-follower.ts
@@ -7,11 +7,11 @@
 import * as protocol from '@amaranthknot/protocol';
 import * as configurationRelay from './configuration-relay.js';
 import type * as configurationStep from './configuration-step.js';
+import * as exchangePace from './exchange-pace.js';
 import * as headWatcher from './head-watcher.js';
 import * as leaving from './leaving.js';
 import * as peerDiscovery from './peer-discovery.js';
 import type * as peersModule from './peers.js';
-import * as tokenBucket from './util/token-bucket.js';
 
 /**
  * Instances of each zone that watch the platform. Three, so that two may die
@@ -24,24 +24,6 @@
 /** Time between looks at whether to watch, in milliseconds; costs no call. */
 const WATCH_CHECK_MS = 500;
 
-/** Time between exchanges in milliseconds, spread by a tenth. */
-const EXCHANGE_MS = 1_000;
-
-/**
- * Exchanges that may follow each other at once after a change, and their rate
- * per second. Early exchanges bring a lone change to all in a moment; the rate
- * bounds them when changes come each second, at 4 KB/s a node.
- */
-const EARLY_EXCHANGES = 3;
-const EARLY_MS = 50;
-const EXCHANGES_PER_S = 1.25;
-
-/**
- * Share of the bound between exchanges while in doubt: 0.3 s at 7 instances.
- * At 1,000 the bound is long and the share makes no difference.
- */
-const DOUBT_SHARE = 0.12;
-
 /**
  * Failed exchanges in a row after which an instance watches the platform
  * itself. Cut off from its peers it can not learn of a change otherwise; in an
@@ -71,9 +53,7 @@
 export class ConfigurationFollower {
   private readonly relay: configurationRelay.ConfigurationRelay;
   private readonly stopping = new AbortController();
-  private wakeExchange = new AbortController();
-  private readonly pace: tokenBucket.TokenBucket;
-  private earlyLeft = 0;
+  private readonly pace: exchangePace.ExchangePace;
   private failures = 0;
   private readonly watcher: headWatcher.HeadWatcher;
   private readonly discovery: peerDiscovery.PeerDiscovery;
@@ -83,8 +63,7 @@
     this.relay = new configurationRelay.ConfigurationRelay({
       ...options,
       onChange: (taken, origin) => {
-        this.earlyLeft = EARLY_EXCHANGES - 1;
-        this.wakeExchange.abort();
+        this.pace.hurry();
         options.onChange?.(taken, origin);
       },
     });
@@ -94,11 +73,7 @@
       signal: this.stopping.signal,
     });
     this.discovery = new peerDiscovery.PeerDiscovery(options);
-    this.pace = new tokenBucket.TokenBucket(
-      EARLY_EXCHANGES,
-      EXCHANGES_PER_S,
-      options.clock.now(),
-    );
+    this.pace = new exchangePace.ExchangePace(options.clock, options.random);
   }
 
   /** Asks peers and the platform once, then keeps following until `stop`. */
@@ -118,7 +93,7 @@
   /** Stops following; the configuration stays as it is. */
   async stop(): Promise<void> {
     this.stopping.abort();
-    this.wakeExchange.abort();
+    this.pace.stop();
     await this.loops;
   }
 
@@ -220,10 +195,8 @@
     }
   }
 
-  private sleep(ms: number, signal = this.stopping.signal): Promise<void> {
-    // One signal, which `stop` aborts: a signal made with `AbortSignal.any`
-    // for each sleep would stay registered with the long-lived one.
-    return this.options.clock.sleep(ms, signal);
+  private sleep(ms: number): Promise<void> {
+    return this.options.clock.sleep(ms, this.stopping.signal);
   }
 
   private spread(ms: number): number {
@@ -246,47 +219,16 @@
   private async exchange(): Promise<void> {
     const {peers, clock, random} = this.options;
     peers.tick(clock.now());
+    const boundMs = this.relay.boundMs(this.countWatchers());
+    const isInDoubt = (this.confirmedAgeMs() ?? Infinity) > boundMs / 2;
     // In doubt there is no time to lose with peers that did not answer lately.
-    const peer = this.isInDoubt() ? peers.draw(random, 0) : peers.draw(random);
-    this.pace.take(clock.now());
-    this.wakeExchange = new AbortController();
+    const peer = isInDoubt ? peers.draw(random, 0) : peers.draw(random);
+    this.pace.begin();
     if (peer) {
       const isAnswered = await this.relay.exchangeWith(peer);
       this.failures = isAnswered ? 0 : this.failures + 1;
     }
-    await this.awaitExchange();
-  }
-
-  /** Waits for the next exchange, less after a change or in doubt. */
-  private async awaitExchange(): Promise<void> {
-    const {clock} = this.options;
-    const end = clock.now() + this.spread(this.exchangeMs());
-    if (this.earlyLeft === 0) {
-      await this.sleep(end - clock.now(), this.wakeExchange.signal);
-    }
-    if (this.earlyLeft > 0) {
-      this.earlyLeft--;
-      const wait = Math.max(EARLY_MS, this.pace.waitMs(clock.now()));
-      await this.sleep(Math.min(wait, Math.max(0, end - clock.now())));
-    }
-  }
-
-  /**
-   * Time between exchanges. When no confirmation came for half the bound, the
-   * case has to be judged before the rest is over: a platform that is out, or
-   * this instance cut off. Several looks at other zones fit into that time,
-   * so that an outage does not stop instances which merely had no luck.
-   */
-  private exchangeMs(): number {
-    const boundMs = this.relay.boundMs(this.countWatchers());
-    return this.isInDoubt()
-      ? Math.min(EXCHANGE_MS, boundMs * DOUBT_SHARE)
-      : EXCHANGE_MS;
-  }
-
-  private isInDoubt(): boolean {
-    const boundMs = this.relay.boundMs(this.countWatchers());
-    return (this.confirmedAgeMs() ?? Infinity) > boundMs / 2;
+    await this.pace.wait(isInDoubt ? boundMs : undefined);
   }
 
   private async discover(): Promise<void> {
