Move streams off lost upstreams regardless of the retry budget

Cause: tests that cut, refuse or fail one upstream's answers got 502 and 503 where other upstreams stood ready: the retry budget held one token, and also counted streams that a lost upstream had broken. A lost zone breaks a third of all streams at once, far over a tenth. Ruled out: placement choosing the failed upstream again (it was excluded as tried). Change: only failures that may mean overload take from the budget; a model's budget starts full, since a tenth of a few requests an hour is nothing.

--- a/packages/amaranthknot/src/commands/demo.ts
+++ b/packages/amaranthknot/src/commands/demo.ts
@@ -2,18 +2,16 @@
  * `amaranthknot demo`: stand-ins and three entry instances in one process, an
  * environment document, a few requests, and a table of what came of them.
  */
-import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
-import * as net from 'node:net';
 import * as configuration from '@amaranthknot/configuration';
 import * as standIns from '@amaranthknot/fakes';
 import * as ledger from '@amaranthknot/ledger';
-import * as membership from '@amaranthknot/membership';
 import * as platform from '@amaranthknot/platform';
 import * as telemetry from '@amaranthknot/telemetry';
 import type * as command from '../command.js';
 import * as readFlags from '../read-flags.js';
-import * as entryInstance from '../entry-instance.js';
+import * as embedded from '../embedded-deployment.js';
+import type * as entryInstance from '../entry-instance.js';
 import * as demoRatings from './demo-ratings.js';
 import * as demoRequests from './demo-requests.js';
 
@@ -42,84 +40,6 @@
 /** Longest wait for the demo's bills to be written, in milliseconds. */
 const BILLS_WAIT_MS = 5_000;
 
-/** Finds a free port; the demo's instances must know theirs at the start. */
-const findFreePort = (): Promise<number> =>
-  new Promise(resolve => {
-    const probe = net.createServer();
-    probe.listen(0, '127.0.0.1', () => {
-      const address = probe.address() as net.AddressInfo;
-      probe.close(() => resolve(address.port));
-    });
-  });
-
-const createSettings = (
-  id: string,
-  zone: string,
-  port: number,
-  platformUrl: string,
-): configuration.Settings => ({
-  instance: {
-    id,
-    zone,
-    region: 'akl',
-    environment: ENVIRONMENT,
-    listen: {host: '127.0.0.1', port},
-  },
-  platform: {objectApi: platformUrl, instanceList: platformUrl},
-  keys: {
-    operatorDigest: '00',
-    innerKey: {kind: 'text', text: ''},
-    sessionKey: {kind: 'text', text: ''},
-  },
-  limits: {
-    maxBodyBytes: configuration.DEFAULT_MAX_BODY_BYTES,
-    maxHeaderBytes: configuration.DEFAULT_MAX_HEADER_BYTES,
-    headerTimeoutMs: configuration.DEFAULT_HEADER_TIMEOUT_MS,
-    requestTimeoutMs: configuration.DEFAULT_REQUEST_TIMEOUT_MS,
-    stopGraceMs: 1_000,
-    addressMaxAgeMs: 100,
-    maxInFlight: configuration.DEFAULT_MAX_IN_FLIGHT,
-    maxPendingBills: configuration.DEFAULT_MAX_PENDING_BILLS,
-    maxPendingClaims: configuration.DEFAULT_MAX_PENDING_CLAIMS,
-    maxTimelineEvents: configuration.DEFAULT_MAX_TIMELINE_EVENTS,
-  },
-  log: {level: 'error'},
-});
-
-/** Starts one entry instance in each zone. */
-const startInstances = async (
-  running: standIns.StandIns,
-): Promise<readonly entryInstance.EntryInstance[]> => {
-  const ports = await Promise.all(ZONES.map(findFreePort));
-  const secret = () => crypto.randomBytes(32).toString('hex');
-  const secrets = {innerKey: secret(), sessionKey: secret()};
-  const instances = ZONES.map((zone, i) => {
-    const port = ports[i] ?? 0;
-    const id = `entry-${i + 1}`;
-    const advertise = `127.0.0.1:${port}`;
-    running.platform.register({
-      id,
-      role: 'entry',
-      state: 'live',
-      address: advertise,
-      zone,
-      serves: [],
-    });
-    return new entryInstance.EntryInstance({
-      settings: createSettings(id, zone, port, running.platform.url),
-      secrets,
-      clock: platform.systemClock,
-      advertise,
-      random: demoRatings.createDemoRandom(i),
-    });
-  });
-  await Promise.all(instances.map(instance => instance.start()));
-  for (const instance of instances) {
-    demoRatings.rateAnswers(instance.parts('cascades'));
-  }
-  return instances;
-};
-
 /** Waits until every bill is in the object API. */
 const readBills = async (
   running: standIns.StandIns,
@@ -187,20 +107,17 @@
   const listed = standIns.parseInstances(
     fs.readFileSync(flags.instances, 'utf8'),
   );
-  const running = await standIns.startStandIns({
-    clock: platform.systemClock,
-    instances: listed,
-    freePorts: true,
-  });
-  await membership.publishDocument(
-    running.platform.store,
-    ENVIRONMENT,
+  const deployment = await embedded.startEmbedded({
+    environment: ENVIRONMENT,
     document,
-  );
-  const instances = await startInstances(running);
-  const addresses = instances.map(
-    instance => instance.parts('peers').self().address,
-  );
+    upstreams: listed,
+    zones: ZONES,
+    createRandom: demoRatings.createDemoRandom,
+  });
+  const {instances, addresses, standIns: running} = deployment;
+  for (const instance of instances) {
+    demoRatings.rateAnswers(instance.parts('cascades'));
+  }
   const results = await demoRequests.sendRequests(addresses, running);
   const bills = await readBills(running, instances);
   const holds = printReport(streams, results, bills);
@@ -210,8 +127,7 @@
       streams.out(`${telemetry.formatEvent(event)}\n`);
     }
   }
-  await Promise.all(instances.map(instance => instance.stop()));
-  await running.stop();
+  await deployment.stop();
   return holds ? 0 : 1;
 };
 
--- /dev/null
+++ b/packages/amaranthknot/src/embedded-deployment.ts
@@ -0,0 +1,142 @@
+/**
+ * A whole deployment in one process: stand-ins and entry instances on
+ * loopback, for the demo, tests and benches.
+ */
+import * as crypto from 'node:crypto';
+import * as net from 'node:net';
+import * as configuration from '@amaranthknot/configuration';
+import * as standIns from '@amaranthknot/fakes';
+import * as membership from '@amaranthknot/membership';
+import * as platform from '@amaranthknot/platform';
+import * as entryInstance from './entry-instance.js';
+
+/** What to start. */
+export interface EmbeddedOptions {
+  readonly environment: string;
+  readonly document: configuration.Document;
+  /** Engines and services; their addresses are replaced by free ones. */
+  readonly upstreams: readonly platform.ListedInstance[];
+  /** Zone of each entry instance. */
+  readonly zones: readonly string[];
+  readonly limits?: Partial<configuration.InstanceLimits>;
+  /** Time between an engine's tokens, in milliseconds. */
+  readonly tokenMs?: number;
+  /** Random numbers of the instance at an index; the process's by default. */
+  readonly createRandom?: (index: number) => () => number;
+}
+
+/** A running deployment. */
+export interface EmbeddedDeployment {
+  readonly standIns: standIns.StandIns;
+  readonly instances: readonly entryInstance.EntryInstance[];
+  /** `ip:port` of each entry instance. */
+  readonly addresses: readonly string[];
+  readonly operatorKey: string;
+  stop(): Promise<void>;
+}
+
+const SHORT_LIMITS: Partial<configuration.InstanceLimits> = {
+  stopGraceMs: 5_000,
+  addressMaxAgeMs: 100,
+};
+
+/** Limits as settings give them by default. */
+export const createLimits = (
+  own: Partial<configuration.InstanceLimits> = {},
+): configuration.InstanceLimits => ({
+  maxBodyBytes: configuration.DEFAULT_MAX_BODY_BYTES,
+  maxHeaderBytes: configuration.DEFAULT_MAX_HEADER_BYTES,
+  headerTimeoutMs: configuration.DEFAULT_HEADER_TIMEOUT_MS,
+  requestTimeoutMs: configuration.DEFAULT_REQUEST_TIMEOUT_MS,
+  stopGraceMs: configuration.DEFAULT_REQUEST_TIMEOUT_MS,
+  addressMaxAgeMs: configuration.DEFAULT_ADDRESS_MAX_AGE_MS,
+  maxInFlight: configuration.DEFAULT_MAX_IN_FLIGHT,
+  maxPendingBills: configuration.DEFAULT_MAX_PENDING_BILLS,
+  maxPendingClaims: configuration.DEFAULT_MAX_PENDING_CLAIMS,
+  maxTimelineEvents: configuration.DEFAULT_MAX_TIMELINE_EVENTS,
+  ...own,
+});
+
+/** Finds a free port: an instance must know its address before it starts. */
+export const findFreePort = (): Promise<number> =>
+  new Promise(resolve => {
+    const probe = net.createServer();
+    probe.listen(0, '127.0.0.1', () => {
+      const address = probe.address() as net.AddressInfo;
+      probe.close(() => resolve(address.port));
+    });
+  });
+
+const createSecret = (): string => crypto.randomBytes(32).toString('hex');
+
+const sha256 = (text: string): string =>
+  crypto.createHash('sha256').update(text).digest('hex');
+
+/** Starts stand-ins, publishes the document, starts the entry instances. */
+export const startEmbedded = async (
+  options: EmbeddedOptions,
+): Promise<EmbeddedDeployment> => {
+  const running = await standIns.startStandIns({
+    clock: platform.systemClock,
+    instances: options.upstreams,
+    freePorts: true,
+    ...(options.tokenMs === undefined ? {} : {tokenMs: options.tokenMs}),
+  });
+  const {environment, document, zones} = options;
+  const {store, url} = {
+    store: running.platform.store,
+    url: running.platform.url,
+  };
+  await membership.publishDocument(store, environment, document);
+  const ports = await Promise.all(zones.map(findFreePort));
+  const secrets = {innerKey: createSecret(), sessionKey: createSecret()};
+  const operatorKey = createSecret();
+  const addresses = ports.map(port => `127.0.0.1:${port}`);
+  const instances = zones.map((zone, i) => {
+    const id = `entry-${i + 1}`;
+    const address = addresses[i] ?? '';
+    running.platform.register({
+      id,
+      role: 'entry',
+      state: 'live',
+      address,
+      zone,
+      serves: [],
+    });
+    const text = {kind: 'text', text: ''} as const;
+    return new entryInstance.EntryInstance({
+      settings: {
+        instance: {
+          id,
+          zone,
+          region: 'local',
+          environment,
+          listen: {host: '127.0.0.1', port: ports[i] ?? 0},
+        },
+        platform: {objectApi: url, instanceList: url},
+        keys: {
+          operatorDigest: sha256(operatorKey),
+          innerKey: text,
+          sessionKey: text,
+        },
+        limits: createLimits({...SHORT_LIMITS, ...options.limits}),
+        log: {level: 'error'},
+      },
+      secrets,
+      clock: platform.systemClock,
+      advertise: address,
+      ...(options.createRandom ? {random: options.createRandom(i)} : {}),
+    });
+  });
+  await Promise.all(instances.map(instance => instance.start()));
+  return {
+    standIns: running,
+    instances,
+    addresses,
+    operatorKey,
+    stop: async () => {
+      await Promise.all(instances.map(instance => instance.stop()));
+      await running.stop();
+    },
+  };
+};
--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -318,7 +318,11 @@
   bills: createBills,
   billCopies: createBillCopies,
   pins: get => new entry.PinRegistry(get('store')),
-  retries: () => new decisions.RetryBudget(),
+  // A few requests an hour must survive a failing upstream too: at a low rate
+  // a tenth earns nothing, so a model starts with a full bucket. At 1,000
+  // instances that is at most 10,000 retries once, under a second of the peak.
+  retries: () =>
+    new decisions.RetryBudget({initial: decisions.DEFAULT_RETRY_BURST}),
   cascades: () => new decisions.CascadePolicy(),
   peerServer: createPeerServer,
   server: createServer,
--- a/packages/decisions/src/retry-budget.ts
+++ b/packages/decisions/src/retry-budget.ts
@@ -31,6 +31,8 @@
 export interface RetryBudgetOptions {
   readonly ratio?: number;
   readonly burst?: number;
+  /** Retries at the start, at most `burst`; 1 by default. */
+  readonly initial?: number;
 }
 
 /** Token buckets of retries, one for each target. */
@@ -38,12 +40,15 @@
   private readonly ratio: number;
   private readonly burst: number;
   /** Over all targets: else each of many adds what it saved. */
-  private shared = INITIAL_TOKENS;
+  private shared: number;
+  private readonly initial: number;
   private readonly tokens = new Map<string, number>();
 
   constructor(options: RetryBudgetOptions = {}) {
     this.ratio = options.ratio ?? DEFAULT_RETRY_RATIO;
     this.burst = options.burst ?? DEFAULT_RETRY_BURST;
+    this.initial = Math.min(this.burst, options.initial ?? INITIAL_TOKENS);
+    this.shared = this.initial;
   }
 
   /** Notes a first attempt at a target; each earns a part of a retry. */
@@ -64,7 +69,7 @@
   }
 
   private read(target: string): number {
-    return this.tokens.get(target) ?? INITIAL_TOKENS;
+    return this.tokens.get(target) ?? this.initial;
   }
 
   private write(target: string, tokens: number): void {
--- a/packages/upstreams/src/run-completion.ts
+++ b/packages/upstreams/src/run-completion.ts
@@ -49,7 +49,7 @@
   readonly open: engineClient.EngineStream;
   /** Picks an upstream, avoiding those tried; undefined when there is none. */
   readonly place: (tried: readonly string[]) => Placement | undefined;
-  /** Whether one more attempt fits the retry budget. */
+  /** Takes one retry from the budget; false when there is none left. */
   readonly mayRetry: () => boolean;
   readonly notify: (notice: CompletionNotice) => void;
 }
@@ -67,6 +67,18 @@
  */
 export const MAX_ATTEMPTS = 5;
 
+/**
+ * Failures whose repetition the retry budget bounds: those by which an
+ * upstream may be saying that it has too much, so that retries would feed the
+ * overload. A lost upstream or zone breaks many streams at once, far over the
+ * budget; those requests were accepted and are moved, each `MAX_ATTEMPTS`
+ * times at most.
+ */
+const BUDGETED: readonly engineClient.EngineFailureCode[] = [
+  'overloaded',
+  'engine_error',
+];
+
 const NO_UPSTREAM: engineClient.EngineFailure = {
   code: 'unreachable',
   ran: 'not_run',
@@ -131,7 +143,8 @@
   let ran: engineClient.Ran = 'not_run';
   let last = NO_UPSTREAM;
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-    if (attempt > 0 && !parts.mayRetry()) {
+    const isBudgeted = attempt > 0 && BUDGETED.includes(last.code);
+    if (isBudgeted && !parts.mayRetry()) {
       break;
     }
     const placement = parts.place(tried);
