Stop compressing answers, which held back streamed tokens

Cause: the published OpenAI client's abort in mid-stream did not reach the upstream. Ruled out: hapi's events (the response closed only after it had finished), the abort signal. A raw fetch showed its first chunk after 2,295 ms, 16,384 bytes at once: hapi compresses event streams for callers that accept gzip, which most libraries do, and gzip waits for its buffer. Change: no compression on entry instances and stand-in engines.

--- /dev/null
+++ b/packages/amaranthknot/tests/versions-and-zones.test.ts
@@ -0,0 +1,194 @@
+import * as chai from 'chai';
+import * as configuration from '@amaranthknot/configuration';
+import * as membership from '@amaranthknot/membership';
+import type * as embedded from '../src/embedded-deployment.js';
+import * as fixtures from './support/fixtures.js';
+
+type Change = (document: configuration.Document) => configuration.Document;
+
+const changeModel =
+  (name: string, change: (model: configuration.Model) => configuration.Model) =>
+  (document: configuration.Document): configuration.Document => ({
+    ...document,
+    models: document.models.map(model =>
+      model.name === name ? change(model) : model,
+    ),
+  });
+
+const setDefault = (version: string): Change =>
+  changeModel('small', model => ({...model, defaultVersion: version}));
+
+const withdraw = (version: string, successor: string): Change =>
+  changeModel('small', model => ({
+    ...model,
+    defaultVersion: successor,
+    versions: model.versions.map(found =>
+      found.name === version
+        ? {...found, state: 'withdrawn', successor}
+        : found,
+    ),
+  }));
+
+const setZone =
+  (name: string, state: configuration.ZoneState): Change =>
+  document => ({
+    ...document,
+    zones: document.zones.map(zone =>
+      zone.name === name ? {...zone, state} : zone,
+    ),
+  });
+
+describe('versions, sessions and zones over three instances', () => {
+  let deployment: embedded.EmbeddedDeployment;
+  let document: configuration.Document;
+  beforeEach(async () => {
+    document = fixtures.createDocument();
+    deployment = await fixtures.startDeployment();
+  });
+  afterEach(() => deployment.stop());
+
+  /** Publishes a change; resolves when it is in force on every instance. */
+  const apply = async (change: Change): Promise<void> => {
+    document = change(document);
+    const {store} = deployment.standIns.platform;
+    const published = await membership.publishDocument(store, 'test', document);
+    const {generation} = published.unsafeCoerce();
+    const isInForce = () =>
+      deployment.instances.every(
+        one => one.parts('follower').generationInForce() >= generation,
+      );
+    while (!isInForce()) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  };
+
+  const ask = async (index: number, headers: Record<string, string>) => {
+    const answer = await fixtures.chat(deployment.addresses[index]!, 'hello', {
+      workspace: 'north',
+      model: 'answers',
+      headers,
+    });
+    chai.expect(answer.status, answer.text).equal(200);
+    return answer;
+  };
+
+  const versionOfSmall = (token: string): string => {
+    const payload = Buffer.from(token.split('.')[1]!, 'base64url').toString();
+    return (JSON.parse(payload) as {pins: {small: string}}).pins.small;
+  };
+
+  // A session began on v1; the default moves to v2 meanwhile. On any instance
+  // the session must stay on v1, by token or by its caller's own id.
+  it('keeps a session on its version', async () => {
+    const first = await ask(0, {});
+    const token = first.headers.get('x-session-token')!;
+    await ask(0, {'x-session-id': 'meetup-7'});
+    await apply(setDefault('v2'));
+    for (const index of [0, 1, 2]) {
+      const byToken = await ask(index, {'x-session-token': token});
+      const kept = byToken.headers.get('x-session-token')!;
+      chai.expect(versionOfSmall(kept)).equal('v1');
+      const byId = await ask(index, {'x-session-id': 'meetup-7'});
+      const pinned = byId.headers.get('x-session-token')!;
+      chai.expect(versionOfSmall(pinned)).equal('v1');
+      const fresh = await ask(index, {});
+      const started = fresh.headers.get('x-session-token')!;
+      chai.expect(versionOfSmall(started)).equal('v2');
+    }
+  });
+
+  // v1 is withdrawn while sessions hold it. They move to its successor, on
+  // every instance the same, and v1 gets no new work.
+  it('moves sessions of a withdrawn version to its successor', async () => {
+    const first = await ask(0, {'x-session-id': 'meetup-8'});
+    const token = first.headers.get('x-session-token')!;
+    await apply(withdraw('v1', 'v2'));
+    for (const index of [0, 1, 2]) {
+      for (const headers of [
+        {'x-session-token': token},
+        {'x-session-id': 'meetup-8'},
+      ]) {
+        const answer = await ask(index, headers);
+        const kept = answer.headers.get('x-session-token')!;
+        chai.expect(versionOfSmall(kept)).equal('v2');
+        chai.expect(answer.json.model).not.equal('small@v1');
+      }
+    }
+  });
+
+  // Operators take zone-a out. No instance may start work there, also the one
+  // inside; callers are no longer sent to it.
+  it('starts no work in a zone that is out', async () => {
+    await apply(setZone('zone-a', 'out'));
+    const [inside] = [...deployment.standIns.engines.values()];
+    const before = inside!.started.length;
+    for (let i = 0; i < 12; i++) {
+      await ask(i % 3, {});
+    }
+    chai.expect(inside!.started.length).equal(before);
+    const listed = await fixtures.send(
+      deployment.addresses[1]!,
+      '/v1/entry-instances?zone=zone-a',
+      {method: 'GET'},
+    );
+    const zones = listed.json.instances.map((one: {zone: string}) => one.zone);
+    chai.expect(zones).not.include('zone-a');
+    await apply(setZone('zone-a', 'in'));
+    for (let i = 0; i < 30; i++) {
+      await ask(0, {});
+    }
+    chai.expect(inside!.started.length).greaterThan(before);
+  });
+
+  // A caller shows a session token of another workspace, or a forged one.
+  it('refuses session tokens that are not its own', async () => {
+    const first = await ask(0, {});
+    const token = first.headers.get('x-session-token')!;
+    const cases = [
+      {workspace: 'south', token},
+      {workspace: 'north', token: `${token}x`},
+      {workspace: 'north', token: 'nonsense'},
+    ];
+    for (const {workspace, token: shown} of cases) {
+      const answer = await fixtures.chat(deployment.addresses[1]!, 'hello', {
+        workspace,
+        headers: {'x-session-token': shown},
+      });
+      chai.expect(answer.status).equal(400);
+      chai.expect(answer.json.error).include({
+        code: 'invalid_session',
+        ran: 'not_run',
+      });
+    }
+  });
+
+  // The rules change while a request runs on its way up a cascade: it ends as
+  // it began, and the next request is refused.
+  it('runs only what the workspace is allowed', async () => {
+    const south = await fixtures.chat(deployment.addresses[0]!, 'hello', {
+      workspace: 'south',
+      model: 'small@v2',
+    });
+    // The cascade allows any version of its stages, a rule on a version less.
+    chai.expect(south.status).equal(200);
+    await apply(found => ({
+      ...found,
+      workspaces: found.workspaces.map(workspace =>
+        workspace.name === 'south'
+          ? {
+              ...workspace,
+              allowed: [{kind: 'model', model: 'small', version: 'v1'}],
+            }
+          : workspace,
+      ),
+    }));
+    for (const model of ['small@v2', 'large', 'answers']) {
+      const answer = await fixtures.chat(deployment.addresses[1]!, 'hello', {
+        workspace: 'south',
+        model,
+      });
+      chai.expect(answer.status, model).equal(404);
+      chai.expect(answer.json.error.ran).equal('not_run');
+    }
+  });
+});
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -29,6 +29,9 @@
       host: parts.listen.host,
       port: parts.listen.port,
       routes: {payload: {maxBytes: parts.limits.maxBodyBytes}},
+      // gzip would hold back streamed tokens until its buffer is full: callers
+      // that accept it, as most libraries do, saw the whole answer at once.
+      compression: false,
       // Errors of our own carry a code; hapi's log would be a second one.
       debug: false,
     });
--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -59,7 +59,11 @@
   faultsLeft = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: EngineServerOptions) {
-    this.server = hapi.server({host: '127.0.0.1', port: options.port ?? 0});
+    this.server = hapi.server({
+      host: '127.0.0.1',
+      port: options.port ?? 0,
+      compression: false,
+    });
     this.server.route([
       {
         method: 'POST',
@@ -120,7 +124,6 @@
       return h.response({error: {code: 'internal'}}).code(500);
     }
     const output = new stream.PassThrough();
-    request.raw.req.once('close', () => output.destroy());
     request.raw.res.once('close', () => {
       if (!request.raw.res.writableFinished) {
         this.cancelled.push(body.request_id);
