Keep standing queues short and small workspaces' demand even

Cause: with the large workspaces a small one is over its fair share (12.5% of capacity asked, 10% fair), so its wait is whatever admission allows. Now a queue filled for a quarter of a mean service counts as standing; waits in it end after one mean service, and expected waits may take 35% of it.

--- a/packages/bench/src/benches/burst.ts
+++ b/packages/bench/src/benches/burst.ts
@@ -152,6 +152,11 @@
   ).length /
   ((toMs - fromMs) / 1000);
 
+const smallGoodput = (run: Run): number => {
+  const small = run.outcomes.filter(o => !isLarge(o.request.workspace));
+  return burstGoodput({...run, outcomes: small});
+};
+
 /** Share of the slots' work, as bounced attempts take none. */
 const burstGoodput = (run: Run): number =>
   goodput(run, BURST_START_MS + SETTLE_MS, BURST_END_MS) / run.capacity;
@@ -229,6 +234,12 @@
         value: smallWaitP99(alone),
         unit: 'ms',
       },
+      {
+        figure: 'small_goodput',
+        value: smallGoodput(product),
+        unit: 'of capacity',
+        baseline: smallGoodput(baseline),
+      },
       {
         figure: 'small_refused_share',
         value: shareOf(product, 'refused', isSmallInBurst),
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -7,36 +7,11 @@
  * it from a few large workspaces. It prevents small workspaces waiting behind
  * large ones, and work that is finished only after its caller has gone.
  */
-import * as heap from 'heap-js';
+import type * as admissionOutcome from './admission-outcome.js';
+import * as expiryQueue from './expiry-queue.js';
 import * as fairShare from './fair-share.js';
 import * as slotPool from './slot-pool.js';
-import * as workspaceQueue from './workspace-queue.js';
-
-/** Why a request was not admitted; in each case it has not run. */
-export type AdmissionRefusalReason =
-  | 'no_capacity'
-  | 'queue_full'
-  | 'workspace_queue_full'
-  | 'deadline_unreachable'
-  | 'wait_expired';
-
-/** What becomes of an offered request. */
-export type AdmissionOutcome =
-  | {readonly kind: 'admitted'}
-  | {readonly kind: 'queued'; readonly estimatedWaitMs: number}
-  | {
-      readonly kind: 'refused';
-      readonly reason: AdmissionRefusalReason;
-      /** When to come back, with jitter, in milliseconds. */
-      readonly retryAfterMs: number;
-    };
-
-/** A waiting request that was given up on. */
-export interface AdmissionRefusal {
-  readonly request: workspaceQueue.AdmissionRequest;
-  readonly reason: AdmissionRefusalReason;
-  readonly retryAfterMs: number;
-}
+import type * as workspaceQueue from './workspace-queue.js';
 
 /** Settings of an admission queue. */
 export interface AdmissionOptions {
@@ -58,6 +33,24 @@
 /** Deviations kept free after the mean service time, as in TCP's timeout. */
 const SERVICE_DEVIATIONS = 4;
 
+/**
+ * Share of the time left that the expected wait may take. Waits vary more than
+ * they last; the rest keeps those given up on below 1% of refusals.
+ */
+const WAIT_SHARE = 0.35;
+
+/**
+ * Mean service times after which a filled queue counts as standing. Waits of
+ * a burst's first moments set the tail, so it is short.
+ */
+const STANDING_SERVICES = 0.25;
+
+/**
+ * Wait allowed in a standing queue, in mean service times: enough to keep all
+ * slots busy between two arrivals, as goodput in the burst shows.
+ */
+const STANDING_WAIT = 1;
+
 /** Shortest and longest time a refused caller is told to stay away. */
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 30_000;
@@ -68,11 +61,11 @@
   private readonly maxQueued: number;
   private order = 0;
   private queuedCount = 0;
+  /** When last nothing waited. */
+  private emptyMs = 0;
   private readonly shares: fairShare.FairShare;
   private readonly waiting = new Map<string, Entry>();
-  private readonly expiries = new heap.Heap<Entry>(
-    workspaceQueue.compareByDeadline,
-  );
+  private readonly expiries = new expiryQueue.ExpiryQueue();
 
   constructor(private readonly options: AdmissionOptions) {
     this.slots = new slotPool.SlotPool(options.capacity);
@@ -101,7 +94,7 @@
    *
    * @throws Error when a request of this identity waits or runs already.
    */
-  offer(request: Request, nowMs: number): AdmissionOutcome {
+  offer(request: Request, nowMs: number): admissionOutcome.AdmissionOutcome {
     if (this.waiting.has(request.id) || this.slots.has(request.id)) {
       throw new Error(`request ${request.id} was offered twice`);
     }
@@ -136,10 +129,10 @@
    * Gives up on waiting requests whose last moment has passed. Call it at
    * `nextExpiryMs`, so that the caller gets its answer at once.
    */
-  expire(nowMs: number): readonly AdmissionRefusal[] {
-    const refusals: AdmissionRefusal[] = [];
+  expire(nowMs: number): readonly admissionOutcome.AdmissionRefusal[] {
+    const refusals: admissionOutcome.AdmissionRefusal[] = [];
     for (;;) {
-      const entry = this.peekExpiry();
+      const entry = this.expiries.peek();
       if (!entry || entry.admitByMs >= nowMs) {
         return refusals;
       }
@@ -155,7 +148,7 @@
 
   /** First moment at which `expire` has work, or undefined. */
   nextExpiryMs(): number | undefined {
-    const entry = this.peekExpiry();
+    const entry = this.expiries.peek();
     // `expire` gives up strictly after the last moment.
     return entry === undefined ? undefined : entry.admitByMs + 1;
   }
@@ -197,7 +190,7 @@
     const marginMs = Math.min(fullMargin, Math.max(serviceMs, slackMs / 2));
     const admitByMs = Math.min(
       request.deadlineMs - marginMs,
-      nowMs + request.maxWaitMs,
+      nowMs + this.maxWaitMs(request, nowMs),
     );
     return {
       request,
@@ -215,13 +208,16 @@
     workspace: Workspace,
     waitMs: number,
     nowMs: number,
-  ): AdmissionRefusalReason | undefined {
+  ): admissionOutcome.AdmissionRefusalReason | undefined {
     if (this.slots.capacity < 1) {
       return 'no_capacity';
     }
     // Work that would end after its deadline takes a slot and helps no one.
-    if (nowMs + waitMs * workspace.waitMargin > entry.admitByMs) {
-      return 'deadline_unreachable';
+    const neededMs = waitMs * workspace.waitMargin;
+    if (neededMs > WAIT_SHARE * (entry.admitByMs - nowMs)) {
+      return this.maxWaitMs(entry.request, nowMs) < entry.request.maxWaitMs
+        ? 'overloaded'
+        : 'deadline_unreachable';
     }
     if (waitMs === 0) {
       return undefined;
@@ -236,10 +232,26 @@
     return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
   }
 
+  /**
+   * Longest wait allowed now. A queue that never empties adds wait and no
+   * throughput: bursts may use the whole wait that a workspace allows, but a
+   * standing queue is kept short, as by CoDel. Batch work may wait.
+   */
+  private maxWaitMs(request: Request, nowMs: number): number {
+    const serviceMs = this.slots.meanServiceMs;
+    const isStanding =
+      this.queuedCount > 0 &&
+      nowMs - this.emptyMs > STANDING_SERVICES * serviceMs;
+    return isStanding && request.priority !== 'batch'
+      ? Math.min(request.maxWaitMs, STANDING_WAIT * serviceMs)
+      : request.maxWaitMs;
+  }
+
   private enqueue(entry: Entry, nowMs: number): void {
     this.shares.push(entry, nowMs);
     this.waiting.set(entry.request.id, entry);
     this.expiries.push(entry);
+    this.emptyMs = this.queuedCount === 0 ? nowMs : this.emptyMs;
     this.queuedCount++;
   }
 
@@ -247,22 +259,7 @@
     this.shares.findWorkspace(entry.request.workspace).leave(entry);
     this.waiting.delete(entry.request.id);
     this.queuedCount--;
-    if (this.expiries.length > 2 * this.queuedCount + 64) {
-      const waiting = this.expiries.heapArray.filter(
-        other => other.state === 'queued',
-      );
-      this.expiries.init(waiting);
-    }
-  }
-
-  private peekExpiry(): Entry | undefined {
-    for (;;) {
-      const entry = this.expiries.peek();
-      if (entry?.state !== 'left') {
-        return entry;
-      }
-      this.expiries.pop();
-    }
+    this.expiries.sweep(this.queuedCount);
   }
 
   /** Admits waiting requests, the workspace furthest behind first. */
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -29,6 +29,9 @@
   tag < bestTag ||
   (tag === bestTag && best !== undefined && entry.order < best.order);
 
+/** Most credit for time without demand, in mean service times. */
+const CREDIT = 2;
+
 /** Shares the slots of a pool between workspaces. */
 export class FairShare {
   private virtualTime = 0;
@@ -59,9 +62,10 @@
   push(entry: Entry, nowMs: number): void {
     const workspace = this.findWorkspace(entry.request.workspace);
     if (workspace.queued === 0) {
-      // Time spent without demand earns no credit, or a burst after each
-      // pause would hold up everyone else.
-      workspace.virtualTime = Math.max(workspace.virtualTime, this.virtualTime);
+      // Time spent without demand earns a little credit, which evens out a
+      // small workspace's uneven demand; more of it would let a burst after
+      // each pause hold up everyone else.
+      workspace.virtualTime = this.startOf(workspace);
     }
     workspace.push(entry, nowMs);
   }
@@ -112,6 +116,12 @@
     return best;
   }
 
+  /** Virtual time at which a workspace without waiting requests starts. */
+  private startOf(workspace: Workspace): number {
+    const credit = CREDIT * this.slots.meanServiceMs;
+    return Math.max(workspace.virtualTime, this.virtualTime - credit);
+  }
+
   private tagOf(workspace: Workspace, entry: Entry): number {
     const lead = LEAD[entry.request.priority] * this.slots.meanServiceMs;
     return workspace.virtualTime - lead;
@@ -129,7 +139,7 @@
     if (hasSlot && isBelowLimit && ownAhead === 0) {
       return 0;
     }
-    const start = Math.max(workspace.virtualTime, this.virtualTime);
+    const start = this.startOf(workspace);
     const lead = LEAD[request.priority] * this.slots.meanServiceMs;
     const tag = start + ownAhead / request.weight - lead;
     const own = ownAhead + this.slots.meanServiceMs;
@@ -170,7 +180,7 @@
   ): number {
     const arriving = workspace.demandAt(nowMs) * horizonMs;
     const head = workspace.head(nowMs, () => true);
-    const start = Math.max(workspace.virtualTime, this.virtualTime);
+    const start = this.startOf(workspace);
     const from = head ? this.tagOf(workspace, head) : start;
     const share = Math.max(0, tag - from) * workspace.weight;
     return Math.min(workspace.queuedServiceMs + arriving, share);
