--- a/packages/configuration/src/document-tables.ts
+++ b/packages/configuration/src/document-tables.ts
@@ -37,9 +37,9 @@
 /** Most targets or workspaces in one rule. */
 export const MAX_RULE_ITEMS = 1_000;
 /** Most rules, one for each workspace that needs its own. */
-export const MAX_RULES = 2_000;
+export const MAX_RULES = 1_000;
 /** Most workspaces; their section digests must fit one object of 1 MB. */
-export const MAX_WORKSPACES = 2_000;
+export const MAX_WORKSPACES = 1_000;
 /**
  * Most targets that the rules may allow one workspace. Each workspace carries
  * its own list, so that the product with `MAX_WORKSPACES` bounds the memory of
--- a/packages/configuration/src/sections.ts
+++ b/packages/configuration/src/sections.ts
@@ -32,6 +32,8 @@
   /** Digest of the manifest, and so of the whole document. */
   readonly digest: string;
   readonly sections: readonly Section[];
+  /** Bytes of canonical JSON by section name; `manifest` is the manifest. */
+  readonly byteLengths: ReadonlyMap<string, number>;
 }
 
 /**
@@ -69,11 +71,17 @@
 const isTable = (name: string): name is TableName =>
   (TABLES as readonly string[]).includes(name);
 
-const createSection = (name: string, value: unknown): Section => ({
-  name,
-  digest: canonicalJson.digestValue(value),
-  value,
-});
+/** A section with the size of its text. */
+interface SizedSection {
+  readonly section: Section;
+  readonly byteLength: number;
+}
+
+const createSection = (name: string, value: unknown): SizedSection => {
+  const text = canonicalJson.formatCanonicalJson(value);
+  const section = {name, digest: canonicalJson.digestText(text), value};
+  return {section, byteLength: Buffer.byteLength(text)};
+};
 
 /** Digest of a manifest: the digest of its document. */
 export const digestManifest = (manifest: Manifest): string =>
@@ -83,20 +91,28 @@
 export const isSectionIntact = (section: Section): boolean =>
   canonicalJson.digestValue(section.value) === section.digest;
 
+/** Name under which the manifest's own size stands. */
+const MANIFEST = 'manifest';
+
 /** Splits a document; equal documents give equal digests. */
 export const splitDocument = (document: documents.Document): SplitDocument => {
   const tables = TABLES.filter(name => document[name] !== undefined);
-  const sections = [
+  const sized = [
     ...tables.map(name => createSection(name, document[name])),
     ...document.workspaces.map(workspace =>
       createSection(WORKSPACE_PREFIX + workspace.name, workspace),
     ),
   ];
+  const sections = sized.map(({section}) => section);
   const digests = sections.map(section => [section.name, section.digest]);
   const manifest = {
     sections: Object.fromEntries(digests) as Record<string, string>,
   };
-  return {manifest, digest: digestManifest(manifest), sections};
+  const own = createSection(MANIFEST, manifest);
+  const byteLengths = new Map(
+    [...sized, own].map(({section, byteLength}) => [section.name, byteLength]),
+  );
+  return {manifest, digest: own.section.digest, sections, byteLengths};
 };
 
 /**
@@ -105,19 +121,13 @@
  */
 export const MAX_SECTION_BYTES = 1_000_000;
 
-const isOversized = (value: unknown): boolean =>
-  Buffer.byteLength(canonicalJson.formatCanonicalJson(value)) >
-  MAX_SECTION_BYTES;
-
-/** Names of the sections too large to publish; `manifest` is the manifest. */
+/** Names of the sections too large to publish, `manifest` among them. */
 export const listOversizedSections = (
   split: SplitDocument,
-): readonly string[] => [
-  ...split.sections
-    .filter(section => isOversized(section.value))
-    .map(section => section.name),
-  ...(isOversized(split.manifest) ? ['manifest'] : []),
-];
+): readonly string[] =>
+  [...split.byteLengths]
+    .filter(([, byteLength]) => byteLength > MAX_SECTION_BYTES)
+    .map(([name]) => name);
 
 /** Digest of a document. */
 export const digestDocument = (document: documents.Document): string =>
--- a/packages/configuration/src/util/canonical-json.ts
+++ b/packages/configuration/src/util/canonical-json.ts
@@ -21,6 +21,10 @@
   return `{${members.join(',')}}`;
 };
 
+/** SHA-256 of a text, in lower-case hex. */
+export const digestText = (text: string): string =>
+  crypto.createHash('sha256').update(text).digest('hex');
+
 /** SHA-256 of a value's canonical JSON, in lower-case hex. */
 export const digestValue = (value: unknown): string =>
-  crypto.createHash('sha256').update(formatCanonicalJson(value)).digest('hex');
+  digestText(formatCanonicalJson(value));
