--- /dev/null
+++ b/packages/membership/src/configuration-follower.ts
@@ -0,0 +1,349 @@
+/**
+ * Keeps one instance's configuration up to date: a few instances of each zone
+ * watch the platform, all exchange generations with random peers.
+ */
+import type * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as configurationRelay from './configuration-relay.js';
+import type * as configurationStep from './configuration-step.js';
+import * as headWatcher from './head-watcher.js';
+import type * as peersModule from './peers.js';
+import * as rendezvous from './rendezvous.js';
+import * as tokenBucket from './util/token-bucket.js';
+
+/**
+ * Instances of each zone that watch the platform. Two, so that one may die
+ * unnoticed for a while; with 9 zones 18 in all, whatever the fleet's size.
+ */
+export const WATCHERS_PER_ZONE = 2;
+
+/** Time between looks at whether to watch, in milliseconds; costs no call. */
+const WATCH_CHECK_MS = 500;
+
+/** Time between exchanges in milliseconds, spread by a tenth. */
+const EXCHANGE_MS = 1_000;
+
+/**
+ * Exchanges that may follow each other at once after a change, and their rate
+ * per second. Early exchanges bring a lone change to all in a moment; the rate
+ * bounds them when changes come each second, at 4 KB/s a node.
+ */
+const EARLY_EXCHANGES = 3;
+const EARLY_MS = 50;
+const EXCHANGES_PER_S = 1.25;
+
+/**
+ * Share of the bound between exchanges while in doubt: 0.3 s at 7 instances.
+ * At 1,000 the bound is long and the share makes no difference.
+ */
+const DOUBT_SHARE = 0.12;
+
+/**
+ * Failed exchanges in a row after which an instance watches the platform
+ * itself. Cut off from its peers it can not learn of a change otherwise; in an
+ * outage of the platform alone exchanges work, so nobody piles onto it.
+ */
+const FAILURES_TO_WATCH = 2;
+
+/**
+ * Time between reads of the platform's list, and the rate of the whole fleet
+ * that it must not exceed: 1,000 instances read it every 50 s.
+ */
+const LIST_MS = 5_000;
+const LISTS_PER_S = 20;
+
+/** Peers asked at a start, before the platform. */
+const START_PEERS = 3;
+
+/** Peers told at once that this instance leaves; news tells the others. */
+const LEAVE_PEERS = 8;
+
+/** Parts that a follower works with. */
+export interface ConfigurationFollowerOptions {
+  readonly environment: string;
+  readonly store: platform.ObjectStore;
+  readonly instances: platform.InstanceList;
+  readonly transport: protocol.PeerTransport;
+  readonly peers: peersModule.Peers;
+  readonly clock: platform.Clock;
+  readonly random: () => number;
+  /** Addresses from the settings, asked while the list is out. */
+  readonly seeds?: readonly string[];
+  /** Called each time a higher generation is in force, and only then. */
+  readonly onChange?: configurationRelay.ConfigurationRelayOptions['onChange'];
+}
+
+/** Follows the accepted configuration of an environment. */
+export class ConfigurationFollower {
+  private readonly relay: configurationRelay.ConfigurationRelay;
+  private readonly stopping = new AbortController();
+  private wakeExchange = new AbortController();
+  private readonly pace: tokenBucket.TokenBucket;
+  private earlyLeft = 0;
+  private failures = 0;
+  private readonly watcher: headWatcher.HeadWatcher;
+  private loops: Promise<unknown> = Promise.resolve();
+
+  constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.relay = new configurationRelay.ConfigurationRelay({
+      ...options,
+      onChange: (taken, origin) => {
+        this.earlyLeft = EARLY_EXCHANGES - 1;
+        this.wakeExchange.abort();
+        options.onChange?.(taken, origin);
+      },
+    });
+    this.watcher = new headWatcher.HeadWatcher({
+      ...options,
+      relay: this.relay,
+      signal: this.stopping.signal,
+    });
+    this.pace = new tokenBucket.TokenBucket(
+      EARLY_EXCHANGES,
+      EXCHANGES_PER_S,
+      options.clock.now(),
+    );
+  }
+
+  /** Asks peers and the platform once, then keeps following until `stop`. */
+  async start(): Promise<void> {
+    await this.readList();
+    await this.askPeers();
+    if (this.relay.generation() === 0) {
+      await this.watcher.read();
+    }
+    this.loops = Promise.all([
+      this.repeat(() => this.watch()),
+      this.repeat(() => this.exchange()),
+      this.repeat(() => this.refreshList()),
+    ]);
+  }
+
+  /** Stops following; the configuration stays as it is. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.loops;
+  }
+
+  /** Tells peers that this instance leaves, so that none offers it. */
+  async announceLeaving(): Promise<void> {
+    const {peers, transport, random} = this.options;
+    peers.leave();
+    const told = peers
+      .all()
+      .filter(peer => peer.state !== 'dead')
+      .map(peer => ({peer, order: random()}))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, LEAVE_PEERS);
+    await Promise.all(
+      told.map(({peer}) =>
+        protocol.callPeer(
+          transport,
+          peer.address,
+          'leaving',
+          {from: peers.self()},
+          configurationRelay.MESSAGE_TIMEOUT_MS,
+        ),
+      ),
+    );
+  }
+
+  /** The configuration in force; undefined before the first. */
+  inForce(): configurationStep.ConfigurationInForce | undefined {
+    return this.relay.inForce();
+  }
+
+  /** The generation in force; 0 before the first. */
+  generationInForce(): number {
+    return this.relay.generation();
+  }
+
+  /** Age of the last confirmation in milliseconds; undefined for never. */
+  confirmedAgeMs(): number | undefined {
+    return this.relay.freshness.confirmedAgeMs(this.options.clock.now());
+  }
+
+  /** What this instance knows of its configuration. */
+  standing(): protocol.Standing {
+    if (!this.relay.inForce()) {
+      return 'starting';
+    }
+    const {clock, peers} = this.options;
+    return this.relay.freshness.judge(
+      clock.now(),
+      peers.zones(),
+      this.relay.boundMs(this.countWatchers()),
+    );
+  }
+
+  /**
+   * Whether new work may start. Not while isolated: an accepted change may
+   * have withdrawn a version or taken a zone out without this instance.
+   */
+  mayTakeWork(): boolean {
+    const standing = this.standing();
+    return standing === 'confirmed' || standing === 'platform_out';
+  }
+
+  /** Functions that answer the messages of other instances. */
+  handlers(): protocol.Handlers {
+    const {peers, clock} = this.options;
+    const exchangeGenerations = (
+      params: protocol.Params<'exchange_generations'>,
+    ) => this.relay.handleExchange(params);
+    const fetchSections = (params: protocol.Params<'fetch_sections'>) =>
+      this.relay.handleFetch(params);
+    const reportGeneration = () => ({
+      from: peers.self(),
+      generation: this.relay.generation(),
+      standing: this.standing(),
+    });
+    const listPeers = () => ({peers: [peers.self(), ...peers.all()]});
+    const takeLeaving = ({from}: protocol.Params<'leaving'>) => {
+      peers.hear(from, clock.now());
+      return {};
+    };
+    return {
+      exchange_generations: exchangeGenerations,
+      fetch_sections: fetchSections,
+      report_generation: reportGeneration,
+      list_peers: listPeers,
+      leaving: takeLeaving,
+    };
+  }
+
+  /** Whether this instance watches the platform. */
+  isWatcher(): boolean {
+    const {environment, peers} = this.options;
+    const {id, zone} = peers.self();
+    const ids = peers.candidates(zone).map(peer => peer.id);
+    const key = `watch/${environment}/${zone}`;
+    return (
+      this.failures >= FAILURES_TO_WATCH ||
+      rendezvous.rankByRendezvous(key, ids, WATCHERS_PER_ZONE).includes(id)
+    );
+  }
+
+  private countWatchers(): number {
+    const {peers} = this.options;
+    const sizes = new Map<string, number>();
+    for (const {zone} of peers.candidates()) {
+      sizes.set(zone, (sizes.get(zone) ?? 0) + 1);
+    }
+    return [...sizes.values()]
+      .map(size => Math.min(size, WATCHERS_PER_ZONE))
+      .reduce((sum, size) => sum + size, 0);
+  }
+
+  private async repeat(step: () => Promise<void>): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      await step();
+    }
+  }
+
+  private sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    const signals = [this.stopping.signal, ...(signal ? [signal] : [])];
+    return this.options.clock.sleep(ms, AbortSignal.any(signals));
+  }
+
+  private spread(ms: number): number {
+    return ms * (0.9 + 0.2 * this.options.random());
+  }
+
+  private async watch(): Promise<void> {
+    if (!this.isWatcher()) {
+      await this.sleep(WATCH_CHECK_MS);
+      return;
+    }
+    const isAnswered = await this.watcher.next();
+    if (!isAnswered) {
+      // As seldom as a watch that works, and spread: neither an outage nor
+      // its end raises the rate of calls.
+      await this.sleep(this.spread(headWatcher.WATCH_MS));
+    }
+  }
+
+  private async exchange(): Promise<void> {
+    const {peers, clock, random} = this.options;
+    peers.tick(clock.now());
+    const peer = peers.draw(random);
+    this.pace.take(clock.now());
+    this.wakeExchange = new AbortController();
+    if (peer) {
+      const isAnswered = await this.relay.exchangeWith(peer);
+      this.failures = isAnswered ? 0 : this.failures + 1;
+    }
+    await this.awaitExchange();
+  }
+
+  /** Waits for the next exchange, less after a change or in doubt. */
+  private async awaitExchange(): Promise<void> {
+    const {clock} = this.options;
+    const end = clock.now() + this.spread(this.exchangeMs());
+    if (this.earlyLeft === 0) {
+      await this.sleep(end - clock.now(), this.wakeExchange.signal);
+    }
+    if (this.earlyLeft > 0) {
+      this.earlyLeft--;
+      const wait = Math.max(EARLY_MS, this.pace.waitMs(clock.now()));
+      await this.sleep(Math.min(wait, Math.max(0, end - clock.now())));
+    }
+  }
+
+  /**
+   * Time between exchanges. When no confirmation came for half the bound, the
+   * case has to be judged before the rest is over: a platform that is out, or
+   * this instance cut off. Several looks at other zones fit into that time,
+   * so that an outage does not stop instances which merely had no luck.
+   */
+  private exchangeMs(): number {
+    const boundMs = this.relay.boundMs(this.countWatchers());
+    const isInDoubt = (this.confirmedAgeMs() ?? Infinity) > boundMs / 2;
+    return isInDoubt
+      ? Math.min(EXCHANGE_MS, boundMs * DOUBT_SHARE)
+      : EXCHANGE_MS;
+  }
+
+  private async refreshList(): Promise<void> {
+    const size = this.options.peers.size();
+    const wait = Math.max(LIST_MS, (size / LISTS_PER_S) * 1_000);
+    await this.sleep(this.spread(wait));
+    await this.readList();
+  }
+
+  private async readList(): Promise<void> {
+    const {instances, peers, clock} = this.options;
+    const listed = await instances.list();
+    listed.ifRight(rows => peers.applyList(rows, clock.now()));
+    if (listed.isLeft() && peers.all().length === 0) {
+      await this.askSeeds();
+    }
+  }
+
+  private async askSeeds(): Promise<void> {
+    const {seeds = [], transport, peers, clock} = this.options;
+    for (const address of seeds) {
+      const answer = await protocol.callPeer(
+        transport,
+        address,
+        'list_peers',
+        {},
+        configurationRelay.MESSAGE_TIMEOUT_MS,
+      );
+      answer.ifRight(({peers: rows}) => peers.applyNews(rows, clock.now()));
+      if (answer.isRight()) {
+        return;
+      }
+    }
+  }
+
+  private async askPeers(): Promise<void> {
+    const {peers, random} = this.options;
+    for (let asked = 0; asked < START_PEERS; asked++) {
+      const peer = peers.draw(random);
+      if (peer && (await this.relay.exchangeWith(peer))) {
+        return;
+      }
+    }
+  }
+}
