Split documents into one section for each item, as the relay does

Bounds found on the way: a message lists 2,000 sections, and a peer's answer has 8 MiB, so a document of more than 2,000 items or 4 MB published is refused when it is checked, not when the first instance starts from its peers.

--- a/packages/configuration/src/parse-document.ts
+++ b/packages/configuration/src/parse-document.ts
@@ -6,10 +6,10 @@
 import * as checkAccess from './check-access.js';
 import * as checkKeysAndZones from './check-keys-and-zones.js';
 import * as checkModels from './check-models.js';
+import * as checkPublished from './check-published.js';
 import * as checkSizes from './check-sizes.js';
 import * as formatDocument from './format-document.js';
 import * as tables from './document-tables.js';
-import * as sections from './sections.js';
 import * as shapes from './util/check-shape.js';
 import * as readToml from './util/read-toml.js';
 
@@ -103,18 +103,6 @@
   ...createSessions(checked.sessions),
 });
 
-/** A table may be longer in its sections than in TOML's short forms. */
-const checkSections = (
-  document: documents.Document,
-): readonly problems.Finding[] => {
-  const split = sections.splitDocument(document);
-  return sections.listOversizedSections(split).map(name => ({
-    path: [name],
-    code: 'too_large',
-    message: `more than ${sections.MAX_SECTION_BYTES} bytes when published`,
-  }));
-};
-
 /** Checks TOML data completely, and only then makes it a document. */
 const readDocument = (
   source: readToml.TomlFile,
@@ -133,7 +121,7 @@
     return purify.Left(readToml.placeFindings(source, findings));
   }
   const document = createDocument(checked, allowed);
-  const oversized = checkSections(document);
+  const oversized = checkPublished.checkPublished(document);
   return oversized.length === 0
     ? purify.Right(document)
     : purify.Left(readToml.placeFindings(source, oversized));
--- a/packages/configuration/src/sections.ts
+++ b/packages/configuration/src/sections.ts
@@ -1,49 +1,47 @@
 /**
  * A document as immutable sections, each named by the digest of its content.
  *
- * Load: a change a second over the day, mostly of one zone or one roll-out.
- * One section for each table, and one for each workspace, let a change travel
- * as the one section it touches. Sections are never written over, so a reader
- * that follows an older manifest still finds what that manifest names.
+ * Load: about a change a second over the day, mostly of one zone or one
+ * roll-out. One section for each named item lets a change travel as the few
+ * hundred bytes it touches. Sections are never written over, so a reader that
+ * follows an older manifest still finds what that manifest names.
  */
 import * as purify from 'purify-ts';
 import type * as documents from './document.js';
 import * as canonicalJson from './util/canonical-json.js';
 
-/** A part of a document, addressed by its content. */
-export interface Section {
-  /** `models`, `cascades`, ..., or `workspace/NAME`. */
+/** A named section and the digest of its content. */
+export interface SectionEntry {
+  /** Table and item, as `zones/tunis`; `sessions` has one item only. */
   readonly name: string;
-  /** SHA-256 of the value's canonical JSON, in lower-case hex. */
+  /** SHA-256 of the content's canonical JSON, in lower-case hex. */
   readonly digest: string;
-  /** JSON value. */
-  readonly value: unknown;
 }
 
-/** All sections of a document; its own digest is the document's. */
+/** The sections of a document, sorted by name. */
 export interface Manifest {
-  /** Digest by section name. */
-  readonly sections: Readonly<Record<string, string>>;
+  readonly entries: readonly SectionEntry[];
 }
 
-/** A document with its sections. */
+/** A document as it is stored and relayed. */
 export interface SplitDocument {
   readonly manifest: Manifest;
+  /** Contents, JSON values, by digest. */
+  readonly sections: ReadonlyMap<string, unknown>;
   /** Digest of the manifest, and so of the whole document. */
   readonly digest: string;
-  readonly sections: readonly Section[];
-  /** Bytes of canonical JSON by section name; `manifest` is the manifest. */
+  /** Bytes of canonical JSON by section name, `manifest` among them. */
   readonly byteLengths: ReadonlyMap<string, number>;
 }
 
 /**
  * Why sections make no document.
  *
- * - `missing_section`: the manifest names it, or needs to, and it is not here.
- * - `digest_mismatch`: the value is not the one its digest stands for.
+ * - `missing_section`: the manifest names it, and it is not at hand.
+ * - `digest_mismatch`: the content is not the one its digest stands for.
  * - `unknown_section`: of a later program; leaving it out could leave out a
- *   rule, so the whole document is refused.
- * - `invalid_section`: the value is of another shape.
+ *   limit, so the whole document is refused.
+ * - `invalid_section`: the content is not of the item that the name says.
  */
 export type SectionErrorCode =
   'missing_section' | 'digest_mismatch' | 'unknown_section' | 'invalid_section';
@@ -55,80 +53,65 @@
   readonly message: string;
 }
 
-const WORKSPACE_PREFIX = 'workspace/';
+/** Name under which the manifest's own size stands. */
+const MANIFEST = 'manifest';
+
+/** The one section without an item of its own name. */
+const SESSIONS = 'sessions';
 
 const TABLES = [
   'models',
   'cascades',
   'services',
+  'workspaces',
   'zones',
   'rollouts',
-  'sessions',
 ] as const;
 
 type TableName = (typeof TABLES)[number];
 
-const isTable = (name: string): name is TableName =>
-  (TABLES as readonly string[]).includes(name);
-
-/** A section with the size of its text. */
 interface SizedSection {
-  readonly section: Section;
+  readonly entry: SectionEntry;
+  readonly value: unknown;
   readonly byteLength: number;
 }
 
 const createSection = (name: string, value: unknown): SizedSection => {
   const text = canonicalJson.formatCanonicalJson(value);
-  const section = {name, digest: canonicalJson.digestText(text), value};
-  return {section, byteLength: Buffer.byteLength(text)};
+  const entry = {name, digest: canonicalJson.digestText(text)};
+  return {entry, value, byteLength: Buffer.byteLength(text)};
 };
 
-/** Digest of a manifest: the digest of its document. */
-export const digestManifest = (manifest: Manifest): string =>
-  canonicalJson.digestValue(manifest);
-
-/** Whether a section's value is the one its digest stands for. */
-export const isSectionIntact = (section: Section): boolean =>
-  canonicalJson.digestValue(section.value) === section.digest;
+const nameItem = (
+  table: TableName,
+  item: documents.Document[TableName][number],
+): string => `${table}/${'name' in item ? item.name : item.model}`;
 
-/** Name under which the manifest's own size stands. */
-const MANIFEST = 'manifest';
+const listSections = (document: documents.Document): readonly SizedSection[] =>
+  [
+    ...TABLES.flatMap(table =>
+      document[table].map(item => createSection(nameItem(table, item), item)),
+    ),
+    ...(document.sessions === undefined
+      ? []
+      : [createSection(SESSIONS, document.sessions)]),
+  ].sort((a, b) => (a.entry.name < b.entry.name ? -1 : 1));
 
 /** Splits a document; equal documents give equal digests. */
 export const splitDocument = (document: documents.Document): SplitDocument => {
-  const tables = TABLES.filter(name => document[name] !== undefined);
-  const sized = [
-    ...tables.map(name => createSection(name, document[name])),
-    ...document.workspaces.map(workspace =>
-      createSection(WORKSPACE_PREFIX + workspace.name, workspace),
+  const listed = listSections(document);
+  const manifest = {entries: listed.map(({entry}) => entry)};
+  const own = createSection(MANIFEST, manifest);
+  return {
+    manifest,
+    sections: new Map(listed.map(({entry, value}) => [entry.digest, value])),
+    digest: own.entry.digest,
+    byteLengths: new Map(
+      [...listed, own].map(({entry, byteLength}) => [entry.name, byteLength]),
     ),
-  ];
-  const sections = sized.map(({section}) => section);
-  const digests = sections.map(section => [section.name, section.digest]);
-  const manifest = {
-    sections: Object.fromEntries(digests) as Record<string, string>,
   };
-  const own = createSection(MANIFEST, manifest);
-  const byteLengths = new Map(
-    [...sized, own].map(({section, byteLength}) => [section.name, byteLength]),
-  );
-  return {manifest, digest: own.section.digest, sections, byteLengths};
 };
 
-/**
- * Largest section or manifest, in bytes of canonical JSON. The object API
- * holds values up to a megabyte; the rest is left to its envelope.
- */
-export const MAX_SECTION_BYTES = 1_000_000;
-
-/** Names of the sections too large to publish, `manifest` among them. */
-export const listOversizedSections = (
-  split: SplitDocument,
-): readonly string[] =>
-  [...split.byteLengths]
-    .filter(([, byteLength]) => byteLength > MAX_SECTION_BYTES)
-    .map(([name]) => name);
-
 /** Digest of a document. */
 export const digestDocument = (document: documents.Document): string =>
   splitDocument(document).digest;
@@ -137,85 +120,84 @@
 export const listChangedSections = (
   before: Manifest,
   after: Manifest,
-): readonly string[] =>
-  Object.entries(after.sections)
-    .filter(([name, digest]) => before.sections[name] !== digest)
-    .map(([name]) => name);
-
-const isShaped = (name: string, value: unknown): boolean => {
-  if (name === 'sessions' || name.startsWith(WORKSPACE_PREFIX)) {
-    return typeof value === 'object' && value !== null;
+): readonly string[] => {
+  const digests = new Map(
+    before.entries.map(({name, digest}) => [name, digest]),
+  );
+  return after.entries
+    .filter(({name, digest}) => digests.get(name) !== digest)
+    .map(({name}) => name);
+};
+
+const findTable = (name: string): TableName | undefined =>
+  TABLES.find(table => name.startsWith(`${table}/`));
+
+/** Whether a content is of the item that its section's name says. */
+const isNamed = (name: string, value: unknown): boolean => {
+  if (typeof value !== 'object' || value === null) {
+    return false;
   }
-  return Array.isArray(value);
+  const table = findTable(name);
+  const item = value as documents.Document[TableName][number];
+  return table === undefined || nameItem(table, item) === name;
 };
 
 const checkSection = (
-  name: string,
-  digest: string,
+  {name, digest}: SectionEntry,
   value: unknown,
 ): readonly SectionError[] => {
   const fail = (code: SectionErrorCode, message: string) => [
     {section: name, code, message},
   ];
-  if (!isTable(name) && !name.startsWith(WORKSPACE_PREFIX)) {
-    return fail('unknown_section', `this program knows no section "${name}"`);
+  if (findTable(name) === undefined && name !== SESSIONS) {
+    return fail('unknown_section', `this program knows no section ${name}`);
   }
   if (value === undefined) {
-    return fail('missing_section', `no value with digest ${digest}`);
+    return fail('missing_section', `section ${name} is missing`);
   }
   if (canonicalJson.digestValue(value) !== digest) {
-    return fail('digest_mismatch', `the value's digest is not ${digest}`);
+    return fail('digest_mismatch', `section ${name} is not ${digest}`);
   }
-  return isShaped(name, value)
+  return isNamed(name, value)
     ? []
-    : fail('invalid_section', 'the value is of another shape');
+    : fail('invalid_section', `section ${name} holds another item`);
 };
 
-const checkTables = (manifest: Manifest): readonly SectionError[] =>
-  TABLES.filter(name => name !== 'sessions')
-    .filter(name => !Object.hasOwn(manifest.sections, name))
-    .map(section => ({
-      section,
-      code: 'missing_section',
-      message: 'the manifest has no such section',
-    }));
-
 const assemble = (
   manifest: Manifest,
-  findValue: (digest: string) => unknown,
+  sections: ReadonlyMap<string, unknown>,
 ): documents.Document => {
-  const entries = Object.entries(manifest.sections).map(
-    ([name, digest]) => [name, findValue(digest)] as const,
-  );
-  const tables = entries.filter(([name]) => isTable(name));
-  const workspaces = entries
-    .filter(([name]) => name.startsWith(WORKSPACE_PREFIX))
-    .sort(([a], [b]) => (a < b ? -1 : 1))
-    .map(([, value]) => value);
+  const listItems = (table: TableName): readonly unknown[] =>
+    manifest.entries
+      .filter(({name}) => name.startsWith(`${table}/`))
+      .map(({digest}) => sections.get(digest));
+  const tables = TABLES.map(table => [table, listItems(table)] as const);
+  const sessions = manifest.entries.find(({name}) => name === SESSIONS);
   return {
     ...Object.fromEntries(tables),
-    workspaces,
+    ...(sessions === undefined
+      ? {}
+      : {sessions: sections.get(sessions.digest)}),
   } as unknown as documents.Document;
 };
 
 /**
- * Joins sections to the document of a manifest. Values come from peers and
+ * Joins sections to the document of a manifest. Contents come from peers and
  * from the platform, so each is checked against its digest; what a digest
  * stands for was checked when it was published.
  *
- * @param findValue value by digest, undefined when it is not at hand.
+ * @param sections contents by digest.
+ * @return the document, or its first section that stands in the way.
  */
 export const joinSections = (
   manifest: Manifest,
-  findValue: (digest: string) => unknown,
-): purify.Either<readonly SectionError[], documents.Document> => {
-  const errors = [
-    ...checkTables(manifest),
-    ...Object.entries(manifest.sections).flatMap(([name, digest]) =>
-      checkSection(name, digest, findValue(digest)),
-    ),
-  ];
-  return errors.length === 0
-    ? purify.Right(assemble(manifest, findValue))
-    : purify.Left(errors);
+  sections: ReadonlyMap<string, unknown>,
+): purify.Either<SectionError, documents.Document> => {
+  for (const entry of manifest.entries) {
+    const [error] = checkSection(entry, sections.get(entry.digest));
+    if (error) {
+      return purify.Left(error);
+    }
+  }
+  return purify.Right(assemble(manifest, sections));
 };
--- a/packages/configuration/src/target.ts
+++ b/packages/configuration/src/target.ts
@@ -98,3 +98,16 @@
       (target.version === undefined || target.version === version),
   );
 };
+
+/**
+ * Versions of a model that a workspace may run, withdrawn ones included, by
+ * `isModelAllowed`. Empty when it may not run the model at all.
+ */
+export const listAllowedVersions = (
+  allowed: readonly documents.Target[],
+  model: documents.Model,
+  through?: documents.Cascade,
+): readonly string[] =>
+  model.versions
+    .map(version => version.name)
+    .filter(version => isModelAllowed(allowed, model.name, version, through));
--- a/packages/configuration/tests/parse-document.test.ts
+++ b/packages/configuration/tests/parse-document.test.ts
@@ -342,22 +342,42 @@
     chai.expect(problemsOf(text).map(one => one.code)).eql(['too_large']);
   });
 
-  it('refuses a table that is too large once published', () => {
-    const many = (count: number, write: (index: number) => string): string =>
-      Array.from({length: count}, (_, index) => write(index)).join('');
-    const text = createText({
-      more: many(
-        400,
-        index =>
-          `[models.m${index}]\ncost_per_thousand_tokens = 1\n` +
-          'default_version = "v0"\n[models.m' +
-          `${index}.versions]\n${many(100, version => `v${version}={}\n`)}`,
-      ),
+  const many = (count: number, write: (index: number) => string): string =>
+    Array.from({length: count}, (_, index) => write(index)).join('');
+  const copies = many(
+    900,
+    index =>
+      `[workspaces.w${index}]\n` +
+      `keys = ["sha256:${String(index).padStart(64, '0')}"]\n`,
+  );
+  const large: readonly (readonly [string, string, string])[] = [
+    [
+      'more items than a message lists',
+      many(400, i => `[zones.a${i}]\n[services.s${i}]\ncost_per_call = 1\n`) +
+        many(400, i => `[cascades.c${i}]\nstages = ["small"]\n`) +
+        copies,
+      'out_of_range',
+    ],
+    [
+      'rules for all that blow up once published',
+      many(
+        180,
+        i => `[cascades.long-name-of-a-cascade-${i}]\nstages = ["small"]\n`,
+      ) +
+        '[[rules]]\nworkspaces = ["*"]\nallow = [' +
+        `${many(180, i => `"cascade:long-name-of-a-cascade-${i}",`)}]\n` +
+        copies,
+      'too_large',
+    ],
+  ];
+  for (const [title, added, code] of large) {
+    it(`refuses ${title}`, () => {
+      const found = problemsOf(createText({added}));
+      chai
+        .expect(found.map(one => [one.code, one.key]))
+        .eql([[code, configuration.WHOLE_FILE_KEY]]);
     });
-    chai
-      .expect(problemsOf(text).map(one => [one.code, one.key]))
-      .eql([['too_large', 'models']]);
-  });
+  }
 
   it('shows a problem in one line', () => {
     const [problem] = problemsOf(createText({other: '[zone.x]\n'}));
@@ -396,4 +416,15 @@
       chai.expect(answers).eql([direct, within]);
     });
   }
+
+  it('lists the versions of a pin', () => {
+    const document = parse(createText()) as configuration.Document;
+    const model = document.models.find(found => found.name === 'small')!;
+    const versions = configuration.listAllowedVersions(
+      [draft, pinned],
+      model,
+      cascade,
+    );
+    chai.expect(versions).eql(['v1']);
+  });
 });
--- a/packages/configuration/tests/sections.test.ts
+++ b/packages/configuration/tests/sections.test.ts
@@ -47,11 +47,6 @@
   ),
 });
 
-const index = (
-  sections: readonly configuration.Section[],
-): ReadonlyMap<string, unknown> =>
-  new Map(sections.map(section => [section.digest, section.value]));
-
 describe('formatDocument', () => {
   it('writes TOML that reads back to an equal document', () => {
     const text = configuration.formatDocument(createDocument());
@@ -75,17 +70,13 @@
 
 describe('splitDocument', () => {
   it('gives sections that join to an equal document', () => {
-    const split = configuration.splitDocument(createDocument());
-    // The platform and peers hold copies, with members in their own order.
-    const values = index(
-      split.sections.map(section => ({
-        ...section,
-        value: JSON.parse(JSON.stringify(section.value)) as unknown,
-      })),
-    );
-    const joined = configuration.joinSections(split.manifest, digest =>
-      values.get(digest),
-    );
+    const {manifest, sections} = configuration.splitDocument(createDocument());
+    // The platform and peers hold copies of their own.
+    const copies = JSON.parse(JSON.stringify([...sections])) as readonly [
+      string,
+      unknown,
+    ][];
+    const joined = configuration.joinSections(manifest, new Map(copies));
     chai.expect(joined.extract()).eql(createDocument());
   });
 
@@ -106,60 +97,76 @@
       before.manifest,
       after.manifest,
     );
-    chai.expect(changed).eql(['zones']);
+    chai.expect(changed).eql(['zones/z.1']);
     chai.expect(after.digest).not.equal(before.digest);
   });
+
+  it('covers every part of the document', () => {
+    const {manifest} = configuration.splitDocument(createDocument());
+    chai
+      .expect(manifest.entries.map(({name}) => name))
+      .eql([
+        'cascades/draft',
+        'models/small',
+        'rollouts/small',
+        'services/seats',
+        'sessions',
+        'workspaces/north',
+        'workspaces/south',
+        'zones/z.1',
+        'zones/z2',
+      ]);
+  });
 });
 
 describe('joinSections', () => {
-  const split = configuration.splitDocument(createDocument());
-  const [models] = split.sections;
-  const values = index(split.sections);
-  const {models: _, ...withoutModels} = split.manifest.sections;
+  const {manifest, sections} = configuration.splitDocument(createDocument());
+  const [cascade, model] = manifest.entries;
+  const replaceContent = (value: unknown): ReadonlyMap<string, unknown> =>
+    new Map(
+      [...sections].map(([digest, own]) => [
+        digest,
+        digest === cascade!.digest ? value : own,
+      ]),
+    );
+  const addEntry = (name: string) => ({
+    entries: [...manifest.entries, {name, digest: model!.digest}],
+  });
   const cases: readonly (readonly [
     string,
-    Readonly<Record<string, string>>,
-    (digest: string) => unknown,
+    configuration.Manifest,
+    ReadonlyMap<string, unknown>,
     string,
   ])[] = [
     [
       'a section that is not at hand',
-      split.manifest.sections,
-      digest => (digest === models!.digest ? undefined : values.get(digest)),
-      'missing_section',
-    ],
-    [
-      'a manifest without a table',
-      withoutModels,
-      digest => values.get(digest),
+      manifest,
+      replaceContent(undefined),
       'missing_section',
     ],
     [
-      'a value that was changed on its way',
-      split.manifest.sections,
-      digest => (digest === models!.digest ? [] : values.get(digest)),
+      'a content that was changed on its way',
+      manifest,
+      replaceContent({name: 'draft', stages: []}),
       'digest_mismatch',
     ],
     [
       'a section of a later program',
-      {...split.manifest.sections, quotas: models!.digest},
-      digest => values.get(digest),
+      addEntry('quotas/north'),
+      sections,
       'unknown_section',
     ],
     [
-      'a section of another shape',
-      {
-        ...split.manifest.sections,
-        models: split.manifest.sections['sessions']!,
-      },
-      digest => values.get(digest),
+      'the content of another item',
+      addEntry('models/large'),
+      sections,
       'invalid_section',
     ],
   ];
-  for (const [title, sections, findValue, code] of cases) {
+  for (const [title, entries, contents, code] of cases) {
     it(`refuses ${title}`, () => {
-      const errors = configuration.joinSections({sections}, findValue).swap();
-      chai.expect(errors.orDefault([]).map(one => one.code)).eql([code]);
+      const joined = configuration.joinSections(entries, contents);
+      chai.expect(joined.mapLeft(one => one.code).extract()).equal(code);
     });
   }
 });
