--- a/packages/configuration/src/parse-settings.ts
+++ b/packages/configuration/src/parse-settings.ts
@@ -62,7 +62,8 @@
     .default(defaults.DEFAULT_LOG_LEVEL),
 });
 
-const schema = zod.strictObject({
+/** Schema of the whole file. */
+export const settingsSchema = zod.strictObject({
   instance: zod.strictObject({
     id: tables.nameSchema,
     zone: tables.nameSchema,
@@ -86,7 +87,7 @@
   log: log.default(() => log.parse({})),
 });
 
-type Tables = zod.infer<typeof schema>;
+type Tables = zod.infer<typeof settingsSchema>;
 
 const readAddress = (text: string): defaults.Address | undefined =>
   addresses.parseAddress(text).extract();
@@ -185,8 +186,8 @@
 const checkRelations = (
   data: Readonly<Record<string, unknown>>,
 ): readonly problems.Finding[] => {
-  const instance = schema.shape.instance.safeParse(data['instance']);
-  const written = schema.shape.limits.safeParse(data['limits']);
+  const instance = settingsSchema.shape.instance.safeParse(data['instance']);
+  const written = settingsSchema.shape.limits.safeParse(data['limits']);
   return [
     ...(instance.success ? checkAddresses(instance.data) : []),
     ...(written.success ? checkGrace(written.data) : []),
@@ -206,10 +207,10 @@
 ): purify.Either<readonly problems.Problem[], defaults.Settings> =>
   readToml.readToml(text, file, MAX_SETTINGS_BYTES).chain(source => {
     const findings = [
-      ...shapes.checkShape(source.data, schema),
+      ...shapes.checkShape(source.data, settingsSchema),
       ...checkRelations(source.data),
     ];
     return findings.length === 0
-      ? purify.Right(createSettings(schema.parse(source.data)))
+      ? purify.Right(createSettings(settingsSchema.parse(source.data)))
       : purify.Left(readToml.placeFindings(source, findings));
   });
--- a/packages/configuration/src/problem.ts
+++ b/packages/configuration/src/problem.ts
@@ -8,30 +8,34 @@
  *   `invalid_value`, `invalid_name`: one key or value has the wrong shape.
  * - all others: the parts do not fit together.
  */
-export type ProblemCode =
-  | 'syntax'
-  | 'too_large'
-  | 'unknown_key'
-  | 'missing_key'
-  | 'wrong_type'
-  | 'out_of_range'
-  | 'invalid_value'
-  | 'invalid_name'
-  | 'dangling_name'
-  | 'duplicate'
-  | 'duplicate_key_digest'
-  | 'default_withdrawn'
-  | 'no_live_successor'
-  | 'successor_cycle'
-  | 'cost_order'
-  | 'unreachable_stage'
-  | 'nothing_allowed'
-  | 'cascade_not_allowed'
-  | 'all_zones_out'
-  | 'steps_not_growing'
-  | 'steps_not_complete'
-  | 'rollout_withdrawn'
-  | 'rollout_to_itself';
+export const PROBLEM_CODES = [
+  'syntax',
+  'too_large',
+  'unknown_key',
+  'missing_key',
+  'wrong_type',
+  'out_of_range',
+  'invalid_value',
+  'invalid_name',
+  'dangling_name',
+  'duplicate',
+  'duplicate_key_digest',
+  'default_withdrawn',
+  'no_live_successor',
+  'successor_cycle',
+  'cost_order',
+  'unreachable_stage',
+  'nothing_allowed',
+  'cascade_not_allowed',
+  'all_zones_out',
+  'steps_not_growing',
+  'steps_not_complete',
+  'rollout_withdrawn',
+  'rollout_to_itself',
+] as const;
+
+/** A kind of problem. */
+export type ProblemCode = (typeof PROBLEM_CODES)[number];
 
 /** One problem, placed in its file. */
 export interface Problem {
