Add the operators' commands

check, diff, apply, promote, status, zone, rollout and entry-instances, each a Command made of a pure description, a syntax and an act that gives an outcome as a value; parsing, printing, JSON and exit codes stand once in operator/.

Conclusion: reads from the platform prove nothing; only the conditional update does.

--- /dev/null
+++ b/packages/amaranthknot/src/commands/entry-instances.ts
@@ -0,0 +1,67 @@
+/** `amaranthknot entry-instances`: lists entry instances and addresses. */
+import type * as platform from '@amaranthknot/platform';
+import type * as command from '../command.js';
+import * as createCommand from '../operator/create-command.js';
+import * as operations from '../operator/operations.js';
+import type * as outcome from '../operator/outcome.js';
+import * as waits from '../operator/wait-everywhere.js';
+
+const HELP = `
+  Lists the entry instances that the platform knows, which lags by seconds:
+  id, availability zone, address, and whether each is leaving.
+
+  Usage
+    $ amaranthknot entry-instances --settings FILE [--zone NAME] [--json]
+
+  Options
+    --settings FILE  settings of any instance; they say where the platform is
+    --zone NAME      instances of this zone only
+    --json           one line of JSON
+
+  Example
+    $ amaranthknot entry-instances --settings examples/settings.toml
+
+  Exit codes
+    0 listed; 2 wrong command line; 3 the platform is out of reach
+`;
+
+const describe = (
+  listed: readonly platform.ListedInstance[],
+): outcome.Success => ({
+  lines: listed.map(
+    ({id, zone, address, state}) => `${id} ${zone} ${address} ${state}`,
+  ),
+  json: {
+    instances: listed.map(({id, zone, address, state}) => ({
+      id,
+      zone,
+      address,
+      state,
+    })),
+  },
+});
+
+/** Creates the command. */
+export const createEntryInstances = (
+  connect: operations.Connect,
+): command.Command =>
+  createCommand.createOperatorCommand(
+    {
+      summary: 'list the entry instances',
+      help: HELP,
+      syntax: {inputs: [], flags: {zone: {type: 'string'}}},
+      act: async ({operations: reached, given}) => {
+        const {zone} = given.flags;
+        const listed = await waits.listEntryInstances(reached.instances);
+        return listed
+          .map(all =>
+            all.filter(each => zone === undefined || each.zone === zone),
+          )
+          .map(describe);
+      },
+    },
+    connect,
+  );
+
+/** The command. */
+export const entryInstances = createEntryInstances(operations.connect);
--- /dev/null
+++ b/packages/amaranthknot/src/commands/promote.ts
@@ -0,0 +1,135 @@
+/** `amaranthknot promote`: puts what one environment has in force elsewhere. */
+import * as configuration from '@amaranthknot/configuration';
+import * as membership from '@amaranthknot/membership';
+import * as purify from 'purify-ts';
+import type * as command from '../command.js';
+import * as createCommand from '../operator/create-command.js';
+import * as inForce from '../operator/in-force.js';
+import * as operations from '../operator/operations.js';
+import * as outcome from '../operator/outcome.js';
+import * as returns from '../operator/refuse-returns.js';
+import * as waits from '../operator/wait-everywhere.js';
+
+const HELP = `
+  Puts in force for one environment what is in force for another, unchanged:
+  the digest stays the same. When either environment moves on meanwhile,
+  nothing is promoted. Like apply, it refuses to bring back what operators of
+  the target took out of use.
+
+  Usage
+    $ amaranthknot promote --from E --to E --settings FILE [--wait]
+
+  Options
+    --from E         environment where it was tried
+    --to E           environment to put it in force for
+    --digest D       only this digest, the one that was tried
+    --settings FILE  settings of any instance; they say where the platform is
+    --bring-back     bring back what is out of use
+    --wait           wait until it is in force on all entry instances; the
+                     instances are those of the settings' platform
+    --wait-ms N      longest wait, ${waits.DEFAULT_WAIT_MS} by default
+    --json           one line of JSON
+
+  Example
+    $ amaranthknot promote --from trial --to production \\
+        --settings examples/settings.toml
+
+  Exit codes
+    0 done; 1 nothing to promote, a conflict, a return refused, or not in force
+    everywhere in time; 2 wrong command line; 3 the platform is out of reach,
+    or its answer was lost: look at status
+`;
+
+const FLAGS = {
+  ...waits.WAIT_FLAGS,
+  from: {type: 'string'},
+  to: {type: 'string'},
+  digest: {type: 'string'},
+  bringBack: {type: 'boolean'},
+} as const;
+
+type Context = createCommand.OperatorContext<typeof FLAGS>;
+
+interface Pair {
+  readonly source: inForce.InForce;
+  readonly target: inForce.InForce | undefined;
+}
+
+const readPair = async (
+  {store}: operations.Operations,
+  from: string,
+  to: string,
+): Promise<purify.Either<outcome.Failure, Pair>> => {
+  const source = await inForce.readInForce(store, from);
+  const target = await inForce.findInForce(store, to);
+  return source.chain(tried =>
+    target.map(found => ({source: tried, target: found})),
+  );
+};
+
+const promotePair = async (
+  context: Context,
+  {source, target}: Pair,
+  from: string,
+  to: string,
+): Promise<createCommand.Result> => {
+  const {operations: reached, given, showProgress} = context;
+  const promoted = await membership.promoteDocument(
+    reached.store,
+    from,
+    to,
+    given.flags.digest ?? source.digest,
+    {expectedGeneration: target?.generation ?? 0},
+  );
+  if (promoted.isLeft()) {
+    return promoted.mapLeft(inForce.describePublishError);
+  }
+  const {generation, digest} = promoted.unsafeCoerce();
+  const waited = await waits.waitEverywhere(reached, {
+    environment: to,
+    generation,
+    choice: given.flags,
+    showProgress,
+  });
+  const changes = target
+    ? configuration.diffDocuments(target.document, source.document)
+    : [];
+  return waited.map(instances => ({
+    lines: [
+      ...changes.map(configuration.formatChange),
+      `${to}: generation ${generation}, digest ${digest}, as in ${from}`,
+      ...waits.formatWaited(instances),
+    ],
+    json: {from, to, generation, digest, changes, instances},
+  }));
+};
+
+const act = async (context: Context): Promise<createCommand.Result> => {
+  const {from, to, bringBack} = context.given.flags;
+  if (from === undefined || to === undefined || from === to) {
+    const message = 'needs --from E and --to E, two environments; see --help';
+    return purify.Left(outcome.fail('usage', message));
+  }
+  const read = await readPair(context.operations, from, to);
+  const allowed = read.chain(({source, target}) =>
+    returns.refuseReturns(target?.document, source.document, bringBack),
+  );
+  return allowed.isLeft()
+    ? allowed
+    : promotePair(context, read.unsafeCoerce(), from, to);
+};
+
+/** Creates the command. */
+export const createPromote = (connect: operations.Connect): command.Command =>
+  createCommand.createOperatorCommand(
+    {
+      summary: 'put what was tried in one environment in force for another',
+      help: HELP,
+      syntax: {inputs: [], flags: FLAGS},
+      act,
+    },
+    connect,
+  );
+
+/** The command. */
+export const promote = createPromote(operations.connect);
--- /dev/null
+++ b/packages/amaranthknot/src/commands/status.ts
@@ -0,0 +1,85 @@
+/** `amaranthknot status`: what is in force, and on which entry instances. */
+import * as membership from '@amaranthknot/membership';
+import type * as command from '../command.js';
+import * as createCommand from '../operator/create-command.js';
+import * as inForce from '../operator/in-force.js';
+import * as operations from '../operator/operations.js';
+import type * as outcome from '../operator/outcome.js';
+import * as waits from '../operator/wait-everywhere.js';
+
+const HELP = `
+  Prints what is in force for an environment, its availability zones and
+  roll-outs, and which generation each entry instance works with.
+
+  Usage
+    $ amaranthknot status --settings FILE [--environment E] [--json]
+
+  Options
+    --settings FILE  settings of any instance; they say where the platform is
+    --environment E  the settings' environment by default
+    --json           one line of JSON
+
+  Example
+    $ amaranthknot status --settings examples/settings.toml
+
+  Exit codes
+    0 shown; 1 nothing is in force; 2 wrong command line; 3 the platform is out
+    of reach
+`;
+
+const describe = (
+  environment: string,
+  {generation, digest, document}: inForce.InForce,
+  reports: readonly membership.GenerationReport[],
+): outcome.Success => {
+  const {zones, rollouts} = document;
+  const current = reports.filter(report => report.generation === generation);
+  return {
+    lines: [
+      `${environment}: generation ${generation}, digest ${digest}`,
+      `zones: ${zones.map(({name, state}) => `${name} ${state}`).join(', ')}`,
+      ...rollouts.map(
+        ({model, from, to, state}) =>
+          `roll-out of ${model}: ${from} -> ${to}, ${state}`,
+      ),
+      `in force on ${current.length} of ${reports.length} instances`,
+      ...reports.map(waits.formatReport),
+    ],
+    json: {
+      environment,
+      generation,
+      digest,
+      zones,
+      rollouts,
+      instances: reports,
+    },
+  };
+};
+
+/** Creates the command. */
+export const createStatus = (connect: operations.Connect): command.Command =>
+  createCommand.createOperatorCommand(
+    {
+      summary: 'show what is in force, and on which instances',
+      help: HELP,
+      syntax: {inputs: [], flags: {}},
+      act: async ({operations: reached, environment, showProgress}) => {
+        const read = await inForce.readInForce(reached.store, environment);
+        const listed = await waits.listEntryInstances(reached.instances);
+        const instances = listed.orDefault([]);
+        showProgress(`asking ${instances.length} instances`);
+        const reports = await membership.collectGenerations(
+          reached.transport,
+          instances,
+          environment,
+        );
+        return read.chain(found =>
+          listed.map(() => describe(environment, found, reports)),
+        );
+      },
+    },
+    connect,
+  );
+
+/** The command. */
+export const status = createStatus(operations.connect);
--- /dev/null
+++ b/packages/amaranthknot/src/commands/zone.ts
@@ -0,0 +1,74 @@
+/** `amaranthknot zone`: takes an availability zone out, or brings it in. */
+import type * as configuration from '@amaranthknot/configuration';
+import * as purify from 'purify-ts';
+import type * as command from '../command.js';
+import * as changes from '../operator/change-and-wait.js';
+import * as createCommand from '../operator/create-command.js';
+import type * as inForce from '../operator/in-force.js';
+import * as operations from '../operator/operations.js';
+import * as outcome from '../operator/outcome.js';
+import * as waits from '../operator/wait-everywhere.js';
+
+const HELP = `
+  Takes an availability zone out, so that it gets no new work, or brings it
+  back in. It changes this one state of what is in force, again when another
+  publication comes first. The last zone that is in can't be taken out.
+
+  Usage
+    $ amaranthknot zone out NAME --settings FILE [--environment E] [--wait]
+    $ amaranthknot zone in NAME --settings FILE [--environment E] [--wait]
+
+  Options
+    --settings FILE  settings of any instance; they say where the platform is
+    --environment E  the settings' environment by default
+    --wait           wait until it is in force on all entry instances
+    --wait-ms N      longest wait, ${waits.DEFAULT_WAIT_MS} by default
+    --json           one line of JSON
+
+  Example
+    $ amaranthknot zone out bizerte --settings examples/settings.toml --wait
+
+  Exit codes
+    0 done; 1 refused, a conflict, or not in force everywhere in time; 2 wrong
+    command line, or no such zone; 3 the platform is out of reach, or its
+    answer was lost: look at status
+`;
+
+const ACTIONS: readonly string[] = ['in', 'out'];
+
+/** An edit that sets the state of a zone. */
+export const setZone =
+  (name: string, state: configuration.ZoneState): inForce.Edit =>
+  document => {
+    const names = document.zones.map(zone => zone.name);
+    if (!names.includes(name)) {
+      return purify.Left(outcome.describeUnknownName('zone', name, names));
+    }
+    const zones = document.zones.map(zone =>
+      zone.name === name ? {...zone, state} : zone,
+    );
+    return purify.Right({...document, zones});
+  };
+
+/** Creates the command. */
+export const createZone = (connect: operations.Connect): command.Command =>
+  createCommand.createOperatorCommand(
+    {
+      summary: 'take an availability zone out, or bring it in',
+      help: HELP,
+      syntax: {inputs: ['out or in', 'NAME'], flags: waits.WAIT_FLAGS},
+      act: async context => {
+        const [action = '', name = ''] = context.given.inputs;
+        if (action !== 'in' && action !== 'out') {
+          return purify.Left(
+            outcome.describeUnknownName('action', action, ACTIONS),
+          );
+        }
+        return changes.changeAndWait(context, setZone(name, action));
+      },
+    },
+    connect,
+  );
+
+/** The command. */
+export const zone = createZone(operations.connect);
--- /dev/null
+++ b/packages/amaranthknot/src/operator/in-force.ts
@@ -0,0 +1,158 @@
+/** Reads what is in force for an environment, and changes it. */
+import * as configuration from '@amaranthknot/configuration';
+import * as membership from '@amaranthknot/membership';
+import type * as platform from '@amaranthknot/platform';
+import * as purify from 'purify-ts';
+import type * as operations from './operations.js';
+import * as outcome from './outcome.js';
+
+/** A document in force. */
+export interface InForce {
+  readonly generation: number;
+  readonly digest: string;
+  readonly document: configuration.Document;
+}
+
+/**
+ * Tries of a change that others come before. Operators' commands and duties
+ * write about once a second together, and one try takes some tens of
+ * milliseconds, so five lost races in a row mean that something is wrong.
+ */
+const MAX_TRIES = 5;
+
+const describeStoreError = (error: platform.StoreError): outcome.Failure =>
+  outcome.fail('unavailable', `the object API: ${error.message}`);
+
+/** Turns an error of a publication into a failure. */
+export const describePublishError = (
+  error: membership.PublishError,
+): outcome.Failure => {
+  switch (error.code) {
+    case 'conflict':
+      return outcome.fail('conflict', error.message);
+    case 'not_found':
+      return outcome.fail('not_found', error.message);
+    case 'unavailable':
+      return outcome.fail(
+        'unavailable',
+        `nothing was put in force: ${error.message}`,
+      );
+    case 'unknown': {
+      const message = `it may or may not be in force, look at status: ${error.message}`;
+      const {publication} = error;
+      return outcome.fail('unknown_outcome', message, {publication});
+    }
+  }
+};
+
+const readDocument = async (
+  store: platform.ObjectStore,
+  head: membership.Head,
+): Promise<purify.Either<outcome.Failure, InForce>> => {
+  const split = await membership.readDocument(store, head.digest);
+  return split.mapLeft(describeStoreError).chain(({manifest, sections}) =>
+    configuration
+      .joinSections(manifest, sections)
+      .mapLeft(({message}) => outcome.fail('refused', message))
+      .map(document => ({
+        generation: head.generation,
+        digest: head.digest,
+        document,
+      })),
+  );
+};
+
+/** Reads what is in force; nothing when nothing was ever published. */
+export const findInForce = async (
+  store: platform.ObjectStore,
+  environment: string,
+): Promise<purify.Either<outcome.Failure, InForce | undefined>> => {
+  const head = await membership.readHead(store, environment);
+  const found = head.orDefault(undefined)?.head;
+  return found === undefined
+    ? head.mapLeft(describeStoreError).map(() => undefined)
+    : readDocument(store, found);
+};
+
+/** Reads what is in force; a failure when nothing was ever published. */
+export const readInForce = async (
+  store: platform.ObjectStore,
+  environment: string,
+): Promise<purify.Either<outcome.Failure, InForce>> => {
+  const found = await findInForce(store, environment);
+  const message = `nothing is in force for ${environment}; apply a document`;
+  return found.chain(inForce =>
+    inForce === undefined
+      ? purify.Left(outcome.fail('not_found', message))
+      : purify.Right(inForce),
+  );
+};
+
+/** A change of a document, or why it can't be made. */
+export type Edit = (
+  document: configuration.Document,
+) => purify.Either<outcome.Failure, configuration.Document>;
+
+/** What a change came to. */
+export interface Changed {
+  readonly generation: number;
+  readonly digest: string;
+  readonly changes: readonly configuration.Change[];
+}
+
+const tryChange = async (
+  reached: operations.Operations,
+  environment: string,
+  edit: Edit,
+): Promise<purify.Either<outcome.Failure, Changed>> => {
+  const read = await readInForce(reached.store, environment);
+  const edited = read.chain(({document}) =>
+    edit(document).chain(after =>
+      configuration
+        .checkDocument(after, environment)
+        .mapLeft(found => outcome.describeProblems('refused', found)),
+    ),
+  );
+  if (read.isLeft() || edited.isLeft()) {
+    return read.chain(() => edited) as purify.Either<outcome.Failure, never>;
+  }
+  const {document, generation} = read.unsafeCoerce();
+  const after = edited.unsafeCoerce();
+  const published = await membership.publishDocument(
+    reached.store,
+    environment,
+    after,
+    generation,
+  );
+  return published.mapLeft(describePublishError).map(publication => ({
+    ...publication,
+    changes: configuration.diffDocuments(document, after),
+  }));
+};
+
+/**
+ * Reads, edits and publishes, again when another publication came first.
+ *
+ * Failure guarded against: the platform may answer a read with an older
+ * document, in which, say, the zone is out already. So even an edit without
+ * effect is published: the conditional update fails on an old generation. A
+ * lost answer is settled by doing it again, since edits set states.
+ */
+export const changeDocument = async (
+  reached: operations.Operations,
+  environment: string,
+  edit: Edit,
+): Promise<purify.Either<outcome.Failure, Changed>> => {
+  let result = await tryChange(reached, environment, edit);
+  for (let tries = 1; tries < MAX_TRIES; tries++) {
+    const code = result.swap().map(failure => failure.code);
+    const mayRepeat = code
+      .map(found => found === 'conflict' || found === 'unknown_outcome')
+      .orDefault(false);
+    if (!mayRepeat) {
+      return result;
+    }
+    result = await tryChange(reached, environment, edit);
+  }
+  return result;
+};
--- /dev/null
+++ b/packages/amaranthknot/src/operator/operations.ts
@@ -0,0 +1,92 @@
+/** What operators' commands reach: the platform and the entry instances. */
+import * as configuration from '@amaranthknot/configuration';
+import * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as outcome from './outcome.js';
+
+/** Reads a file's text; throws as `fs.readFileSync` does. */
+export type ReadFile = (path: string) => string;
+
+/** The platform and the entry instances of an environment. */
+export interface Operations {
+  /** Environment of the settings, for commands that name none. */
+  readonly environment: string;
+  readonly store: platform.ObjectStore;
+  readonly instances: platform.InstanceList;
+  readonly transport: protocol.PeerTransport;
+  readonly clock: platform.Clock;
+  /** Closes connections, so that the process can end. */
+  close(): void;
+}
+
+/** Connects by the settings file at a path. */
+export type Connect = (
+  path: string,
+  readFile: ReadFile,
+) => purify.Either<outcome.Failure, Operations>;
+
+/** Reads a file, or says why it can't be read. */
+export const readText = (
+  path: string,
+  readFile: ReadFile,
+): purify.Either<outcome.Failure, string> =>
+  purify.Either.encase(() => readFile(path)).mapLeft(error =>
+    outcome.fail('unreadable_file', `${path}: ${error.message}`),
+  );
+
+const readSecret = (
+  secret: configuration.Secret,
+  readFile: ReadFile,
+): purify.Either<outcome.Failure, string> =>
+  configuration
+    .readSecret(secret, readFile)
+    .mapLeft(({path, code, message}) =>
+      outcome.fail(
+        code === 'unreadable' ? 'unreadable_file' : 'invalid_file',
+        `${path}: ${message}`,
+      ),
+    );
+
+const readPlatformKey = (
+  settings: configuration.Settings,
+  readFile: ReadFile,
+): purify.Either<outcome.Failure, {readonly key?: string}> =>
+  settings.platform.key === undefined
+    ? purify.Right({})
+    : readSecret(settings.platform.key, readFile).map(key => ({key}));
+
+const createOperations = (
+  settings: configuration.Settings,
+  innerKey: string,
+  platformKey: {readonly key?: string},
+): Operations => {
+  const {objectApi, instanceList} = settings.platform;
+  const createClient = (url: string): platform.HttpClient =>
+    new platform.HttpClient({url, ...platformKey});
+  const transport = protocol.createHttpTransport({innerKey});
+  return {
+    environment: settings.instance.environment,
+    store: new platform.HttpObjectStore(createClient(objectApi)),
+    instances: new platform.HttpInstanceList(createClient(instanceList)),
+    transport: transport.send,
+    clock: platform.systemClock,
+    close: () => transport.close(),
+  };
+};
+
+/** Connects over HTTP, by the settings of any instance of the environment. */
+export const connect: Connect = (path, readFile) =>
+  readText(path, readFile)
+    .chain(text =>
+      configuration
+        .parseSettings(text, path)
+        .mapLeft(found => outcome.describeProblems('invalid_file', found)),
+    )
+    .chain(settings =>
+      readSecret(settings.keys.innerKey, readFile).chain(innerKey =>
+        readPlatformKey(settings, readFile).map(platformKey =>
+          createOperations(settings, innerKey, platformKey),
+        ),
+      ),
+    );
--- /dev/null
+++ b/packages/amaranthknot/tests/operator-commands.test.ts
@@ -0,0 +1,402 @@
+import * as chai from 'chai';
+import * as configuration from '@amaranthknot/configuration';
+import * as membership from '@amaranthknot/membership';
+import type * as command from '../src/command.js';
+import * as operations from '../src/operator/operations.js';
+import * as fixture from './operator-fixture.js';
+
+const S = '--settings s.toml';
+
+interface Json {
+  readonly ok: boolean;
+  readonly generation?: number;
+  readonly digest?: string;
+  readonly changes?: readonly {readonly key: string}[];
+  readonly error?: {readonly code: string; readonly nearest?: string};
+}
+
+const runJson = async (
+  environment: fixture.Environment,
+  line: string,
+): Promise<Json> =>
+  JSON.parse((await environment.run(`${line} --json`)).out) as Json;
+
+const createApplied = async (): Promise<fixture.Environment> => {
+  const environment = fixture.createEnvironment();
+  const applied = await environment.run(`apply meetups.toml ${S}`);
+  chai.expect(applied.code).equal(0);
+  return environment;
+};
+
+const replace = (
+  environment: fixture.Environment,
+  from: string,
+  to: string,
+): void => {
+  const text = environment.files.get('meetups.toml')!;
+  chai.expect(text).contain(from);
+  environment.files.set('meetups.toml', text.replace(from, to));
+};
+
+describe('operators’ commands', () => {
+  // Each row: what is wrong, the command line, exit code, words of the error.
+  const refused: readonly (readonly [
+    string,
+    string,
+    command.ExitCode,
+    RegExp,
+  ])[] = [
+    ['a flag misspelt', `status ${S} --jsn`, 2, /--jsn; did you mean --json\?/],
+    ['a flag without value', 'status --settings', 2, /needs a string/],
+    [
+      'no number',
+      `zone in x ${S} --wait-ms soon`,
+      2,
+      /--wait-ms needs a number/,
+    ],
+    ['a flag twice', `status ${S} ${S}`, 2, /only be set once/],
+    ['no settings', 'status', 2, /needs --settings/],
+    ['no document', 'check', 2, /needs DOC/],
+    ['an input too many', 'check a b', 2, /takes no "b"/],
+    ['a missing file', 'check nowhere.toml', 2, /nowhere\.toml: no such file/],
+    ['a zone misspelt', `zone out akl-aa ${S}`, 2, /did you mean "akl-a"\?/],
+    ['an action misspelt', `zone on akl-a ${S}`, 2, /no action "on"/],
+    ['a roll-out misspelt', `rollout pause guide ${S}`, 2, /guide-small/],
+    ['no roll-out named', `rollout pause ${S}`, 2, /needs MODEL/],
+    ['one environment', `promote --from a --to a ${S}`, 2, /two environments/],
+    ['nothing to promote', `promote --from x --to y ${S}`, 1, /nothing is in/],
+    ['nothing in force', `status ${S} --environment x`, 1, /nothing is in/],
+    [
+      'a generation that is not in force',
+      `apply meetups.toml ${S} --generation 7`,
+      1,
+      /another publication came first/,
+    ],
+  ];
+  for (const [title, line, code, words] of refused) {
+    it(`refuses ${title}`, async () => {
+      const environment = await createApplied();
+      const run = await environment.run(line);
+      chai.expect(run.err).match(words);
+      chai.expect(run.code).equal(code);
+      chai.expect(run.out).equal('');
+    });
+  }
+
+  it('prints problems with their place, and as JSON', async () => {
+    const environment = fixture.createEnvironment();
+    replace(environment, 'weight = 0.5', 'wieght = 0.5');
+    const run = await environment.run('check meetups.toml');
+    chai.expect(run.code).equal(1);
+    chai.expect(run.err).match(/^meetups\.toml:\d+: .* did you mean "weight"/);
+    const json = await runJson(environment, 'check meetups.toml');
+    chai.expect(json.error?.code).equal('invalid_file');
+  });
+
+  it('shows a diff, and applies it', async () => {
+    const environment = await createApplied();
+    replace(environment, 'weight = 0.5', 'weight = 2');
+    const run = await environment.run(`diff meetups.toml ${S}`);
+    chai
+      .expect(run.out)
+      .equal(
+        'trial, generation 1: 1 changes\n' +
+          '~ workspaces.trust-office.weight 0.5 -> 2\n',
+      );
+    const json = await runJson(environment, `apply meetups.toml ${S}`);
+    chai.expect(json.generation).equal(2);
+    chai
+      .expect(json.changes?.map(({key}) => key))
+      .eql(['workspaces.trust-office.weight']);
+  });
+
+  for (const name of ['rostering', 'meetups']) {
+    it(`promotes ${name} from trial to production unchanged`, async () => {
+      const environment = fixture.createEnvironment();
+      const tried = await runJson(environment, `apply ${name}.toml ${S}`);
+      const promoted = await runJson(
+        environment,
+        `promote --from trial --to production ${S}`,
+      );
+      chai.expect(promoted.ok).equal(true);
+      chai.expect(promoted.digest).equal(tried.digest);
+    });
+  }
+
+  it('takes a zone out and in, in one section each', async () => {
+    const environment = await createApplied();
+    const before = environment.store.count(membership.SECTION_KIND);
+    const out = await runJson(environment, `zone out akl-b ${S}`);
+    chai.expect(out.changes?.map(({key}) => key)).eql(['zones.akl-b.state']);
+    // The zone's own section, and the manifest that names it.
+    const after = environment.store.count(membership.SECTION_KIND);
+    chai.expect(after - before).equal(2);
+    const back = await runJson(environment, `zone in akl-b ${S}`);
+    chai.expect(back.generation).equal(3);
+  });
+
+  it('refuses to take the last zone out', async () => {
+    const environment = await createApplied();
+    await environment.run(`zone out akl-a ${S}`);
+    await environment.run(`zone out akl-b ${S}`);
+    const run = await environment.run(`zone out akl-c ${S}`);
+    chai.expect(run.code).equal(1);
+    chai.expect(run.err).contain('[all_zones_out]');
+  });
+
+  it('pauses, resumes and withdraws a roll-out', async () => {
+    const environment = await createApplied();
+    for (const action of ['resume', 'pause', 'resume', 'withdraw']) {
+      const run = await environment.run(`rollout ${action} guide-small ${S}`);
+      chai.expect(run.code).equal(0);
+    }
+    const shown = await environment.run(`rollout status ${S}`);
+    chai.expect(shown.out).contain('2026-10 -> 2026-11, withdrawn');
+    const resumed = await environment.run(`rollout resume guide-small ${S}`);
+    chai.expect(resumed.code).equal(1);
+    chai.expect(resumed.err).contain('[rollout_withdrawn]');
+  });
+
+  it('reports who lacks a generation after the wait', async () => {
+    const environment = await createApplied();
+    environment.generations.set('entry-1', 2);
+    const run = await environment.run(`zone out akl-a ${S} --wait`);
+    chai.expect(run.code).equal(1);
+    chai.expect(run.err).match(/not in force on 1 of 2[^]*entry-2 in ariana/);
+    environment.generations.set('entry-1', 3).set('entry-2', 3);
+    const back = await environment.run(`zone in akl-a ${S} --wait`);
+    chai.expect(back.code).equal(0);
+    chai.expect(back.out).contain('in force on all 2 instances');
+  });
+
+  it('shows progress on a terminal and is quiet in a pipe', async () => {
+    const environment = await createApplied();
+    const line = `status ${S}`;
+    chai.expect((await environment.run(line)).err).equal('');
+    environment.isTerminal = true;
+    chai.expect((await environment.run(line)).err).contain('asking 2');
+  });
+
+  it('lists what is in force, where, and the entry instances', async () => {
+    const environment = await createApplied();
+    environment.generations.set('entry-1', 1);
+    const shown = await environment.run(`status ${S}`);
+    chai.expect(shown.out).contain('in force on 1 of 2 instances');
+    chai.expect(shown.out).contain('akl-a in, akl-b in, akl-c in');
+    const listed = await environment.run(`entry-instances ${S} --zone tunis`);
+    chai.expect(listed.out).equal('entry-1 tunis 127.0.0.1:8081 live\n');
+  });
+
+  it('tells that the platform is out of reach', async () => {
+    const environment = await createApplied();
+    environment.isListDown = true;
+    chai.expect((await environment.run(`status ${S}`)).code).equal(3);
+    environment.store.fault = () => 'down';
+    for (const line of ['zone out akl-a', 'apply meetups.toml', 'status']) {
+      chai.expect((await environment.run(`${line} ${S}`)).code).equal(3);
+    }
+  });
+
+  for (const name of [
+    'apply',
+    'check',
+    'diff',
+    'entry-instances',
+    'promote',
+    'rollout',
+    'status',
+    'zone',
+  ]) {
+    it(`${name} has help with an example and exit codes`, async () => {
+      const run = await fixture.createEnvironment().run(`${name} --help`);
+      chai.expect(run.code).equal(0);
+      chai.expect(run.out).contain(`$ amaranthknot ${name}`);
+      chai.expect(run.out).match(/Example[^]*Exit codes/);
+    });
+  }
+});
+
+describe('operators’ commands under failure', () => {
+  it('do not bring back a zone by a document written before', async () => {
+    // An operator takes a zone out. Another applies a document for a weight,
+    // written while the zone was in. The zone would get new work again, and
+    // nobody decided that: the document in the file just never knew.
+    const environment = await createApplied();
+    await environment.run(`zone out akl-b ${S}`);
+    replace(environment, 'weight = 0.5', 'weight = 2');
+    const run = await environment.run(`apply meetups.toml ${S}`);
+    chai.expect(run.code).equal(1);
+    chai.expect(run.err).contain('zones.akl-b.state "out" -> "in"');
+    const told = await environment.run(`apply meetups.toml ${S} --bring-back`);
+    chai.expect(told.code).equal(0);
+  });
+
+  it('do not bring back a zone by promotion', async () => {
+    // A zone of production is out. What was tried in trial, where all zones
+    // are in, is promoted unchanged, and production would serve there again.
+    const environment = await createApplied();
+    const line = `promote --from trial --to production ${S}`;
+    await environment.run(line);
+    await environment.run(`zone out akl-b ${S} --environment production`);
+    chai.expect((await environment.run(line)).code).equal(1);
+    chai.expect((await environment.run(`${line} --bring-back`)).code).equal(0);
+  });
+
+  it('take both changes of two operators who race', async () => {
+    // Two operators take a zone out each, at the same moment. Both read the
+    // same generation; the later write must not undo the earlier one.
+    const environment = await createApplied();
+    const runs = await Promise.all(
+      ['akl-a', 'akl-b'].map(name => environment.run(`zone out ${name} ${S}`)),
+    );
+    chai.expect(runs.map(run => run.code)).eql([0, 0]);
+    const shown = await environment.run(`status ${S}`);
+    chai.expect(shown.out).contain('akl-a out, akl-b out, akl-c in');
+  });
+
+  it('do not undo a change that came between reading and publishing', async () => {
+    // An operator's command has read the document and edits it. Another takes
+    // a zone out meanwhile. The first publishes what it edited, in which that
+    // zone is still in.
+    const environment = await createApplied();
+    let reads = 0;
+    environment.beforeGet = async kind => {
+      reads += kind === membership.HEAD_KIND ? 1 : 0;
+      if (kind === membership.HEAD_KIND && reads === 2) {
+        await environment.run(`zone out akl-a ${S}`);
+      }
+    };
+    const run = await environment.run(`zone out akl-b ${S}`);
+    chai.expect(run.code).equal(0);
+    const shown = await environment.run(`status ${S}`);
+    chai.expect(shown.out).contain('akl-a out, akl-b out, akl-c in');
+  });
+
+  it('take a zone out although the platform says it is out', async () => {
+    // The zone was out and came back in. The platform answers the next read
+    // of the head with the one before, where it is out. The operator asks for
+    // out; to say "nothing to change" would leave the zone in.
+    const environment = await createApplied();
+    await environment.run(`zone out akl-b ${S}`);
+    await environment.run(`zone in akl-b ${S}`);
+    let isStale = true;
+    environment.store.fault = (operation, kind) => {
+      const isHead = operation === 'get' && kind === membership.HEAD_KIND;
+      const fault = isHead && isStale ? 'stale' : 'none';
+      isStale = isStale && !isHead;
+      return fault;
+    };
+    const run = await environment.run(`zone out akl-b ${S}`);
+    chai.expect(run.code).equal(0);
+    const shown = await environment.run(`status ${S}`);
+    chai.expect(shown.out).contain('akl-b out');
+  });
+
+  it('settle a change whose answer was lost', async () => {
+    // The head's update takes effect and its answer is lost. The operator
+    // must neither be told that it failed nor find it done twice.
+    const environment = await createApplied();
+    let isLost = true;
+    environment.store.fault = operation => {
+      const fault = operation === 'update' && isLost ? 'lost_after' : 'none';
+      isLost = isLost && operation !== 'update';
+      return fault;
+    };
+    const out = await runJson(environment, `zone out akl-b ${S}`);
+    chai.expect(out.generation).equal(2);
+  });
+});
+
+describe('connect', () => {
+  const secret = 's'.repeat(32);
+  const files: Readonly<Record<string, string>> = {
+    'good.toml': `
+[instance]
+id = "entry-1"
+zone = "z1"
+region = "r1"
+environment = "trial"
+listen = "127.0.0.1:8081"
+[platform]
+object_api = "http://127.0.0.1:7000"
+instance_list = "http://127.0.0.1:7000"
+[keys]
+operator_digest = "sha256:${'0'.repeat(64)}"
+inner_key = {file = "inner.key"}
+session_key = "${secret}"
+`,
+    'inner.key': secret,
+  };
+  const readFile = (path: string): string => {
+    const text = files[path];
+    if (text === undefined) {
+      throw new Error('no such file');
+    }
+    return text;
+  };
+
+  it('reads the settings and the key that it needs', () => {
+    const opened = operations.connect('good.toml', readFile).unsafeCoerce();
+    chai.expect(opened.environment).equal('trial');
+    opened.close();
+  });
+
+  it('says which file is missing', () => {
+    const withoutKey = (path: string): string =>
+      path === 'inner.key' ? readFile('nowhere') : readFile(path);
+    const failed = operations.connect('good.toml', withoutKey).swap();
+    chai.expect(failed.unsafeCoerce()).eql({
+      code: 'unreadable_file',
+      lines: ['inner.key: no such file'],
+    });
+  });
+
+  it('says what is wrong with the settings', () => {
+    const failed = operations
+      .connect('bad.toml', () => '[instanc]\n')
+      .swap()
+      .unsafeCoerce();
+    chai.expect(failed.code).equal('invalid_file');
+    chai.expect(failed.lines.join('\n')).contain('did you mean "instance"');
+  });
+});
+
+describe('findReturns', () => {
+  const parse = (state: string): configuration.Document =>
+    configuration
+      .parseDocument(
+        `
+[models.m]
+cost_per_thousand_tokens = 1
+default_version = "v1"
+versions.v1 = {}
+versions.v2 = {state = "${state}", successor = "v1"}
+[workspaces.w]
+keys = ["sha256:${'0'.repeat(64)}"]
+[[rules]]
+workspaces = ["*"]
+allow = ["model:m"]
+[zones.z]
+`,
+        'x.toml',
+      )
+      .unsafeCoerce();
+
+  it('finds a withdrawn version that would be active again', () => {
+    const found = configuration.findReturns(
+      parse('withdrawn'),
+      parse('active'),
+    );
+    chai
+      .expect(found.map(configuration.formatChange))
+      .eql(['~ models.m.versions.v2.state "withdrawn" -> "active"']);
+  });
+
+  it('finds nothing in a withdrawal', () => {
+    const found = configuration.findReturns(
+      parse('active'),
+      parse('withdrawn'),
+    );
+    chai.expect(found).eql([]);
+  });
+});
--- /dev/null
+++ b/packages/amaranthknot/tests/operator-fixture.ts
@@ -0,0 +1,176 @@
+/** An environment in memory, for tests of operators' commands. */
+import * as fs from 'node:fs';
+import * as fakes from '@amaranthknot/fakes';
+import * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import type * as command from '../src/command.js';
+import * as apply from '../src/commands/apply.js';
+import * as check from '../src/commands/check.js';
+import * as diff from '../src/commands/diff.js';
+import * as entryInstances from '../src/commands/entry-instances.js';
+import * as promote from '../src/commands/promote.js';
+import * as rollout from '../src/commands/rollout.js';
+import * as status from '../src/commands/status.js';
+import * as zone from '../src/commands/zone.js';
+import type * as operations from '../src/operator/operations.js';
+
+/** What a command printed, and its exit code. */
+export interface Run {
+  readonly code: command.ExitCode;
+  readonly out: string;
+  readonly err: string;
+}
+
+/** An environment with two entry instances. */
+export interface Environment {
+  readonly store: fakes.MemoryObjectStore;
+  /** Files that commands read; examples are there from the start. */
+  readonly files: Map<string, string>;
+  /** Generation that each instance reports; none means no answer. */
+  readonly generations: Map<string, number>;
+  /** Set to make the instance list fail. */
+  isListDown: boolean;
+  /** Runs before each read of a command; another operator may act here. */
+  beforeGet: (kind: string) => Promise<void>;
+  /** Whether the error stream is a terminal. */
+  isTerminal: boolean;
+  run(line: string): Promise<Run>;
+}
+
+const ENTRIES: readonly platform.ListedInstance[] = ['tunis', 'ariana'].map(
+  (name, index) => ({
+    id: `entry-${index + 1}`,
+    role: 'entry',
+    state: 'live',
+    address: `127.0.0.1:${8081 + index}`,
+    zone: name,
+    serves: [],
+  }),
+);
+
+const readExample = (name: string): string =>
+  fs.readFileSync(
+    new URL(`../../../examples/${name}`, import.meta.url),
+    'utf8',
+  );
+
+const createTransport =
+  (generations: ReadonlyMap<string, number>): protocol.PeerTransport =>
+  async (address, text) => {
+    const entry = ENTRIES.find(each => each.address === address);
+    const generation = generations.get(entry?.id ?? '');
+    if (entry === undefined || generation === undefined) {
+      return purify.Left({code: 'not_sent', message: 'refused'});
+    }
+    const {id, zone: own} = entry;
+    const from = {
+      id,
+      address,
+      zone: own,
+      state: 'live',
+      incarnation: 1,
+    } as const;
+    const server = protocol.createPeerServer({
+      report_generation: () => ({from, generation, standing: 'confirmed'}),
+    });
+    return purify.Right(await server.handle(text));
+  };
+
+/** A clock whose sleepers wake at once, so that waits end. */
+const createHastyClock = (): platform.Clock => {
+  let time = 0;
+  return {
+    now: () => time,
+    wallTime: () => time,
+    sleep: ms => {
+      time += ms;
+      return Promise.resolve();
+    },
+  };
+};
+
+/** The store with a hook before each read. */
+const hookReads = (
+  store: platform.ObjectStore,
+  before: (kind: string) => Promise<void>,
+): platform.ObjectStore => ({
+  get: async (kind, name) => {
+    await before(kind);
+    return store.get(kind, name);
+  },
+  list: (kind, prefix) => store.list(kind, prefix),
+  create: (kind, name, value) => store.create(kind, name, value),
+  update: (kind, name, value, version) =>
+    store.update(kind, name, value, version),
+  delete: (kind, name, version) => store.delete(kind, name, version),
+  watch: (kind, after, waitMs, signal) =>
+    store.watch(kind, after, waitMs, signal),
+});
+
+const createCommands = (
+  connect: operations.Connect,
+): Readonly<Record<string, command.Command>> => ({
+  apply: apply.createApply(connect),
+  check: check.check,
+  diff: diff.createDiff(connect),
+  'entry-instances': entryInstances.createEntryInstances(connect),
+  promote: promote.createPromote(connect),
+  rollout: rollout.createRollout(connect),
+  status: status.createStatus(connect),
+  zone: zone.createZone(connect),
+});
+
+/** Creates an environment with nothing in force. */
+export const createEnvironment = (): Environment => {
+  const clock = createHastyClock();
+  const store = new fakes.MemoryObjectStore({clock});
+  const names = ['rostering.toml', 'meetups.toml'];
+  const files = new Map(names.map(name => [name, readExample(name)]));
+  const environment: Environment = {
+    store,
+    files,
+    generations: new Map(),
+    isListDown: false,
+    isTerminal: false,
+    beforeGet: () => Promise.resolve(),
+    run: line => runLine(line),
+  };
+  const connect: operations.Connect = () =>
+    purify.Right({
+      environment: 'trial',
+      store: hookReads(store, kind => environment.beforeGet(kind)),
+      instances: {
+        list: () =>
+          Promise.resolve(
+            environment.isListDown
+              ? purify.Left({code: 'unavailable', message: 'down'})
+              : purify.Right(ENTRIES),
+          ),
+      },
+      transport: createTransport(environment.generations),
+      clock,
+      close: () => undefined,
+    });
+  const commands = createCommands(connect);
+  const readFile = (path: string): string => {
+    const text = files.get(path);
+    if (text === undefined) {
+      throw new Error('no such file');
+    }
+    return text;
+  };
+  const runLine = async (line: string): Promise<Run> => {
+    const [name = '', ...args] = line.split(' ');
+    let out = '';
+    let err = '';
+    const code = await commands[name]!.run(args, {
+      out: text => (out += text),
+      err: text => (err += text),
+      isTerminal: environment.isTerminal,
+      readFile,
+    });
+    return {code, out, err};
+  };
+  return environment;
+};
--- /dev/null
+++ b/packages/configuration/src/find-returns.ts
@@ -0,0 +1,97 @@
+/**
+ * Finds what a new document would bring back into use.
+ *
+ * Failure: operators take a zone out, pause a roll-out or withdraw a version
+ * by command, and a document written before that is applied or promoted for
+ * another reason. It would undo their act without a word, and the zone or
+ * version would get work again. Commands refuse such a document unless told
+ * to, so the return is someone's decision.
+ */
+import type * as diffs from './diff-documents.js';
+import type * as documents from './document.js';
+import * as problems from './problem.js';
+
+const change = (
+  path: problems.KeyPath,
+  before: string,
+  after: string | undefined,
+): diffs.Change => {
+  const key = problems.formatKey(path);
+  return after === undefined
+    ? {key, kind: 'removed', before}
+    : {key, kind: 'changed', before, after};
+};
+
+/** A zone that the document no longer names is not kept out either. */
+const findZones = (
+  before: documents.Document,
+  after: documents.Document,
+): readonly diffs.Change[] =>
+  before.zones
+    .filter(zone => zone.state === 'out')
+    .map(({name}) => after.zones.find(zone => zone.name === name) ?? {name})
+    .filter(zone => !('state' in zone) || zone.state === 'in')
+    .map(zone => {
+      const state = 'state' in zone ? zone.state : undefined;
+      return change(['zones', zone.name, 'state'], 'out', state);
+    });
+
+const listWithdrawn = (
+  document: documents.Document,
+): readonly (readonly [string, string])[] =>
+  document.models.flatMap(model =>
+    model.versions
+      .filter(version => version.state === 'withdrawn')
+      .map(version => [model.name, version.name] as const),
+  );
+
+const findVersions = (
+  before: documents.Document,
+  after: documents.Document,
+): readonly diffs.Change[] =>
+  listWithdrawn(before)
+    .filter(([model, version]) =>
+      after.models
+        .find(found => found.name === model)
+        ?.versions.some(
+          found => found.name === version && found.state === 'active',
+        ),
+    )
+    .map(([model, version]) =>
+      change(
+        ['models', model, 'versions', version, 'state'],
+        'withdrawn',
+        'active',
+      ),
+    );
+
+const findRollouts = (
+  before: documents.Document,
+  after: documents.Document,
+): readonly diffs.Change[] =>
+  before.rollouts
+    .filter(rollout => rollout.state !== 'running')
+    .filter(rollout =>
+      after.rollouts.some(
+        found =>
+          found.model === rollout.model &&
+          found.to === rollout.to &&
+          found.state === 'running',
+      ),
+    )
+    .map(({model, state}) =>
+      change(['rollouts', model, 'state'], state, 'running'),
+    );
+
+/**
+ * Lists zones that come back in, withdrawn versions that become active and
+ * stopped roll-outs that run again, when `after` replaces `before`.
+ */
+export const findReturns = (
+  before: documents.Document,
+  after: documents.Document,
+): readonly diffs.Change[] => [
+  ...findVersions(before, after),
+  ...findRollouts(before, after),
+  ...findZones(before, after),
+];
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -2,6 +2,7 @@
 export * from './address.js';
 export * from './diff-documents.js';
 export * from './document.js';
+export * from './find-returns.js';
 export * from './format-document.js';
 export * from './parse-document.js';
 export * from './parse-instances.js';
