--- a/packages/ledger/tests/support/fixtures.ts
+++ b/packages/ledger/tests/support/fixtures.ts
@@ -1,5 +1,4 @@
 import * as fakes from '@amaranthknot/fakes';
-import type * as platform from '@amaranthknot/platform';
 import * as ledger from '../../src/index.js';
 
 /** The platform in memory, on a virtual clock. */
@@ -90,10 +89,8 @@
   });
 
 /** Identities of all bills in the object API, doubled ones too. */
-export const listBilled = async (
-  store: platform.ObjectStore,
-): Promise<readonly string[]> => {
-  const listing = await store.list(ledger.BILL_KIND);
+export const listBilled = async (world: World): Promise<readonly string[]> => {
+  const listing = await settle(world, world.store.list(ledger.BILL_KIND));
   return listing
     .map(({objects}) => objects)
     .orDefault([])
