Take sections by item from configuration; add the relay bench

configuration's sections now have the shape of the messages (entries of name and digest); membership's differences and reads follow. readDocument gives manifest and sections again, as the operators' commands use it.

--- /dev/null
+++ b/packages/bench/src/benches/relay.ts
@@ -0,0 +1,294 @@
+/** How fast and at what cost a configuration change reaches all instances. */
+import type * as configuration from '@amaranthknot/configuration';
+import * as membership from '@amaranthknot/membership';
+import * as platform from '@amaranthknot/platform';
+import type * as figures from '../figure.js';
+import * as relayFleet from '../models/relay-fleet.js';
+import * as sampleDocument from '../models/sample-document.js';
+import * as statistics from '../models/statistics.js';
+import * as seededRandom from '../seeded-random.js';
+
+/** Fleets that are run, and the one that is extrapolated to. */
+const SIZES = [
+  {instances: 7, zones: 4},
+  {instances: 50, zones: 9},
+  {instances: 200, zones: 9},
+] as const;
+const DESIGN = {instances: 1_000, zones: 9} as const;
+
+/** Changes each second of the design: 91,000 a day. */
+const CHANGES_PER_S = 1.05;
+const LONE_CHANGES = 2;
+const LONE_GAP_MS = 2_500;
+const STREAM_MS = 8_000;
+const SAMPLE_MS = 100;
+
+/** Targets of the brief and the letter. */
+const LAST_TODAY_S = 3;
+const LAST_DESIGN_S = 17;
+const BYTES_PER_S = 4_096;
+const CORE_SHARE = 0.032;
+
+interface Outcome {
+  readonly instances: number;
+  readonly watchers: number;
+  /** Times to the last instance, in seconds. */
+  readonly loneS: readonly number[];
+  readonly streamS: readonly number[];
+  /** Bytes sent and received by a node between instances, a second. */
+  readonly peerBytes: number;
+  /** Bytes between the platform and the node that uses it most, a second. */
+  readonly platformBytes: number;
+  readonly callsPerChange: number;
+  readonly idleCalls: number;
+  readonly coreShare: number;
+  /** Highest age of a confirmation seen, as a share of the bound. */
+  readonly ageShare: number;
+}
+
+const {systemClock} = platform;
+
+const countWatchers = (instances: number, zones: number): number =>
+  Math.min(instances, zones * membership.WATCHERS_PER_ZONE);
+
+const totalCalls = (fleet: relayFleet.RelayFleet): number =>
+  Object.values(fleet.store.calls).reduce((sum, calls) => sum + calls, 0);
+
+/** Publishes changes and notes when each was accepted. */
+class Operator {
+  readonly acceptedAt = new Map<number, number>();
+
+  constructor(
+    private readonly fleet: relayFleet.RelayFleet,
+    private readonly random: () => number,
+    private document: configuration.Document,
+  ) {}
+
+  async change(): Promise<void> {
+    this.document = sampleDocument.changeDocument(this.document, this.random);
+    const result = await membership.publishDocument(
+      this.fleet.store,
+      relayFleet.ENVIRONMENT,
+      this.document,
+    );
+    const {generation} = result.unsafeCoerce();
+    this.acceptedAt.set(generation, systemClock.now());
+  }
+
+  /** Times to the last instance, in seconds; of changes that reached all. */
+  timesToLast(generations: readonly number[]): readonly number[] {
+    return generations.map(generation => {
+      const last = this.fleet.lastAt(generation) ?? Infinity;
+      return (last - (this.acceptedAt.get(generation) ?? 0)) / 1_000;
+    });
+  }
+}
+
+const changeAlone = async (operator: Operator): Promise<void> => {
+  for (let i = 0; i < LONE_CHANGES; i++) {
+    await operator.change();
+    await systemClock.sleep(LONE_GAP_MS);
+  }
+};
+
+const changeInStream = async (operator: Operator): Promise<number> => {
+  const end = systemClock.now() + STREAM_MS;
+  let changes = 0;
+  while (systemClock.now() < end) {
+    const next = systemClock.now() + 1_000 / CHANGES_PER_S;
+    await operator.change();
+    changes++;
+    await systemClock.sleep(next - systemClock.now());
+  }
+  return changes;
+};
+
+/** Samples the highest age of a confirmation until `signal` aborts. */
+const sampleAges = async (
+  fleet: relayFleet.RelayFleet,
+  boundMs: number,
+  signal: AbortSignal,
+): Promise<number> => {
+  let highest = 0;
+  while (!signal.aborted) {
+    for (const {follower} of fleet.members) {
+      const age = follower.confirmedAgeMs() ?? Infinity;
+      highest = Math.max(highest, age / boundMs);
+    }
+    await systemClock.sleep(SAMPLE_MS, signal);
+  }
+  return highest;
+};
+
+const awaitAll = async (
+  fleet: relayFleet.RelayFleet,
+  generation: number,
+): Promise<void> => {
+  const end = systemClock.now() + LAST_DESIGN_S * 1_000;
+  while (fleet.lastAt(generation) === undefined && systemClock.now() < end) {
+    await systemClock.sleep(SAMPLE_MS);
+  }
+};
+
+const runSize = async (
+  seed: number,
+  {instances, zones}: (typeof SIZES)[number],
+): Promise<Outcome> => {
+  const random = seededRandom.createRandom(seed);
+  const fleet = new relayFleet.RelayFleet(random, zones);
+  const first = sampleDocument.createSampleDocument();
+  const operator = new Operator(fleet, random, first);
+  await operator.change();
+  await fleet.start(instances);
+  await awaitAll(fleet, 1);
+  await changeAlone(operator);
+  const idleFrom = totalCalls(fleet);
+  await systemClock.sleep(LONE_GAP_MS);
+  const idleCalls = (totalCalls(fleet) - idleFrom) / (LONE_GAP_MS / 1_000);
+  const watchers = countWatchers(instances, zones);
+  const boundMs = membership.isolationBoundMs(instances, watchers);
+  const sampling = new AbortController();
+  const ages = sampleAges(fleet, boundMs, sampling.signal);
+  const uses = fleet.members.map(({use}) => use.bytes);
+  const from = {
+    at: systemClock.now(),
+    bytes: fleet.traffic.bytes,
+    calls: totalCalls(fleet),
+    cpu: process.cpuUsage(),
+  };
+  const changes = await changeInStream(operator);
+  const seconds = (systemClock.now() - from.at) / 1_000;
+  const cpu = process.cpuUsage(from.cpu);
+  const bytes = fleet.traffic.bytes - from.bytes;
+  const calls = totalCalls(fleet) - from.calls;
+  const platformBytes = fleet.members.map(
+    ({use}, index) => use.bytes - (uses[index] ?? 0),
+  );
+  sampling.abort();
+  const newest = Math.max(...operator.acceptedAt.keys());
+  await awaitAll(fleet, newest);
+  const generations = [...operator.acceptedAt.keys()].slice(1);
+  const outcome: Outcome = {
+    instances,
+    watchers,
+    loneS: operator.timesToLast(generations.slice(0, LONE_CHANGES)),
+    streamS: operator.timesToLast(generations.slice(LONE_CHANGES)),
+    // Each byte is sent by one node and received by another.
+    peerBytes: (2 * bytes) / instances / seconds,
+    platformBytes: Math.max(...platformBytes) / seconds,
+    callsPerChange: (calls - idleCalls * seconds) / changes,
+    idleCalls,
+    coreShare: (cpu.user + cpu.system) / 1e6 / seconds / instances,
+    ageShare: await ages,
+  };
+  await fleet.close();
+  return outcome;
+};
+
+/** Continues the line through the two largest fleets, over doublings. */
+const extrapolate = (
+  outcomes: readonly Outcome[],
+  value: (outcome: Outcome) => number,
+): number => {
+  const [small, large] = outcomes.slice(-2);
+  if (!small || !large) {
+    throw new Error('two fleets are needed');
+  }
+  const doublings = Math.log2(large.instances / small.instances);
+  const slope = (value(large) - value(small)) / doublings;
+  const further = Math.log2(DESIGN.instances / large.instances);
+  return value(large) + Math.max(0, slope) * further;
+};
+
+const lastOf = (outcome: Outcome): number =>
+  Math.max(...outcome.loneS, ...outcome.streamS);
+
+const describeSize = (outcome: Outcome): readonly figures.Figure[] => {
+  const {instances} = outcome;
+  const atMost = (target: number) => ({target, direction: 'at_most'}) as const;
+  const lastTarget = instances <= 7 ? LAST_TODAY_S : LAST_DESIGN_S;
+  return [
+    {
+      figure: `last_instance_max_${instances}`,
+      value: lastOf(outcome),
+      unit: 's',
+      ...atMost(lastTarget),
+    },
+    {
+      figure: `last_instance_mean_${instances}`,
+      value: statistics.mean(outcome.streamS),
+      unit: 's',
+    },
+    {
+      figure: `peer_bytes_per_node_${instances}`,
+      value: outcome.peerBytes,
+      unit: 'B/s',
+      ...atMost(BYTES_PER_S),
+    },
+    {
+      figure: `platform_bytes_top_node_${instances}`,
+      value: outcome.platformBytes,
+      unit: 'B/s',
+    },
+    {
+      figure: `store_calls_per_change_${instances}`,
+      value: outcome.callsPerChange,
+      unit: 'calls',
+      // Every instance watches and reads the one changed section.
+      baseline: instances * 2,
+    },
+    {
+      figure: `store_calls_idle_${instances}`,
+      value: outcome.idleCalls,
+      unit: 'calls/s',
+    },
+    {
+      figure: `core_share_per_node_${instances}`,
+      value: outcome.coreShare,
+      unit: 'cores',
+      ...atMost(CORE_SHARE),
+    },
+    {
+      figure: `confirmation_age_of_bound_${instances}`,
+      value: outcome.ageShare,
+      unit: 'share',
+      ...atMost(1),
+    },
+  ];
+};
+
+export const bench: figures.Bench = {
+  summary: 'configuration change to all instances: time, bytes, calls',
+  run: async seed => {
+    const outcomes: Outcome[] = [];
+    for (const size of SIZES) {
+      outcomes.push(await runSize(seed, size));
+    }
+    const [, middle, largest] = outcomes;
+    return [
+      ...outcomes.flatMap(describeSize),
+      {
+        figure: `last_instance_max_${DESIGN.instances}_extrapolated`,
+        value: extrapolate(outcomes, lastOf),
+        unit: 's',
+        target: LAST_DESIGN_S,
+        direction: 'at_most',
+      },
+      {
+        figure: `peer_bytes_per_node_${DESIGN.instances}_extrapolated`,
+        value: extrapolate(outcomes, outcome => outcome.peerBytes),
+        unit: 'B/s',
+        target: BYTES_PER_S,
+        direction: 'at_most',
+      },
+      {
+        // Both fleets have all 27 watchers: 1 means that calls do not grow.
+        figure: 'store_calls_per_change_200_to_50',
+        value: (largest?.callsPerChange ?? 0) / (middle?.callsPerChange ?? 1),
+        unit: 'ratio',
+        target: 1.1,
+        direction: 'at_most',
+      },
+    ];
+  },
+};
--- /dev/null
+++ b/packages/bench/src/models/relay-fleet.ts
@@ -0,0 +1,159 @@
+/** Followers that talk over loopback HTTP, in one process. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as fakes from '@amaranthknot/fakes';
+import * as membership from '@amaranthknot/membership';
+import * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as countingStore from './counting-store.js';
+
+export const ENVIRONMENT = 'production';
+
+/** Time of a call to the object API in milliseconds, at most. */
+const STORE_MS = 5;
+
+/** Time over which instances start, in milliseconds. */
+const START_MS = 1_000;
+
+/** One instance of the fleet. */
+export interface RelayMember {
+  readonly follower: membership.ConfigurationFollower;
+  readonly use: countingStore.StoreUse;
+  /** When each generation came into force, oldest first. */
+  readonly taken: {readonly generation: number; readonly at: number}[];
+  close(): Promise<void>;
+}
+
+/** Bytes on all connections between instances, each counted once. */
+interface Traffic {
+  bytes: number;
+}
+
+const readBody = async (request: http.IncomingMessage): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+};
+
+const listen = async (
+  server: http.Server,
+): Promise<{readonly address: string}> => {
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as net.AddressInfo;
+  return {address: `127.0.0.1:${port}`};
+};
+
+/** Counts what passes through a server's connections. */
+const countTraffic = (server: http.Server, traffic: Traffic): void => {
+  server.on('connection', socket => {
+    let counted = 0;
+    const count = () => {
+      const total = socket.bytesRead + socket.bytesWritten;
+      traffic.bytes += total - counted;
+      counted = total;
+    };
+    socket.on('data', count);
+    socket.on('close', count);
+  });
+};
+
+/** A fleet with its platform. */
+export class RelayFleet {
+  readonly store: fakes.MemoryObjectStore;
+  readonly members: RelayMember[] = [];
+  readonly traffic: Traffic = {bytes: 0};
+  private readonly listed: platform.ListedInstance[] = [];
+
+  constructor(
+    private readonly random: () => number,
+    private readonly zones: number,
+  ) {
+    this.store = new fakes.MemoryObjectStore({
+      clock: platform.systemClock,
+      delayMs: () => 1 + this.random() * (STORE_MS - 1),
+    });
+  }
+
+  /** Starts `count` instances within a second. */
+  async start(count: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      this.members.push(await this.add(index));
+    }
+    await Promise.all(
+      this.members.map(async ({follower}) => {
+        await platform.systemClock.sleep(this.random() * START_MS);
+        await follower.start();
+      }),
+    );
+  }
+
+  /** Stops all instances. */
+  async close(): Promise<void> {
+    await Promise.all(this.members.map(member => member.close()));
+  }
+
+  /** Time at which the last instance had `generation`; undefined before. */
+  lastAt(generation: number): number | undefined {
+    const times = this.members.map(
+      ({taken}) => taken.find(each => each.generation >= generation)?.at,
+    );
+    const known = times.filter(time => time !== undefined);
+    return known.length === times.length ? Math.max(...known) : undefined;
+  }
+
+  private async add(index: number): Promise<RelayMember> {
+    const server = http.createServer();
+    countTraffic(server, this.traffic);
+    const {address} = await listen(server);
+    const zone = `zone-${index % this.zones}`;
+    const id = `entry-${String(index).padStart(4, '0')}`;
+    this.listed.push({
+      id,
+      address,
+      zone,
+      role: 'entry',
+      state: 'live',
+      serves: [],
+    });
+    const transport = protocol.createHttpTransport({innerKey: 'k'.repeat(32)});
+    const use = {calls: 0, bytes: 0};
+    const taken: {generation: number; at: number}[] = [];
+    const follower = new membership.ConfigurationFollower({
+      environment: ENVIRONMENT,
+      store: countingStore.countStore(this.store, use),
+      instances: {list: () => Promise.resolve(purify.Right(this.listed))},
+      transport: transport.send,
+      peers: new membership.Peers({
+        id,
+        address,
+        zone,
+        state: 'live',
+        incarnation: Date.now(),
+      }),
+      clock: platform.systemClock,
+      random: this.random,
+      onChange: ({generation}) => {
+        taken.push({generation, at: platform.systemClock.now()});
+      },
+    });
+    const peerServer = protocol.createPeerServer(follower.handlers());
+    server.on('request', (request, response) => {
+      void readBody(request).then(async text => {
+        response.setHeader('content-type', 'application/json');
+        response.end(await peerServer.handle(text));
+      });
+    });
+    const close = async () => {
+      await follower.stop();
+      transport.close();
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    };
+    return {follower, use, taken, close};
+  }
+}
--- a/packages/membership/src/configuration-head.ts
+++ b/packages/membership/src/configuration-head.ts
@@ -6,7 +6,6 @@
 import * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import * as purify from 'purify-ts';
-import type * as compareManifests from './util/compare-manifests.js';
 
 /** Kind of the heads, one object for each environment. */
 export const HEAD_KIND = 'configuration_head';
@@ -18,7 +17,7 @@
 export interface HeadStep {
   readonly generation: number;
   readonly digest: string;
-  readonly entries: readonly compareManifests.SectionEntry[];
+  readonly entries: readonly configuration.SectionEntry[];
   readonly removed: readonly string[];
 }
 
@@ -69,7 +68,7 @@
 ): Promise<platform.StoreResult<unknown>> => {
   const result = await store.get(SECTION_KIND, digest);
   return result.chain(({value}) =>
-    configuration.isSectionIntact({name: digest, digest, value})
+    configuration.digestValue(value) === digest
       ? purify.Right(value)
       : purify.Left({
           code: 'unavailable' as const,
@@ -87,28 +86,22 @@
     value => value as configuration.Manifest,
   );
 
+/** A document as it is stored: join it with `configuration.joinSections`. */
+export type StoredDocument = Omit<configuration.SplitDocument, 'byteLengths'>;
+
 /** Reads a whole document by the digest of its manifest. */
 export const readDocument = async (
   store: platform.ObjectStore,
   digest: string,
-): Promise<platform.StoreResult<configuration.Document>> => {
+): Promise<platform.StoreResult<StoredDocument>> => {
   const manifest = await readManifest(store, digest);
-  if (manifest.isLeft()) {
-    return manifest;
-  }
-  const {sections} = manifest.unsafeCoerce();
-  const contents = new Map<string, unknown>();
-  for (const each of Object.values(sections)) {
-    const section = await readSection(store, each);
+  const sections = new Map<string, unknown>();
+  for (const entry of manifest.map(m => m.entries).orDefault([])) {
+    const section = await readSection(store, entry.digest);
     if (section.isLeft()) {
       return section;
     }
-    contents.set(each, section.extract());
+    sections.set(entry.digest, section.extract());
   }
-  return configuration
-    .joinSections({sections}, each => contents.get(each))
-    .mapLeft(([error]) => ({
-      code: 'unavailable' as const,
-      message: `${error?.section ?? ''}: ${error?.message ?? ''}`,
-    }));
+  return manifest.map(m => ({manifest: m, sections, digest}));
 };
--- a/packages/membership/src/configuration-source.ts
+++ b/packages/membership/src/configuration-source.ts
@@ -66,10 +66,7 @@
   if (manifest.isLeft()) {
     return manifest;
   }
-  const {entries} = compareManifests.compareManifests(
-    compareManifests.EMPTY_MANIFEST,
-    manifest.orDefault(compareManifests.EMPTY_MANIFEST),
-  );
+  const {entries} = manifest.orDefault(compareManifests.EMPTY_MANIFEST);
   const missing = entries
     .map(entry => entry.digest)
     .filter(digest => !current?.sections.has(digest));
--- a/packages/membership/src/configuration-step.ts
+++ b/packages/membership/src/configuration-step.ts
@@ -39,7 +39,7 @@
   fresh: Readonly<Record<string, unknown>>,
 ): ReadonlyMap<string, unknown> =>
   new Map(
-    Object.values(manifest.sections).map(digest => [
+    manifest.entries.map(({digest}) => [
       digest,
       known?.get(digest) ?? fresh[digest],
     ]),
@@ -66,16 +66,13 @@
       ? compareManifests.EMPTY_MANIFEST
       : (current?.manifest ?? compareManifests.EMPTY_MANIFEST);
   const manifest = compareManifests.applyDifference(base, step);
-  if (configuration.digestManifest(manifest) !== digest) {
+  if (configuration.digestValue(manifest) !== digest) {
     return fail('corrupt', `the manifest does not match ${digest}`);
   }
   const picked = pickSections(manifest, current?.sections, step.sections);
   return configuration
-    .joinSections(manifest, each => picked.get(each))
-    .mapLeft(([error]) => ({
-      code: 'corrupt' as const,
-      message: `${error?.section ?? ''}: ${error?.message ?? ''}`,
-    }))
+    .joinSections(manifest, picked)
+    .mapLeft(({message}) => ({code: 'corrupt' as const, message}))
     .map(document => ({
       environment,
       generation,
--- a/packages/membership/tests/configuration-publisher.test.ts
+++ b/packages/membership/tests/configuration-publisher.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai';
+import * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
 import * as membership from '@amaranthknot/membership';
 import * as fleets from './fleet.js';
@@ -27,8 +28,10 @@
   if (digest === undefined) {
     return undefined;
   }
-  const document = await membership.readDocument(store, digest);
-  return document.unsafeCoerce().models[0]!.defaultVersion;
+  const stored = await membership.readDocument(store, digest);
+  const {manifest, sections} = stored.unsafeCoerce();
+  return configuration.joinSections(manifest, sections).unsafeCoerce()
+    .models[0]!.defaultVersion;
 };
 
 const codeOf = (result: Awaited<ReturnType<typeof publish>>): string =>
