Send less between instances: no digests, no news of listed ones

Cause of 6.6 KB/s a node at 200 instances: after a start of the whole fleet every instance told every other's life as news for minutes, though the list names them; and a change carried three digests of 64 characters besides its content. News now leaves out that a listed instance lives; a change carries names and contents, from which the receiver works out the digests that the manifest's digest checks. Heads keep 2 steps and 8 shorter identities.

--- a/packages/membership/src/configuration-publisher.ts
+++ b/packages/membership/src/configuration-publisher.ts
@@ -9,16 +9,16 @@
 
 /**
  * Steps kept in a head. Watchers see each generation within a second, at the
- * 1.05 changes/s of the design; three steps cover the ones that come together,
+ * 1.05 changes/s of the design; two steps cover the ones that come together,
  * and keep the head, which each watcher reads once per change, near 1 KB.
  */
-const STEPS = 3;
+const STEPS = 2;
 
 /**
  * Identities of publications kept in a head. A publisher whose answer was lost
- * finds its own among them; at 1.05 changes/s this settles for 15 s.
+ * finds its own among them; at 1.05 changes/s for 7 s.
  */
-const PUBLICATIONS = 16;
+const PUBLICATIONS = 8;
 
 const fail = (error: platform.StoreError): headMove.PublishError => ({
   code: error.code === 'unknown' ? 'unknown' : 'unavailable',
@@ -140,6 +140,9 @@
   return manifest.mapLeft(fail);
 };
 
+/** Random bytes of an identity, unique among the few that a head keeps. */
+const IDENTITY_BYTES = 9;
+
 /** Choices for one publication. */
 export interface PublishOptions {
   /** Refuse when another generation is in force; 0 means none yet. */
@@ -180,7 +183,9 @@
   if (created.isLeft()) {
     return created;
   }
-  const publication = options.publication ?? crypto.randomUUID();
+  const publication =
+    options.publication ??
+    crypto.randomBytes(IDENTITY_BYTES).toString('base64url');
   const head = createHead(stored?.head, digest, difference, publication);
   return headMove.moveHead({
     store,
--- a/packages/membership/src/configuration-relay.ts
+++ b/packages/membership/src/configuration-relay.ts
@@ -81,7 +81,7 @@
       this.current,
       head,
     );
-    step.ifRight(change => this.take(change, 'platform'));
+    step.ifRight(read => this.take(read, 'platform'));
     return this.generation() >= head.generation;
   }
 
@@ -168,7 +168,7 @@
       this.freshness.hear(zone, sentAt - age);
     }
     if (answer.change) {
-      this.take(answer.change, 'peer');
+      this.takeChange(answer.change);
     }
     const theirs = this.findGeneration(answer.generations);
     if (theirs > this.generation()) {
@@ -201,24 +201,29 @@
     this.isFetching = false;
     result.ifRight(({change}) => {
       if (change) {
-        this.take(change, 'peer');
+        this.takeChange(change);
       }
     });
   }
 
+  private takeChange(change: protocol.ConfigurationChange): void {
+    if (change.environment === this.options.environment) {
+      configurationStep
+        .readChange(this.current, change)
+        .ifRight(step => this.take(step, 'peer'));
+    }
+  }
+
   /**
    * The only place where the configuration in force changes. Answers may come
    * late, while another source was quicker; `takeStep` lets only a higher
    * generation through, so what is in force never reverts.
    */
   private take(
-    change: protocol.ConfigurationChange,
+    step: configurationStep.ConfigurationStep,
     origin: ConfigurationOrigin,
   ): void {
-    if (change.environment !== this.options.environment) {
-      return;
-    }
-    configurationStep.takeStep(this.current, change).ifRight(taken => {
+    configurationStep.takeStep(this.current, step).ifRight(taken => {
       this.current = taken;
       this.manifests.set(taken.generation, taken.manifest);
       const oldest = [...this.manifests.keys()][0];
@@ -245,7 +250,7 @@
   private describeFrom(have: number): protocol.ConfigurationChange | undefined {
     const manifest = this.manifests.get(have);
     const base = manifest ? {generation: have, manifest} : undefined;
-    return this.current && configurationStep.describeStep(base, this.current);
+    return this.current && configurationStep.describeChange(base, this.current);
   }
 
   private describeInline(
@@ -254,7 +259,7 @@
     const change = this.manifests.has(have)
       ? this.describeFrom(have)
       : undefined;
-    const size = change?.entries.length ?? 0;
+    const size = change?.sections.length ?? 0;
     return size <= INLINE_SECTIONS ? change : undefined;
   }
 
--- a/packages/membership/src/configuration-source.ts
+++ b/packages/membership/src/configuration-source.ts
@@ -1,7 +1,6 @@
 /** Reads from the platform what an instance lacks of an accepted head. */
 import type * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
-import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import * as configurationHead from './configuration-head.js';
 import type * as configurationStep from './configuration-step.js';
@@ -33,8 +32,8 @@
 const readSections = async (
   store: platform.ObjectStore,
   digests: readonly string[],
-): Promise<platform.StoreResult<Record<string, unknown>>> => {
-  const contents: Record<string, unknown> = {};
+): Promise<platform.StoreResult<ReadonlyMap<string, unknown>>> => {
+  const contents = new Map<string, unknown>();
   for (let i = 0; i < digests.length; i += PARALLEL_READS) {
     const batch = digests.slice(i, i + PARALLEL_READS);
     const results = await Promise.all(
@@ -46,7 +45,7 @@
     }
     const read = values.orDefault([]);
     batch.forEach((digest, j) => {
-      contents[digest] = read[j];
+      contents.set(digest, read[j]);
     });
   }
   return purify.Right(contents);
@@ -58,7 +57,7 @@
   environment: string,
   current: configurationStep.ConfigurationInForce | undefined,
   head: configurationHead.Head,
-): Promise<platform.StoreResult<protocol.ConfigurationChange>> => {
+): Promise<platform.StoreResult<configurationStep.ConfigurationStep>> => {
   const followed = followSteps(current, head);
   const manifest = followed
     ? purify.Right(followed)
@@ -66,8 +65,8 @@
   if (manifest.isLeft()) {
     return manifest;
   }
-  const {entries} = manifest.orDefault(compareManifests.EMPTY_MANIFEST);
-  const missing = entries
+  const next = manifest.orDefault(compareManifests.EMPTY_MANIFEST);
+  const missing = next.entries
     .map(entry => entry.digest)
     .filter(digest => !current?.sections.has(digest));
   const contents = await readSections(store, [...new Set(missing)]);
@@ -75,8 +74,7 @@
     environment,
     generation: head.generation,
     digest: head.digest,
-    entries: [...entries],
-    removed: [],
-    sections: read,
+    manifest: next,
+    contents: read,
   }));
 };
--- a/packages/membership/src/configuration-step.ts
+++ b/packages/membership/src/configuration-step.ts
@@ -32,16 +32,26 @@
   message: string,
 ): purify.Either<StepError, never> => purify.Left({code, message});
 
+/** A later configuration, not yet checked. */
+export interface ConfigurationStep {
+  readonly environment: string;
+  readonly generation: number;
+  readonly digest: string;
+  readonly manifest: configuration.Manifest;
+  /** Contents by digest; those that are in force already may be missing. */
+  readonly contents: ReadonlyMap<string, unknown>;
+}
+
 /** Contents of a manifest's sections: those that are known, else the fresh. */
 const pickSections = (
   manifest: configuration.Manifest,
   known: ReadonlyMap<string, unknown> | undefined,
-  fresh: Readonly<Record<string, unknown>>,
+  fresh: ReadonlyMap<string, unknown>,
 ): ReadonlyMap<string, unknown> =>
   new Map(
     manifest.entries.map(({digest}) => [
       digest,
-      known?.get(digest) ?? fresh[digest],
+      known?.get(digest) ?? fresh.get(digest),
     ]),
   );
 
@@ -52,58 +62,71 @@
  */
 export const takeStep = (
   current: ConfigurationInForce | undefined,
-  step: protocol.ConfigurationChange,
+  step: ConfigurationStep,
 ): purify.Either<StepError, ConfigurationInForce> => {
-  const {environment, generation, digest, baseGeneration} = step;
+  const {environment, generation, digest, manifest} = step;
   if (generation <= (current?.generation ?? 0)) {
     return fail('not_newer', `generation ${generation} is not newer`);
   }
-  if (baseGeneration !== undefined && baseGeneration !== current?.generation) {
-    return fail('other_base', `the step starts at ${baseGeneration}`);
-  }
-  const base =
-    baseGeneration === undefined
-      ? compareManifests.EMPTY_MANIFEST
-      : (current?.manifest ?? compareManifests.EMPTY_MANIFEST);
-  const manifest = compareManifests.applyDifference(base, step);
   if (configuration.digestValue(manifest) !== digest) {
     return fail('corrupt', `the manifest does not match ${digest}`);
   }
-  const picked = pickSections(manifest, current?.sections, step.sections);
+  const sections = pickSections(manifest, current?.sections, step.contents);
   return configuration
-    .joinSections(manifest, picked)
+    .joinSections(manifest, sections)
     .mapLeft(({message}) => ({code: 'corrupt' as const, message}))
     .map(document => ({
       environment,
       generation,
       digest,
       manifest,
-      sections: picked,
+      sections,
       document,
     }));
 };
 
+/** Reads a peer's change as a step from what is in force. */
+export const readChange = (
+  current: ConfigurationInForce | undefined,
+  change: protocol.ConfigurationChange,
+): purify.Either<StepError, ConfigurationStep> => {
+  const {environment, generation, digest, baseGeneration, removed} = change;
+  if (baseGeneration !== undefined && baseGeneration !== current?.generation) {
+    return fail('other_base', `the step starts at ${baseGeneration}`);
+  }
+  const base = baseGeneration === undefined ? undefined : current?.manifest;
+  const sections = change.sections.map(({name, content}) => ({
+    entry: {name, digest: configuration.digestValue(content)},
+    content,
+  }));
+  const manifest = compareManifests.applyDifference(
+    base ?? compareManifests.EMPTY_MANIFEST,
+    {entries: sections.map(({entry}) => entry), removed},
+  );
+  const contents = new Map(
+    sections.map(({entry, content}) => [entry.digest, content]),
+  );
+  return purify.Right({environment, generation, digest, manifest, contents});
+};
+
 /** Describes the step to `to`, from `base` or from nothing. */
-export const describeStep = (
-  base:
-    | {readonly generation: number; readonly manifest: configuration.Manifest}
-    | undefined,
+export const describeChange = (
+  base: Pick<ConfigurationInForce, 'generation' | 'manifest'> | undefined,
   to: ConfigurationInForce,
 ): protocol.ConfigurationChange => {
   const difference = compareManifests.compareManifests(
     base?.manifest ?? compareManifests.EMPTY_MANIFEST,
     to.manifest,
   );
-  const contents = difference.entries.map(
-    ({digest}) => [digest, to.sections.get(digest)] as const,
-  );
   return {
     environment: to.environment,
     generation: to.generation,
     digest: to.digest,
     ...(base ? {baseGeneration: base.generation} : {}),
-    entries: [...difference.entries],
+    sections: difference.entries.map(({name, digest}) => ({
+      name,
+      content: to.sections.get(digest),
+    })),
     removed: [...difference.removed],
-    sections: Object.fromEntries(contents),
   };
 };
--- a/packages/membership/src/exchange-pace.ts
+++ b/packages/membership/src/exchange-pace.ts
@@ -12,7 +12,7 @@
  */
 const EARLY_EXCHANGES = 3;
 const EARLY_MS = 50;
-const EXCHANGES_PER_S = 1.25;
+const EXCHANGES_PER_S = 1.1;
 
 /**
  * Share of the bound between exchanges while in doubt: 0.3 s at 7 instances.
--- a/packages/membership/src/freshness.ts
+++ b/packages/membership/src/freshness.ts
@@ -17,11 +17,11 @@
 /**
  * What each doubling of instances per watcher adds, in milliseconds. One
  * exchange each second doubles the share of instances that hold a given
- * confirmation or better, and a second one covers the slow tail. At 1,000
- * instances with 27 watchers this makes 12.9 s, inside the 17 s in which a
+ * confirmation or better, and one and a half more cover the slow tail. At 1,000
+ * instances with 27 watchers this makes 15.5 s, inside the 17 s in which a
  * change has to be in force everywhere.
  */
-export const BOUND_PER_DOUBLING_MS = 2_000;
+export const BOUND_PER_DOUBLING_MS = 2_500;
 
 /** Age up to which an instance may start new work on its configuration. */
 export const isolationBoundMs = (instances: number, watchers: number): number =>
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -53,6 +53,18 @@
   a.incarnation > b.incarnation ||
   (a.incarnation === b.incarnation && RANKS[a.state] > RANKS[b.state]);
 
+/**
+ * Whether others should be told. That a listed instance lives is known from
+ * the list; told again when a whole fleet starts, it would fill the messages
+ * of minutes.
+ */
+const isNews = (peer: protocol.Peer, before: Row | undefined): boolean => {
+  const wasListedLive = before?.isListed && before.peer.state === 'live';
+  return (
+    peer.incarnation > 0 && !(peer.state === 'live' && wasListedLive === true)
+  );
+};
+
 /** The entry instances as one of them sees them. */
 export class Peers {
   private readonly rows = new Map<string, Row>();
@@ -264,7 +276,7 @@
     this.rows.set(peer.id, {
       peer,
       since: now,
-      newsLeft: peer.incarnation > 0 ? this.newsRounds() : 0,
+      newsLeft: isNews(peer, row) ? this.newsRounds() : 0,
       isListed: row?.isListed ?? false,
       isListedLeaving: row?.isListedLeaving ?? false,
     });
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -52,21 +52,24 @@
   'isolated',
 ]);
 
-/** A named part of an environment's document. */
-const sectionEntry = zod.object({name, digest: name});
+/**
+ * A named part of an environment's document. Its digest is left out, as the
+ * receiver works it out from the content anyway to check the whole.
+ */
+const section = zod.object({name, content: zod.unknown()});
 
 /**
  * The step from one configuration to a later one. `baseGeneration` is absent
- * when `entries` is the whole manifest. `sections` maps digests to contents.
+ * when `sections` are all there are.
  */
 const configurationChange = zod.object({
   environment: name,
   generation: count,
+  /** Digest of the manifest after the step. */
   digest: name,
   baseGeneration: count.optional(),
-  entries: zod.array(sectionEntry).max(MAX_ITEMS),
+  sections: zod.array(section).max(MAX_ITEMS),
   removed: zod.array(name).max(MAX_ITEMS),
-  sections: zod.record(zod.string(), zod.unknown()),
 });
 
 /** Counters of one version on one instance since it started. */
