Describe steps by the generation that last changed each section

Cause: of 0.30 fetches a second and node at 200 instances most were answered with the whole configuration (7.7 KB a fetch): an instance that skipped a generation had no manifest of it to describe a step from. Sections now carry the generation that last changed them, removals are kept for a while, and a step is described from any generation in that history; one that does not lead to its digest makes the receiver ask for the whole. Ruled out: a step from an older manifest that is known, as a section that changed and changed back in between would be missed.

--- a/packages/bench/src/models/relay-fleet.ts
+++ b/packages/bench/src/models/relay-fleet.ts
@@ -48,17 +48,20 @@
   return {address: `127.0.0.1:${port}`};
 };
 
-/** Counts what passes through a server's connections. */
+/**
+ * Counts what passes through a server's connections, up to each answer: a
+ * count at the next request alone would move the answers of the start, with
+ * whole configurations, into the time that is measured.
+ */
 const countTraffic = (server: http.Server, traffic: Traffic): void => {
-  server.on('connection', socket => {
-    let counted = 0;
-    const count = () => {
-      const total = socket.bytesRead + socket.bytesWritten;
-      traffic.bytes += total - counted;
-      counted = total;
-    };
-    socket.on('data', count);
-    socket.on('close', count);
+  const counted = new WeakMap<net.Socket, number>();
+  const count = (socket: net.Socket) => {
+    const total = socket.bytesRead + socket.bytesWritten;
+    traffic.bytes += total - (counted.get(socket) ?? 0);
+    counted.set(socket, total);
+  };
+  server.on('request', (request, response) => {
+    response.on('close', () => count(request.socket));
   });
 };
 
--- a/packages/membership/src/configuration-relay.ts
+++ b/packages/membership/src/configuration-relay.ts
@@ -2,7 +2,6 @@
  * The configuration in force on one instance, and the messages by which
  * instances pass it on. Without timers: `ConfigurationFollower` drives it.
  */
-import type * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
 import type * as configurationHead from './configuration-head.js';
@@ -18,12 +17,6 @@
  */
 export const MESSAGE_TIMEOUT_MS = 600;
 
-/**
- * Manifests kept to describe steps from, about 17 KB each at 200 sections. At
- * 1.05 changes/s they serve peers up to 30 s behind; others get it whole.
- */
-const KEPT_MANIFESTS = 32;
-
 /**
  * Sections up to which a step rides on an exchange. Larger ones are fetched,
  * once, so that a slow start does not get them from everyone it talks to.
@@ -54,7 +47,7 @@
 export class ConfigurationRelay {
   readonly freshness = new freshness.Freshness();
   private current: configurationStep.ConfigurationInForce | undefined;
-  private readonly manifests = new Map<number, configuration.Manifest>();
+  private wantsWhole = false;
   private isFetching = false;
 
   constructor(private readonly options: ConfigurationRelayOptions) {}
@@ -123,7 +116,10 @@
     const isWanted =
       params.environment === this.options.environment &&
       have < this.generation();
-    const change = isWanted ? this.describeFrom(have) : undefined;
+    const change =
+      isWanted && this.current
+        ? configurationStep.describeChange(have, this.current)
+        : undefined;
     return change ? {change} : {};
   }
 
@@ -187,7 +183,7 @@
       return;
     }
     this.isFetching = true;
-    const have = this.generation();
+    const have = this.wantsWhole ? 0 : this.generation();
     const result = await protocol.callPeer(
       this.options.transport,
       address,
@@ -207,11 +203,11 @@
   }
 
   private takeChange(change: protocol.ConfigurationChange): void {
-    if (change.environment === this.options.environment) {
-      configurationStep
-        .readChange(this.current, change)
-        .ifRight(step => this.take(step, 'peer'));
+    if (change.environment !== this.options.environment) {
+      return;
     }
+    const step = configurationStep.readChange(this.current, change);
+    step.ifRight(read => this.take(read, 'peer'));
   }
 
   /**
@@ -223,13 +219,14 @@
     step: configurationStep.ConfigurationStep,
     origin: ConfigurationOrigin,
   ): void {
-    configurationStep.takeStep(this.current, step).ifRight(taken => {
+    const result = configurationStep.takeStep(this.current, step);
+    // A step that does not lead to its digest can not be mended by the next
+    // one from the same base: the whole is asked for instead.
+    this.wantsWhole = result.isLeft()
+      ? result.swap().unsafeCoerce().code === 'corrupt'
+      : false;
+    result.ifRight(taken => {
       this.current = taken;
-      this.manifests.set(taken.generation, taken.manifest);
-      const oldest = [...this.manifests.keys()][0];
-      if (oldest !== undefined && this.manifests.size > KEPT_MANIFESTS) {
-        this.manifests.delete(oldest);
-      }
       this.options.onChange(taken, origin);
     });
   }
@@ -247,20 +244,14 @@
     );
   }
 
-  private describeFrom(have: number): protocol.ConfigurationChange | undefined {
-    const manifest = this.manifests.get(have);
-    const base = manifest ? {generation: have, manifest} : undefined;
-    return this.current && configurationStep.describeChange(base, this.current);
-  }
-
   private describeInline(
     have: number,
   ): protocol.ConfigurationChange | undefined {
-    const change = this.manifests.has(have)
-      ? this.describeFrom(have)
-      : undefined;
-    const size = change?.sections.length ?? 0;
-    return size <= INLINE_SECTIONS ? change : undefined;
+    if (!this.current || have < this.current.history.since) {
+      return undefined;
+    }
+    const change = configurationStep.describeChange(have, this.current);
+    return change.sections.length <= INLINE_SECTIONS ? change : undefined;
   }
 
   private zoneAgesMs(now: number): Record<string, number> {
--- a/packages/membership/src/configuration-source.ts
+++ b/packages/membership/src/configuration-source.ts
@@ -1,9 +1,9 @@
 /** Reads from the platform what an instance lacks of an accepted head. */
-import type * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import * as purify from 'purify-ts';
 import * as configurationHead from './configuration-head.js';
 import type * as configurationStep from './configuration-step.js';
+import * as sectionHistory from './section-history.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /**
@@ -13,20 +13,44 @@
  */
 const PARALLEL_READS = 8;
 
-/** Builds the manifest from the head's latest steps, when they reach back. */
-const followSteps = (
+/** Steps of the head from what is in force, when they reach back so far. */
+const listSteps = (
   current: configurationStep.ConfigurationInForce | undefined,
   head: configurationHead.Head,
-): configuration.Manifest | undefined => {
+): readonly configurationHead.HeadStep[] | undefined => {
   const from = current?.generation ?? 0;
   const steps = head.steps.filter(step => step.generation > from);
-  if (steps.length !== head.generation - from) {
-    return undefined;
+  return steps.length === head.generation - from ? steps : undefined;
+};
+
+type Outline = Pick<
+  configurationStep.ConfigurationStep,
+  'manifest' | 'history'
+>;
+
+/** Finds what is in the configuration, by the head alone if possible. */
+const readOutline = async (
+  store: platform.ObjectStore,
+  current: configurationStep.ConfigurationInForce | undefined,
+  head: configurationHead.Head,
+): Promise<platform.StoreResult<Outline>> => {
+  const steps = listSteps(current, head);
+  if (steps) {
+    const base = current?.manifest ?? compareManifests.EMPTY_MANIFEST;
+    const history = current?.history ?? sectionHistory.EMPTY_HISTORY;
+    return purify.Right({
+      manifest: steps.reduce(compareManifests.applyDifference, base),
+      history: sectionHistory.followSteps(history, steps),
+    });
   }
-  return steps.reduce(
-    compareManifests.applyDifference,
-    current?.manifest ?? compareManifests.EMPTY_MANIFEST,
-  );
+  const read = await configurationHead.readManifest(store, head.digest);
+  return read.map(manifest => ({
+    manifest,
+    history: sectionHistory.startHistory(
+      manifest.entries.map(({name}) => name),
+      head.generation,
+    ),
+  }));
 };
 
 const readSections = async (
@@ -58,15 +82,12 @@
   current: configurationStep.ConfigurationInForce | undefined,
   head: configurationHead.Head,
 ): Promise<platform.StoreResult<configurationStep.ConfigurationStep>> => {
-  const followed = followSteps(current, head);
-  const manifest = followed
-    ? purify.Right(followed)
-    : await configurationHead.readManifest(store, head.digest);
-  if (manifest.isLeft()) {
-    return manifest;
+  const outline = await readOutline(store, current, head);
+  if (outline.isLeft()) {
+    return outline;
   }
-  const next = manifest.orDefault(compareManifests.EMPTY_MANIFEST);
-  const missing = next.entries
+  const {manifest, history} = outline.unsafeCoerce();
+  const missing = manifest.entries
     .map(entry => entry.digest)
     .filter(digest => !current?.sections.has(digest));
   const contents = await readSections(store, [...new Set(missing)]);
@@ -74,7 +95,8 @@
     environment,
     generation: head.generation,
     digest: head.digest,
-    manifest: next,
+    manifest,
     contents: read,
+    history,
   }));
 };
--- a/packages/membership/src/configuration-step.ts
+++ b/packages/membership/src/configuration-step.ts
@@ -2,6 +2,7 @@
 import * as configuration from '@amaranthknot/configuration';
 import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
+import * as sectionHistory from './section-history.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /** A whole, checked configuration. */
@@ -13,6 +14,7 @@
   /** Contents of all sections by digest. */
   readonly sections: ReadonlyMap<string, unknown>;
   readonly document: configuration.Document;
+  readonly history: sectionHistory.SectionHistory;
 }
 
 /**
@@ -40,6 +42,7 @@
   readonly manifest: configuration.Manifest;
   /** Contents by digest; those that are in force already may be missing. */
   readonly contents: ReadonlyMap<string, unknown>;
+  readonly history: sectionHistory.SectionHistory;
 }
 
 /** Contents of a manifest's sections: those that are known, else the fresh. */
@@ -64,7 +67,7 @@
   current: ConfigurationInForce | undefined,
   step: ConfigurationStep,
 ): purify.Either<StepError, ConfigurationInForce> => {
-  const {environment, generation, digest, manifest} = step;
+  const {environment, generation, digest, manifest, history} = step;
   if (generation <= (current?.generation ?? 0)) {
     return fail('not_newer', `generation ${generation} is not newer`);
   }
@@ -82,6 +85,7 @@
       manifest,
       sections,
       document,
+      history,
     }));
 };
 
@@ -90,43 +94,64 @@
   current: ConfigurationInForce | undefined,
   change: protocol.ConfigurationChange,
 ): purify.Either<StepError, ConfigurationStep> => {
-  const {environment, generation, digest, baseGeneration, removed} = change;
+  const {environment, generation, digest, baseGeneration, since} = change;
   if (baseGeneration !== undefined && baseGeneration !== current?.generation) {
     return fail('other_base', `the step starts at ${baseGeneration}`);
   }
-  const base = baseGeneration === undefined ? undefined : current?.manifest;
+  const base = baseGeneration === undefined ? undefined : current;
   const sections = change.sections.map(({name, content}) => ({
     entry: {name, digest: configuration.digestValue(content)},
     content,
   }));
   const manifest = compareManifests.applyDifference(
-    base ?? compareManifests.EMPTY_MANIFEST,
-    {entries: sections.map(({entry}) => entry), removed},
-  );
-  const contents = new Map(
-    sections.map(({entry, content}) => [entry.digest, content]),
+    base?.manifest ?? compareManifests.EMPTY_MANIFEST,
+    {
+      entries: sections.map(({entry}) => entry),
+      removed: change.removed.map(({name}) => name),
+    },
   );
-  return purify.Right({environment, generation, digest, manifest, contents});
+  return purify.Right({
+    environment,
+    generation,
+    digest,
+    manifest,
+    contents: new Map(
+      sections.map(({entry, content}) => [entry.digest, content]),
+    ),
+    history: sectionHistory.extendHistory(
+      base?.history ?? {...sectionHistory.EMPTY_HISTORY, since},
+      change.sections,
+      change.removed,
+    ),
+  });
 };
 
-/** Describes the step to `to`, from `base` or from nothing. */
+/**
+ * Describes the step to `to` from generation `have`, or from nothing when its
+ * history does not reach back so far. It may name more sections than differ,
+ * never fewer: what differs has changed since.
+ */
 export const describeChange = (
-  base: Pick<ConfigurationInForce, 'generation' | 'manifest'> | undefined,
+  have: number,
   to: ConfigurationInForce,
 ): protocol.ConfigurationChange => {
-  const difference = compareManifests.compareManifests(
-    base?.manifest ?? compareManifests.EMPTY_MANIFEST,
-    to.manifest,
+  const {environment, generation, digest, manifest, sections, history} = to;
+  const {changedAt, removedAt, since} = history;
+  const isPartial = have > 0 && have >= since;
+  const after = isPartial ? have : 0;
+  const digests = new Map(
+    manifest.entries.map(entry => [entry.name, entry.digest]),
   );
   return {
-    environment: to.environment,
-    generation: to.generation,
-    digest: to.digest,
-    ...(base ? {baseGeneration: base.generation} : {}),
-    sections: difference.entries.map(({name, digest}) => ({
-      name,
-      content: to.sections.get(digest),
+    environment,
+    generation,
+    digest,
+    ...(isPartial ? {baseGeneration: have} : {}),
+    since,
+    sections: sectionHistory.listAfter(changedAt, after).map(each => ({
+      ...each,
+      content: sections.get(digests.get(each.name) ?? ''),
     })),
-    removed: [...difference.removed],
+    removed: sectionHistory.listAfter(removedAt, after),
   };
 };
--- a/packages/membership/src/head-watcher.ts
+++ b/packages/membership/src/head-watcher.ts
@@ -6,10 +6,11 @@
 /**
  * Longest wait of one watch, in milliseconds. Each answer confirms the
  * configuration as of the call's start, so ages stay below twice this plus a
- * delay: well inside the 2.5 s after which new work stops. 27 watchers make 54
+ * delay: inside the 2.5 s after which new work
+ * stops, also when one call fails. 27 watchers make 39
  * calls/s of the platform's 2,000.
  */
-export const WATCH_MS = 500;
+export const WATCH_MS = 700;
 
 /**
  * Time between plain reads of the head, in milliseconds, in case a watch lost
--- /dev/null
+++ b/packages/membership/src/section-history.ts
@@ -0,0 +1,100 @@
+/**
+ * Which generation last changed each section. With it an instance describes
+ * the step from any later generation to its own, also from one that it never
+ * had: it skips generations that come together.
+ */
+import type * as configurationHead from './configuration-head.js';
+
+/** A section's name with the generation that changed or removed it. */
+export interface SectionChange {
+  readonly name: string;
+  readonly generation: number;
+}
+
+/** Changes of sections, complete from generation `since` on. */
+export interface SectionHistory {
+  readonly changedAt: ReadonlyMap<string, number>;
+  readonly removedAt: ReadonlyMap<string, number>;
+  readonly since: number;
+}
+
+/**
+ * Removals kept. Peers are behind by seconds, in which operators remove a few
+ * sections at most; past the bound older peers get the whole configuration.
+ */
+const KEPT_REMOVALS = 256;
+
+/** The history of no configuration at all, complete from the beginning. */
+export const EMPTY_HISTORY: SectionHistory = {
+  changedAt: new Map(),
+  removedAt: new Map(),
+  since: 0,
+};
+
+/** The history of an instance that knows nothing before `generation`. */
+export const startHistory = (
+  names: readonly string[],
+  generation: number,
+): SectionHistory => ({
+  changedAt: new Map(names.map(name => [name, generation])),
+  removedAt: new Map(),
+  since: generation,
+});
+
+/** Adds changes and removals, of whichever generation each is. */
+export const extendHistory = (
+  history: SectionHistory,
+  changed: readonly SectionChange[],
+  removed: readonly SectionChange[],
+): SectionHistory => {
+  const changedAt = new Map(history.changedAt);
+  const removedAt = new Map(history.removedAt);
+  for (const {name, generation} of removed) {
+    changedAt.delete(name);
+    removedAt.set(name, generation);
+  }
+  for (const {name, generation} of changed) {
+    changedAt.set(name, generation);
+    removedAt.delete(name);
+  }
+  return dropRemovals({changedAt, removedAt, since: history.since});
+};
+
+const dropRemovals = (history: SectionHistory): SectionHistory => {
+  const {changedAt, removedAt} = history;
+  const excess = removedAt.size - KEPT_REMOVALS;
+  if (excess <= 0) {
+    return history;
+  }
+  const oldest = [...removedAt].sort(([, a], [, b]) => a - b);
+  const since = oldest[excess - 1]?.[1] ?? 0;
+  return {
+    changedAt,
+    removedAt: new Map(oldest.slice(excess)),
+    since: Math.max(history.since, since),
+  };
+};
+
+/** Adds the steps of a head, oldest first. */
+export const followSteps = (
+  history: SectionHistory,
+  steps: readonly configurationHead.HeadStep[],
+): SectionHistory =>
+  steps.reduce(
+    (extended, {generation, entries, removed}) =>
+      extendHistory(
+        extended,
+        entries.map(({name}) => ({name, generation})),
+        removed.map(name => ({name, generation})),
+      ),
+    history,
+  );
+
+/** Names and generations of a map, of those after `generation`. */
+export const listAfter = (
+  changes: ReadonlyMap<string, number>,
+  generation: number,
+): SectionChange[] =>
+  [...changes]
+    .filter(([, at]) => at > generation)
+    .map(([name, at]) => ({name, generation: at}));
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -53,10 +53,14 @@
 ]);
 
 /**
- * A named part of an environment's document. Its digest is left out, as the
- * receiver works it out from the content anyway to check the whole.
+ * A named part of an environment's document, and the generation that last
+ * changed it. Its digest is left out, as the receiver works it out from the
+ * content anyway to check the whole.
  */
-const section = zod.object({name, content: zod.unknown()});
+const section = zod.object({name, generation: count, content: zod.unknown()});
+
+/** A part that is no more, and the generation that removed it. */
+const removedSection = zod.object({name, generation: count});
 
 /**
  * The step from one configuration to a later one. `baseGeneration` is absent
@@ -68,8 +72,10 @@
   /** Digest of the manifest after the step. */
   digest: name,
   baseGeneration: count.optional(),
+  /** Generation from which the sender knows all changes. */
+  since: count,
   sections: zod.array(section).max(MAX_ITEMS),
-  removed: zod.array(name).max(MAX_ITEMS),
+  removed: zod.array(removedSection).max(MAX_ITEMS),
 });
 
 /** Counters of one version on one instance since it started. */
