Document the operators' commands and list them in one place

operatorCommands is the record for main.ts to spread into its own. A test finds each command's options in docs/CLI.md.

--- a/packages/amaranthknot/src/commands/diff.ts
+++ b/packages/amaranthknot/src/commands/diff.ts
@@ -3,7 +3,7 @@
 import type * as command from '../command.js';
 import * as createCommand from '../operator/create-command.js';
 import * as inForce from '../operator/in-force.js';
-import * as operations from '../operator/operations.js';
+import type * as operations from '../operator/operations.js';
 import type * as outcome from '../operator/outcome.js';
 import * as check from './check.js';
 
@@ -72,6 +72,3 @@
     },
     connect,
   );
-
-/** The command. */
-export const diff = createDiff(operations.connect);
--- a/packages/amaranthknot/src/commands/entry-instances.ts
+++ b/packages/amaranthknot/src/commands/entry-instances.ts
@@ -2,7 +2,7 @@
 import type * as platform from '@amaranthknot/platform';
 import type * as command from '../command.js';
 import * as createCommand from '../operator/create-command.js';
-import * as operations from '../operator/operations.js';
+import type * as operations from '../operator/operations.js';
 import type * as outcome from '../operator/outcome.js';
 import * as waits from '../operator/wait-everywhere.js';
 
@@ -62,6 +62,3 @@
     },
     connect,
   );
-
-/** The command. */
-export const entryInstances = createEntryInstances(operations.connect);
--- /dev/null
+++ b/packages/amaranthknot/src/commands/operator-commands.ts
@@ -0,0 +1,28 @@
+/** All operators' commands, by name. */
+import type * as command from '../command.js';
+import * as apply from './apply.js';
+import * as check from './check.js';
+import * as diff from './diff.js';
+import * as entryInstances from './entry-instances.js';
+import * as promote from './promote.js';
+import * as rollout from './rollout.js';
+import * as status from './status.js';
+import * as zone from './zone.js';
+import * as operations from '../operator/operations.js';
+
+/** Creates the operators' commands over a way to reach the platform. */
+export const createOperatorCommands = (
+  connect: operations.Connect,
+): Readonly<Record<string, command.Command>> => ({
+  apply: apply.createApply(connect),
+  check: check.check,
+  diff: diff.createDiff(connect),
+  'entry-instances': entryInstances.createEntryInstances(connect),
+  promote: promote.createPromote(connect),
+  rollout: rollout.createRollout(connect),
+  status: status.createStatus(connect),
+  zone: zone.createZone(connect),
+});
+
+/** The commands over HTTP. */
+export const operatorCommands = createOperatorCommands(operations.connect);
--- a/packages/amaranthknot/src/commands/promote.ts
+++ b/packages/amaranthknot/src/commands/promote.ts
@@ -5,7 +5,7 @@
 import type * as command from '../command.js';
 import * as createCommand from '../operator/create-command.js';
 import * as inForce from '../operator/in-force.js';
-import * as operations from '../operator/operations.js';
+import type * as operations from '../operator/operations.js';
 import * as outcome from '../operator/outcome.js';
 import * as returns from '../operator/refuse-returns.js';
 import * as waits from '../operator/wait-everywhere.js';
@@ -130,6 +130,3 @@
     },
     connect,
   );
-
-/** The command. */
-export const promote = createPromote(operations.connect);
--- a/packages/amaranthknot/src/commands/status.ts
+++ b/packages/amaranthknot/src/commands/status.ts
@@ -3,7 +3,7 @@
 import type * as command from '../command.js';
 import * as createCommand from '../operator/create-command.js';
 import * as inForce from '../operator/in-force.js';
-import * as operations from '../operator/operations.js';
+import type * as operations from '../operator/operations.js';
 import type * as outcome from '../operator/outcome.js';
 import * as waits from '../operator/wait-everywhere.js';
 
@@ -80,6 +80,3 @@
     },
     connect,
   );
-
-/** The command. */
-export const status = createStatus(operations.connect);
--- a/packages/amaranthknot/src/commands/zone.ts
+++ b/packages/amaranthknot/src/commands/zone.ts
@@ -5,7 +5,7 @@
 import * as changes from '../operator/change-and-wait.js';
 import * as createCommand from '../operator/create-command.js';
 import type * as inForce from '../operator/in-force.js';
-import * as operations from '../operator/operations.js';
+import type * as operations from '../operator/operations.js';
 import * as outcome from '../operator/outcome.js';
 import * as waits from '../operator/wait-everywhere.js';
 
@@ -69,6 +69,3 @@
     },
     connect,
   );
-
-/** The command. */
-export const zone = createZone(operations.connect);
--- a/packages/amaranthknot/src/operator/parse-arguments.ts
+++ b/packages/amaranthknot/src/operator/parse-arguments.ts
@@ -1,7 +1,6 @@
-/** Parses a command's arguments; what is wrong comes back as text. */
-import * as configuration from '@amaranthknot/configuration';
-import * as meow from 'meow';
+/** Checks the values and inputs of a command's arguments. */
 import * as purify from 'purify-ts';
+import * as readFlags from '../read-flags.js';
 
 /** One flag, by its name in camel case. */
 export interface Flag {
@@ -33,18 +32,13 @@
 const toDashes = (name: string): string =>
   `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
 
+/** Long options are known by now; this finds short ones. */
 const findUnknown = (
   written: readonly string[],
   known: readonly string[],
 ): string | undefined => {
   const name = written.find(flag => !known.includes(flag));
-  if (name === undefined) {
-    return undefined;
-  }
-  const nearest = configuration.findNearest(name, known);
-  const hint =
-    nearest === undefined ? '' : `; did you mean ${toDashes(nearest)}?`;
-  return `unknown flag ${toDashes(name)}${hint}`;
+  return name === undefined ? undefined : `unknown option -${name}`;
 };
 
 const findBadValue = (
@@ -73,28 +67,15 @@
   return extra === undefined ? undefined : `takes no "${extra}"`;
 };
 
-/** Runs the parser without its habit of ending the process. */
-const parse = (
-  args: readonly string[],
-  flags: Flags,
-): {input: string[]; flags: Record<string, unknown>} =>
-  meow.default({
-    importMeta: import.meta,
-    argv: args,
-    // A package is given, so that none is searched for on disk.
-    pkg: {name: 'amaranthknot', bin: 'amaranthknot'},
-    autoHelp: false,
-    autoVersion: false,
-    flags: flags,
-  });
-
 /** Parses arguments; the left is one line that says what is wrong. */
 export const parseArguments = <F extends Flags>(
   args: readonly string[],
   syntax: Syntax<F>,
 ): purify.Either<string, Arguments<F>> =>
-  purify.Either.encase(() => parse(args, syntax.flags))
+  // The parser throws on a flag that is given twice.
+  purify.Either.encase(() => readFlags.readFlags(args, syntax.flags as Flags))
     .mapLeft(error => error.message)
+    .chain(read => read)
     .chain(({input, flags}) => {
       const fault =
         findUnknown(Object.keys(flags), Object.keys(syntax.flags)) ??
--- a/packages/amaranthknot/tests/operator-commands.test.ts
+++ b/packages/amaranthknot/tests/operator-commands.test.ts
@@ -1,3 +1,4 @@
+import * as fs from 'node:fs';
 import * as chai from 'chai';
 import * as configuration from '@amaranthknot/configuration';
 import * as membership from '@amaranthknot/membership';
@@ -7,6 +8,11 @@
 
 const S = '--settings s.toml';
 
+const page = fs.readFileSync(
+  new URL('../../../docs/CLI.md', import.meta.url),
+  'utf8',
+);
+
 interface Json {
   readonly ok: boolean;
   readonly generation?: number;
@@ -47,6 +53,7 @@
     RegExp,
   ])[] = [
     ['a flag misspelt', `status ${S} --jsn`, 2, /--jsn; did you mean --json\?/],
+    ['a short flag', `status ${S} -x`, 2, /unknown option -x/],
     ['a flag without value', 'status --settings', 2, /needs a string/],
     [
       'no number',
@@ -207,11 +214,15 @@
     'status',
     'zone',
   ]) {
-    it(`${name} has help with an example and exit codes`, async () => {
+    it(`${name} has help, and its options are on the page`, async () => {
       const run = await fixture.createEnvironment().run(`${name} --help`);
       chai.expect(run.code).equal(0);
       chai.expect(run.out).contain(`$ amaranthknot ${name}`);
       chai.expect(run.out).match(/Example[^]*Exit codes/);
+      chai.expect(page).match(new RegExp(`^## .*\`${name}`, 'm'));
+      for (const option of run.out.match(/--[a-z-]+/g) ?? []) {
+        chai.expect(page).contain(`\`${option}`);
+      }
     });
   }
 });
--- a/packages/amaranthknot/tests/operator-fixture.ts
+++ b/packages/amaranthknot/tests/operator-fixture.ts
@@ -5,14 +5,7 @@
 import * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import type * as command from '../src/command.js';
-import * as apply from '../src/commands/apply.js';
-import * as check from '../src/commands/check.js';
-import * as diff from '../src/commands/diff.js';
-import * as entryInstances from '../src/commands/entry-instances.js';
-import * as promote from '../src/commands/promote.js';
-import * as rollout from '../src/commands/rollout.js';
-import * as status from '../src/commands/status.js';
-import * as zone from '../src/commands/zone.js';
+import * as operatorCommands from '../src/commands/operator-commands.js';
 import type * as operations from '../src/operator/operations.js';
 
 /** What a command printed, and its exit code. */
@@ -108,19 +101,6 @@
     store.watch(kind, after, waitMs, signal),
 });
 
-const createCommands = (
-  connect: operations.Connect,
-): Readonly<Record<string, command.Command>> => ({
-  apply: apply.createApply(connect),
-  check: check.check,
-  diff: diff.createDiff(connect),
-  'entry-instances': entryInstances.createEntryInstances(connect),
-  promote: promote.createPromote(connect),
-  rollout: rollout.createRollout(connect),
-  status: status.createStatus(connect),
-  zone: zone.createZone(connect),
-});
-
 /** Creates an environment with nothing in force. */
 export const createEnvironment = (): Environment => {
   const clock = createHastyClock();
@@ -152,7 +132,7 @@
       clock,
       close: () => undefined,
     });
-  const commands = createCommands(connect);
+  const commands = operatorCommands.createOperatorCommands(connect);
   const readFile = (path: string): string => {
     const text = files.get(path);
     if (text === undefined) {
