--- a/packages/amaranthknot/src/operator/in-force.ts
+++ b/packages/amaranthknot/src/operator/in-force.ts
@@ -74,18 +74,31 @@
     : readDocument(store, found);
 };
 
+/** Names environments that have something in force, to find a misspelt one. */
+const describeNothing = async (
+  store: platform.ObjectStore,
+  environment: string,
+): Promise<outcome.Failure> => {
+  const heads = await store.list(membership.HEAD_KIND);
+  const names = heads
+    .map(({objects}) => objects.map(({name}) => name))
+    .orDefault([]);
+  const nearest = configuration.findNearest(environment, names);
+  const hint = nearest === undefined ? '' : `; did you mean "${nearest}"?`;
+  const message = `nothing is in force for ${environment}${hint}`;
+  return outcome.fail('not_found', message, {nearest});
+};
+
 /** Reads what is in force; a failure when nothing was ever published. */
 export const readInForce = async (
   store: platform.ObjectStore,
   environment: string,
 ): Promise<purify.Either<outcome.Failure, InForce>> => {
   const found = await findInForce(store, environment);
-  const message = `nothing is in force for ${environment}; apply a document`;
-  return found.chain(inForce =>
-    inForce === undefined
-      ? purify.Left(outcome.fail('not_found', message))
-      : purify.Right(inForce),
-  );
+  if (found.isRight() && found.extract() === undefined) {
+    return purify.Left(await describeNothing(store, environment));
+  }
+  return found as purify.Either<outcome.Failure, InForce>;
 };
 
 /** A change of a document, or why it can't be made. */
--- a/packages/amaranthknot/tests/operator-commands.test.ts
+++ b/packages/amaranthknot/tests/operator-commands.test.ts
@@ -73,6 +73,12 @@
     ['one environment', `promote --from a --to a ${S}`, 2, /two environments/],
     ['nothing to promote', `promote --from x --to y ${S}`, 1, /nothing is in/],
     ['nothing in force', `status ${S} --environment x`, 1, /nothing is in/],
+    [
+      'a misspelt environment',
+      `status ${S} --environment tral`,
+      1,
+      /"trial"\?/,
+    ],
     [
       'a generation that is not in force',
       `apply meetups.toml ${S} --generation 7`,
