--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,10 @@
 export * from './cascade-plan.js';
 export * from './cascade.js';
 export * from './logistic-estimate.js';
+/** Pure decisions under load; see package.json. One line per file, sorted. */
+export * from './admission-outcome.js';
+export * from './admission.js';
+export * from './expiry-queue.js';
 export * from './fair-share.js';
 export * from './hash-ring.js';
 export * from './moving-estimate.js';
