Give sections their first names back, one for each item

Exported names stay now.

A test that failed before membership took these sections: 'publish every part of a document' (+ sessions {"token_max_age_ms":} in each diff).

--- a/packages/amaranthknot/src/operator/in-force.ts
+++ b/packages/amaranthknot/src/operator/in-force.ts
@@ -47,19 +47,12 @@
 
 const readDocument = async (
   store: platform.ObjectStore,
-  head: membership.Head,
+  {generation, digest}: membership.Head,
 ): Promise<purify.Either<outcome.Failure, InForce>> => {
-  const split = await membership.readDocument(store, head.digest);
-  return split.mapLeft(describeStoreError).chain(({manifest, sections}) =>
-    configuration
-      .joinSections(manifest, sections)
-      .mapLeft(({message}) => outcome.fail('refused', message))
-      .map(document => ({
-        generation: head.generation,
-        digest: head.digest,
-        document,
-      })),
-  );
+  const read = await membership.readDocument(store, digest);
+  return read
+    .mapLeft(describeStoreError)
+    .map(document => ({generation, digest, document}));
 };
 
 /** Reads what is in force; nothing when nothing was ever published. */
--- a/packages/amaranthknot/tests/operator-commands.test.ts
+++ b/packages/amaranthknot/tests/operator-commands.test.ts
@@ -289,6 +289,18 @@
     chai.expect(shown.out).contain('akl-a out, akl-b out, akl-c in');
   });
 
+  it('publish every part of a document', async () => {
+    // A document with [sessions] is applied. The relay's own sections had no
+    // place for them: the instances never got the age of session tokens, and
+    // each diff showed it as a change still to be made.
+    const environment = fixture.createEnvironment();
+    const applied = await runJson(environment, `apply rostering.toml ${S}`);
+    const checked = await runJson(environment, 'check rostering.toml');
+    chai.expect(applied.digest).equal(checked.digest);
+    const run = await environment.run(`diff rostering.toml ${S}`);
+    chai.expect(run.out).equal('trial, generation 1: 0 changes\n');
+  });
+
   it('take a zone out although the platform says it is out', async () => {
     // The zone was out and came back in. The platform answers the next read
     // of the head with the one before, where it is out. The operator asks for
--- a/packages/configuration/src/check-published.ts
+++ b/packages/configuration/src/check-published.ts
@@ -33,9 +33,10 @@
 export const checkPublished = (
   document: documents.Document,
 ): readonly problems.Finding[] => {
-  const {byteLengths, manifest} = sections.splitDocument(document);
+  const split = sections.splitDocument(document);
+  const {byteLengths} = split;
   const total = [...byteLengths.values()].reduce((sum, next) => sum + next, 0);
-  const count = manifest.entries.length;
+  const count = split.sections.length;
   const countText = `${count} items, more than the ${MAX_SECTIONS} allowed`;
   const totalText = `${total} bytes when published, more than the ${MAX_PUBLISHED_BYTES} allowed`;
   return [
--- a/packages/configuration/src/sections.ts
+++ b/packages/configuration/src/sections.ts
@@ -10,26 +10,29 @@
 import type * as documents from './document.js';
 import * as canonicalJson from './util/canonical-json.js';
 
-/** A named section and the digest of its content. */
-export interface SectionEntry {
+/** A part of a document, addressed by its content. */
+export interface Section {
   /** Table and item, as `zones/tunis`; `sessions` has one item only. */
   readonly name: string;
-  /** SHA-256 of the content's canonical JSON, in lower-case hex. */
+  /** SHA-256 of the value's canonical JSON, in lower-case hex. */
   readonly digest: string;
+  /** JSON value. */
+  readonly value: unknown;
 }
 
-/** The sections of a document, sorted by name. */
+/** All sections of a document; its own digest is the document's. */
 export interface Manifest {
-  readonly entries: readonly SectionEntry[];
+  /** Digest by section name. */
+  readonly sections: Readonly<Record<string, string>>;
 }
 
-/** A document as it is stored and relayed. */
+/** A document with its sections. */
 export interface SplitDocument {
   readonly manifest: Manifest;
-  /** Contents, JSON values, by digest. */
-  readonly sections: ReadonlyMap<string, unknown>;
   /** Digest of the manifest, and so of the whole document. */
   readonly digest: string;
+  /** Sorted by name. */
+  readonly sections: readonly Section[];
   /** Bytes of canonical JSON by section name, `manifest` among them. */
   readonly byteLengths: ReadonlyMap<string, number>;
 }
@@ -71,15 +74,14 @@
 type TableName = (typeof TABLES)[number];
 
 interface SizedSection {
-  readonly entry: SectionEntry;
-  readonly value: unknown;
+  readonly section: Section;
   readonly byteLength: number;
 }
 
 const createSection = (name: string, value: unknown): SizedSection => {
   const text = canonicalJson.formatCanonicalJson(value);
-  const entry = {name, digest: canonicalJson.digestText(text)};
-  return {entry, value, byteLength: Buffer.byteLength(text)};
+  const section = {name, digest: canonicalJson.digestText(text), value};
+  return {section, byteLength: Buffer.byteLength(text)};
 };
 
 const nameItem = (
@@ -95,19 +97,21 @@
     ...(document.sessions === undefined
       ? []
       : [createSection(SESSIONS, document.sessions)]),
-  ].sort((a, b) => (a.entry.name < b.entry.name ? -1 : 1));
+  ].sort((a, b) => (a.section.name < b.section.name ? -1 : 1));
 
 /** Splits a document; equal documents give equal digests. */
 export const splitDocument = (document: documents.Document): SplitDocument => {
   const listed = listSections(document);
-  const manifest = {entries: listed.map(({entry}) => entry)};
+  const sections = listed.map(({section}) => section);
+  const digests = sections.map(({name, digest}) => [name, digest] as const);
+  const manifest = {sections: Object.fromEntries(digests)};
   const own = createSection(MANIFEST, manifest);
   return {
     manifest,
-    sections: new Map(listed.map(({entry, value}) => [entry.digest, value])),
-    digest: own.entry.digest,
+    digest: own.section.digest,
+    sections,
     byteLengths: new Map(
-      [...listed, own].map(({entry, byteLength}) => [entry.name, byteLength]),
+      [...listed, own].map(each => [each.section.name, each.byteLength]),
     ),
   };
 };
@@ -116,23 +120,27 @@
 export const digestDocument = (document: documents.Document): string =>
   splitDocument(document).digest;
 
+/** Digest of a manifest: the digest of its document. */
+export const digestManifest = (manifest: Manifest): string =>
+  canonicalJson.digestValue(manifest);
+
 /** Names of the sections of `after` that `before` lacks or has otherwise. */
 export const listChangedSections = (
   before: Manifest,
   after: Manifest,
-): readonly string[] => {
-  const digests = new Map(
-    before.entries.map(({name, digest}) => [name, digest]),
-  );
-  return after.entries
-    .filter(({name, digest}) => digests.get(name) !== digest)
-    .map(({name}) => name);
-};
+): readonly string[] =>
+  Object.entries(after.sections)
+    .filter(([name, digest]) => before.sections[name] !== digest)
+    .map(([name]) => name);
+
+/** Whether a section's value is the one its digest stands for. */
+export const isSectionIntact = ({digest, value}: Section): boolean =>
+  canonicalJson.digestValue(value) === digest;
 
 const findTable = (name: string): TableName | undefined =>
   TABLES.find(table => name.startsWith(`${table}/`));
 
-/** Whether a content is of the item that its section's name says. */
+/** Whether a value is of the item that its section's name says. */
 const isNamed = (name: string, value: unknown): boolean => {
   if (typeof value !== 'object' || value === null) {
     return false;
@@ -142,62 +150,55 @@
   return table === undefined || nameItem(table, item) === name;
 };
 
-const checkSection = (
-  {name, digest}: SectionEntry,
-  value: unknown,
-): readonly SectionError[] => {
+const checkSection = (section: Section): readonly SectionError[] => {
+  const {name, digest, value} = section;
   const fail = (code: SectionErrorCode, message: string) => [
     {section: name, code, message},
   ];
   if (findTable(name) === undefined && name !== SESSIONS) {
-    return fail('unknown_section', `this program knows no section ${name}`);
+    return fail('unknown_section', 'this program knows no such section');
   }
   if (value === undefined) {
-    return fail('missing_section', `section ${name} is missing`);
+    return fail('missing_section', `no value with digest ${digest}`);
   }
-  if (canonicalJson.digestValue(value) !== digest) {
-    return fail('digest_mismatch', `section ${name} is not ${digest}`);
+  if (!isSectionIntact(section)) {
+    return fail('digest_mismatch', `the value's digest is not ${digest}`);
   }
   return isNamed(name, value)
     ? []
-    : fail('invalid_section', `section ${name} holds another item`);
+    : fail('invalid_section', 'the value is of another item');
 };
 
-const assemble = (
-  manifest: Manifest,
-  sections: ReadonlyMap<string, unknown>,
-): documents.Document => {
+const assemble = (sections: readonly Section[]): documents.Document => {
   const listItems = (table: TableName): readonly unknown[] =>
-    manifest.entries
+    sections
       .filter(({name}) => name.startsWith(`${table}/`))
-      .map(({digest}) => sections.get(digest));
+      .map(({value}) => value);
   const tables = TABLES.map(table => [table, listItems(table)] as const);
-  const sessions = manifest.entries.find(({name}) => name === SESSIONS);
+  const sessions = sections.find(({name}) => name === SESSIONS);
   return {
     ...Object.fromEntries(tables),
-    ...(sessions === undefined
-      ? {}
-      : {sessions: sections.get(sessions.digest)}),
+    ...(sessions === undefined ? {} : {sessions: sessions.value}),
   } as unknown as documents.Document;
 };
 
 /**
- * Joins sections to the document of a manifest. Contents come from peers and
+ * Joins sections to the document of a manifest. Values come from peers and
  * from the platform, so each is checked against its digest; what a digest
  * stands for was checked when it was published.
  *
- * @param sections contents by digest.
- * @return the document, or its first section that stands in the way.
+ * @param findValue value by digest, undefined when it is not at hand.
+ * @return the document, or all sections that stand in its way.
  */
 export const joinSections = (
   manifest: Manifest,
-  sections: ReadonlyMap<string, unknown>,
-): purify.Either<SectionError, documents.Document> => {
-  for (const entry of manifest.entries) {
-    const [error] = checkSection(entry, sections.get(entry.digest));
-    if (error) {
-      return purify.Left(error);
-    }
-  }
-  return purify.Right(assemble(manifest, sections));
+  findValue: (digest: string) => unknown,
+): purify.Either<readonly SectionError[], documents.Document> => {
+  const sections = Object.entries(manifest.sections)
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([name, digest]) => ({name, digest, value: findValue(digest)}));
+  const errors = sections.flatMap(checkSection);
+  return errors.length === 0
+    ? purify.Right(assemble(sections))
+    : purify.Left(errors);
 };
--- a/packages/configuration/tests/sections.test.ts
+++ b/packages/configuration/tests/sections.test.ts
@@ -72,11 +72,13 @@
   it('gives sections that join to an equal document', () => {
     const {manifest, sections} = configuration.splitDocument(createDocument());
     // The platform and peers hold copies of their own.
-    const copies = JSON.parse(JSON.stringify([...sections])) as readonly [
-      string,
-      unknown,
-    ][];
-    const joined = configuration.joinSections(manifest, new Map(copies));
+    const copies = JSON.parse(
+      JSON.stringify(sections),
+    ) as readonly configuration.Section[];
+    const joined = configuration.joinSections(
+      manifest,
+      digest => copies.find(copy => copy.digest === digest)?.value,
+    );
     chai.expect(joined.extract()).eql(createDocument());
   });
 
@@ -102,9 +104,9 @@
   });
 
   it('covers every part of the document', () => {
-    const {manifest} = configuration.splitDocument(createDocument());
+    const {sections} = configuration.splitDocument(createDocument());
     chai
-      .expect(manifest.entries.map(({name}) => name))
+      .expect(sections.map(({name}) => name))
       .eql([
         'cascades/draft',
         'models/small',
@@ -121,52 +123,51 @@
 
 describe('joinSections', () => {
   const {manifest, sections} = configuration.splitDocument(createDocument());
-  const [cascade, model] = manifest.entries;
-  const replaceContent = (value: unknown): ReadonlyMap<string, unknown> =>
-    new Map(
-      [...sections].map(([digest, own]) => [
-        digest,
-        digest === cascade!.digest ? value : own,
-      ]),
-    );
-  const addEntry = (name: string) => ({
-    entries: [...manifest.entries, {name, digest: model!.digest}],
+  const [cascade, model] = sections;
+  const find = (digest: string): unknown =>
+    sections.find(section => section.digest === digest)?.value;
+  const replaceValue =
+    (value: unknown) =>
+    (digest: string): unknown =>
+      digest === cascade!.digest ? value : find(digest);
+  const addEntry = (name: string): configuration.Manifest => ({
+    sections: {...manifest.sections, [name]: model!.digest},
   });
   const cases: readonly (readonly [
     string,
     configuration.Manifest,
-    ReadonlyMap<string, unknown>,
+    (digest: string) => unknown,
     string,
   ])[] = [
     [
       'a section that is not at hand',
       manifest,
-      replaceContent(undefined),
+      replaceValue(undefined),
       'missing_section',
     ],
     [
-      'a content that was changed on its way',
+      'a value that was changed on its way',
       manifest,
-      replaceContent({name: 'draft', stages: []}),
+      replaceValue({name: 'draft', stages: []}),
       'digest_mismatch',
     ],
     [
       'a section of a later program',
       addEntry('quotas/north'),
-      sections,
+      find,
       'unknown_section',
     ],
     [
-      'the content of another item',
+      'the value of another item',
       addEntry('models/large'),
-      sections,
+      find,
       'invalid_section',
     ],
   ];
-  for (const [title, entries, contents, code] of cases) {
+  for (const [title, entries, findValue, code] of cases) {
     it(`refuses ${title}`, () => {
-      const joined = configuration.joinSections(entries, contents);
-      chai.expect(joined.mapLeft(one => one.code).extract()).equal(code);
+      const errors = configuration.joinSections(entries, findValue).swap();
+      chai.expect(errors.orDefault([]).map(one => one.code)).eql([code]);
     });
   }
 });
