--- a/packages/configuration/tests/parse-document.test.ts
+++ b/packages/configuration/tests/parse-document.test.ts
@@ -74,8 +74,10 @@
     chai.expect(document.rollouts[0]?.state).equal('running');
   });
 
-  const model = (body: string): string =>
-    `[models.small]\ncost_per_thousand_tokens = 0.1\n${body}\n` +
+  const model = (defaultVersion: string, body = ''): string =>
+    '[models.small]\ncost_per_thousand_tokens = 0.1\n' +
+    `default_version = "${defaultVersion}"\n` +
+    `versions.v2 = {}\nversions.v3 = {}\n${body}\n` +
     '[models.large]\ncost_per_thousand_tokens = 2\ndefault_version = "v1"\n' +
     'versions.v1 = {}\n';
   const workspace = (body: string): string =>
@@ -85,241 +87,157 @@
   const rule = (allow: string, workspaces = '*'): string =>
     `[[rules]]\nworkspaces = ["${workspaces}"]\nallow = ${allow}\n`;
 
-  // Each row: what is planted, the part, and code, key and nearest name.
+  // Each row: code, key and nearest name; and the part with the fault.
   const invalid: readonly (readonly [
     string,
     Readonly<Record<string, string>>,
-    configuration.ProblemCode,
-    string,
-    string?,
   ])[] = [
-    ['bad syntax', {zones: '[zones.z1\n'}, 'syntax', '(file)'],
-    ['an unknown table', {other: '[zone.x]\n'}, 'unknown_key', 'zone', 'zones'],
+    ['syntax (file)', {zones: '[zones.z1\n'}],
+    ['unknown_key zone zones', {other: '[zone.x]\n'}],
     [
-      'an unknown key',
+      'unknown_key workspaces.north.wieght weight',
       {workspaces: workspace('wieght = 2')},
-      'unknown_key',
-      'workspaces.north.wieght',
-      'weight',
     ],
     [
-      'an unknown nested key',
+      'unknown_key workspaces.north.limits.max_queue max_queued',
       {workspaces: workspace('limits.max_queue = 2')},
-      'unknown_key',
-      'workspaces.north.limits.max_queue',
-      'max_queued',
     ],
     [
-      'a reserved name',
+      'unknown_key workspaces.__proto__',
       {other: `[workspaces.__proto__]\nkeys = ["${digest('c')}"]\n`},
-      'unknown_key',
-      'workspaces.__proto__',
     ],
     [
-      'a wrong type',
+      'wrong_type workspaces.north.weight',
       {workspaces: workspace('weight = "2"')},
-      'wrong_type',
-      'workspaces.north.weight',
     ],
     [
-      'a quality target above 1',
+      'out_of_range workspaces.north.quality_target',
       {workspaces: workspace('quality_target = 1.5')},
-      'out_of_range',
-      'workspaces.north.quality_target',
     ],
     [
-      'a weight of nought',
+      'out_of_range workspaces.north.weight',
       {workspaces: workspace('weight = 0')},
-      'out_of_range',
-      'workspaces.north.weight',
     ],
     [
-      'an unknown priority',
+      'invalid_value workspaces.north.priority interactive',
       {workspaces: workspace('priority = "interactiv"')},
-      'invalid_value',
-      'workspaces.north.priority',
-      'interactive',
     ],
     [
-      'a key that is no digest',
+      'invalid_value workspaces.south.keys.0',
       {workspaces: workspace('').replace(digest('b'), 'secret')},
-      'invalid_value',
-      'workspaces.south.keys.0',
-    ],
-    [
-      'a name with an at sign',
-      {zones: '[zones."z@1"]\n[zones.z2]\n'},
-      'invalid_name',
-      'zones."z@1"',
     ],
-    ['no zones table', {zones: ''}, 'missing_key', 'zones'],
+    ['invalid_name zones."z@1"', {zones: '[zones."z@1"]\n[zones.z2]\n'}],
+    ['missing_key zones', {zones: ''}],
     [
-      'a dangling default version',
+      'dangling_name models.small.default_version v2',
       {
-        models: model(
-          'default_version = "v22"\nversions.v2 = {}\nversions.v3 = {}',
-        ),
+        models: model('v22'),
       },
-      'dangling_name',
-      'models.small.default_version',
-      'v2',
     ],
     [
-      'a default version named as an inherited property',
+      'dangling_name models.small.default_version',
       {
-        models: model(
-          'default_version = "constructor"\nversions.v2 = {}\nversions.v3 = {}',
-        ),
+        models: model('constructor'),
       },
-      'dangling_name',
-      'models.small.default_version',
     ],
     [
-      'a withdrawn default version',
+      'default_withdrawn models.small.default_version',
       {
         models: model(
-          'default_version = "v1"\nversions.v2 = {}\nversions.v3 = {}\n' +
-            'versions.v1 = {state = "withdrawn", successor = "v2"}',
+          'v1',
+          'versions.v1 = {state = "withdrawn", successor = "v2"}',
         ),
       },
-      'default_withdrawn',
-      'models.small.default_version',
     ],
     [
-      'a withdrawn version without successor',
+      'no_live_successor models.small.versions.v1',
       {
-        models: model(
-          'default_version = "v2"\nversions.v2 = {}\nversions.v3 = {}\n' +
-            'versions.v1 = {state = "withdrawn"}',
-        ),
+        models: model('v2', 'versions.v1 = {state = "withdrawn"}'),
       },
-      'no_live_successor',
-      'models.small.versions.v1',
     ],
     [
-      'a withdrawn version that succeeds itself',
+      'successor_cycle models.small.versions.v1',
       {
         models: model(
-          'default_version = "v2"\nversions.v2 = {}\nversions.v3 = {}\n' +
-            'versions.v1 = {state = "withdrawn", successor = "v1"}',
+          'v2',
+          'versions.v1 = {state = "withdrawn", successor = "v1"}',
         ),
       },
-      'successor_cycle',
-      'models.small.versions.v1',
     ],
     [
-      'a cascade of an unknown model',
+      'dangling_name cascades.draft.stages.0 small',
       {cascades: '[cascades.draft]\nstages = ["smal", "large"]\n'},
-      'dangling_name',
-      'cascades.draft.stages.0',
-      'small',
     ],
     [
-      'a cascade with a stage twice',
+      'duplicate cascades.draft.stages.2',
       {cascades: '[cascades.draft]\nstages = ["small", "large", "small"]\n'},
-      'duplicate',
-      'cascades.draft.stages.2',
     ],
     [
-      'a costlier stage before a cheaper one',
+      'cost_order cascades.draft.stages.1',
       {cascades: '[cascades.draft]\nstages = ["large", "small"]\n'},
-      'cost_order',
-      'cascades.draft.stages.1',
     ],
     [
-      'a stage that every user of the cascade is pinned away from',
+      'unreachable_stage cascades.draft.stages.0',
       {rules: rule('["cascade:draft", "model:small@v1"]')},
-      'unreachable_stage',
-      'cascades.draft.stages.0',
     ],
     [
-      'a rule for an unknown workspace',
+      'dangling_name rules.1.workspaces.0 north',
       {rules: rule('["cascade:draft"]') + rule('["model:small"]', 'nort')},
-      'dangling_name',
-      'rules.1.workspaces.0',
-      'north',
     ],
     [
-      'a rule for an unknown version',
+      'dangling_name rules.0.allow.1 v1',
       {rules: rule('["cascade:draft", "model:large@v9"]')},
-      'dangling_name',
-      'rules.0.allow.1',
-      'v1',
     ],
     [
-      'a rule with a target of another form',
+      'invalid_value rules.0.allow.1',
       {rules: rule('["cascade:draft", "small"]')},
-      'invalid_value',
-      'rules.0.allow.1',
     ],
     [
-      'a workspace that no rule names',
+      'nothing_allowed workspaces.south',
       {rules: rule('["cascade:draft"]', 'north')},
-      'nothing_allowed',
-      'workspaces.south',
     ],
     [
-      'a workspace left with a withdrawn version only',
+      'nothing_allowed workspaces.south',
       {
         rules:
           rule('["cascade:draft"]', 'north') +
           rule('["model:small@v1"]', 'south'),
       },
-      'nothing_allowed',
-      'workspaces.south',
     ],
     [
-      'a default cascade that no rule allows',
+      'cascade_not_allowed workspaces.north.default_cascade',
       {rules: rule('["model:small"]')},
-      'cascade_not_allowed',
-      'workspaces.north.default_cascade',
-    ],
-    [
-      'all zones out',
-      {zones: '[zones.z1]\nstate = "out"\n'},
-      'all_zones_out',
-      'zones',
     ],
+    ['all_zones_out zones', {zones: '[zones.z1]\nstate = "out"\n'}],
     [
-      'roll-out steps that do not grow',
+      'steps_not_growing rollouts.small.steps.1',
       {rollouts: rollout('from = "v2"\nto = "v3"\nsteps = [0.5, 0.5, 1]')},
-      'steps_not_growing',
-      'rollouts.small.steps.1',
     ],
     [
-      'roll-out steps that end below 1',
+      'steps_not_complete rollouts.small.steps',
       {rollouts: rollout('from = "v2"\nto = "v3"\nsteps = [0.5]')},
-      'steps_not_complete',
-      'rollouts.small.steps',
     ],
     [
-      'a roll-out to a withdrawn version',
+      'rollout_withdrawn rollouts.small.to',
       {rollouts: rollout('from = "v2"\nto = "v1"\nsteps = [1]')},
-      'rollout_withdrawn',
-      'rollouts.small.to',
     ],
     [
-      'a roll-out to the same version',
+      'rollout_to_itself rollouts.small.to',
       {rollouts: rollout('from = "v2"\nto = "v2"\nsteps = [1]')},
-      'rollout_to_itself',
-      'rollouts.small.to',
     ],
     [
-      'a key of two workspaces',
+      'duplicate_key_digest workspaces.south.keys.0',
       {workspaces: workspace('').replace(digest('b'), digest('A'))},
-      'duplicate_key_digest',
-      'workspaces.south.keys.0',
     ],
   ];
-  for (const [title, parts, code, key, nearest] of invalid) {
-    it(`refuses ${title}`, () => {
+  for (const [expected, parts] of invalid) {
+    it(`reports ${expected}`, () => {
       const found = problemsOf(createText(parts));
-      chai
-        .expect(found.map(problem => [problem.code, problem.key]))
-        .deep.include([code, key]);
-      const problem = found.find(one => one.code === code);
-      chai.expect(problem?.nearest).equal(nearest);
-      chai.expect(problem?.file).equal('trial.toml');
+      const texts = found.map(({code, key, nearest}) =>
+        [code, key, nearest].filter(part => part !== undefined).join(' '),
+      );
+      chai.expect(texts).include(expected);
+      chai.expect(found.map(({file}) => file)).include('trial.toml');
     });
   }
 
