Report a missing table once, in TOML's words

'zones' was reported as missing and as all out, and types came in the schema library's words ('record'). The test of the former failed first.

--- a/packages/configuration/src/check-keys-and-zones.ts
+++ b/packages/configuration/src/check-keys-and-zones.ts
@@ -33,7 +33,8 @@
 export const checkZones = (
   zones: tables.Tables['zones'],
 ): readonly problems.Finding[] => {
-  const isBroken = zones.entries.size < zones.names.length;
+  // Zones of the wrong shape, or without a table, are reported as that.
+  const isBroken = !zones.isWritten || zones.entries.size < zones.names.length;
   const isAnyIn = [...zones.entries.values()].some(zone => zone.state === 'in');
   if (isBroken || isAnyIn) {
     return [];
--- a/packages/configuration/src/document-tables.ts
+++ b/packages/configuration/src/document-tables.ts
@@ -196,6 +196,8 @@
  * to it.
  */
 export interface Table<T> {
+  /** Whether the file has the table at all. */
+  readonly isWritten: boolean;
   readonly names: readonly string[];
   readonly entries: ReadonlyMap<string, T>;
 }
@@ -226,7 +228,7 @@
 ): Table<Entry<N>> => {
   const raw = data[table];
   if (typeof raw !== 'object' || raw === null || Array.isArray(raw)) {
-    return {names: [], entries: new Map()};
+    return {isWritten: false, names: [], entries: new Map()};
   }
   const schema = entrySchemas[table] as unknown as zod.ZodType<Entry<N>>;
   const entries = new Map<string, Entry<N>>();
@@ -236,7 +238,7 @@
       entries.set(entryName, parsed.data);
     }
   }
-  return {names: Object.keys(raw), entries};
+  return {isWritten: true, names: Object.keys(raw), entries};
 };
 
 const readRules = (raw: unknown): readonly PlacedRule[] =>
--- a/packages/configuration/src/util/check-shape.ts
+++ b/packages/configuration/src/util/check-shape.ts
@@ -50,14 +50,23 @@
     typeof segment === 'number' ? segment : String(segment),
   );
 
+/** Types in the words of TOML. */
+const TOML_TYPES: Readonly<Record<string, string>> = {
+  record: 'table',
+  object: 'table',
+  int: 'integer',
+};
+
 const describeType = (
   issue: zod.core.$ZodIssueInvalidType,
   path: problems.KeyPath,
   raw: unknown,
-): problems.Finding =>
-  readValue(raw, path) === undefined
-    ? {path, code: 'missing_key', message: `needs a value: ${issue.expected}`}
-    : {path, code: 'wrong_type', message: `must be of type ${issue.expected}`};
+): problems.Finding => {
+  const type = TOML_TYPES[issue.expected] ?? issue.expected;
+  return readValue(raw, path) === undefined
+    ? {path, code: 'missing_key', message: `needs a value of type ${type}`}
+    : {path, code: 'wrong_type', message: `must be of type ${type}`};
+};
 
 const describeIssue = (
   issue: zod.core.$ZodIssue,
--- a/packages/configuration/tests/parse-document.test.ts
+++ b/packages/configuration/tests/parse-document.test.ts
@@ -255,6 +255,13 @@
       .eql(['"cascade:draught"]', 'stat = "in"', 'state = "off"']);
   });
 
+  it('reports a missing table once', () => {
+    const found = problemsOf(createText({zones: ''}));
+    chai
+      .expect(found.map(({code, key}) => [code, key]))
+      .eql([['missing_key', 'zones']]);
+  });
+
   it('refuses more than a megabyte before parsing it', () => {
     const text = `${createText()}# ${'x'.repeat(1_000_000)}`;
     chai.expect(problemsOf(text).map(one => one.code)).eql(['too_large']);
