--- a/packages/entry/src/admission-gate.ts
+++ b/packages/entry/src/admission-gate.ts
@@ -20,6 +20,7 @@
   queue_full: 'over_capacity',
   workspace_queue_full: 'over_capacity',
   deadline_unreachable: 'deadline_unreachable',
+  overloaded: 'over_capacity',
   wait_expired: 'over_capacity',
 };
 
--- a/packages/entry/src/chat-sessions.ts
+++ b/packages/entry/src/chat-sessions.ts
@@ -79,7 +79,7 @@
     const assigned = parts.assignVersion(model.name, sessionKey);
     const wanted = selectVersion.selectVersion({
       model,
-      ...(versions ? {allowed: versions} : {}),
+      allowed: versions,
       ...(pinned === undefined ? {} : {pinned}),
       ...(assigned === undefined ? {} : {assigned}),
     });
@@ -98,10 +98,7 @@
   parts: entryParts.EntryParts,
   workspace: string,
   sessionId: string,
-  stage: {
-    readonly model: resolvePlan.PlanStage['model'];
-    readonly versions: readonly string[] | undefined;
-  },
+  stage: resolvePlan.PlanStage,
   wanted: string,
 ): Promise<string> => {
   const {model, versions} = stage;
@@ -114,7 +111,7 @@
   const kept = selectVersion.selectVersion({
     model,
     pinned,
-    ...(versions ? {allowed: versions} : {}),
+    allowed: versions,
   });
   return kept ?? wanted;
 };
--- a/packages/entry/src/resolve-plan.ts
+++ b/packages/entry/src/resolve-plan.ts
@@ -1,13 +1,13 @@
 /** What a request asks for, as the stages its workspace allows. */
 import * as purify from 'purify-ts';
-import type * as configuration from '@amaranthknot/configuration';
+import * as configuration from '@amaranthknot/configuration';
 import type * as apiError from './api-error.js';
 
-/** One stage: a model, and its version when the request or a rule names it. */
+/** One stage: a model, and the versions that rules and request leave. */
 export interface PlanStage {
   readonly model: configuration.Model;
-  /** Versions the workspace may use; undefined when any. */
-  readonly versions?: readonly string[];
+  /** At least one; withdrawn ones included, whose successor takes over. */
+  readonly versions: readonly string[];
 }
 
 /** A resolved request. */
@@ -27,106 +27,50 @@
 ): purify.Either<apiError.ApiError, never> =>
   purify.Left({code, ran: 'not_run', message});
 
-/** Whether the rules allow this cascade as a whole. */
-const allowsCascade = (
-  workspace: configuration.Workspace,
-  cascade: string,
-): boolean =>
-  workspace.allowed.some(
-    target => target.kind === 'cascade' && target.cascade === cascade,
-  );
-
-/**
- * Versions of a model that the rules allow: undefined for any, empty for none.
- */
-export const findAllowedVersions = (
-  document: configuration.Document,
-  workspace: configuration.Workspace,
-  model: string,
-): readonly string[] | undefined => {
-  const versions: string[] = [];
-  for (const target of workspace.allowed) {
-    switch (target.kind) {
-      case 'cascade': {
-        const cascade = document.cascades.find(
-          found => found.name === target.cascade,
-        );
-        if (cascade?.stages.includes(model)) {
-          return undefined;
-        }
-        break;
-      }
-      case 'model':
-        if (target.model !== model) {
-          break;
-        }
-        if (target.version === undefined) {
-          return undefined;
-        }
-        versions.push(target.version);
-        break;
-      case 'service':
-        break;
-    }
-  }
-  return versions;
-};
-
-const toStage = (
-  document: configuration.Document,
-  workspace: configuration.Workspace,
-  name: string,
-  version?: string,
-): PlanStage | undefined => {
-  const model = document.models.find(found => found.name === name);
-  const allowed = findAllowedVersions(document, workspace, name);
-  if (!model) {
-    return undefined;
-  }
-  if (version === undefined) {
-    return allowed ? {model, versions: allowed} : {model};
-  }
-  const permitted = allowed === undefined || allowed.includes(version);
-  return permitted ? {model, versions: [version]} : undefined;
-};
+const notFound = (name: string): Resolution =>
+  refuse('model_not_found', `no model or cascade ${name} for this workspace`);
 
+/** Stages that the rules leave; one without an allowed version is skipped. */
 const resolveCascade = (
   document: configuration.Document,
   workspace: configuration.Workspace,
   cascade: configuration.Cascade,
 ): Resolution => {
-  if (!allowsCascade(workspace, cascade.name)) {
-    return refuse(
-      'model_not_found',
-      `no model or cascade ${cascade.name} for this workspace`,
-    );
+  const {allowed} = workspace;
+  if (!configuration.isCascadeAllowed(allowed, cascade.name)) {
+    return notFound(cascade.name);
   }
   const stages = cascade.stages
-    .map(stage => toStage(document, workspace, stage))
-    .filter(stage => stage !== undefined);
+    .map(name => document.models.find(model => model.name === name))
+    .filter(model => model !== undefined)
+    .map(model => ({
+      model,
+      versions: configuration.listAllowedVersions(allowed, model, cascade),
+    }))
+    .filter(stage => stage.versions.length > 0);
   return purify.Right({name: cascade.name, stages});
 };
 
+/**
+ * A model that exists but is not allowed answers as an unknown one, so that a
+ * workspace cannot list what others use.
+ */
 const resolveModel = (
   document: configuration.Document,
   workspace: configuration.Workspace,
-  name: string,
+  requested: string,
 ): Resolution => {
-  const [model = '', version] = name.split('@');
-  const allowed = findAllowedVersions(document, workspace, model);
-  const stage = toStage(document, workspace, model, version);
-  const isKnownVersion =
-    version === undefined ||
-    stage?.model.versions.some(found => found.name === version);
-  // A model that exists but is not allowed answers as an unknown one, so that
-  // a workspace cannot list what others use.
-  if (!stage || allowed?.length === 0 || !isKnownVersion) {
-    return refuse(
-      'model_not_found',
-      `no model or cascade ${name} for this workspace`,
-    );
+  const [name = '', version] = requested.split('@');
+  const model = document.models.find(found => found.name === name);
+  if (!model) {
+    return notFound(requested);
   }
-  return purify.Right({name, stages: [stage]});
+  const versions = configuration
+    .listAllowedVersions(workspace.allowed, model)
+    .filter(found => version === undefined || found === version);
+  return versions.length === 0
+    ? notFound(requested)
+    : purify.Right({name: requested, stages: [{model, versions}]});
 };
 
 /** Resolves the `model` field of a request for a workspace. */
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -5,7 +5,7 @@
  */
 import type * as hapi from '@hapi/hapi';
 import * as purify from 'purify-ts';
-import type * as configuration from '@amaranthknot/configuration';
+import * as configuration from '@amaranthknot/configuration';
 import * as ledger from '@amaranthknot/ledger';
 import type * as upstreams from '@amaranthknot/upstreams';
 import type * as apiError from './api-error.js';
@@ -122,8 +122,9 @@
       };
       const {document} = context.inForce;
       const service = document.services.find(found => found.name === name);
-      const isAllowed = context.workspace.allowed.some(
-        target => target.kind === 'service' && target.service === name,
+      const isAllowed = configuration.isServiceAllowed(
+        context.workspace.allowed,
+        name,
       );
       if (!service || !isAllowed) {
         return refuse('service_not_found', `no service ${name} here`);
--- a/packages/fakes/src/virtual-clock.ts
+++ b/packages/fakes/src/virtual-clock.ts
@@ -37,8 +37,12 @@
         return;
       }
       const at = this.time + Math.max(0, ms);
-      this.timers.push({at, order: this.order++, fire: resolve});
-      signal?.addEventListener('abort', () => resolve(), {once: true});
+      const wake = () => {
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      this.timers.push({at, order: this.order++, fire: wake});
+      signal?.addEventListener('abort', wake);
     });
   }
 
