Prove kill, freeze and planned stop over processes

Cause: the proofs so far ran in one process. Four tests start three entry instances as processes: an instance killed after its answers, one killed while its booking runs, a planned stop under streams with callers that keep its old address, an instance paused while a zone is taken out.

--- /dev/null
+++ b/packages/amaranthknot/tests/processes.test.ts
@@ -0,0 +1,133 @@
+import * as chai from 'chai';
+import * as ledger from '@amaranthknot/ledger';
+import * as membership from '@amaranthknot/membership';
+import * as fixtures from './support/fixtures.js';
+import * as processes from './support/processes.js';
+
+describe('entry instances as separate processes', () => {
+  let deployment: processes.ProcessDeployment;
+  beforeEach(async () => {
+    deployment = await processes.startProcesses({tokenMs: 20});
+  });
+  afterEach(() => deployment.stop());
+
+  const addressOf = (index: number): string =>
+    deployment.instances[index]!.address;
+
+  const readBills = async (): Promise<ledger.BillSummary> =>
+    (await ledger.readBills(deployment.standIns.platform.store)).unsafeCoerce();
+
+  // An instance answers and is killed before it has written its bills. The
+  // caller has its answer, so its bill must be written by the peers that hold
+  // copies, and by both of them together only once.
+  it('bills answers of a killed instance once', async () => {
+    const answers = await Promise.all(
+      ['a', 'b', 'c', 'd', 'e'].map(prompt =>
+        fixtures.chat(addressOf(0), prompt),
+      ),
+    );
+    deployment.instances[0]!.signal('SIGKILL');
+    for (const answer of answers) {
+      chai.expect(answer.status, answer.text).equal(200);
+    }
+    await processes.waitUntil(
+      'the bills of the killed instance',
+      async () => (await readBills()).bills.length >= answers.length,
+    );
+    const bills = await readBills();
+    chai.expect(bills.bills.length).equal(answers.length);
+    chai.expect(bills.duplicates).equal(0);
+  });
+
+  // A booking's service is slow to be reached; the instance that claimed it is
+  // killed. A retry elsewhere can not know whether it ran: it says `unknown`,
+  // and never sends it a second time.
+  it('never runs a booking of a killed instance again', async () => {
+    const services = [...deployment.standIns.services.values()];
+    for (const service of services) {
+      service.fault = 'silent';
+    }
+    const first = fixtures.book(addressOf(0), 'key-1').catch(() => undefined);
+    const countRuns = () => services.flatMap(service => service.runs).length;
+    await processes.waitUntil('the booking ran', () => countRuns() === 1);
+    deployment.instances[0]!.signal('SIGKILL');
+    await first;
+    for (const service of services) {
+      service.fault = 'none';
+    }
+    for (const index of [1, 2, 1]) {
+      const retry = await fixtures.book(addressOf(index), 'key-1');
+      chai.expect(retry.json.error.ran).equal('unknown');
+    }
+    chai.expect(countRuns()).equal(1);
+  });
+
+  // Operators replace an instance while callers stream from it, and callers
+  // with an old answer of the directory still come. No request may be cut.
+  it('cuts no request in a planned stop', async () => {
+    const leaving = deployment.instances[0]!;
+    const prompt = 'word '.repeat(60);
+    const ask = () => fixtures.chat(leaving.address, prompt, {stream: true});
+    const answers = [ask(), ask(), ask()];
+    await new Promise(resolve => setTimeout(resolve, 200));
+    leaving.signal('SIGTERM');
+    await processes.waitUntil(
+      'the instance says it leaves',
+      async () => !(await leaving.isReady()),
+    );
+    const late = ask();
+    for (const answer of await Promise.all([...answers, late])) {
+      chai.expect(answer.status).equal(200);
+      chai.expect(answer.text).match(/\[DONE\]\s*$/);
+    }
+    await processes.waitUntil('peers stop offering it', async () => {
+      const listed = await fixtures.send(addressOf(1), '/v1/entry-instances', {
+        method: 'GET',
+      });
+      return !listed.text.includes(leaving.address);
+    });
+    await leaving.waitForExit();
+    chai.expect(leaving.exitCode).equal(0);
+    const bills = await readBills();
+    chai.expect(bills.bills.length).equal(4);
+  });
+
+  // An instance is paused while operators take a zone out, and wakes. Its clock
+  // tells it that it has not heard for too long: it must not start work in the
+  // zone by its old configuration.
+  it('starts no work in a zone taken out while it was paused', async () => {
+    const paused = deployment.instances[1]!;
+    paused.signal('SIGSTOP');
+    const document = fixtures.createDocument({zoneStates: {'zone-b': 'out'}});
+    const {store} = deployment.standIns.platform;
+    const published = await membership.publishDocument(store, 'test', document);
+    const {generation} = published.unsafeCoerce();
+    await processes.waitUntil('the others have it in force', async () => {
+      const states = await Promise.all(
+        [0, 2].map(index => deployment.instances[index]!.readState()),
+      );
+      return states.every(state => state['generation'] === generation);
+    });
+    await new Promise(resolve => setTimeout(resolve, 6_000));
+    const engine = deployment.standIns.engines.get('engine-2')!;
+    const before = engine.started.length;
+    const asked = [1, 2, 3, 4].map(index =>
+      fixtures.chat(paused.address, `question ${index}`),
+    );
+    await new Promise(resolve => setTimeout(resolve, 100));
+    paused.signal('SIGCONT');
+    const answers = await Promise.all(asked);
+    for (const answer of answers) {
+      chai.expect([200, 503]).include(answer.status);
+    }
+    await processes.waitUntil(
+      'the paused instance has it in force',
+      async () => {
+        const state = await paused.readState();
+        return state['generation'] === generation;
+      },
+    );
+    await fixtures.chat(paused.address, 'afterwards');
+    chai.expect(engine.started.length).equal(before);
+  });
+});
--- a/packages/fakes/src/service-server.ts
+++ b/packages/fakes/src/service-server.ts
@@ -2,7 +2,8 @@
 import * as hapi from '@hapi/hapi';
 
 /** What the service does wrong. */
-export type ServiceFault = 'none' | 'refuse' | 'cut_after' | 'cut_before';
+export type ServiceFault =
+  'none' | 'refuse' | 'cut_after' | 'cut_before' | 'silent';
 
 /** A call that the service ran. */
 export interface ServiceRun {
@@ -61,6 +62,9 @@
       path: request.path,
       requestId,
     });
+    if (this.fault === 'silent') {
+      return h.abandon;
+    }
     if (this.fault === 'cut_after') {
       request.raw.res.destroy();
       return h.abandon;
