Spread hot prefixes over as many upstreams as they fill

Cause: every instance filled a hot prefix's first choice up to the bound, so the first choices of all prefixes ran at the bound and the last ones idled. Now a key's share of requests (Misra-Gries summary) gives its number of homes, and the least loaded home takes the request.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
 export * from './expiry-queue.js';
 export * from './fair-share.js';
 export * from './hash-ring.js';
+export * from './hot-keys.js';
 export * from './moving-estimate.js';
 export * from './placement-pool.js';
 export * from './placement.js';
--- a/packages/decisions/src/placement-pool.ts
+++ b/packages/decisions/src/placement-pool.ts
@@ -1,5 +1,6 @@
 /** Upstreams of one target, by zone, with the subset an instance watches. */
 import * as hashRing from './hash-ring.js';
+import * as hotKeys from './hot-keys.js';
 import * as movingEstimate from './moving-estimate.js';
 import * as rendezvous from './rendezvous.js';
 import type * as upstreamLoad from './upstream-load.js';
@@ -28,6 +29,12 @@
 /** Latency assumed before the first answer, in milliseconds. */
 const INITIAL_LATENCY_MS = 500;
 
+/** Part of an upstream's share of requests from which a key is spread. */
+const HOT_SHARE = 0.5;
+
+/** Homes of a hot key over those its requests fill. */
+const HOME_SPREAD = 1.5;
+
 /** Time for which the values of a whole subset are kept. */
 const REFRESH_MS = 100;
 
@@ -45,6 +52,7 @@
   /** Share of an upstream's slots that one request takes. */
   readonly step: number;
   private readonly scratch: Load[];
+  private readonly keys = new hotKeys.HotKeys();
 
   constructor(
     readonly zone: string,
@@ -69,6 +77,15 @@
     return this.ring.lookUp(key).flatMap(index => this.members[index] ?? []);
   }
 
+  /**
+   * Upstreams that a key is spread over: one, or as many as its share of
+   * requests fills, or one prefix would take all its first choice has.
+   */
+  homeCount(key: string): number {
+    const filled = this.keys.record(key) * this.members.length;
+    return filled < HOT_SHARE ? 1 : Math.ceil(filled * HOME_SPREAD);
+  }
+
   /** Mean share of slots in use, as far as the subset shows. */
   meanUtilization(view: PoolView): number {
     let load = 0;
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -73,11 +73,11 @@
 export const DEFAULT_SAMPLES = 3;
 
 /**
- * Load up to which affinity holds, relative to the mean of the pool. Below
- * 1.2 prefixes move at every fluctuation; above 1.3 one prefix fills one
- * upstream while others idle.
+ * Load up to which affinity holds, relative to the mean of the pool and one
+ * request more. At 1.0 a fifth of the hits are lost as prefixes move at every
+ * fluctuation; at 1.2 upstreams pass 1.3 times the mean load.
  */
-const AFFINITY_BOUND = 1.2;
+const AFFINITY_BOUND = 1.1;
 
 /** Slowness at which affinity gives way: a cache hit saves less than that. */
 const AFFINITY_SLOWNESS = 2;
@@ -213,7 +213,10 @@
     return {kind: 'placed', upstreamId: load.id, zone: load.zone, reason};
   }
 
-  /** Consistent hashing with bounded loads: the first choice with room. */
+  /**
+   * Consistent hashing with bounded loads: the least loaded of the key's homes,
+   * or the next in rank with room.
+   */
   private chooseAffine(
     pool: placementPool.PlacementPool,
     request: PlacementRequest,
@@ -223,15 +226,16 @@
       return undefined;
     }
     const bound = AFFINITY_BOUND * (pool.meanUtilization(view) + pool.step);
-    for (const load of pool.ranked(request.affinityKey)) {
-      const isSlow = load.slowness(view.usualMs, view.nowMs);
-      const used = load.expectedLoad(view.scale, view.nowMs) / load.slots;
-      const hasRoom = used <= bound && isSlow <= AFFINITY_SLOWNESS;
-      if (hasRoom && isAccepted(load, request)) {
-        return load;
-      }
-    }
-    return undefined;
+    const ranked = pool.ranked(request.affinityKey);
+    const homes = pool.homeCount(request.affinityKey);
+    const hasRoom = (load: Load): boolean =>
+      load.expectedLoad(view.scale, view.nowMs) <= bound * load.slots &&
+      load.slowness(view.usualMs, view.nowMs) <= AFFINITY_SLOWNESS &&
+      isAccepted(load, request);
+    return (
+      findCheapest(ranked.slice(0, homes).filter(hasRoom), view) ??
+      ranked.slice(homes).find(hasRoom)
+    );
   }
 
   /** The best of a few, drawn at random from the watched subset. */
@@ -242,16 +246,7 @@
   ): Load | undefined {
     const accepts = (load: Load) => isAccepted(load, request);
     const drawn = pool.draw(this.samples, this.options.random, accepts);
-    let best: Load | undefined;
-    let bestCost = Infinity;
-    for (const load of drawn) {
-      const cost = placementPool.costOf(load, view);
-      if (cost < bestCost) {
-        best = load;
-        bestCost = cost;
-      }
-    }
-    return best;
+    return findCheapest(drawn, view);
   }
 
   private chooseSpill(
@@ -283,3 +278,19 @@
 
 const isAccepted = (load: Load, request: PlacementRequest): boolean =>
   request.accepts?.(load.id) !== false;
+
+const findCheapest = (
+  loads: readonly Load[],
+  view: placementPool.PoolView,
+): Load | undefined => {
+  let best: Load | undefined;
+  let bestCost = Infinity;
+  for (const load of loads) {
+    const cost = placementPool.costOf(load, view);
+    if (cost < bestCost) {
+      best = load;
+      bestCost = cost;
+    }
+  }
+  return best;
+};
