Let slowness outweigh load, and count answers that stay out

Cause: cost was load times slowness, so that an idle upstream 10 times slower looked as good as one with 10 requests, and a stall showed only after 3 usual latencies whatever was in flight.

--- a/packages/decisions/src/placement-pool.ts
+++ b/packages/decisions/src/placement-pool.ts
@@ -38,10 +38,19 @@
 /** Time for which the values of a whole subset are kept. */
 const REFRESH_MS = 100;
 
-/** Expected time in the batch: load over slots, times slowness. */
+/** Slowness that counts as chance: answers differ in length. */
+const TOLERATED_SLOWNESS = 1.5;
+
+/**
+ * Cost of one more request: load over slots, times the square of slowness. In
+ * a batch latency grows less than load does; without the square an idle
+ * upstream that is 10 times slower looks as good as one with 10 requests.
+ */
 export const costOf = (load: Load, view: PoolView): number => {
   const used = load.expectedLoad(view.scale, view.nowMs) + 1;
-  return (used / load.slots) * load.slowness(view.usualMs, view.nowMs);
+  const slowness = load.slowness(view.usualMs, view.nowMs);
+  const penalty = slowness <= TOLERATED_SLOWNESS ? 1 : slowness ** 2;
+  return (used / load.slots) * penalty;
 };
 
 /** Upstreams of one target in one zone. */
--- a/packages/decisions/src/upstream-load.ts
+++ b/packages/decisions/src/upstream-load.ts
@@ -30,8 +30,8 @@
 /** Largest power of 2 by which failures in a row make an upstream look slow. */
 const MAX_FAILURE_POWER = 6;
 
-/** Quiet time, in mean latencies, after which an upstream counts as stalled. */
-const STALL_LATENCIES = 3;
+/** Answers that should have come, after which an upstream counts as stalled. */
+const STALL_ANSWERS = 3;
 
 /** Load and latency of one upstream as one entry instance sees them. */
 export class UpstreamLoad {
@@ -76,7 +76,9 @@
     switch (answer) {
       case 'answered':
         this.failures = 0;
-        this.latency.add(latencyMs);
+        // After a pause the new answer counts more than what went before, so
+        // that a few trials show that an upstream is sound again.
+        this.latency.add(latencyMs, 1 - this.memoryAt(nowMs));
         this.lastSampleMs = nowMs;
         break;
       case 'failed':
@@ -147,17 +149,22 @@
     const measured = this.latency.hasSamples ? this.latency.mean : usualMs;
     const ratio = measured / usualMs;
     const power = Math.min(this.failures, MAX_FAILURE_POWER);
-    const age = Math.max(0, nowMs - this.lastSampleMs);
-    const memory = 2 ** (-age / SLOWNESS_HALF_LIFE_MS);
-    const remembered = 1 + (ratio * 2 ** power - 1) * memory;
+    const excess = ratio * 2 ** power - 1;
+    const remembered = 1 + excess * this.memoryAt(nowMs);
     return Math.max(remembered, this.silence(usualMs, nowMs));
   }
 
+  private memoryAt(nowMs: number): number {
+    const ageMs = Math.max(0, nowMs - this.lastSampleMs);
+    return 2 ** (-ageMs / SLOWNESS_HALF_LIFE_MS);
+  }
+
   private silence(usualMs: number, nowMs: number): number {
     if (this.inFlight === 0) {
       return 0;
     }
-    return (nowMs - this.lastChangeMs) / (STALL_LATENCIES * usualMs);
+    const quietMs = nowMs - this.lastChangeMs;
+    return (quietMs * this.inFlight) / (STALL_ANSWERS * usualMs);
   }
 
   /** Brings the history up to `nowMs`. */
