Keep slots for the demand of more urgent work

Cause: batch work waits long and interactive work does not, so that each slot free for a moment went to a 10 s answer until batch held its whole 75%; and a queue of batch work counted as one that interactive requests stand in.

--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -11,6 +11,7 @@
 import * as expiryQueue from './expiry-queue.js';
 import * as fairShare from './fair-share.js';
 import * as slotPool from './slot-pool.js';
+import * as standingQueue from './standing-queue.js';
 import type * as workspaceQueue from './workspace-queue.js';
 
 /** Settings of an admission queue. */
@@ -60,9 +61,7 @@
   private readonly slots: slotPool.SlotPool;
   private readonly maxQueued: number;
   private order = 0;
-  private queuedCount = 0;
-  /** When last nothing waited. */
-  private emptyMs = 0;
+  private readonly standing = new standingQueue.StandingQueue();
   private readonly shares: fairShare.FairShare;
   private readonly waiting = new Map<string, Entry>();
   private readonly expiries = new expiryQueue.ExpiryQueue();
@@ -80,7 +79,7 @@
 
   /** Requests that wait. */
   get queued(): number {
-    return this.queuedCount;
+    return this.standing.count;
   }
 
   /** Changes the number of slots; returns the requests now admitted. */
@@ -98,9 +97,9 @@
     if (this.waiting.has(request.id) || this.slots.has(request.id)) {
       throw new Error(`request ${request.id} was offered twice`);
     }
-    this.slots.see(request.priority, nowMs);
     const workspace = this.shares.findWorkspace(request.workspace);
     const entry = this.createEntry(request, workspace, nowMs);
+    this.slots.see(request.priority, entry.serviceMs, nowMs);
     const waitMs = this.shares.estimateWaitMs(entry, workspace, nowMs);
     const reason = this.findRefusal(entry, workspace, waitMs, nowMs);
     if (reason) {
@@ -222,12 +221,12 @@
     if (waitMs === 0) {
       return undefined;
     }
-    if (this.queuedCount >= this.maxQueued) {
+    if (this.standing.count >= this.maxQueued) {
       return 'queue_full';
     }
     // Dynamic threshold: no workspace queues more than what is still free, so
     // that large ones leave room for those that come after them.
-    const free = this.maxQueued - this.queuedCount;
+    const free = this.maxQueued - this.standing.count;
     const bound = Math.min(entry.request.maxQueued, free);
     return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
   }
@@ -239,9 +238,8 @@
    */
   private maxWaitMs(request: Request, nowMs: number): number {
     const serviceMs = this.slots.meanServiceMs;
-    const isStanding =
-      this.queuedCount > 0 &&
-      nowMs - this.emptyMs > STANDING_SERVICES * serviceMs;
+    const standingMs = this.standing.standingMs(request.priority, nowMs);
+    const isStanding = standingMs > STANDING_SERVICES * serviceMs;
     return isStanding && request.priority !== 'batch'
       ? Math.min(request.maxWaitMs, STANDING_WAIT * serviceMs)
       : request.maxWaitMs;
@@ -251,21 +249,23 @@
     this.shares.push(entry, nowMs);
     this.waiting.set(entry.request.id, entry);
     this.expiries.push(entry);
-    this.emptyMs = this.queuedCount === 0 ? nowMs : this.emptyMs;
-    this.queuedCount++;
+    this.standing.push(entry.request.priority, nowMs);
   }
 
   private dequeue(entry: Entry): void {
     this.shares.findWorkspace(entry.request.workspace).leave(entry);
     this.waiting.delete(entry.request.id);
-    this.queuedCount--;
-    this.expiries.sweep(this.queuedCount);
+    this.standing.leave(entry.request.priority);
+    this.expiries.sweep(this.standing.count);
   }
 
   /** Admits waiting requests, the workspace furthest behind first. */
   private dispatch(nowMs: number): readonly Request[] {
     const admitted: Request[] = [];
-    while (this.slots.inFlight < this.slots.capacity && this.queuedCount > 0) {
+    while (
+      this.slots.inFlight < this.slots.capacity &&
+      this.standing.count > 0
+    ) {
       const entry = this.shares.chooseNext(nowMs);
       if (!entry) {
         break;
@@ -286,7 +286,7 @@
 
   /** Time until all that waits now has been admitted. */
   private estimateDrainMs(nowMs: number): number {
-    const work = this.queuedCount * this.slots.meanServiceMs;
+    const work = this.standing.count * this.slots.meanServiceMs;
     return (
       (work / Math.max(1, this.slots.capacity)) * this.slots.stallFactor(nowMs)
     );
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -10,9 +10,10 @@
 type Workspace = workspaceQueue.WorkspaceQueue;
 
 /**
- * Lead in virtual time by priority, in mean service times. An urgent request
- * goes ahead of others by this much and no more, so that a workspace which
- * calls everything urgent cannot starve the rest.
+ * Lead in virtual time by priority, in mean services of the longest kind of
+ * work, as that is what has to be overtaken. An urgent request goes ahead of
+ * others by this much and no more, so that a workspace which calls everything
+ * urgent cannot starve the rest.
  */
 const LEAD: Readonly<Record<Priority, number>> = {
   door_check: 20,
@@ -123,7 +124,7 @@
   }
 
   private tagOf(workspace: Workspace, entry: Entry): number {
-    const lead = LEAD[entry.request.priority] * this.slots.meanServiceMs;
+    const lead = LEAD[entry.request.priority] * this.slots.longestServiceMs;
     return workspace.virtualTime - lead;
   }
 
@@ -140,7 +141,7 @@
       return 0;
     }
     const start = this.startOf(workspace);
-    const lead = LEAD[request.priority] * this.slots.meanServiceMs;
+    const lead = LEAD[request.priority] * this.slots.longestServiceMs;
     const tag = start + ownAhead / request.weight - lead;
     const own = ownAhead + this.slots.meanServiceMs;
     const queuedMs = this.waitBehind(own, tag, workspace, 0, nowMs);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,5 +11,6 @@
 export * from './rendezvous.js';
 export * from './retry-budget.js';
 export * from './slot-pool.js';
+export * from './standing-queue.js';
 export * from './upstream-load.js';
 export * from './workspace-queue.js';
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -12,19 +12,33 @@
   readonly chargedMs: number;
 }
 
+/** Least and largest share of slots kept from a priority. */
+interface Reserve {
+  readonly least: number;
+  readonly most: number;
+}
+
 /**
- * Share of slots kept from less urgent work while more urgent work has been
- * seen lately. Running work is not interrupted, so without it a door check
- * waits until one of many long answers ends.
+ * Slots kept from less urgent work for the demand of more urgent work. Running
+ * work is not interrupted: without a reserve a door check waits until one of
+ * many long answers ends, and long answers take each slot that short ones
+ * leave free for a moment. What is left over is never taken, so that less
+ * urgent work is not starved.
  */
-const RESERVE: Readonly<Record<Priority, number>> = {
-  door_check: 0,
-  interactive: 1 / 12,
-  batch: 1 / 4,
+const RESERVE: Readonly<Record<Priority, Reserve>> = {
+  door_check: {least: 0, most: 0},
+  interactive: {least: 1 / 12, most: 1 / 4},
+  batch: {least: 1 / 4, most: 3 / 4},
 };
 
-/** How long urgent work counts as seen lately; idle reserves cost goodput. */
-const RESERVE_HOLD_MS = 30_000;
+/** Slots kept over the mean demand, which varies. */
+const RESERVE_MARGIN = 1.2;
+
+/** Time over which demand is averaged: that of a long answer. */
+const DEMAND_WINDOW_MS = 10_000;
+
+/** Demand in slots below which a priority counts as unused. */
+const LEAST_DEMAND = 0.01;
 
 /** Service time assumed before the first measurement. */
 const INITIAL_SERVICE_MS = 500;
@@ -36,6 +50,14 @@
 export class SlotPool {
   /** Time that requests hold a slot, in milliseconds. */
   readonly serviceTime = new movingEstimate.MovingEstimate();
+  private readonly serviceByPriority: Record<
+    Priority,
+    movingEstimate.MovingEstimate
+  > = {
+    door_check: new movingEstimate.MovingEstimate(),
+    interactive: new movingEstimate.MovingEstimate(),
+    batch: new movingEstimate.MovingEstimate(),
+  };
   private lastReleaseMs = 0;
   private readonly running = new Map<string, RunningRequest>();
   private readonly runningByPriority: Record<Priority, number> = {
@@ -43,11 +65,12 @@
     interactive: 0,
     batch: 0,
   };
-  private readonly lastSeenMs: Record<Priority, number> = {
-    door_check: -Infinity,
-    interactive: -Infinity,
-    batch: -Infinity,
+  private readonly demand: Record<Priority, number> = {
+    door_check: 0,
+    interactive: 0,
+    batch: 0,
   };
+  private demandMs = 0;
 
   /** @param capacity slots in all; may fall below those taken. */
   constructor(public capacity: number) {}
@@ -68,9 +91,19 @@
       : INITIAL_SERVICE_MS;
   }
 
-  /** Notes demand of a priority, for the reserves. */
-  see(priority: Priority, nowMs: number): void {
-    this.lastSeenMs[priority] = nowMs;
+  /** Longest mean service of what may run: that of some priority, or of all. */
+  get longestServiceMs(): number {
+    let longest = this.meanServiceMs;
+    for (const priority of workspaceQueue.ADMISSION_PRIORITIES) {
+      longest = Math.max(longest, this.serviceByPriority[priority].mean);
+    }
+    return longest;
+  }
+
+  /** Notes a request that asks for a slot, for the reserves. */
+  see(priority: Priority, serviceMs: number, nowMs: number): void {
+    this.decayDemand(nowMs);
+    this.demand[priority] += serviceMs / DEMAND_WINDOW_MS;
   }
 
   take(
@@ -94,31 +127,53 @@
     this.running.delete(id);
     this.runningByPriority[running.request.priority]--;
     this.lastReleaseMs = nowMs;
-    this.serviceTime.add(nowMs - running.admittedMs);
+    const heldMs = nowMs - running.admittedMs;
+    this.serviceTime.add(heldMs);
+    this.serviceByPriority[running.request.priority].add(heldMs);
     return running;
   }
 
   /** Whether a slot is free for a priority, given the reserves. */
   isOpen(priority: Priority, nowMs: number): boolean {
     const free = this.capacity - this.running.size;
+    this.decayDemand(nowMs);
     let urgentRunning = 0;
-    let isUrgentSeen = false;
+    let urgentDemand = 0;
     for (const other of workspaceQueue.ADMISSION_PRIORITIES) {
       if (other === priority) {
         break;
       }
       urgentRunning += this.runningByPriority[other];
-      isUrgentSeen ||= nowMs - this.lastSeenMs[other] < RESERVE_HOLD_MS;
+      urgentDemand += this.demand[other];
     }
-    if (!isUrgentSeen) {
+    if (urgentDemand < LEAST_DEMAND) {
       return free > 0;
     }
-    const reserve = Math.ceil(RESERVE[priority] * this.capacity);
-    // One slot always stays open, or small capacities would starve the rest.
-    const kept = Math.min(reserve, this.capacity - 1);
+    const kept = this.keptFrom(priority, urgentDemand);
     return free - Math.max(0, kept - urgentRunning) > 0;
   }
 
+  private keptFrom(priority: Priority, urgentDemand: number): number {
+    const {least, most} = RESERVE[priority];
+    const wanted = Math.ceil(urgentDemand * RESERVE_MARGIN);
+    const floor = Math.ceil(least * this.capacity);
+    const ceiling = Math.floor(most * this.capacity);
+    // One slot always stays open, or small capacities would starve the rest.
+    const bound = Math.min(Math.max(floor, ceiling), this.capacity - 1);
+    return Math.min(Math.max(floor, wanted), bound);
+  }
+
+  private decayDemand(nowMs: number): void {
+    if (nowMs <= this.demandMs) {
+      return;
+    }
+    const left = Math.exp((this.demandMs - nowMs) / DEMAND_WINDOW_MS);
+    this.demandMs = nowMs;
+    for (const priority of workspaceQueue.ADMISSION_PRIORITIES) {
+      this.demand[priority] *= left;
+    }
+  }
+
   /**
    * Above 1 when releases stay out: the mean of past service times says
    * nothing once an upstream hangs, and requests would queue for it in vain.
--- /dev/null
+++ b/packages/decisions/src/standing-queue.ts
@@ -0,0 +1,51 @@
+/** How long requests of a priority, or more urgent ones, have been waiting. */
+import * as workspaceQueue from './workspace-queue.js';
+
+type Priority = workspaceQueue.AdmissionPriority;
+
+interface Level {
+  /** Waiting requests of this priority and of more urgent ones. */
+  count: number;
+  /** When that count was last zero. */
+  emptyMs: number;
+}
+
+/** Tells a standing queue from a burst, for each priority. */
+export class StandingQueue {
+  private readonly levels: Readonly<Record<Priority, Level>> = {
+    door_check: {count: 0, emptyMs: 0},
+    interactive: {count: 0, emptyMs: 0},
+    batch: {count: 0, emptyMs: 0},
+  };
+
+  /** Waiting requests of all priorities. */
+  get count(): number {
+    return this.levels.batch.count;
+  }
+
+  push(priority: Priority, nowMs: number): void {
+    for (const level of this.levelsFrom(priority)) {
+      level.emptyMs = level.count === 0 ? nowMs : level.emptyMs;
+      level.count++;
+    }
+  }
+
+  leave(priority: Priority): void {
+    for (const level of this.levelsFrom(priority)) {
+      level.count--;
+    }
+  }
+
+  /** Time for which what goes before a priority has not run dry. */
+  standingMs(priority: Priority, nowMs: number): number {
+    const {count, emptyMs} = this.levels[priority];
+    return count === 0 ? 0 : nowMs - emptyMs;
+  }
+
+  private levelsFrom(priority: Priority): readonly Level[] {
+    const first = workspaceQueue.ADMISSION_PRIORITIES.indexOf(priority);
+    return workspaceQueue.ADMISSION_PRIORITIES.slice(first).map(
+      name => this.levels[name],
+    );
+  }
+}
--- a/packages/decisions/tests/admission.test.ts
+++ b/packages/decisions/tests/admission.test.ts
@@ -197,6 +197,41 @@
       .include({kind: 'refused', reason: 'overloaded'});
   });
 
+  // In a rush, long batch work queues without end, and every interactive
+  // request is refused though it would run first. Cause: a queue of batch
+  // work counted as one that interactive requests stand in.
+  it('does not refuse urgent work for a queue of less urgent work', () => {
+    const queue = createQueue(1);
+    const batch = {workspace: 'large', priority: 'batch'} as const;
+    fill(queue, 4, {...batch, expectedServiceMs: 10_000});
+    const request = createRequest('next', {maxWaitMs: 30_000});
+    chai.expect(queue.offer(request, 3000).kind).equal('queued');
+  });
+
+  // Short requests of nine workspaces wait behind long ones, one of which
+  // each workspace has. Cause: a lead shorter than what it has to overtake.
+  it('runs interactive work before long batch work of others', () => {
+    const queue = createQueue(1);
+    fill(queue, 1, {workspace: 'first', expectedServiceMs: 100});
+    for (let i = 0; i < 5; i++) {
+      fill(queue, 1, {
+        workspace: `long-${i}`,
+        priority: 'batch',
+        expectedServiceMs: 1000,
+      });
+    }
+    fill(queue, 20, {workspace: 'short'});
+    const served: string[] = ['first-0'];
+    let nowMs = 0;
+    for (let i = 0; i < 14; i++) {
+      const id = served[i]!;
+      nowMs += id.startsWith('long') ? 1000 : 100;
+      served.push(...queue.release(id, nowMs).map(request => request.id));
+    }
+    const long = served.filter(id => id.startsWith('long'));
+    chai.expect(long.length).at.most(2);
+  });
+
   // An upstream hangs: requests go on queueing for slots that do not come
   // back, and all time out. Cause: a service rate measured before the hang.
   it('estimates longer waits when releases stay out', () => {
