Look only at workspaces that wait, and find ring points by arc

Cause: admission scanned all workspaces at each offer and release, the ring searched 14 steps for each of 8 probes, and each choice sorted all latencies. Now only backlogged workspaces are scanned, demand of the others is one decaying sum, arcs give the ring position at once, medians are kept for 200 ms. A test found an estimate of NaN without slots; capacity 0 counts as 1 there.

--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -253,7 +253,7 @@
   }
 
   private dequeue(entry: Entry): void {
-    this.shares.findWorkspace(entry.request.workspace).leave(entry);
+    this.shares.leave(entry);
     this.waiting.delete(entry.request.id);
     this.standing.leave(entry.request.priority);
     this.expiries.sweep(this.standing.count);
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -2,6 +2,7 @@
  * Order of service over workspaces: start-time fair queueing in slot time,
  * with a bounded lead for urgent priorities, and the wait that follows from it.
  */
+import * as demandMeter from './demand-meter.js';
 import type * as slotPool from './slot-pool.js';
 import * as workspaceQueue from './workspace-queue.js';
 
@@ -37,6 +38,10 @@
 export class FairShare {
   private virtualTime = 0;
   private readonly workspaces = new Map<string, Workspace>();
+  /** Workspaces with waiting requests; decisions look at no others. */
+  private readonly backlogged = new Set<Workspace>();
+  /** Slots that requests of all workspaces lately keep busy. */
+  private readonly demand = new demandMeter.DemandMeter();
 
   constructor(private readonly slots: slotPool.SlotPool) {}
 
@@ -69,6 +74,17 @@
       workspace.virtualTime = this.startOf(workspace);
     }
     workspace.push(entry, nowMs);
+    this.backlogged.add(workspace);
+    this.demand.add(entry.serviceMs, nowMs);
+  }
+
+  /** Takes a waiting request out of its workspace's queue. */
+  leave(entry: Entry): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    workspace.leave(entry);
+    if (workspace.queued === 0) {
+      this.backlogged.delete(workspace);
+    }
   }
 
   /** Notes how long a request waited, to judge later expectations. */
@@ -94,13 +110,14 @@
 
   /** The request to run next: that of the workspace furthest behind. */
   chooseNext(nowMs: number): Entry | undefined {
-    const isOpen = (priority: Priority) => this.slots.isOpen(priority, nowMs);
+    const open = workspaceQueue.ADMISSION_PRIORITIES.filter(priority =>
+      this.slots.isOpen(priority, nowMs),
+    );
     let best: Entry | undefined;
     let bestTag = Infinity;
     let floor = Infinity;
-    for (const workspace of this.workspaces.values()) {
-      const entry =
-        workspace.queued > 0 ? workspace.head(nowMs, isOpen) : undefined;
+    for (const workspace of this.backlogged) {
+      const entry = workspace.head(nowMs, open);
       if (!entry || workspace.inFlight >= entry.request.maxConcurrent) {
         continue;
       }
@@ -164,12 +181,18 @@
     nowMs: number,
   ): number {
     let ahead = ownMs;
-    for (const other of this.workspaces.values()) {
-      if (other !== workspace && (other.queued > 0 || horizonMs > 0)) {
+    let idleDemand = this.demand.read(nowMs);
+    for (const other of this.backlogged) {
+      idleDemand -= other.demand.read(nowMs);
+      if (other !== workspace) {
         ahead += this.serviceBefore(other, tag, horizonMs, nowMs);
       }
     }
-    return ahead / this.slots.capacity;
+    const idle = this.workspaces.size - this.backlogged.size;
+    const start = this.virtualTime - CREDIT * this.slots.meanServiceMs;
+    const idleShare = idle * Math.max(0, tag - start);
+    ahead += Math.min(Math.max(0, idleDemand) * horizonMs, idleShare);
+    return ahead / Math.max(1, this.slots.capacity);
   }
 
   /** Slot time a workspace gets before its virtual time reaches `tag`. */
@@ -179,8 +202,8 @@
     horizonMs: number,
     nowMs: number,
   ): number {
-    const arriving = workspace.demandAt(nowMs) * horizonMs;
-    const head = workspace.head(nowMs, () => true);
+    const arriving = workspace.demand.read(nowMs) * horizonMs;
+    const head = workspace.head(nowMs, workspaceQueue.ADMISSION_PRIORITIES);
     const start = this.startOf(workspace);
     const from = head ? this.tagOf(workspace, head) : start;
     const share = Math.max(0, tag - from) * workspace.weight;
--- a/packages/decisions/src/hash-ring.ts
+++ b/packages/decisions/src/hash-ring.ts
@@ -10,15 +10,12 @@
 
 const RING_SIZE = 2 ** 32;
 
-interface Hit {
-  readonly index: number;
-  readonly distance: number;
-}
-
 /** Where members lie on the ring. Built once, when members change. */
 export class HashRing {
   private readonly points: Float64Array;
   private readonly indexes: Uint32Array;
+  /** First position in each of as many equal arcs as there are members. */
+  private readonly arcs: Uint32Array;
 
   /** @param ids members; `lookUp` answers with indexes into them. */
   constructor(ids: readonly string[]) {
@@ -29,6 +26,11 @@
     placed.sort((a, b) => a.point - b.point || a.index - b.index);
     this.points = Float64Array.from(placed, entry => entry.point);
     this.indexes = Uint32Array.from(placed, entry => entry.index);
+    let position = 0;
+    this.arcs = Uint32Array.from(placed, (_, arc) => {
+      position = this.findFrom(position, (arc * RING_SIZE) / placed.length);
+      return position;
+    });
   }
 
   /** Indexes of the members chosen for a key, first choice first. */
@@ -37,36 +39,56 @@
       return [];
     }
     const hash = rendezvous.hashText(key);
-    const hits: Hit[] = [];
-    for (let probe = 0; probe < PROBES; probe++) {
-      hits.push(this.probe(rendezvous.mixHashes(hash, probe + 1)));
+    const found: number[] = [];
+    const distances: number[] = [];
+    for (let probe = 1; probe <= PROBES; probe++) {
+      const point = rendezvous.mixHashes(hash, probe);
+      const position = this.search(point) % this.points.length;
+      const distance = (this.points[position] ?? 0) - point;
+      const index = this.indexes[position] ?? 0;
+      const onwards = distance < 0 ? distance + RING_SIZE : distance;
+      insertByDistance(found, distances, index, onwards);
     }
-    hits.sort((a, b) => a.distance - b.distance);
-    return [...new Set(hits.map(hit => hit.index))];
+    return found;
   }
 
-  private probe(point: number): Hit {
-    const found = this.search(point);
-    const position = found === this.points.length ? 0 : found;
-    const distance = (this.points[position] ?? 0) - point;
-    return {
-      index: this.indexes[position] ?? 0,
-      distance: distance < 0 ? distance + RING_SIZE : distance,
-    };
+  /**
+   * First position whose point is not before `point`. Points are spread evenly,
+   * so that an arc holds about one, however many members there are.
+   */
+  private search(point: number): number {
+    const arc = Math.floor((point / RING_SIZE) * this.arcs.length);
+    return this.findFrom(this.arcs[arc] ?? 0, point);
   }
 
-  /** First position whose point is not before `point`. */
-  private search(point: number): number {
-    let low = 0;
-    let high = this.points.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if ((this.points[middle] ?? 0) < point) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
+  private findFrom(start: number, point: number): number {
+    let position = start;
+    while ((this.points[position] ?? Infinity) < point) {
+      position++;
     }
-    return low;
+    return position;
   }
 }
+
+/** Keeps members in order of distance, each at its shortest. */
+const insertByDistance = (
+  found: number[],
+  distances: number[],
+  index: number,
+  distance: number,
+): void => {
+  const known = found.indexOf(index);
+  if (known >= 0) {
+    if ((distances[known] ?? 0) <= distance) {
+      return;
+    }
+    found.splice(known, 1);
+    distances.splice(known, 1);
+  }
+  let place = found.length;
+  while (place > 0 && (distances[place - 1] ?? 0) > distance) {
+    place--;
+  }
+  found.splice(place, 0, index);
+  distances.splice(place, 0, distance);
+};
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** Pure decisions under load; see package.json. One line per file, sorted. */
 export * from './admission-outcome.js';
 export * from './admission.js';
+export * from './demand-meter.js';
 export * from './expiry-queue.js';
 export * from './fair-share.js';
 export * from './hash-ring.js';
--- a/packages/decisions/src/placement-pool.ts
+++ b/packages/decisions/src/placement-pool.ts
@@ -35,8 +35,8 @@
 /** Homes of a hot key over those its requests fill. */
 const HOME_SPREAD = 1.5;
 
-/** Time for which the values of a whole subset are kept. */
-const REFRESH_MS = 100;
+/** Time for which values over all watched upstreams are kept. */
+const REFRESH_MS = 200;
 
 /** Slowness that counts as chance: answers differ in length. */
 const TOLERATED_SLOWNESS = 1.5;
@@ -83,7 +83,14 @@
 
   /** All upstreams of the zone that a key prefers, first choice first. */
   ranked(key: string): readonly Load[] {
-    return this.ring.lookUp(key).flatMap(index => this.members[index] ?? []);
+    const ranked: Load[] = [];
+    for (const index of this.ring.lookUp(key)) {
+      const load = this.members[index];
+      if (load) {
+        ranked.push(load);
+      }
+    }
+    return ranked;
   }
 
   /**
@@ -156,8 +163,13 @@
   private readonly scale = new movingEstimate.MovingEstimate();
   private refreshMs = -Infinity;
   private latencyMs = INITIAL_LATENCY_MS;
+  private readonly watched: readonly Load[];
+  private readonly scratch: Float64Array;
 
-  constructor(readonly pools: readonly PlacementPool[]) {}
+  constructor(readonly pools: readonly PlacementPool[]) {
+    this.watched = pools.flatMap(pool => pool.subset);
+    this.scratch = new Float64Array(this.watched.length);
+  }
 
   /** Latency that is usual: the median over upstreams that answered. */
   get usualLatencyMs(): number {
@@ -177,12 +189,12 @@
   }
 
   private refresh(nowMs: number): void {
-    const latencies: number[] = [];
+    let answered = 0;
     let all = 0;
     let own = 0;
-    for (const load of this.pools.flatMap(pool => pool.subset)) {
+    for (const load of this.watched) {
       if (load.measuredLatencyMs !== undefined) {
-        latencies.push(load.measuredLatencyMs);
+        this.scratch[answered++] = load.measuredLatencyMs;
       }
       if (load.hasReport(nowMs)) {
         all += load.lastReport.load;
@@ -192,8 +204,8 @@
     if (own > 0) {
       this.scale.add(all / own);
     }
-    latencies.sort((a, b) => a - b);
-    const middle = latencies[Math.floor(latencies.length / 2)];
+    const latencies = this.scratch.subarray(0, answered).sort();
+    const middle = latencies[Math.floor(answered / 2)];
     this.latencyMs = Math.max(1, middle ?? INITIAL_LATENCY_MS);
   }
 }
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -232,10 +232,11 @@
       load.expectedLoad(view.scale, view.nowMs) <= bound * load.slots &&
       load.slowness(view.usualMs, view.nowMs) <= AFFINITY_SLOWNESS &&
       isAccepted(load, request);
-    return (
-      findCheapest(ranked.slice(0, homes).filter(hasRoom), view) ??
-      ranked.slice(homes).find(hasRoom)
-    );
+    if (homes > 1) {
+      const open = ranked.slice(0, homes).filter(hasRoom);
+      return findCheapest(open, view) ?? ranked.slice(homes).find(hasRoom);
+    }
+    return ranked.find(hasRoom);
   }
 
   /** The best of a few, drawn at random from the watched subset. */
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -1,4 +1,5 @@
 /** Slots of one entry instance: who holds them, and how fast they turn over. */
+import * as demandMeter from './demand-meter.js';
 import * as movingEstimate from './moving-estimate.js';
 import * as workspaceQueue from './workspace-queue.js';
 
@@ -65,12 +66,12 @@
     interactive: 0,
     batch: 0,
   };
-  private readonly demand: Record<Priority, number> = {
-    door_check: 0,
-    interactive: 0,
-    batch: 0,
-  };
-  private demandMs = 0;
+  private readonly demand: Readonly<Record<Priority, demandMeter.DemandMeter>> =
+    {
+      door_check: new demandMeter.DemandMeter(DEMAND_WINDOW_MS),
+      interactive: new demandMeter.DemandMeter(DEMAND_WINDOW_MS),
+      batch: new demandMeter.DemandMeter(DEMAND_WINDOW_MS),
+    };
 
   /** @param capacity slots in all; may fall below those taken. */
   constructor(public capacity: number) {}
@@ -102,8 +103,7 @@
 
   /** Notes a request that asks for a slot, for the reserves. */
   see(priority: Priority, serviceMs: number, nowMs: number): void {
-    this.decayDemand(nowMs);
-    this.demand[priority] += serviceMs / DEMAND_WINDOW_MS;
+    this.demand[priority].add(serviceMs, nowMs);
   }
 
   take(
@@ -136,7 +136,6 @@
   /** Whether a slot is free for a priority, given the reserves. */
   isOpen(priority: Priority, nowMs: number): boolean {
     const free = this.capacity - this.running.size;
-    this.decayDemand(nowMs);
     let urgentRunning = 0;
     let urgentDemand = 0;
     for (const other of workspaceQueue.ADMISSION_PRIORITIES) {
@@ -144,7 +143,7 @@
         break;
       }
       urgentRunning += this.runningByPriority[other];
-      urgentDemand += this.demand[other];
+      urgentDemand += this.demand[other].read(nowMs);
     }
     if (urgentDemand < LEAST_DEMAND) {
       return free > 0;
@@ -163,17 +162,6 @@
     return Math.min(Math.max(floor, wanted), bound);
   }
 
-  private decayDemand(nowMs: number): void {
-    if (nowMs <= this.demandMs) {
-      return;
-    }
-    const left = Math.exp((this.demandMs - nowMs) / DEMAND_WINDOW_MS);
-    this.demandMs = nowMs;
-    for (const priority of workspaceQueue.ADMISSION_PRIORITIES) {
-      this.demand[priority] *= left;
-    }
-  }
-
   /**
    * Above 1 when releases stay out: the mean of past service times says
    * nothing once an upstream hangs, and requests would queue for it in vain.
--- a/packages/decisions/src/upstream-load.ts
+++ b/packages/decisions/src/upstream-load.ts
@@ -147,10 +147,9 @@
    */
   slowness(usualMs: number, nowMs: number): number {
     const measured = this.latency.hasSamples ? this.latency.mean : usualMs;
-    const ratio = measured / usualMs;
     const power = Math.min(this.failures, MAX_FAILURE_POWER);
-    const excess = ratio * 2 ** power - 1;
-    const remembered = 1 + excess * this.memoryAt(nowMs);
+    const excess = (measured / usualMs) * 2 ** power - 1;
+    const remembered = excess > 0 ? 1 + excess * this.memoryAt(nowMs) : 1;
     return Math.max(remembered, this.silence(usualMs, nowMs));
   }
 
--- a/packages/decisions/src/workspace-queue.ts
+++ b/packages/decisions/src/workspace-queue.ts
@@ -1,5 +1,6 @@
 /** Waiting requests of one workspace, and its place in virtual time. */
 import * as heap from 'heap-js';
+import * as demandMeter from './demand-meter.js';
 import * as movingEstimate from './moving-estimate.js';
 
 /** How urgent a request is; the same words as in the environment document. */
@@ -51,9 +52,6 @@
 export const compareByDeadline = (a: QueuedRequest, b: QueuedRequest): number =>
   a.admitByMs - b.admitByMs || a.order - b.order;
 
-/** Time over which demand is averaged: some waits long, so that it is steady. */
-const DEMAND_WINDOW_MS = 2000;
-
 /** Deviations of the waits' error kept free, and the bounds of the margin. */
 const MARGIN_DEVIATIONS = 2;
 const MAX_MARGIN = 3;
@@ -72,12 +70,12 @@
   queued = 0;
   /** Slot time that the waiting requests are expected to take. */
   queuedServiceMs = 0;
+  /** Slots that the requests taken in lately keep busy. */
+  readonly demand = new demandMeter.DemandMeter();
   /** Time that this workspace's requests hold a slot. */
   readonly serviceTime = new movingEstimate.MovingEstimate();
   /** Measured over expected waits. */
   private readonly waitError = new movingEstimate.MovingEstimate();
-  private demand = 0;
-  private demandMs = 0;
   private readonly queues: Queues = {
     door_check: createHeap(),
     interactive: createHeap(),
@@ -93,8 +91,7 @@
   }
 
   push(entry: QueuedRequest, nowMs: number): void {
-    this.demand = this.demandAt(nowMs) + entry.serviceMs / DEMAND_WINDOW_MS;
-    this.demandMs = nowMs;
+    this.demand.add(entry.serviceMs, nowMs);
     this.weight = entry.request.weight;
     this.queues[entry.request.priority].push(entry);
     this.queued++;
@@ -119,11 +116,6 @@
     return Math.min(MAX_MARGIN, Math.max(1, margin));
   }
 
-  /** Slots that the requests taken in lately keep busy. */
-  demandAt(nowMs: number): number {
-    return this.demand * Math.exp((this.demandMs - nowMs) / DEMAND_WINDOW_MS);
-  }
-
   /** Takes a waiting request out; its place in the heap is swept later. */
   leave(entry: QueuedRequest): void {
     entry.state = 'left';
@@ -132,15 +124,17 @@
     this.sweep(this.queues[entry.request.priority]);
   }
 
-  /** The request to run next, or undefined; overdue ones are passed over. */
+  /**
+   * The request to run next, or undefined; overdue ones are passed over.
+   *
+   * @param open priorities that have a free slot, most urgent first.
+   */
   head(
     nowMs: number,
-    isOpen: (priority: AdmissionPriority) => boolean,
+    open: readonly AdmissionPriority[],
   ): QueuedRequest | undefined {
-    for (const priority of ADMISSION_PRIORITIES) {
-      const found = isOpen(priority)
-        ? this.first(this.queues[priority], nowMs)
-        : undefined;
+    for (const priority of open) {
+      const found = this.first(this.queues[priority], nowMs);
       if (found) {
         return found;
       }
