--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -50,7 +50,7 @@
  * Wait allowed in a standing queue, in mean service times: enough to keep all
  * slots busy between two arrivals, as goodput in the burst shows.
  */
-const STANDING_WAIT = 1;
+const STANDING_WAIT = 0.8;
 
 /** Shortest and longest time a refused caller is told to stay away. */
 const MIN_RETRY_AFTER_MS = 250;
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -34,6 +34,17 @@
 /** Most credit for time without demand, in mean service times. */
 const CREDIT = 2;
 
+/** Where a request would stand in the order of service. */
+interface Position {
+  readonly workspace: Workspace;
+  readonly tag: number;
+  /** Slot time of its own workspace that goes before it. */
+  readonly ownMs: number;
+  /** Mean service of the longest kind of work. */
+  readonly unitMs: number;
+  readonly nowMs: number;
+}
+
 /** Shares the slots of a pool between workspaces. */
 export class FairShare {
   private virtualTime = 0;
@@ -113,6 +124,7 @@
     const open = workspaceQueue.ADMISSION_PRIORITIES.filter(priority =>
       this.slots.isOpen(priority, nowMs),
     );
+    const unitMs = this.slots.longestServiceMs;
     let best: Entry | undefined;
     let bestTag = Infinity;
     let floor = Infinity;
@@ -122,7 +134,7 @@
         continue;
       }
       floor = Math.min(floor, workspace.virtualTime);
-      const tag = this.tagOf(workspace, entry);
+      const tag = this.tagOf(workspace, entry, unitMs);
       if (isAhead(tag, bestTag, entry, best)) {
         best = entry;
         bestTag = tag;
@@ -140,9 +152,8 @@
     return Math.max(workspace.virtualTime, this.virtualTime - credit);
   }
 
-  private tagOf(workspace: Workspace, entry: Entry): number {
-    const lead = LEAD[entry.request.priority] * this.slots.longestServiceMs;
-    return workspace.virtualTime - lead;
+  private tagOf(workspace: Workspace, entry: Entry, unitMs: number): number {
+    return workspace.virtualTime - LEAD[entry.request.priority] * unitMs;
   }
 
   /**
@@ -157,15 +168,20 @@
     if (hasSlot && isBelowLimit && ownAhead === 0) {
       return 0;
     }
-    const start = this.startOf(workspace);
-    const lead = LEAD[request.priority] * this.slots.longestServiceMs;
-    const tag = start + ownAhead / request.weight - lead;
-    const own = ownAhead + this.slots.meanServiceMs;
-    const queuedMs = this.waitBehind(own, tag, workspace, 0, nowMs);
+    const unitMs = this.slots.longestServiceMs;
+    const start = this.startOf(workspace) - LEAD[request.priority] * unitMs;
+    const position: Position = {
+      workspace,
+      tag: start + ownAhead / request.weight,
+      ownMs: ownAhead + this.slots.meanServiceMs,
+      unitMs,
+      nowMs,
+    };
+    const queuedMs = this.waitBehind(position, 0);
     // Requests that come during the wait go ahead too, where their workspace
     // is behind in virtual time; without them the wait is guessed too short
     // for large workspaces, and their requests wait only to be given up on.
-    const sharedMs = this.waitBehind(own, tag, workspace, queuedMs, nowMs);
+    const sharedMs = this.waitBehind(position, queuedMs);
     // A workspace at its own bound waits for its own work to end.
     const ownMs = isBelowLimit
       ? 0
@@ -173,19 +189,14 @@
     return Math.max(sharedMs, ownMs) * this.slots.stallFactor(nowMs);
   }
 
-  private waitBehind(
-    ownMs: number,
-    tag: number,
-    workspace: Workspace,
-    horizonMs: number,
-    nowMs: number,
-  ): number {
-    let ahead = ownMs;
+  private waitBehind(position: Position, horizonMs: number): number {
+    const {workspace, tag, nowMs} = position;
+    let ahead = position.ownMs;
     let idleDemand = this.demand.read(nowMs);
     for (const other of this.backlogged) {
       idleDemand -= other.demand.read(nowMs);
       if (other !== workspace) {
-        ahead += this.serviceBefore(other, tag, horizonMs, nowMs);
+        ahead += this.serviceBefore(other, position, horizonMs);
       }
     }
     const idle = this.workspaces.size - this.backlogged.size;
@@ -195,18 +206,19 @@
     return ahead / Math.max(1, this.slots.capacity);
   }
 
-  /** Slot time a workspace gets before its virtual time reaches `tag`. */
+  /** Slot time a workspace gets before its virtual time reaches the tag. */
   private serviceBefore(
     workspace: Workspace,
-    tag: number,
+    position: Position,
     horizonMs: number,
-    nowMs: number,
   ): number {
+    const {nowMs, unitMs} = position;
     const arriving = workspace.demand.read(nowMs) * horizonMs;
     const head = workspace.head(nowMs, workspaceQueue.ADMISSION_PRIORITIES);
-    const start = this.startOf(workspace);
-    const from = head ? this.tagOf(workspace, head) : start;
-    const share = Math.max(0, tag - from) * workspace.weight;
+    const from = head
+      ? this.tagOf(workspace, head, unitMs)
+      : this.startOf(workspace);
+    const share = Math.max(0, position.tag - from) * workspace.weight;
     return Math.min(workspace.queuedServiceMs + arriving, share);
   }
 }
