Price quality without waiting for ratings, and guard roll-outs by evidence

Cause: the price of a bad answer moved only with ratings, a twelfth of the answers and late, so that it overshot. Plans now move it by the pass rate they expect, ratings by what the expectation missed, each weighed by the answers it stands for.

Roll-out guard.

--- a/packages/decisions/src/cascade-plan.ts
+++ b/packages/decisions/src/cascade-plan.ts
@@ -15,6 +15,8 @@
   readonly task: string;
   /** From cheap to capable, at least one. */
   readonly stages: readonly CascadeStage[];
+  /** Share of answers, 0 to 1, that the workspace wants rated good. */
+  readonly target: number;
 }
 
 /** Where to start and what to accept. Plain JSON. */
@@ -46,8 +48,6 @@
 export interface CascadeRating extends CascadeAnswer {
   /** 0 (bad) to 1 (good). */
   readonly rating: number;
-  /** Share of answers, 0 to 1, that the workspace wants rated good. */
-  readonly target: number;
 }
 
 /**
--- a/packages/decisions/src/cascade.ts
+++ b/packages/decisions/src/cascade.ts
@@ -35,23 +35,29 @@
 
 /** Tuning of the policy. */
 export interface CascadeOptions {
-  /** How far drawn coefficients lie from their mean; 0 never explores. */
-  readonly explorationWidth?: number;
+  /** Share of requests, 0 to 1, that explore. */
+  readonly explorationShare?: number;
   /** Growth of variance for each rating of the task. */
   readonly aging?: number;
-  /** Step of the log price of a bad answer for each rating. */
-  readonly priceStep?: number;
   /** Share of answers aimed for above the target. */
   readonly margin?: number;
 }
 
-const EXPLORATION_WIDTH = 0.5;
+/** Enough tries to notice drift for the better, few enough to cost little. */
+const EXPLORATION_SHARE = 0.15;
 /** Old ratings fade over about a thousand of the task's, so drift shows. */
-const AGING = 1e-5;
-/** The price follows some 50 bad answers: slower than ratings are late. */
-const PRICE_STEP = 0.02;
+const AGING = 1e-6;
+/** Requests alike that share a plan, so that a decision stays cheap. */
+const PLAN_USES = 8;
+/**
+ * Step of the log price for each request: the price moves within some
+ * thousand requests, slower than ratings are late.
+ */
+const PRICE_STEP = 0.002;
+/** Answers that one rating stands for, at most: ratings may stop coming. */
+const MOST_ANSWERS_PER_RATING = 50;
 /** Covers the sampling error of some thousand ratings. */
-const MARGIN = 0.006;
+const MARGIN = 0.0045;
 /** High, so that a new workspace starts with capable models. */
 const FIRST_LOG_PRICE = Math.log(5);
 /** Bounds, so that a long run of bad or good luck is soon undone. */
@@ -64,51 +70,80 @@
 /** Beliefs of one kind of task by model. */
 type Models = Map<string, stageBelief.StageBelief>;
 
+/** A plan in use for the next requests alike. */
+interface ActivePlan {
+  readonly plan: cascadePlan.CascadePlan;
+  readonly request: cascadePlan.CascadeRequest;
+  usesLeft: number;
+}
+
+interface TaskState {
+  readonly models: Models;
+  active?: ActivePlan;
+}
+
 interface WorkspaceState {
-  readonly tasks: Map<string, Models>;
+  readonly tasks: Map<string, TaskState>;
   logPrice: number;
+  /** Requests planned and ratings that came. */
+  requests: number;
+  ratings: number;
 }
 
 /** A stage with the coefficients drawn for one request. */
 interface DrawnStage {
   readonly stakes: stageBelief.Stakes;
   readonly coefficients: readonly number[];
-  /** Expected loss of starting here. */
-  readonly direct: number;
-  /** Expected loss of coming here from an earlier stage. */
-  readonly escalated: number;
+  /** What to expect of starting here. */
+  readonly direct: stageBelief.Expectation;
 }
 
 /** Learns the cascades of all workspaces; one per process. */
 export class CascadePolicy {
   private readonly workspaces = new Map<string, WorkspaceState>();
-  private readonly explorationWidth: number;
+  private readonly explorationShare: number;
   private readonly aging: number;
-  private readonly priceStep: number;
   private readonly margin: number;
 
   constructor(options: CascadeOptions = {}) {
-    this.explorationWidth = options.explorationWidth ?? EXPLORATION_WIDTH;
+    this.explorationShare = options.explorationShare ?? EXPLORATION_SHARE;
     this.aging = options.aging ?? AGING;
-    this.priceStep = options.priceStep ?? PRICE_STEP;
     this.margin = options.margin ?? MARGIN;
   }
 
   /**
-   * Chooses the starting stage and what each stage accepts. Coefficients are
-   * drawn from the beliefs, so that uncertain stages are tried now and then.
+   * Chooses the starting stage and what each stage accepts. A share of the
+   * requests explores: its coefficients are drawn from the beliefs, so that
+   * stages are tried as often as they may be better than they seem.
    */
   choose(
     request: cascadePlan.CascadeRequest,
     random: () => number,
   ): cascadePlan.CascadePlan {
-    const drawn = this.drawStages(request, random);
-    let startStage = drawn.length - 1;
-    for (let i = startStage - 1; i >= 0; i--) {
-      if ((drawn[i]?.direct ?? 0) <= (drawn[startStage]?.direct ?? 0)) {
-        startStage = i;
-      }
+    const task = this.findTask(request.workspace, request.task);
+    const active = task.active;
+    if (active && active.usesLeft > 0 && isAlike(active.request, request)) {
+      active.usesLeft--;
+      return active.plan;
     }
+    const plan = this.draw(request, random);
+    task.active = {plan, request, usesLeft: PLAN_USES - 1};
+    return plan;
+  }
+
+  private draw(
+    request: cascadePlan.CascadeRequest,
+    random: () => number,
+  ): cascadePlan.CascadePlan {
+    const explores = random() < this.explorationShare;
+    const draw = explores ? () => drawNormal(random) : undefined;
+    const drawn = this.drawStages(request, draw);
+    const startStage = findStart(drawn);
+    const expected = drawn[startStage]?.direct.pass ?? 0;
+    const goal = Math.min(1, request.target + this.margin);
+    const state = this.findWorkspace(request.workspace);
+    state.requests += PLAN_USES;
+    movePrice(state, PLAN_USES * (goal - expected));
     const accepted = drawn.map((stage, i) =>
       stageBelief.findAcceptance(
         stage.coefficients,
@@ -125,7 +160,7 @@
 
   /** Takes in an answer as it comes, whether or not a rating follows. */
   observeAnswer(answer: cascadePlan.CascadeAnswer): void {
-    const models = this.findModels(answer.workspace, answer.task);
+    const {models} = this.findTask(answer.workspace, answer.task);
     const belief = findBelief(models, answer.model);
     models.set(
       answer.model,
@@ -135,21 +170,20 @@
 
   /** Takes in a rating, however late. */
   observeRating(rating: cascadePlan.CascadeRating): void {
-    const models = this.findModels(rating.workspace, rating.task);
+    const {escalated, score} = rating;
+    const {models} = this.findTask(rating.workspace, rating.task);
     for (const [model, belief] of models) {
       models.set(model, stageBelief.ageStageBelief(belief, this.aging));
     }
     const belief = findBelief(models, rating.model);
+    const expected = stageBelief.predictPass(belief, escalated, score);
     models.set(
       rating.model,
-      stageBelief.rateAnswer(
-        belief,
-        rating.escalated,
-        rating.score,
-        rating.rating,
-      ),
+      stageBelief.rateAnswer(belief, escalated, score, rating.rating),
     );
-    this.movePrice(rating);
+    const state = this.findWorkspace(rating.workspace);
+    state.ratings++;
+    movePrice(state, countAnswers(state) * (expected - rating.rating));
   }
 
   /** Everything learned, to hand to other instances. */
@@ -158,7 +192,7 @@
     const prices: PriceEntry[] = [];
     for (const [workspace, {tasks, logPrice}] of this.workspaces) {
       prices.push({workspace, logPrice});
-      for (const [task, models] of tasks) {
+      for (const [task, {models}] of tasks) {
         for (const [model, belief] of models) {
           stages.push({workspace, task, model, belief});
         }
@@ -174,14 +208,14 @@
       this.findWorkspace(workspace).logPrice = logPrice;
     }
     for (const {workspace, task, model, belief} of snapshot.stages) {
-      this.findModels(workspace, task).set(model, belief);
+      this.findTask(workspace, task).models.set(model, belief);
     }
   }
 
   /** From the last stage back: each is judged by what follows it. */
   private drawStages(
     request: cascadePlan.CascadeRequest,
-    random: () => number,
+    draw: (() => number) | undefined,
   ): readonly DrawnStage[] {
     const capable = request.stages.at(-1);
     if (!capable) {
@@ -189,67 +223,87 @@
     }
     const {logPrice} = this.findWorkspace(request.workspace);
     const badAnswer = Math.exp(logPrice) * capable.cost;
-    const models = this.findModels(request.workspace, request.task);
-    const normal = () => drawNormal(random);
-    let goingOn = Infinity;
+    const {models} = this.findTask(request.workspace, request.task);
+    let goingOn: stageBelief.Expectation = {loss: Infinity, pass: 0};
     const drawn = request.stages.toReversed().map(stage => {
       const belief = findBelief(models, stage.model);
-      const width = this.explorationWidth;
-      const coefficients = estimate.drawCoefficients(
-        belief.pass,
-        width,
-        normal,
-      );
+      const coefficients = draw
+        ? estimate.drawCoefficients(belief.pass, draw)
+        : belief.pass.mean;
       const stakes = {badAnswer, goingOn};
-      const loss = (escalated: boolean) =>
-        stage.cost +
-        stageBelief.findLoss(belief, coefficients, escalated, stakes);
-      const result = {
-        stakes,
-        coefficients,
-        direct: loss(false),
-        escalated: loss(true),
+      const expect = (escalated: boolean): stageBelief.Expectation => {
+        const {loss, pass} = stageBelief.expectOutcome(
+          belief,
+          coefficients,
+          escalated,
+          stakes,
+        );
+        return {loss: stage.cost + loss, pass};
       };
-      goingOn = result.escalated;
-      return result;
+      goingOn = expect(true);
+      return {stakes, coefficients, direct: expect(false)};
     });
     return drawn.toReversed();
   }
 
-  /**
-   * Raises the price of a bad answer while ratings fall short, lowers it
-   * while they exceed. The steps add up to the shortfall so far, hence the
-   * mean rating settles at the target whatever the beliefs get wrong.
-   */
-  private movePrice(rating: cascadePlan.CascadeRating): void {
-    const state = this.findWorkspace(rating.workspace);
-    const goal = Math.min(1, rating.target + this.margin);
-    const moved = state.logPrice + this.priceStep * (goal - rating.rating);
-    const floor = Math.max(LOWEST_LOG_PRICE, moved);
-    state.logPrice = Math.min(HIGHEST_LOG_PRICE, floor);
-  }
-
   private findWorkspace(name: string): WorkspaceState {
     const found = this.workspaces.get(name);
     if (found) {
       return found;
     }
-    const state = {tasks: new Map<string, Models>(), logPrice: FIRST_LOG_PRICE};
+    const state = {
+      tasks: new Map<string, TaskState>(),
+      logPrice: FIRST_LOG_PRICE,
+      requests: 0,
+      ratings: 0,
+    };
     this.workspaces.set(name, state);
     return state;
   }
 
-  private findModels(workspace: string, task: string): Models {
+  private findTask(workspace: string, task: string): TaskState {
     const {tasks} = this.findWorkspace(workspace);
     const isFull = tasks.size >= TASK_LIMIT && !tasks.has(task);
     const name = isFull ? OTHER_TASKS : task;
-    const models =
-      tasks.get(name) ?? new Map<string, stageBelief.StageBelief>();
-    tasks.set(name, models);
-    return models;
+    const state = tasks.get(name) ?? {models: new Map()};
+    tasks.set(name, state);
+    return state;
   }
 }
 
+const isAlike = (
+  a: cascadePlan.CascadeRequest,
+  b: cascadePlan.CascadeRequest,
+): boolean =>
+  a.target === b.target &&
+  a.stages.length === b.stages.length &&
+  a.stages.every((stage, i) => {
+    const other = b.stages[i];
+    return stage.model === other?.model && stage.cost === other.cost;
+  });
+
+/** Answers that one rating stands for. */
+const countAnswers = (state: WorkspaceState): number =>
+  Math.min(MOST_ANSWERS_PER_RATING, state.requests / state.ratings);
+
+/**
+ * Raises the price of a bad answer by what is missing, lowers it by what is
+ * in excess, in answers. Plans move it towards the target by what they
+ * expect, without waiting for ratings; ratings move it by what the
+ * expectation missed. All steps add up to the shortfall so far, hence the
+ * mean rating settles at the target whatever the beliefs get wrong.
+ */
+const movePrice = (state: WorkspaceState, missing: number): void => {
+  const moved = state.logPrice + PRICE_STEP * missing;
+  const floor = Math.max(LOWEST_LOG_PRICE, moved);
+  state.logPrice = Math.min(HIGHEST_LOG_PRICE, floor);
+};
+
+const findStart = (stages: readonly DrawnStage[]): number => {
+  const losses = stages.map(stage => stage.direct.loss);
+  return losses.indexOf(Math.min(...losses));
+};
+
 const findBelief = (models: Models, model: string): stageBelief.StageBelief =>
   models.get(model) ?? stageBelief.createStageBelief();
 
--- a/packages/decisions/src/logistic-estimate.ts
+++ b/packages/decisions/src/logistic-estimate.ts
@@ -96,13 +96,12 @@
   return rows;
 };
 
-/** Draws coefficients; `width` scales how far draws lie from the mean. */
+/** Draws coefficients from the belief. */
 export const drawCoefficients = (
   belief: LogisticBelief,
-  width: number,
   drawNormal: () => number,
 ): readonly number[] => {
   const normals = belief.mean.map(() => drawNormal());
   const rows = factor(belief.covariance);
-  return belief.mean.map((m, i) => m + width * dot(rows[i] ?? [], normals));
+  return belief.mean.map((m, i) => m + dot(rows[i] ?? [], normals));
 };
--- /dev/null
+++ b/packages/decisions/src/rollout-evidence.ts
@@ -0,0 +1,96 @@
+/**
+ * Evidence about two versions, counted on every entry instance. Counters only
+ * grow and are kept per instance, so that reports may come late, twice or out
+ * of order, and merging them loses and doubles nothing.
+ */
+
+/** What one instance saw of one version since it started. */
+export interface VersionCounts {
+  /** Finished requests. */
+  readonly requests: number;
+  /** Requests that ended in an error of the upstream. */
+  readonly errors: number;
+  /** Requests slower than the roll-out's latency bound. */
+  readonly slow: number;
+  /** Answers rated. */
+  readonly rated: number;
+  /** Answers rated bad. */
+  readonly bad: number;
+}
+
+/** What one instance saw of both versions. Plain JSON. */
+export interface RolloutEvidence {
+  readonly old: VersionCounts;
+  readonly new: VersionCounts;
+}
+
+/**
+ * Evidence by instance. An instance that restarts counts from zero and must
+ * use a new id.
+ */
+export type EvidenceByInstance = Readonly<Record<string, RolloutEvidence>>;
+
+/** Counts of nothing. */
+export const NO_COUNTS: VersionCounts = {
+  requests: 0,
+  errors: 0,
+  slow: 0,
+  rated: 0,
+  bad: 0,
+};
+
+/** Evidence of nothing. */
+export const NO_EVIDENCE: RolloutEvidence = {old: NO_COUNTS, new: NO_COUNTS};
+
+const combineCounts = (
+  a: VersionCounts,
+  b: VersionCounts,
+  combine: (a: number, b: number) => number,
+): VersionCounts => ({
+  requests: combine(a.requests, b.requests),
+  errors: combine(a.errors, b.errors),
+  slow: combine(a.slow, b.slow),
+  rated: combine(a.rated, b.rated),
+  bad: combine(a.bad, b.bad),
+});
+
+const combineEvidence = (
+  a: RolloutEvidence,
+  b: RolloutEvidence,
+  combine: (a: number, b: number) => number,
+): RolloutEvidence => ({
+  old: combineCounts(a.old, b.old, combine),
+  new: combineCounts(a.new, b.new, combine),
+});
+
+/** The later of two reports of each instance. */
+export const mergeEvidence = (
+  a: EvidenceByInstance,
+  b: EvidenceByInstance,
+): EvidenceByInstance => {
+  const merged: Record<string, RolloutEvidence> = {...a};
+  for (const [instance, evidence] of Object.entries(b)) {
+    const before = merged[instance] ?? NO_EVIDENCE;
+    merged[instance] = combineEvidence(before, evidence, Math.max);
+  }
+  return merged;
+};
+
+/**
+ * What `now` counts beyond `before`, over all instances. An instance missing
+ * from `now` adds nothing; a late, older report adds nothing either.
+ */
+export const findNewEvidence = (
+  before: EvidenceByInstance,
+  now: EvidenceByInstance,
+): RolloutEvidence => {
+  let sum = NO_EVIDENCE;
+  for (const [instance, evidence] of Object.entries(now)) {
+    const known = before[instance] ?? NO_EVIDENCE;
+    const grown = combineEvidence(evidence, known, (n, k) =>
+      Math.max(0, n - k),
+    );
+    sum = combineEvidence(sum, grown, (x, y) => x + y);
+  }
+  return sum;
+};
--- /dev/null
+++ b/packages/decisions/src/sequential-test.ts
@@ -0,0 +1,56 @@
+/**
+ * Sequential test whether a new version has bad outcomes more often than an
+ * old one, valid however often it is looked at.
+ *
+ * Each block of outcomes is judged by how its bad ones fall on the two
+ * versions: with equal rates each falls on the new version with the new
+ * version's share of the block, whatever the rate itself, so that a rate that
+ * drifts over the day misleads nobody. The likelihood ratio against several
+ * higher odds, mixed, is a test martingale; given the block's bad outcomes
+ * the draw is without replacement, for which the ratio's mean stays at most 1.
+ */
+
+/** Outcomes of both versions in one block. */
+export interface Block {
+  readonly oldCount: number;
+  readonly oldBad: number;
+  readonly newCount: number;
+  readonly newBad: number;
+}
+
+/** Log likelihood ratios, one for each of `ODDS_RATIOS`. Plain JSON. */
+export type Ratios = readonly number[];
+
+/**
+ * Odds ratios tested against. The first is also the least worsening that a
+ * version must be cleared of before it gets more than a small share.
+ */
+export const ODDS_RATIOS = [1.5, 2.2, 4, 8, 20] as const;
+
+/** No evidence yet. */
+export const NO_RATIOS: Ratios = ODDS_RATIOS.map(() => 0);
+
+/** Takes in a block. A block without both versions tells nothing. */
+export const addBlock = (ratios: Ratios, block: Block): Ratios => {
+  if (block.newCount === 0 || block.oldCount === 0) {
+    return ratios;
+  }
+  return ratios.map((ratio, i) => {
+    const odds = ODDS_RATIOS[i] ?? 1;
+    const total = odds * block.newCount + block.oldCount;
+    const count = block.newCount + block.oldCount;
+    const onNew = Math.log((odds * count) / total);
+    const onOld = Math.log(count / total);
+    return ratio + block.newBad * onNew + block.oldBad * onOld;
+  });
+};
+
+/** Log of the mixed evidence that the new version is worse. */
+export const findEvidenceAgainst = (ratios: Ratios): number => {
+  const highest = Math.max(...ratios);
+  const sum = ratios.reduce((total, r) => total + Math.exp(r - highest), 0);
+  return highest + Math.log(sum / ratios.length);
+};
+
+/** Log evidence that the new version is not worse by the first odds ratio. */
+export const findEvidenceFor = (ratios: Ratios): number => -(ratios[0] ?? 0);
--- a/packages/decisions/src/stage-belief.ts
+++ b/packages/decisions/src/stage-belief.ts
@@ -17,8 +17,16 @@
 export interface Stakes {
   /** Price of passing on a bad answer. */
   readonly badAnswer: number;
-  /** Expected loss of going on instead; infinite at the last stage. */
-  readonly goingOn: number;
+  /** What to expect of going on instead; an infinite loss at the end. */
+  readonly goingOn: Expectation;
+}
+
+/** What a plan is expected to come to. */
+export interface Expectation {
+  /** Costs and the price of bad answers. */
+  readonly loss: number;
+  /** Share of good answers. */
+  readonly pass: number;
 }
 
 /** Which answers of a stage are worth passing on. */
@@ -121,27 +129,57 @@
 const findSlope = (coefficients: readonly number[]): number =>
   Math.max(0, coefficients[1] ?? 0);
 
-/** Expected loss after a stage answered: pass the answer on, or go on. */
-export const findLoss = (
+/**
+ * What to expect after a stage answered: pass the answer on, or go on. The
+ * coefficients decide; the share of good answers is by the belief's mean, so
+ * that a plan drawn to explore isn't credited with what it hopes for.
+ */
+export const expectOutcome = (
   belief: StageBelief,
   coefficients: readonly number[],
   escalated: boolean,
   stakes: Stakes,
-): number => {
+): Expectation => {
   const histogram = escalated ? belief.escalated : belief.direct;
-  const slope = findSlope(coefficients);
+  const {mean} = belief.pass;
   let total = 0;
   let loss = 0;
+  let good = 0;
   for (let bin = 0; bin <= BIN_COUNT; bin++) {
-    const unscored = bin === UNSCORED_BIN;
-    const base = findBase(coefficients, escalated, unscored);
-    const score = unscored ? 0 : slope * (BIN_LOGITS[bin] ?? 0);
-    const bad = stakes.badAnswer * (1 - estimate.sigmoid(base + score));
+    const pass = findBinPass(coefficients, escalated, bin);
+    const likely =
+      coefficients === mean ? pass : findBinPass(mean, escalated, bin);
+    const bad = stakes.badAnswer * (1 - pass);
     const count = histogram[bin] ?? 0;
+    const accepts = bad <= stakes.goingOn.loss;
     total += count;
-    loss += count * Math.min(bad, stakes.goingOn);
+    loss += count * (accepts ? bad : stakes.goingOn.loss);
+    good += count * (accepts ? likely : stakes.goingOn.pass);
   }
-  return loss / total;
+  return {loss: loss / total, pass: good / total};
+};
+
+const findBinPass = (
+  coefficients: readonly number[],
+  escalated: boolean,
+  bin: number,
+): number => {
+  const unscored = bin === UNSCORED_BIN;
+  const base = findBase(coefficients, escalated, unscored);
+  const score = unscored ? 0 : findSlope(coefficients) * (BIN_LOGITS[bin] ?? 0);
+  return estimate.sigmoid(base + score);
+};
+
+/** Chance, by the mean of the belief, that an answer passes. */
+export const predictPass = (
+  belief: StageBelief,
+  escalated: boolean,
+  score: number | undefined,
+): number => {
+  const {mean} = belief.pass;
+  const x = score === undefined ? 0 : estimate.boundedLogit(score, LOGIT_LIMIT);
+  const base = findBase(mean, escalated, score === undefined);
+  return estimate.sigmoid(base + findSlope(mean) * x);
 };
 
 /** Which answers lose less by being passed on than by going on. */
@@ -150,7 +188,7 @@
   escalated: boolean,
   stakes: Stakes,
 ): Acceptance => {
-  const needed = 1 - stakes.goingOn / stakes.badAnswer;
+  const needed = 1 - stakes.goingOn.loss / stakes.badAnswer;
   if (needed <= 0) {
     return {threshold: 0, unscored: true};
   }
