--- a/packages/decisions/src/cascade.ts
+++ b/packages/decisions/src/cascade.ts
@@ -88,6 +88,7 @@
   /** Requests planned and ratings that came. */
   requests: number;
   ratings: number;
+  target: number | undefined;
 }
 
 /** A stage with the coefficients drawn for one request. */
@@ -140,10 +141,13 @@
     const drawn = this.drawStages(request, draw);
     const startStage = findStart(drawn);
     const expected = drawn[startStage]?.direct.pass ?? 0;
-    const goal = Math.min(1, request.target + this.margin);
     const state = this.findWorkspace(request.workspace);
     state.requests += PLAN_USES;
-    movePrice(state, PLAN_USES * (goal - expected));
+    state.target = request.target ?? state.target;
+    if (state.target !== undefined) {
+      const goal = Math.min(1, state.target + this.margin);
+      movePrice(state, PLAN_USES * (goal - expected));
+    }
     const accepted = drawn.map((stage, i) =>
       stageBelief.findAcceptance(
         stage.coefficients,
@@ -183,6 +187,7 @@
     );
     const state = this.findWorkspace(rating.workspace);
     state.ratings++;
+    state.target = rating.target ?? state.target;
     movePrice(state, countAnswers(state) * (expected - rating.rating));
   }
 
@@ -256,6 +261,7 @@
       logPrice: FIRST_LOG_PRICE,
       requests: 0,
       ratings: 0,
+      target: undefined,
     };
     this.workspaces.set(name, state);
     return state;
--- a/packages/decisions/src/rollout-guard.ts
+++ b/packages/decisions/src/rollout-guard.ts
@@ -8,7 +8,8 @@
  * JSON, kept with the roll-out's object: any instance that takes the lease
  * resumes it under its own fencing number.
  */
-import * as murmurhash from 'murmurhash';
+
+import * as rendezvous from './rendezvous.js';
 import * as evidence from './rollout-evidence.js';
 import * as sequentialTest from './sequential-test.js';
 
@@ -187,7 +188,7 @@
   sessionKey: string,
   share: number,
 ): RolloutVersion => {
-  const hash = murmurhash.default.v3(`${rollout}\n${sessionKey}`);
+  const hash = rendezvous.hashText(`${rollout}\n${sessionKey}`);
   return hash / HASH_RANGE < share ? 'new' : 'old';
 };
 
