--- a/packages/decisions/src/cascade-plan.ts
+++ b/packages/decisions/src/cascade-plan.ts
@@ -15,6 +15,11 @@
   readonly task: string;
   /** From cheap to capable, at least one. */
   readonly stages: readonly CascadeStage[];
+  /**
+   * Share of answers, 0 to 1, that the workspace wants rated good. Without
+   * one, the latest that a request or rating of the workspace named holds.
+   */
+  readonly target?: number;
 }
 
 /** Where to start and what to accept. Plain JSON. */
@@ -46,8 +51,8 @@
 export interface CascadeRating extends CascadeAnswer {
   /** 0 (bad) to 1 (good). */
   readonly rating: number;
-  /** Share of answers, 0 to 1, that the workspace wants rated good. */
-  readonly target: number;
+  /** As in the request. */
+  readonly target?: number;
 }
 
 /**
