--- a/packages/ledger/src/claims.ts
+++ b/packages/ledger/src/claims.ts
@@ -137,8 +137,10 @@
    * `settleVoid`, and until then the claim can be taken over.
    */
   async abandon(claim: claimAttempt.Claim): Promise<void> {
-    this.giveUp(claim.identity.name, claim.owner);
-    if ((await this.deleteVoid(claim.owner)) && !claim.mayRepeat) {
+    const {name} = claim.identity;
+    this.giveUp(name, claim.owner);
+    const deleted = await this.objects.delete(name, claim.version);
+    if (deleted.isRight() && !claim.mayRepeat) {
       this.voids.forget(claim.owner);
     }
   }
@@ -228,17 +230,14 @@
     return (await askOwner(record.incarnation, record.owner)) === 'void';
   }
 
-  /** @returns whether an object was certainly deleted */
-  private async deleteVoid(owner: string): Promise<boolean> {
+  private async deleteVoid(owner: string): Promise<void> {
     const name = this.voids.nameOf(owner);
     if (name === undefined) {
-      return false;
+      return;
     }
     const found = await this.objects.read(name);
-    if (found?.record.owner !== owner) {
-      return false;
+    if (found?.record.owner === owner) {
+      await this.objects.delete(name, found.version);
     }
-    const deleted = await this.objects.delete(name, found.version);
-    return deleted.isRight();
   }
 }
