Keep bill copies in different zones after a zone returns

Histories now kill right after an answer, in groups, whole zones, cut instances from peers and platform, let the platform take writes without answering, and keep bills pending for 20 s.

--- a/packages/bench/src/histories/run-history.ts
+++ b/packages/bench/src/histories/run-history.ts
@@ -5,7 +5,9 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as ledger from '@amaranthknot/ledger';
 import type * as platform from '@amaranthknot/platform';
+import * as purify from 'purify-ts';
 import * as seededRandom from '../seeded-random.js';
+import * as faultPlan from './fault-plan.js';
 import type * as histories from './history.js';
 import * as serveRequest from './serve-request.js';
 import * as simulatedInstance from './simulated-instance.js';
@@ -23,38 +25,32 @@
 
 const INSTANCES = 5;
 const ZONES = 3;
-const REQUESTS = 24;
-const RUN_MS = 40_000;
+const REQUESTS = 30;
+const RUN_MS = 45_000;
 /** Quiet time at the end in which bills are recovered and written. */
-const QUIET_MS = 60_000;
+const QUIET_MS = 120_000;
 const IDEMPOTENT_SHARE = 0.3;
 const GIVE_UP_RATE = 0.1;
 const CUT_RATE = 0.1;
-/** Kills in one run: copies bear as many while the platform may be out. */
-const MAX_KILLS = ledger.DEFAULT_BILL_LIMITS.copyQuorum;
-
-/** Draws rates once a run, so that runs differ in what is common in them. */
-const drawRates = (random: () => number) => ({
-  lost: random() < 0.5 ? random() * 0.3 : 0,
-  stale: random() < 0.5 ? random() * 0.3 : 0,
-  down: random() < 0.3 ? random() * 0.2 : 0,
-  slow: random() < 0.3 ? random() * 0.1 : 0,
-  loss: random() < 0.3 ? random() * 0.1 : 0,
-});
 
 class Run {
   private readonly clock = new fakes.VirtualClock();
   private readonly random: () => number;
-  private readonly rates: ReturnType<typeof drawRates>;
+  private readonly plan: faultPlan.FaultPlan;
+  /** Short intervals write many segments, long ones keep bills pending. */
+  private readonly flushIntervalMs: number;
   private readonly store: fakes.MemoryObjectStore;
   private readonly peers: simulatedInstance.Peers;
   private readonly seenStore: platform.ObjectStore;
   private readonly events: histories.HistoryEvent[] = [];
   private readonly silent = new Map<string, number>();
+  private readonly cutFromPlatform = new Set<string>();
   private instances: simulatedInstance.SimulatedInstance[] = [];
+  private lastAnswering: simulatedInstance.SimulatedInstance | undefined;
   private starts = 0;
   private attempts = 0;
   private outUntil = 0;
+  private isDeaf = false;
   private quiet = false;
 
   constructor(
@@ -62,7 +58,8 @@
     private readonly options: RunOptions,
   ) {
     this.random = seededRandom.createRandom(seed);
-    this.rates = drawRates(this.random);
+    this.plan = faultPlan.drawFaultPlan(this.random, RUN_MS);
+    this.flushIntervalMs = this.random() < 0.5 ? 2_000 : 20_000;
     this.store = new fakes.MemoryObjectStore({
       clock: this.clock,
       fault: operation => this.drawFault(operation),
@@ -71,7 +68,7 @@
     const network = new simulatedNetwork.SimulatedNetwork({
       clock: this.clock,
       random: this.random,
-      lossRate: this.rates.loss,
+      lossRate: this.plan.rates.messageLoss,
       instances: () => this.instances,
       silentSince: incarnation => this.silent.get(incarnation),
     });
@@ -84,7 +81,9 @@
       this.startInstance(`zone-${i % ZONES}`);
     }
     this.scheduleRequests();
-    this.scheduleFaults();
+    for (const fault of this.plan.faults) {
+      this.schedule(fault.atMs, () => this.inject(fault));
+    }
     await this.clock.advance(RUN_MS);
     this.quiet = true;
     await this.clock.advance(QUIET_MS);
@@ -95,18 +94,46 @@
   }
 
   private startInstance(zone: string): void {
+    const incarnation = `instance-${this.starts++}`;
     const instance = new simulatedInstance.SimulatedInstance({
-      incarnation: `instance-${this.starts++}`,
+      incarnation,
       zone,
       clock: this.clock,
-      store: this.seenStore,
+      store: this.createConnection(incarnation),
       random: this.random,
       peers: this.peers,
+      flushIntervalMs: this.flushIntervalMs,
     });
     this.instances.push(instance);
     instance.start();
   }
 
+  /** An instance's own way to the platform, which can be cut. */
+  private createConnection(incarnation: string): platform.ObjectStore {
+    const store = this.seenStore;
+    const call = async <T>(
+      make: () => Promise<platform.StoreResult<T>>,
+    ): Promise<platform.StoreResult<T>> => {
+      if (!this.cutFromPlatform.has(incarnation)) {
+        return make();
+      }
+      await this.clock.sleep(this.random() * 2_000);
+      return purify.Left({code: 'unknown', message: 'no way to the platform'});
+    };
+    return {
+      get: (kind, name) => call(() => store.get(kind, name)),
+      list: (kind, prefix) => call(() => store.list(kind, prefix)),
+      create: (kind, name, value) =>
+        call(() => store.create(kind, name, value)),
+      update: (kind, name, value, version) =>
+        call(() => store.update(kind, name, value, version)),
+      delete: (kind, name, version) =>
+        call(() => store.delete(kind, name, version)),
+      watch: (kind, after, waitMs, signal) =>
+        call(() => store.watch(kind, after, waitMs, signal)),
+    };
+  }
+
   private scheduleRequests(): void {
     for (let i = 0; i < REQUESTS; i++) {
       const idempotent = this.random() < IDEMPOTENT_SHARE;
@@ -143,6 +170,7 @@
       instance: instance.incarnation,
     };
     const serve = this.options.serve ?? serveRequest.serveRequest;
+    instance.inProgress++;
     const answer = serve(instance, request, {
       isGivenUp: () => this.random() < GIVE_UP_RATE,
       wallTime: () => this.clock.wallTime(),
@@ -152,9 +180,9 @@
         return instance.lifeline.guard(this.answer());
       },
     });
-    instance.inProgress++;
     const told = await instance.lifeline.guard(answer);
     instance.inProgress--;
+    this.lastAnswering = told === 'answered' ? instance : this.lastAnswering;
     this.note({type: 'told', atMs: this.now(), ...common, told});
   }
 
@@ -163,27 +191,33 @@
     return this.random() < CUT_RATE ? 'cut' : 'answered';
   }
 
-  private scheduleFaults(): void {
-    const kills = this.draw(MAX_KILLS + 1);
-    // One whole zone at most: two zones lost within seconds in an outage of
-    // the platform are past what copies in two zones bear.
-    const zones = kills > 0 && this.random() < 0.3 ? 1 : 0;
-    this.scheduleSome(zones, () => this.kill(true));
-    this.scheduleSome(kills - zones, () => this.kill(false));
-    this.scheduleSome(this.draw(3), () => this.pause());
-    this.scheduleSome(this.draw(3), () => this.startOutage());
-    this.scheduleSome(this.draw(3), () => void this.restart());
-  }
-
-  private scheduleSome(count: number, fault: () => void): void {
-    for (let i = 0; i < count; i++) {
-      this.schedule(this.random() * RUN_MS, fault);
+  private inject(fault: faultPlan.PlannedFault): void {
+    switch (fault.kind) {
+      case 'kill':
+        this.kill(fault.wholeZone, fault.afterAnswer);
+        return;
+      case 'pause':
+        this.pause(fault.ms);
+        return;
+      case 'restart':
+        void this.restart();
+        return;
+      case 'outage':
+        this.noteFault(`platform out for ${Math.round(fault.ms)} ms`);
+        this.outUntil = Math.max(this.outUntil, this.now() + fault.ms);
+        this.isDeaf = fault.deaf;
+        return;
+      case 'isolation':
+        this.isolate(fault.ms, fault.fromPlatform);
+        return;
     }
   }
 
   /** Kills an instance, or with it all others of its zone. */
-  private kill(wholeZone: boolean): void {
-    const victim = this.drawAlive();
+  private kill(wholeZone: boolean, afterAnswer: boolean): void {
+    const last = this.lastAnswering;
+    const victim =
+      afterAnswer && last?.lifeline.alive ? last : this.drawAlive();
     const victims = this.instances.filter(
       instance =>
         instance.lifeline.alive &&
@@ -214,37 +248,56 @@
     this.end(instance);
   }
 
-  private pause(): void {
+  private pause(ms: number): void {
     const instance = this.drawAlive();
     if (!instance) {
       return;
     }
-    const ms = this.random() * 12_000;
     instance.lifeline.pause(ms);
     this.noteFault(`pause ${instance.incarnation} for ${Math.round(ms)} ms`);
+    this.silence(instance, ms);
+  }
+
+  private isolate(ms: number, fromPlatform: boolean): void {
+    const instance = this.drawAlive();
+    if (!instance) {
+      return;
+    }
     const {incarnation} = instance;
+    this.noteFault(`cut ${incarnation} for ${Math.round(ms)} ms`);
+    instance.isIsolated = true;
+    if (fromPlatform) {
+      this.cutFromPlatform.add(incarnation);
+    }
+    this.schedule(ms, () => {
+      instance.isIsolated = false;
+      this.cutFromPlatform.delete(incarnation);
+    });
+    this.silence(instance, ms);
+  }
+
+  /** Peers hear nothing of an instance for a time. */
+  private silence(
+    instance: simulatedInstance.SimulatedInstance,
+    ms: number,
+  ): void {
+    const {incarnation, lifeline} = instance;
     this.silent.set(incarnation, this.silent.get(incarnation) ?? this.now());
     this.schedule(ms, () => {
-      if (instance.lifeline.alive && !instance.lifeline.isPaused()) {
+      if (lifeline.alive && !lifeline.isPaused() && !instance.isIsolated) {
         this.silent.delete(incarnation);
       }
     });
   }
 
-  private startOutage(): void {
-    const ms = this.random() * 15_000;
-    this.outUntil = Math.max(this.outUntil, this.now() + ms);
-    this.noteFault(`platform out for ${Math.round(ms)} ms`);
-  }
-
   private drawFault(operation: fakes.StoreOperation): fakes.StoreFault {
     if (this.quiet) {
       return 'none';
     }
     if (this.now() < this.outUntil) {
-      return this.random() < 0.7 ? 'down' : 'lost_before';
+      return this.drawOutageFault();
     }
-    const {down, lost, stale} = this.rates;
+    const {down, lost, stale} = this.plan.rates;
     const draw = this.random();
     if (draw < down) {
       return 'down';
@@ -256,16 +309,21 @@
     return isRead && draw < down + lost + stale ? 'stale' : 'none';
   }
 
+  private drawOutageFault(): fakes.StoreFault {
+    if (this.isDeaf) {
+      return 'lost_after';
+    }
+    return this.random() < 0.7 ? 'down' : 'lost_before';
+  }
+
   /** A slow call takes effect after its caller's timeout. */
   private drawDelay(): number {
-    const slow = !this.quiet && this.random() < this.rates.slow;
+    const slow = !this.quiet && this.random() < this.plan.rates.slow;
     return slow ? 900 + this.random() * 4_000 : 1 + this.random() * 6;
   }
 
   private async noteBills(): Promise<void> {
-    const listing = this.store.list(ledger.BILL_KIND);
-    await this.clock.advance(1_000);
-    const objects = (await listing).map(found => found.objects).orDefault([]);
+    const objects = await this.list(ledger.BILL_KIND);
     for (const object of objects) {
       for (const bill of ledger.readBillSegment(object.value)?.bills ?? []) {
         const {identity, cost} = bill;
@@ -281,9 +339,7 @@
         event.type === 'sent' ? [event.identity] : [],
       ),
     );
-    const listing = this.store.list(ledger.CLAIM_KIND);
-    await this.clock.advance(1_000);
-    const objects = (await listing).map(found => found.objects).orDefault([]);
+    const objects = await this.list(ledger.CLAIM_KIND);
     for (const {name, value} of objects.filter(({name}) => !sent.has(name))) {
       const owner = ledger.readClaimRecord(value)?.incarnation ?? '';
       const ownerAlive = this.instances.some(
@@ -293,6 +349,12 @@
     }
   }
 
+  private async list(kind: string): Promise<readonly platform.StoredObject[]> {
+    const listing = this.store.list(kind);
+    await this.clock.advance(1_000);
+    return (await listing).map(found => found.objects).orDefault([]);
+  }
+
   private drawAlive(): simulatedInstance.SimulatedInstance | undefined {
     const alive = this.instances.filter(
       instance => instance.lifeline.alive && !instance.isLeaving,
--- a/packages/bench/src/histories/simulated-instance.ts
+++ b/packages/bench/src/histories/simulated-instance.ts
@@ -28,13 +28,11 @@
   readonly store: platform.ObjectStore;
   readonly random: () => number;
   readonly peers: Peers;
+  readonly flushIntervalMs: number;
 }
 
-/** Bounds chosen so that a run of a minute meets many segments. */
-const BILL_LIMITS: Partial<ledger.BillLimits> = {
-  flushIntervalMs: 2_000,
-  maxSegmentBills: 4,
-};
+/** So few that a lane needs several segments. */
+const MAX_SEGMENT_BILLS = 4;
 
 const ROUND_MS = 1_000;
 
@@ -49,8 +47,9 @@
   /** Attempts that this instance serves now. */
   inProgress = 0;
   isLeaving = false;
+  /** Whether no message reaches or leaves it. */
+  isIsolated = false;
   private tokens = 0;
-  private seenPeers = '';
 
   constructor(private readonly options: SimulatedInstanceOptions) {
     const {incarnation, peers, random} = options;
@@ -73,7 +72,10 @@
     });
     this.bills = new ledger.BillKeeper({
       ...shared,
-      limits: BILL_LIMITS,
+      limits: {
+        flushIntervalMs: options.flushIntervalMs,
+        maxSegmentBills: MAX_SEGMENT_BILLS,
+      },
       copyToPeers: batch => this.copies.copy(batch),
     });
   }
@@ -117,11 +119,7 @@
 
   private async runRound(): Promise<void> {
     const {peers} = this.options;
-    const candidates = JSON.stringify(peers.candidates(this));
-    if (candidates !== this.seenPeers) {
-      this.seenPeers = candidates;
-      await this.copies.changeMembership(this.incarnation);
-    }
+    await this.copies.changeMembership(this.incarnation);
     await this.holder.recoverDead(
       incarnation => peers.isBelievedDead(incarnation),
       (incarnation, pending) => this.bills.recover(incarnation, pending),
--- a/packages/bench/src/histories/simulated-network.ts
+++ b/packages/bench/src/histories/simulated-network.ts
@@ -40,24 +40,28 @@
   }
 
   send(
-    _from: simulatedInstance.SimulatedInstance,
+    from: simulatedInstance.SimulatedInstance,
     peer: string,
     batch: ledger.CopyBatch,
   ): Promise<boolean> {
-    return this.ask(peer, false, receiver => receiver.holder.hold(batch));
+    return this.ask(from, peer, false, receiver => receiver.holder.hold(batch));
   }
 
   askOwner(
-    _from: simulatedInstance.SimulatedInstance,
+    from: simulatedInstance.SimulatedInstance,
     incarnation: string,
     owner: string,
   ): Promise<ledger.OwnerAnswer> {
-    return this.ask<ledger.OwnerAnswer>(incarnation, 'no_answer', receiver =>
-      receiver.claims.describeOwner(owner),
+    return this.ask<ledger.OwnerAnswer>(
+      from,
+      incarnation,
+      'no_answer',
+      receiver => receiver.claims.describeOwner(owner),
     );
   }
 
   private ask<T>(
+    from: simulatedInstance.SimulatedInstance,
     incarnation: string,
     timedOut: T,
     handle: (receiver: simulatedInstance.SimulatedInstance) => T,
@@ -69,23 +73,25 @@
     return new Promise(resolve => {
       void clock.sleep(MESSAGE_TIMEOUT_MS).then(() => resolve(timedOut));
       if (receiver) {
-        void this.deliver(receiver, handle, resolve);
+        const isCut = () => from.isIsolated || receiver.isIsolated;
+        void this.deliver(receiver, isCut, handle, resolve);
       }
     });
   }
 
   private async deliver<T>(
     receiver: simulatedInstance.SimulatedInstance,
+    isCut: () => boolean,
     handle: (receiver: simulatedInstance.SimulatedInstance) => T,
     answer: (value: T) => void,
   ): Promise<void> {
     await this.travel();
-    if (this.isLost()) {
+    if (isCut() || this.isLost()) {
       return;
     }
     receiver.lifeline.deliver(() => {
       const value = handle(receiver);
-      if (!this.isLost()) {
+      if (!isCut() && !this.isLost()) {
         void this.travel().then(() => answer(value));
       }
     });
--- a/packages/ledger/src/bills.ts
+++ b/packages/ledger/src/bills.ts
@@ -40,6 +40,12 @@
 /** Time between rounds that try to make bills safe, in milliseconds. */
 const AT_RISK_INTERVAL_MS = 1_000;
 
+/**
+ * Writes tried before one copy has to do. A single refused call is no outage;
+ * three in a row are, and waiting longer would only hold up the answer.
+ */
+const TRIES_WITH_COPY = 3;
+
 const groupByLane = (
   pending: readonly billTypes.PendingBill[],
 ): ReadonlyMap<string, readonly billTypes.Bill[]> => {
@@ -192,8 +198,8 @@
   ): Promise<RecordResult> {
     const {clock} = this.options;
     const deadline = clock.now() + this.limits.safeTimeoutMs;
-    while (clock.now() < deadline) {
-      if (this.platformOut && copies > 0) {
+    for (let tries = 0; clock.now() < deadline; tries++) {
+      if (copies > 0 && tries >= TRIES_WITH_COPY) {
         this.unsafe.delete(identity);
         return 'copied';
       }
--- a/packages/ledger/src/choose-replicas.ts
+++ b/packages/ledger/src/choose-replicas.ts
@@ -43,6 +43,16 @@
   return chosen.map(peer => peer.id);
 };
 
+const countZones = (peers: readonly ReplicaCandidate[]): number =>
+  new Set(peers.map(peer => peer.zone)).size;
+
+const takeOnePerZone = (
+  peers: readonly ReplicaCandidate[],
+): readonly ReplicaCandidate[] =>
+  peers.filter(
+    (peer, i) => peers.findIndex(other => other.zone === peer.zone) === i,
+  );
+
 /**
  * Keeps live replicas wherever they rank, and adds others only below the
  * quorum (loosely coupled replicas, after Kim and Park, "Reducing Data
@@ -51,10 +61,15 @@
  * Load: 87 failures and 1,200 restarts a day among 1,000 instances. Following
  * the ranking copies all pending bills whenever a better-ranked peer joins,
  * though the old copies are as good. Bench `copies` compares the two.
+ *
+ * Replicas that share a zone do not count as a quorum once another zone is
+ * there: they were chosen while that zone was away, and would be lost at once.
  */
 export const chooseLoosely: ReplicaChoice = (current, candidates, quorum) => {
   const live = candidates.filter(peer => current.includes(peer.id));
-  return fillQuorum(live, candidates, quorum);
+  const zones = Math.min(quorum, countZones(candidates));
+  const kept = countZones(live) < zones ? takeOnePerZone(live) : live;
+  return fillQuorum(kept, candidates, quorum);
 };
 
 /** Follows the ranking at each change: the baseline of bench `copies`. */
--- a/packages/ledger/src/peer-copies.ts
+++ b/packages/ledger/src/peer-copies.ts
@@ -40,7 +40,12 @@
     return copied;
   }
 
-  /** Replaces replicas that left; call it when the list of peers changed. */
+  /**
+   * Replaces replicas that left or share a zone. Call it every few seconds as
+   * well as on a change: a change that came and went between two looks may
+   * have shaped the choice made in that moment. It sends nothing when the
+   * replicas stay.
+   */
   async changeMembership(incarnation: string): Promise<number> {
     const pending = this.options.pending();
     if (pending.length === 0) {
--- a/packages/ledger/tests/peer-copies.test.ts
+++ b/packages/ledger/tests/peer-copies.test.ts
@@ -41,6 +41,19 @@
     candidates: [createPeer('a', 'x'), createPeer('b', 'x'), createPeer('c')],
     chosen: ['a', 'c'],
   },
+  {
+    // Both copies were made while zone y was away. It comes back, then zone x
+    // dies together with the owner, and its answered bills are gone.
+    title: 'loosely: moves a copy when another zone comes back',
+    choose: ledger.chooseLoosely,
+    current: ['a', 'b'],
+    candidates: [
+      createPeer('a', 'x'),
+      createPeer('b', 'x'),
+      createPeer('c', 'y'),
+    ],
+    chosen: ['a', 'c'],
+  },
   {
     title: 'takes two in one zone when there is no other',
     choose: ledger.chooseLoosely,
