--- a/packages/amaranthknot/tests/operator-commands.test.ts
+++ b/packages/amaranthknot/tests/operator-commands.test.ts
@@ -1,3 +1,4 @@
+import * as fs from 'node:fs';
 import * as chai from 'chai';
 import * as configuration from '@amaranthknot/configuration';
 import * as membership from '@amaranthknot/membership';
@@ -7,6 +8,11 @@
 
 const S = '--settings s.toml';
 
+const page = fs.readFileSync(
+  new URL('../../../docs/CLI.md', import.meta.url),
+  'utf8',
+);
+
 interface Json {
   readonly ok: boolean;
   readonly generation?: number;
@@ -47,6 +53,7 @@
     RegExp,
   ])[] = [
     ['a flag misspelt', `status ${S} --jsn`, 2, /--jsn; did you mean --json\?/],
+    ['a short flag', `status ${S} -x`, 2, /unknown option -x/],
     ['a flag without value', 'status --settings', 2, /needs a string/],
     [
       'no number',
@@ -66,6 +73,12 @@
     ['one environment', `promote --from a --to a ${S}`, 2, /two environments/],
     ['nothing to promote', `promote --from x --to y ${S}`, 1, /nothing is in/],
     ['nothing in force', `status ${S} --environment x`, 1, /nothing is in/],
+    [
+      'a misspelt environment',
+      `status ${S} --environment tral`,
+      1,
+      /"trial"\?/,
+    ],
     [
       'a generation that is not in force',
       `apply meetups.toml ${S} --generation 7`,
@@ -207,11 +220,15 @@
     'status',
     'zone',
   ]) {
-    it(`${name} has help with an example and exit codes`, async () => {
+    it(`${name} has help, and its options are on the page`, async () => {
       const run = await fixture.createEnvironment().run(`${name} --help`);
       chai.expect(run.code).equal(0);
       chai.expect(run.out).contain(`$ amaranthknot ${name}`);
       chai.expect(run.out).match(/Example[^]*Exit codes/);
+      chai.expect(page).match(new RegExp(`^## .*\`${name}`, 'm'));
+      for (const option of run.out.match(/--[a-z-]+/g) ?? []) {
+        chai.expect(page).contain(`\`${option}`);
+      }
     });
   }
 });
@@ -272,6 +289,18 @@
     chai.expect(shown.out).contain('akl-a out, akl-b out, akl-c in');
   });
 
+  it('publish every part of a document', async () => {
+    // A document with [sessions] is applied. The relay's own sections had no
+    // place for them: the instances never got the age of session tokens, and
+    // each diff showed it as a change still to be made.
+    const environment = fixture.createEnvironment();
+    const applied = await runJson(environment, `apply rostering.toml ${S}`);
+    const checked = await runJson(environment, 'check rostering.toml');
+    chai.expect(applied.digest).equal(checked.digest);
+    const run = await environment.run(`diff rostering.toml ${S}`);
+    chai.expect(run.out).equal('trial, generation 1: 0 changes\n');
+  });
+
   it('take a zone out although the platform says it is out', async () => {
     // The zone was out and came back in. The platform answers the next read
     // of the head with the one before, where it is out. The operator asks for
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -2,6 +2,7 @@
  * Order of service over workspaces: start-time fair queueing in slot time,
  * with a bounded lead for urgent priorities, and the wait that follows from it.
  */
+import * as demandMeter from './demand-meter.js';
 import type * as slotPool from './slot-pool.js';
 import * as workspaceQueue from './workspace-queue.js';
 
@@ -10,9 +11,10 @@
 type Workspace = workspaceQueue.WorkspaceQueue;
 
 /**
- * Lead in virtual time by priority, in mean service times. An urgent request
- * goes ahead of others by this much and no more, so that a workspace which
- * calls everything urgent cannot starve the rest.
+ * Lead in virtual time by priority, in mean services of the longest kind of
+ * work, as that is what has to be overtaken. An urgent request goes ahead of
+ * others by this much and no more, so that a workspace which calls everything
+ * urgent cannot starve the rest.
  */
 const LEAD: Readonly<Record<Priority, number>> = {
   door_check: 20,
@@ -32,10 +34,25 @@
 /** Most credit for time without demand, in mean service times. */
 const CREDIT = 2;
 
+/** Where a request would stand in the order of service. */
+interface Position {
+  readonly workspace: Workspace;
+  readonly tag: number;
+  /** Slot time of its own workspace that goes before it. */
+  readonly ownMs: number;
+  /** Mean service of the longest kind of work. */
+  readonly unitMs: number;
+  readonly nowMs: number;
+}
+
 /** Shares the slots of a pool between workspaces. */
 export class FairShare {
   private virtualTime = 0;
   private readonly workspaces = new Map<string, Workspace>();
+  /** Workspaces with waiting requests; decisions look at no others. */
+  private readonly backlogged = new Set<Workspace>();
+  /** Slots that requests of all workspaces lately keep busy. */
+  private readonly demand = new demandMeter.DemandMeter();
 
   constructor(private readonly slots: slotPool.SlotPool) {}
 
@@ -68,6 +85,17 @@
       workspace.virtualTime = this.startOf(workspace);
     }
     workspace.push(entry, nowMs);
+    this.backlogged.add(workspace);
+    this.demand.add(entry.serviceMs, nowMs);
+  }
+
+  /** Takes a waiting request out of its workspace's queue. */
+  leave(entry: Entry): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    workspace.leave(entry);
+    if (workspace.queued === 0) {
+      this.backlogged.delete(workspace);
+    }
   }
 
   /** Notes how long a request waited, to judge later expectations. */
@@ -93,18 +121,20 @@
 
   /** The request to run next: that of the workspace furthest behind. */
   chooseNext(nowMs: number): Entry | undefined {
-    const isOpen = (priority: Priority) => this.slots.isOpen(priority, nowMs);
+    const open = workspaceQueue.ADMISSION_PRIORITIES.filter(priority =>
+      this.slots.isOpen(priority, nowMs),
+    );
+    const unitMs = this.slots.longestServiceMs;
     let best: Entry | undefined;
     let bestTag = Infinity;
     let floor = Infinity;
-    for (const workspace of this.workspaces.values()) {
-      const entry =
-        workspace.queued > 0 ? workspace.head(nowMs, isOpen) : undefined;
+    for (const workspace of this.backlogged) {
+      const entry = workspace.head(nowMs, open);
       if (!entry || workspace.inFlight >= entry.request.maxConcurrent) {
         continue;
       }
       floor = Math.min(floor, workspace.virtualTime);
-      const tag = this.tagOf(workspace, entry);
+      const tag = this.tagOf(workspace, entry, unitMs);
       if (isAhead(tag, bestTag, entry, best)) {
         best = entry;
         bestTag = tag;
@@ -122,9 +152,8 @@
     return Math.max(workspace.virtualTime, this.virtualTime - credit);
   }
 
-  private tagOf(workspace: Workspace, entry: Entry): number {
-    const lead = LEAD[entry.request.priority] * this.slots.meanServiceMs;
-    return workspace.virtualTime - lead;
+  private tagOf(workspace: Workspace, entry: Entry, unitMs: number): number {
+    return workspace.virtualTime - LEAD[entry.request.priority] * unitMs;
   }
 
   /**
@@ -139,15 +168,20 @@
     if (hasSlot && isBelowLimit && ownAhead === 0) {
       return 0;
     }
-    const start = this.startOf(workspace);
-    const lead = LEAD[request.priority] * this.slots.meanServiceMs;
-    const tag = start + ownAhead / request.weight - lead;
-    const own = ownAhead + this.slots.meanServiceMs;
-    const queuedMs = this.waitBehind(own, tag, workspace, 0, nowMs);
+    const unitMs = this.slots.longestServiceMs;
+    const start = this.startOf(workspace) - LEAD[request.priority] * unitMs;
+    const position: Position = {
+      workspace,
+      tag: start + ownAhead / request.weight,
+      ownMs: ownAhead + this.slots.meanServiceMs,
+      unitMs,
+      nowMs,
+    };
+    const queuedMs = this.waitBehind(position, 0);
     // Requests that come during the wait go ahead too, where their workspace
     // is behind in virtual time; without them the wait is guessed too short
     // for large workspaces, and their requests wait only to be given up on.
-    const sharedMs = this.waitBehind(own, tag, workspace, queuedMs, nowMs);
+    const sharedMs = this.waitBehind(position, queuedMs);
     // A workspace at its own bound waits for its own work to end.
     const ownMs = isBelowLimit
       ? 0
@@ -155,34 +189,36 @@
     return Math.max(sharedMs, ownMs) * this.slots.stallFactor(nowMs);
   }
 
-  private waitBehind(
-    ownMs: number,
-    tag: number,
-    workspace: Workspace,
-    horizonMs: number,
-    nowMs: number,
-  ): number {
-    let ahead = ownMs;
-    for (const other of this.workspaces.values()) {
-      if (other !== workspace && (other.queued > 0 || horizonMs > 0)) {
-        ahead += this.serviceBefore(other, tag, horizonMs, nowMs);
+  private waitBehind(position: Position, horizonMs: number): number {
+    const {workspace, tag, nowMs} = position;
+    let ahead = position.ownMs;
+    let idleDemand = this.demand.read(nowMs);
+    for (const other of this.backlogged) {
+      idleDemand -= other.demand.read(nowMs);
+      if (other !== workspace) {
+        ahead += this.serviceBefore(other, position, horizonMs);
       }
     }
-    return ahead / this.slots.capacity;
+    const idle = this.workspaces.size - this.backlogged.size;
+    const start = this.virtualTime - CREDIT * this.slots.meanServiceMs;
+    const idleShare = idle * Math.max(0, tag - start);
+    ahead += Math.min(Math.max(0, idleDemand) * horizonMs, idleShare);
+    return ahead / Math.max(1, this.slots.capacity);
   }
 
-  /** Slot time a workspace gets before its virtual time reaches `tag`. */
+  /** Slot time a workspace gets before its virtual time reaches the tag. */
   private serviceBefore(
     workspace: Workspace,
-    tag: number,
+    position: Position,
     horizonMs: number,
-    nowMs: number,
   ): number {
-    const arriving = workspace.demandAt(nowMs) * horizonMs;
-    const head = workspace.head(nowMs, () => true);
-    const start = this.startOf(workspace);
-    const from = head ? this.tagOf(workspace, head) : start;
-    const share = Math.max(0, tag - from) * workspace.weight;
+    const {nowMs, unitMs} = position;
+    const arriving = workspace.demand.read(nowMs) * horizonMs;
+    const head = workspace.head(nowMs, workspaceQueue.ADMISSION_PRIORITIES);
+    const from = head
+      ? this.tagOf(workspace, head, unitMs)
+      : this.startOf(workspace);
+    const share = Math.max(0, position.tag - from) * workspace.weight;
     return Math.min(workspace.queuedServiceMs + arriving, share);
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,5 @@
 /** Pure decision logic: time and random numbers are arguments. */
+export * from './admission-outcome.js';
 export * from './admission.js';
 export * from './cascade-plan.js';
 export * from './cascade.js';
@@ -6,15 +7,25 @@
 /** Pure decisions under load; see package.json. One line per file, sorted. */
 export * from './admission-outcome.js';
 export * from './admission.js';
+export * from './demand-meter.js';
 export * from './expiry-queue.js';
 export * from './fair-share.js';
 export * from './hash-ring.js';
+export * from './hot-keys.js';
+export * from './expiry-queue.js';
+export * from './fair-share.js';
+export * from './hash-ring.js';
+export * from './logistic-estimate.js';
 export * from './moving-estimate.js';
 export * from './placement-pool.js';
 export * from './placement.js';
 export * from './rendezvous.js';
 export * from './retry-budget.js';
+export * from './rollout-evidence.js';
+export * from './rollout-guard.js';
+export * from './sequential-test.js';
 export * from './slot-pool.js';
 export * from './stage-belief.js';
+export * from './standing-queue.js';
 export * from './upstream-load.js';
 export * from './workspace-queue.js';
--- a/packages/decisions/src/placement-pool.ts
+++ b/packages/decisions/src/placement-pool.ts
@@ -1,5 +1,6 @@
 /** Upstreams of one target, by zone, with the subset an instance watches. */
 import * as hashRing from './hash-ring.js';
+import * as hotKeys from './hot-keys.js';
 import * as movingEstimate from './moving-estimate.js';
 import * as rendezvous from './rendezvous.js';
 import type * as upstreamLoad from './upstream-load.js';
@@ -28,13 +29,28 @@
 /** Latency assumed before the first answer, in milliseconds. */
 const INITIAL_LATENCY_MS = 500;
 
-/** Time for which the values of a whole subset are kept. */
-const REFRESH_MS = 100;
+/** Part of an upstream's share of requests from which a key is spread. */
+const HOT_SHARE = 0.5;
 
-/** Expected time in the batch: load over slots, times slowness. */
+/** Homes of a hot key over those its requests fill. */
+const HOME_SPREAD = 1.5;
+
+/** Time for which values over all watched upstreams are kept. */
+const REFRESH_MS = 200;
+
+/** Slowness that counts as chance: answers differ in length. */
+const TOLERATED_SLOWNESS = 1.5;
+
+/**
+ * Cost of one more request: load over slots, times the square of slowness. In
+ * a batch latency grows less than load does; without the square an idle
+ * upstream that is 10 times slower looks as good as one with 10 requests.
+ */
 export const costOf = (load: Load, view: PoolView): number => {
   const used = load.expectedLoad(view.scale, view.nowMs) + 1;
-  return (used / load.slots) * load.slowness(view.usualMs, view.nowMs);
+  const slowness = load.slowness(view.usualMs, view.nowMs);
+  const penalty = slowness <= TOLERATED_SLOWNESS ? 1 : slowness ** 2;
+  return (used / load.slots) * penalty;
 };
 
 /** Upstreams of one target in one zone. */
@@ -45,6 +61,7 @@
   /** Share of an upstream's slots that one request takes. */
   readonly step: number;
   private readonly scratch: Load[];
+  private readonly keys = new hotKeys.HotKeys();
 
   constructor(
     readonly zone: string,
@@ -66,7 +83,23 @@
 
   /** All upstreams of the zone that a key prefers, first choice first. */
   ranked(key: string): readonly Load[] {
-    return this.ring.lookUp(key).flatMap(index => this.members[index] ?? []);
+    const ranked: Load[] = [];
+    for (const index of this.ring.lookUp(key)) {
+      const load = this.members[index];
+      if (load) {
+        ranked.push(load);
+      }
+    }
+    return ranked;
+  }
+
+  /**
+   * Upstreams that a key is spread over: one, or as many as its share of
+   * requests fills, or one prefix would take all its first choice has.
+   */
+  homeCount(key: string): number {
+    const filled = this.keys.record(key) * this.members.length;
+    return filled < HOT_SHARE ? 1 : Math.ceil(filled * HOME_SPREAD);
   }
 
   /** Mean share of slots in use, as far as the subset shows. */
@@ -130,8 +163,13 @@
   private readonly scale = new movingEstimate.MovingEstimate();
   private refreshMs = -Infinity;
   private latencyMs = INITIAL_LATENCY_MS;
+  private readonly watched: readonly Load[];
+  private readonly scratch: Float64Array;
 
-  constructor(readonly pools: readonly PlacementPool[]) {}
+  constructor(readonly pools: readonly PlacementPool[]) {
+    this.watched = pools.flatMap(pool => pool.subset);
+    this.scratch = new Float64Array(this.watched.length);
+  }
 
   /** Latency that is usual: the median over upstreams that answered. */
   get usualLatencyMs(): number {
@@ -151,12 +189,12 @@
   }
 
   private refresh(nowMs: number): void {
-    const latencies: number[] = [];
+    let answered = 0;
     let all = 0;
     let own = 0;
-    for (const load of this.pools.flatMap(pool => pool.subset)) {
+    for (const load of this.watched) {
       if (load.measuredLatencyMs !== undefined) {
-        latencies.push(load.measuredLatencyMs);
+        this.scratch[answered++] = load.measuredLatencyMs;
       }
       if (load.hasReport(nowMs)) {
         all += load.lastReport.load;
@@ -166,8 +204,8 @@
     if (own > 0) {
       this.scale.add(all / own);
     }
-    latencies.sort((a, b) => a - b);
-    const middle = latencies[Math.floor(latencies.length / 2)];
+    const latencies = this.scratch.subarray(0, answered).sort();
+    const middle = latencies[Math.floor(answered / 2)];
     this.latencyMs = Math.max(1, middle ?? INITIAL_LATENCY_MS);
   }
 }
