--- /dev/null
+++ b/packages/entry/src/rollout-shares.ts
@@ -0,0 +1,69 @@
+/** The share of new sessions that each running roll-out has now. */
+import type * as configuration from '@amaranthknot/configuration';
+import * as decisions from '@amaranthknot/decisions';
+import type * as platform from '@amaranthknot/platform';
+import * as rolloutCounters from './rollout-counters.js';
+import * as rolloutDriver from './rollout-driver.js';
+
+/** Time between two readings, in milliseconds. */
+export const SHARES_INTERVAL_MS = 1_000;
+
+/**
+ * Age past which a share counts as 0 for new sessions, in milliseconds. While
+ * the guard cannot be heard, as in a platform outage, a bad version could not
+ * be stopped; its sessions of before keep it, new ones get the old version.
+ */
+const MAX_AGE_MS = 10_000;
+
+/** Reads and remembers the shares. */
+export class RolloutShares {
+  private shares = new Map<string, number>();
+  private readAt = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly store: platform.ObjectStore,
+    private readonly clock: platform.Clock,
+  ) {}
+
+  /** Reads all states; called only while a roll-out is in the document. */
+  async refresh(environment: string): Promise<void> {
+    const kind = rolloutDriver.ROLLOUT_KIND;
+    const listing = await this.store.list(kind, `${environment}.`);
+    listing.ifRight(({objects}) => {
+      this.readAt = this.clock.now();
+      this.shares = new Map(
+        objects.map(({name, value}) => {
+          const {state} = value as rolloutDriver.StoredRollout;
+          return [name, state.stopped ? 0 : state.share];
+        }),
+      );
+    });
+  }
+
+  /** Share of new sessions for a roll-out, 0 to 1. */
+  shareOf(environment: string, rollout: configuration.Rollout): number {
+    const isOld = this.clock.now() - this.readAt > MAX_AGE_MS;
+    if (isOld || rollout.state === 'withdrawn') {
+      return 0;
+    }
+    const name = rolloutDriver.nameState(environment, rollout);
+    return this.shares.get(name) ?? 0;
+  }
+
+  /** Version that a new session gets; undefined without a roll-out. */
+  assign(
+    environment: string,
+    rollouts: readonly configuration.Rollout[],
+    model: string,
+    sessionKey: string,
+  ): string | undefined {
+    const rollout = rollouts.find(found => found.model === model);
+    if (!rollout) {
+      return undefined;
+    }
+    const name = rolloutCounters.nameRollout(rollout);
+    const share = this.shareOf(environment, rollout);
+    const chosen = decisions.assignVersion(name, sessionKey, share);
+    return chosen === 'new' ? rollout.to : rollout.from;
+  }
+}
--- a/packages/fakes/src/platform-server.ts
+++ b/packages/fakes/src/platform-server.ts
@@ -37,6 +37,9 @@
   readonly store: memoryObjectStore.MemoryObjectStore;
   private readonly server: hapi.Server;
   private instances: readonly platform.ListedInstance[];
+  /** Rates an answer; undefined leaves it without a rating. */
+  rate: (sample: platform.RatingSample) => number | undefined = () => 1;
+  private readonly ratings = new Map<string, platform.Rating[]>();
   /** What happens to calls from now on. */
   mode: PlatformMode = 'up';
 
@@ -156,6 +159,26 @@
             ? h.response({error: 'down'}).code(503)
             : {instances: this.instances},
       },
+      {
+        method: 'POST',
+        path: '/ratings/{name}',
+        handler: request => {
+          const {samples} = request.payload as {
+            samples: readonly platform.RatingSample[];
+          };
+          this.rateAll(paramsOf(request).name, samples);
+          return {};
+        },
+      },
+      {
+        method: 'GET',
+        path: '/ratings/{name}',
+        handler: request => {
+          const {after} = request.query as {after: string};
+          const all = this.ratings.get(paramsOf(request).name) ?? [];
+          return {ratings: all.slice(Number(after)), cursor: all.length};
+        },
+      },
       {
         method: 'POST',
         path: '/instances/{name}',
@@ -174,6 +197,20 @@
     this.instances = [...others, listed];
   }
 
+  private rateAll(
+    source: string,
+    samples: readonly platform.RatingSample[],
+  ): void {
+    const all = this.ratings.get(source) ?? [];
+    for (const sample of samples) {
+      const rating = this.rate(sample);
+      if (rating !== undefined) {
+        all.push({requestId: sample.requestId, rating});
+      }
+    }
+    this.ratings.set(source, all);
+  }
+
   private async reply<T>(
     h: hapi.ResponseToolkit,
     result: Promise<platform.StoreResult<T>>,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,3 +5,5 @@
 export * from './http-object-store.js';
 export * from './instance-list.js';
 export * from './object-store.js';
+export * from './http-rating-service.js';
+export * from './rating-service.js';
