Follow the first names of sections; test steps between generations

configuration gave its sections their first names back; membership follows, and readDocument gives a document again, as the operators' commands take it.

--- a/packages/membership/src/configuration-head.ts
+++ b/packages/membership/src/configuration-head.ts
@@ -6,6 +6,7 @@
 import * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
 import * as purify from 'purify-ts';
+import type * as compareManifests from './util/compare-manifests.js';
 
 /** Kind of the heads, one object for each environment. */
 export const HEAD_KIND = 'configuration_head';
@@ -17,7 +18,7 @@
 export interface HeadStep {
   readonly generation: number;
   readonly digest: string;
-  readonly entries: readonly configuration.SectionEntry[];
+  readonly entries: readonly compareManifests.SectionEntry[];
   readonly removed: readonly string[];
 }
 
@@ -68,7 +69,7 @@
 ): Promise<platform.StoreResult<unknown>> => {
   const result = await store.get(SECTION_KIND, digest);
   return result.chain(({value}) =>
-    configuration.digestValue(value) === digest
+    configuration.isSectionIntact({name: digest, digest, value})
       ? purify.Right(value)
       : purify.Left({
           code: 'unavailable' as const,
@@ -86,22 +87,28 @@
     value => value as configuration.Manifest,
   );
 
-/** A document as it is stored: join it with `configuration.joinSections`. */
-export type StoredDocument = Omit<configuration.SplitDocument, 'byteLengths'>;
-
 /** Reads a whole document by the digest of its manifest. */
 export const readDocument = async (
   store: platform.ObjectStore,
   digest: string,
-): Promise<platform.StoreResult<StoredDocument>> => {
+): Promise<platform.StoreResult<configuration.Document>> => {
   const manifest = await readManifest(store, digest);
-  const sections = new Map<string, unknown>();
-  for (const entry of manifest.map(m => m.entries).orDefault([])) {
-    const section = await readSection(store, entry.digest);
+  if (manifest.isLeft()) {
+    return manifest;
+  }
+  const {sections} = manifest.unsafeCoerce();
+  const contents = new Map<string, unknown>();
+  for (const each of Object.values(sections)) {
+    const section = await readSection(store, each);
     if (section.isLeft()) {
       return section;
     }
-    sections.set(entry.digest, section.extract());
+    contents.set(each, section.extract());
   }
-  return manifest.map(m => ({manifest: m, sections, digest}));
+  return configuration
+    .joinSections({sections}, each => contents.get(each))
+    .mapLeft(([error]) => ({
+      code: 'unavailable' as const,
+      message: `${error?.section ?? ''}: ${error?.message ?? ''}`,
+    }));
 };
--- a/packages/membership/src/configuration-publisher.ts
+++ b/packages/membership/src/configuration-publisher.ts
@@ -171,7 +171,7 @@
     before.orDefault(compareManifests.EMPTY_MANIFEST),
     manifest,
   );
-  const digest = configuration.digestValue(manifest);
+  const digest = configuration.digestManifest(manifest);
   // What the base names is stored already: only the difference is written, so
   // the calls for one change do not grow with the document.
   const wanted = new Set(difference.entries.map(entry => entry.digest));
@@ -208,7 +208,10 @@
   publication?: string,
 ): Promise<headMove.PublishResult<headMove.Publication>> => {
   const split = configuration.splitDocument(document);
-  return publishManifest(store, environment, split.manifest, split.sections, {
+  const contents = new Map(
+    split.sections.map(({digest, value}) => [digest, value]),
+  );
+  return publishManifest(store, environment, split.manifest, contents, {
     ...(expectedGeneration === undefined ? {} : {expectedGeneration}),
     ...(publication === undefined ? {} : {publication}),
   });
--- a/packages/membership/src/configuration-source.ts
+++ b/packages/membership/src/configuration-source.ts
@@ -47,7 +47,7 @@
   return read.map(manifest => ({
     manifest,
     history: sectionHistory.startHistory(
-      manifest.entries.map(({name}) => name),
+      Object.keys(manifest.sections),
       head.generation,
     ),
   }));
@@ -87,9 +87,9 @@
     return outline;
   }
   const {manifest, history} = outline.unsafeCoerce();
-  const missing = manifest.entries
-    .map(entry => entry.digest)
-    .filter(digest => !current?.sections.has(digest));
+  const missing = Object.values(manifest.sections).filter(
+    digest => !current?.sections.has(digest),
+  );
   const contents = await readSections(store, [...new Set(missing)]);
   return contents.map(read => ({
     environment,
--- a/packages/membership/src/configuration-step.ts
+++ b/packages/membership/src/configuration-step.ts
@@ -52,7 +52,7 @@
   fresh: ReadonlyMap<string, unknown>,
 ): ReadonlyMap<string, unknown> =>
   new Map(
-    manifest.entries.map(({digest}) => [
+    Object.values(manifest.sections).map(digest => [
       digest,
       known?.get(digest) ?? fresh.get(digest),
     ]),
@@ -71,13 +71,16 @@
   if (generation <= (current?.generation ?? 0)) {
     return fail('not_newer', `generation ${generation} is not newer`);
   }
-  if (configuration.digestValue(manifest) !== digest) {
+  if (configuration.digestManifest(manifest) !== digest) {
     return fail('corrupt', `the manifest does not match ${digest}`);
   }
   const sections = pickSections(manifest, current?.sections, step.contents);
   return configuration
-    .joinSections(manifest, sections)
-    .mapLeft(({message}) => ({code: 'corrupt' as const, message}))
+    .joinSections(manifest, each => sections.get(each))
+    .mapLeft(([error]) => ({
+      code: 'corrupt' as const,
+      message: error?.message ?? '',
+    }))
     .map(document => ({
       environment,
       generation,
@@ -139,9 +142,6 @@
   const {changedAt, removedAt, since} = history;
   const isPartial = have > 0 && have >= since;
   const after = isPartial ? have : 0;
-  const digests = new Map(
-    manifest.entries.map(entry => [entry.name, entry.digest]),
-  );
   return {
     environment,
     generation,
@@ -150,7 +150,7 @@
     since,
     sections: sectionHistory.listAfter(changedAt, after).map(each => ({
       ...each,
-      content: sections.get(digests.get(each.name) ?? ''),
+      content: sections.get(manifest.sections[each.name] ?? ''),
     })),
     removed: sectionHistory.listAfter(removedAt, after),
   };
--- a/packages/membership/src/util/compare-manifests.ts
+++ b/packages/membership/src/util/compare-manifests.ts
@@ -1,45 +1,45 @@
 /** Differences between the manifests of two configurations. */
-import type * as configuration from '@amaranthknot/configuration';
+import * as configuration from '@amaranthknot/configuration';
+
+/** A named section and the digest of its content. */
+export interface SectionEntry {
+  readonly name: string;
+  readonly digest: string;
+}
 
 /** What has to change in one manifest to get another. */
 export interface ManifestDifference {
-  readonly entries: readonly configuration.SectionEntry[];
+  readonly entries: readonly SectionEntry[];
   readonly removed: readonly string[];
 }
 
 /** The manifest of no document. */
-export const EMPTY_MANIFEST: configuration.Manifest = {entries: []};
-
-const toMap = (manifest: configuration.Manifest): Map<string, string> =>
-  new Map(manifest.entries.map(({name, digest}) => [name, digest]));
+export const EMPTY_MANIFEST: configuration.Manifest = {sections: {}};
 
 /** Finds the entries to set and the names to remove. */
 export const compareManifests = (
   from: configuration.Manifest,
   to: configuration.Manifest,
-): ManifestDifference => {
-  const before = toMap(from);
-  const after = toMap(to);
-  return {
-    entries: to.entries.filter(({name, digest}) => before.get(name) !== digest),
-    removed: [...before.keys()].filter(name => !after.has(name)),
-  };
-};
+): ManifestDifference => ({
+  entries: configuration
+    .listChangedSections(from, to)
+    .map(name => ({name, digest: to.sections[name] ?? ''})),
+  removed: Object.keys(from.sections).filter(
+    name => !Object.hasOwn(to.sections, name),
+  ),
+});
 
 /** Applies a difference to a manifest. */
 export const applyDifference = (
   from: configuration.Manifest,
   difference: ManifestDifference,
 ): configuration.Manifest => {
-  const after = toMap(from);
+  const after = new Map(Object.entries(from.sections));
   for (const name of difference.removed) {
     after.delete(name);
   }
   for (const {name, digest} of difference.entries) {
     after.set(name, digest);
   }
-  const entries = [...after]
-    .map(([name, digest]) => ({name, digest}))
-    .sort((a, b) => (a.name < b.name ? -1 : 1));
-  return {entries};
+  return {sections: Object.fromEntries(after)};
 };
--- a/packages/membership/tests/configuration-publisher.test.ts
+++ b/packages/membership/tests/configuration-publisher.test.ts
@@ -1,5 +1,4 @@
 import * as chai from 'chai';
-import * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
 import * as membership from '@amaranthknot/membership';
 import * as fleets from './fleet.js';
@@ -28,10 +27,8 @@
   if (digest === undefined) {
     return undefined;
   }
-  const stored = await membership.readDocument(store, digest);
-  const {manifest, sections} = stored.unsafeCoerce();
-  return configuration.joinSections(manifest, sections).unsafeCoerce()
-    .models[0]!.defaultVersion;
+  const document = await membership.readDocument(store, digest);
+  return document.unsafeCoerce().models[0]!.defaultVersion;
 };
 
 const codeOf = (result: Awaited<ReturnType<typeof publish>>): string =>
--- /dev/null
+++ b/packages/membership/tests/configuration-step.test.ts
@@ -0,0 +1,138 @@
+import * as chai from 'chai';
+import type * as configuration from '@amaranthknot/configuration';
+import * as fakes from '@amaranthknot/fakes';
+import * as membership from '@amaranthknot/membership';
+import * as purify from 'purify-ts';
+import * as fleets from './fleet.js';
+
+/** A relay without peers, fed with heads straight from a store. */
+const createScene = () => {
+  const clock = new fakes.VirtualClock();
+  const store = new fakes.MemoryObjectStore({clock});
+  const createRelay = () =>
+    new membership.ConfigurationRelay({
+      environment: fleets.ENVIRONMENT,
+      store,
+      transport: () =>
+        Promise.resolve(purify.Left({code: 'not_sent', message: 'none'})),
+      peers: new membership.Peers({
+        id: 'a',
+        address: 'a:80',
+        zone: 'a',
+        state: 'live',
+        incarnation: 1,
+      }),
+      clock,
+      onChange: () => undefined,
+    });
+  const publish = async (document: configuration.Document) => {
+    await membership.publishDocument(store, fleets.ENVIRONMENT, document);
+  };
+  const follow = async (relay: membership.ConfigurationRelay) => {
+    const read = await membership.readHead(store, fleets.ENVIRONMENT);
+    const stored = read.unsafeCoerce();
+    await relay.adoptHead(stored!.head);
+    return relay.inForce()!;
+  };
+  return {createRelay, publish, follow};
+};
+
+const zoned = (state: configuration.ZoneState): configuration.Document => ({
+  ...fleets.createDocument('v1'),
+  zones: [{name: 'a', state}],
+});
+
+const without = (): configuration.Document => ({
+  ...fleets.createDocument('v1'),
+  zones: [],
+});
+
+describe('configuration steps', () => {
+  const paths: readonly {
+    readonly name: string;
+    readonly documents: readonly configuration.Document[];
+  }[] = [
+    {name: 'changed', documents: [zoned('in'), zoned('out')]},
+    {
+      name: 'changed and changed back',
+      documents: [zoned('in'), zoned('out'), zoned('in')],
+    },
+    {name: 'removed', documents: [zoned('in'), without()]},
+    {
+      name: 'removed and added again',
+      documents: [zoned('in'), without(), zoned('out')],
+    },
+    {name: 'added', documents: [without(), zoned('in')]},
+  ];
+
+  // A zone is taken out and in again. An instance that has the middle
+  // generation gets a step from one that skipped it, and goes on without the
+  // last change, or can not follow any more.
+  for (const {name, documents} of paths) {
+    it(`lead from each generation to the last when a part is ${name}`, async () => {
+      const {createRelay, publish, follow} = createScene();
+      const skipping = createRelay();
+      const stages: membership.ConfigurationInForce[] = [];
+      for (const [index, document] of documents.entries()) {
+        await publish(document);
+        stages.push(await follow(createRelay()));
+        if (index === 0) {
+          await follow(skipping);
+        }
+      }
+      const last = await follow(skipping);
+      for (const stage of stages.slice(0, -1)) {
+        const change = membership.describeChange(stage.generation, last);
+        const taken = membership
+          .readChange(stage, change)
+          .chain(step => membership.takeStep(stage, step));
+        chai.expect(taken.unsafeCoerce().document).eql(last.document);
+        chai.expect(change.baseGeneration).equal(stage.generation);
+      }
+    });
+  }
+
+  it('are refused when they are old, altered or of another base', async () => {
+    const {createRelay, publish, follow} = createScene();
+    await publish(zoned('in'));
+    const first = await follow(createRelay());
+    await publish(zoned('out'));
+    const last = await follow(createRelay());
+    const change = membership.describeChange(1, last);
+    const altered = {
+      ...change,
+      sections: change.sections.map(each => ({...each, content: {name: 'b'}})),
+    };
+    const cases = [
+      {current: last, change, code: 'other_base'},
+      {
+        current: last,
+        change: membership.describeChange(0, last),
+        code: 'not_newer',
+      },
+      {current: first, change: altered, code: 'corrupt'},
+    ];
+    for (const {current, change: given, code} of cases) {
+      const error = membership
+        .readChange(current, given)
+        .chain(step => membership.takeStep(current, step))
+        .swap()
+        .unsafeCoerce();
+      chai.expect(error.code).equal(code);
+    }
+  });
+
+  it('give the whole to one behind the history', async () => {
+    const {createRelay, publish, follow} = createScene();
+    for (let i = 0; i < 5; i++) {
+      await publish(zoned(i % 2 === 0 ? 'in' : 'out'));
+    }
+    const late = await follow(createRelay());
+    const change = membership.describeChange(1, late);
+    chai.expect(change.baseGeneration).equal(undefined);
+    const taken = membership
+      .readChange(undefined, change)
+      .chain(step => membership.takeStep(undefined, step));
+    chai.expect(taken.unsafeCoerce().document).eql(late.document);
+  });
+});
