Drive roll-outs by pooled evidence, with ratings, over all instances

Cause: the guard had no road into the product. Each instance counts evidence and answers for it; the holder of a roll-out's lease pools it, writes the guard's state by conditional update under its fencing number, and on a stop withdraws the version in the configuration in force, which then holds on every instance by the configuration's own guarantees. While the shares cannot be read for 10 s, new sessions get the old version. Found by its test: a bad version was never stopped (40 s, 1,890 requests, 0 ratings). The answer was offered for rating after the generator's yield, and a reader that has its answer reads no further. Ruled out: the guard (evidence of requests came in), the rating stand-in. Offered before the yield, the bad version is stopped and withdrawn on all three instances in 5 s with at most 60 bad answers; a successor resumes the state of a driver that left.

--- a/packages/amaranthknot/src/embedded-deployment.ts
+++ b/packages/amaranthknot/src/embedded-deployment.ts
@@ -113,7 +113,7 @@
           environment,
           listen: {host: '127.0.0.1', port: ports[i] ?? 0},
         },
-        platform: {objectApi: url, instanceList: url},
+        platform: {objectApi: url, instanceList: url, rating: url},
         keys: {
           operatorDigest: sha256(operatorKey),
           innerKey: text,
--- a/packages/amaranthknot/src/entry-instance.ts
+++ b/packages/amaranthknot/src/entry-instance.ts
@@ -1,7 +1,9 @@
 /** One running entry instance: its parts, its loops, its planned stop. */
+import * as entry from '@amaranthknot/entry';
 import * as instanceParts from './instance-parts.js';
 import type * as instanceOptions from './instance-options.js';
 import * as loadPoller from './load-poller.js';
+import * as rolloutParts from './rollout-parts.js';
 
 /** How often the platform's instance list is read, in milliseconds. */
 const LIST_INTERVAL_MS = 2_000;
@@ -12,6 +14,9 @@
 /** How often claims that were given up are cleared away, in ms. */
 const SETTLE_INTERVAL_MS = 3_000;
 
+/** How often ratings are sent and collected, in milliseconds. */
+const RATING_INTERVAL_MS = 1_000;
+
 /** How often a planned stop looks whether its requests are done, in ms. */
 const DRAIN_CHECK_MS = 50;
 
@@ -22,6 +27,8 @@
 export class EntryInstance {
   private readonly get: instanceParts.Resolve;
   private readonly stopping = new AbortController();
+  /** Names of the roll-out duties that this instance competes for. */
+  private readonly rollouts = new Set<string>();
   private loops: Promise<unknown> = Promise.resolve();
 
   constructor(private readonly options: instanceOptions.InstanceOptions) {
@@ -49,6 +56,10 @@
         loadPoller.pollLoad(get('directory'), reports),
       ),
       this.repeat(RECOVER_INTERVAL_MS, () => this.recoverBills()),
+      this.repeat(entry.SHARES_INTERVAL_MS, () =>
+        rolloutParts.followRollouts(get, this.rollouts),
+      ),
+      this.repeat(RATING_INTERVAL_MS, () => this.exchangeRatings()),
       this.repeat(SETTLE_INTERVAL_MS, () => get('claims').settleVoid()),
     ]);
     get('logger').info('serving', {
@@ -70,6 +81,8 @@
     get('events').record('instance_leaving');
     get('logger').info('leaving');
     get('server').leave();
+    // Duties first: their successors begin while this instance still serves.
+    await get('duties').stop();
     await get('follower').announceLeaving();
     await clock.sleep(addressMaxAgeMs);
     while (get('server').inProgress > 0 && clock.now() < deadline) {
@@ -85,6 +98,10 @@
     get('logger').info('stopped');
   }
 
+  private async exchangeRatings(): Promise<void> {
+    await this.get('ratingDesk')?.exchange();
+  }
+
   private async refreshUpstreams(): Promise<void> {
     const listed = await this.get('instanceList').list();
     listed.ifRight(instances => this.get('directory').applyList(instances));
--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -14,6 +14,7 @@
 import * as telemetry from '@amaranthknot/telemetry';
 import * as upstreams from '@amaranthknot/upstreams';
 import type * as instanceOptions from './instance-options.js';
+import * as rolloutParts from './rollout-parts.js';
 
 /** Parts of a running instance, by token. */
 export interface Parts {
@@ -36,6 +37,11 @@
   readonly pins: entry.PinRegistry;
   readonly retries: decisions.RetryBudget;
   readonly cascades: decisions.CascadePolicy;
+  readonly duties: membership.DutyRunner;
+  readonly rolloutCounters: entry.RolloutCounters;
+  readonly rolloutShares: entry.RolloutShares;
+  /** Undefined where the settings name no rating service. */
+  readonly ratingDesk: entry.RatingDesk | undefined;
   readonly peerServer: protocol.PeerServer;
   readonly server: entry.EntryServer;
 }
@@ -159,6 +165,10 @@
         writtenLanes,
       ),
     }),
+    fetch_evidence: ({rollout}) => ({
+      incarnation: get('incarnation'),
+      ...get('rolloutCounters').read(rollout),
+    }),
     fetch_bills: ({owner}) => ({bills: [...get('billCopies').of(owner)]}),
     describe_claim: ({incarnation, owner}) => ({
       state:
@@ -234,7 +244,8 @@
     offerAddresses: zone => offerAddresses(get, zone),
     admission: get('admission'),
     cascades: get('cascades'),
-    assignVersion: () => undefined,
+    assignVersion: (model, sessionKey) =>
+      rolloutParts.assignVersion(get, model, sessionKey),
     pinVersion: (workspace, sessionId, model, version) =>
       get('pins').pin(workspace, sessionId, model, version),
     placeStage: (run, tried) =>
@@ -255,7 +266,34 @@
     logger: get('logger'),
     handlePeer: text => get('peerServer').handle(text),
     describeState: () => describeState(get),
-    noteRating: rating => get('cascades').observeRating(rating),
+    offerForRating: given => rolloutParts.offerForRating(get, given),
+    countVersion: (model, version, sign) =>
+      rolloutParts.countVersion(get, model, version, sign),
+  });
+};
+
+const createDuties = (get: Resolve): membership.DutyRunner =>
+  new membership.DutyRunner({
+    store: get('store'),
+    clock: get('options').clock,
+    random,
+    peers: get('peers'),
+    createToken: () => crypto.randomUUID(),
+  });
+
+const createRatingDesk = (get: Resolve): entry.RatingDesk | undefined => {
+  const {settings, secrets} = get('options');
+  const {rating} = settings.platform;
+  if (rating === undefined) {
+    return undefined;
+  }
+  return new entry.RatingDesk({
+    service: new platform.HttpRatingService(
+      createHttp(rating, secrets.platformKey),
+    ),
+    source: get('incarnation'),
+    random,
+    onRating: (answer, value) => rolloutParts.takeRating(get, answer, value),
   });
 };
 
@@ -324,6 +362,10 @@
   retries: () =>
     new decisions.RetryBudget({initial: decisions.DEFAULT_RETRY_BURST}),
   cascades: () => new decisions.CascadePolicy(),
+  duties: createDuties,
+  rolloutCounters: () => new entry.RolloutCounters(),
+  rolloutShares: get => new entry.RolloutShares(get('store'), options.clock),
+  ratingDesk: createRatingDesk,
   peerServer: createPeerServer,
   server: createServer,
 });
--- a/packages/amaranthknot/src/operator/in-force.ts
+++ b/packages/amaranthknot/src/operator/in-force.ts
@@ -107,7 +107,7 @@
 }
 
 const tryChange = async (
-  reached: operations.Operations,
+  reached: Pick<operations.Operations, 'store'>,
   environment: string,
   edit: Edit,
 ): Promise<purify.Either<outcome.Failure, Changed>> => {
@@ -145,7 +145,7 @@
  * lost answer is settled by doing it again, since edits set states.
  */
 export const changeDocument = async (
-  reached: operations.Operations,
+  reached: Pick<operations.Operations, 'store'>,
   environment: string,
   edit: Edit,
 ): Promise<purify.Either<outcome.Failure, Changed>> => {
--- /dev/null
+++ b/packages/amaranthknot/tests/rollouts.test.ts
@@ -0,0 +1,106 @@
+import * as chai from 'chai';
+import type * as embedded from '../src/embedded-deployment.js';
+import * as fixtures from './support/fixtures.js';
+import * as processes from './support/processes.js';
+
+const STEPS = [0.1, 0.4, 1];
+
+/** Requests in flight together. */
+const BATCH = 30;
+
+describe('a roll-out over three instances', () => {
+  let deployment: embedded.EmbeddedDeployment;
+  beforeEach(async () => {
+    const document = fixtures.createDocument({rolloutSteps: STEPS});
+    deployment = await fixtures.startDeployment({document});
+  });
+  afterEach(() => deployment.stop());
+
+  const rateVersion = (version: string, rating: number) => {
+    deployment.standIns.platform.rate = ({model}) =>
+      model === `small@${version}` ? rating : 1;
+  };
+
+  /** Sends requests until a condition holds; counts answers by version. */
+  const sendUntil = async (
+    addresses: readonly string[],
+    holds: () => boolean,
+  ): Promise<ReadonlyMap<string, number>> => {
+    const counts = new Map<string, number>();
+    await processes.waitUntil('the roll-out has moved', async () => {
+      const answers = await Promise.all(
+        Array.from({length: BATCH}, (_, i) =>
+          fixtures.chat(addresses[i % addresses.length]!, 'hello', {
+            model: 'small',
+          }),
+        ),
+      );
+      for (const answer of answers) {
+        const model = String(answer.json.model);
+        counts.set(model, (counts.get(model) ?? 0) + 1);
+      }
+      return holds();
+    });
+    return counts;
+  };
+
+  const smallInForce = (index: number) =>
+    deployment.instances[index]!.parts('follower')
+      .inForce()!
+      .document.models.find(model => model.name === 'small')!;
+
+  const isWithdrawnEverywhere = () =>
+    [0, 1, 2].every(index =>
+      smallInForce(index).versions.some(
+        version => version.name === 'v2' && version.state === 'withdrawn',
+      ),
+    );
+
+  const hasEvent = (name: string) =>
+    deployment.instances.some(instance =>
+      instance
+        .parts('events')
+        .read()
+        .some(event => event.name === name),
+    );
+
+  // Every answer of the new version is bad. Callers of all instances get a few
+  // of them while it is at its first step; then it is withdrawn everywhere.
+  it('stops a bad version and withdraws it everywhere', async () => {
+    rateVersion('v2', 0);
+    const counts = await sendUntil(deployment.addresses, isWithdrawnEverywhere);
+    chai.expect(hasEvent('rollout_stopped')).equal(true);
+    const bad = counts.get('small@v2') ?? 0;
+    chai.expect(bad).within(1, 60);
+    const after = await sendUntil(deployment.addresses, () => true);
+    chai.expect([...after.keys()]).eql(['small@v1']);
+  });
+
+  // The instance that drives the roll-out leaves half way. Another takes the
+  // duty and goes on from the written state, with a higher fencing number.
+  it('is resumed by another instance when its driver leaves', async () => {
+    const isDriver = (index: number) =>
+      deployment.instances[index]!.parts('duties').held().length > 0;
+    await sendUntil(deployment.addresses, () => hasEvent('rollout_step'));
+    const driver = [0, 1, 2].find(isDriver)!;
+    const readStored = async () => {
+      const {store} = deployment.standIns.platform;
+      const listing = (await store.list('rollout_state')).unsafeCoerce();
+      return listing.objects[0]!.value as {
+        fencing: number;
+        state: {rated: number};
+      };
+    };
+    const before = await readStored();
+    await deployment.instances[driver]!.stop();
+    const others = [0, 1, 2].filter(index => index !== driver);
+    const addresses = others.map(index => deployment.addresses[index]!);
+    await sendUntil(addresses, () => others.some(isDriver));
+    await processes.waitUntil('the successor writes', async () => {
+      await sendUntil(addresses, () => true);
+      return (await readStored()).fencing > before.fencing;
+    });
+    const after = await readStored();
+    chai.expect(after.state.rated).greaterThanOrEqual(before.state.rated);
+  });
+});
--- a/packages/amaranthknot/tests/support/fixtures.ts
+++ b/packages/amaranthknot/tests/support/fixtures.ts
@@ -27,7 +27,11 @@
 
 /** Text of the test environment; `extra` is appended. */
 export const createDocumentText = (
-  overrides: {readonly zoneStates?: Readonly<Record<string, string>>} = {},
+  overrides: {
+    readonly zoneStates?: Readonly<Record<string, string>>;
+    /** Steps of a roll-out of small from v1 to v2. */
+    readonly rolloutSteps?: readonly number[];
+  } = {},
 ): string => `
 [models.small]
 cost_per_thousand_tokens = 0.1
@@ -52,12 +56,22 @@
 
 [[rules]]
 workspaces = ["north"]
-allow = ["cascade:answers", "service:bookings"]
+allow = ["cascade:answers", "model:small", "service:bookings"]
 
 [[rules]]
 workspaces = ["south"]
 allow = ["cascade:answers", "model:small@v1"]
 
+${
+  overrides.rolloutSteps === undefined
+    ? ''
+    : `[rollouts.small]
+from = "v1"
+to = "v2"
+steps = [${overrides.rolloutSteps.join(', ')}]
+`
+}
+
 ${ZONES.map(
   zone =>
     `[zones.${zone}]\nstate = "${overrides.zoneStates?.[zone] ?? 'in'}"\n`,
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -131,11 +131,21 @@
         call,
         context.signal,
       );
+      let text = '';
       for await (const item of items) {
-        if (item.kind === 'answered') {
-          yield await this.bill(chat, item.answer);
-        } else {
-          yield item;
+        switch (item.kind) {
+          case 'token':
+            text += item.text;
+            yield item;
+            break;
+          case 'answered':
+            // Before the yield: a reader that has its answer reads no further.
+            parts.offerForRating({call, answer: item.answer, text});
+            yield await this.bill(chat, item.answer);
+            break;
+          case 'failed':
+            yield item;
+            break;
         }
       }
     } finally {
@@ -413,9 +423,10 @@
           workspace: workspace.name,
           task: request.task,
           model,
-          escalated: false,
+          escalated: notice.escalated,
           score: notice.confidence,
         });
+        this.parts.countVersion(model, version, {requests: 1});
         break;
       }
       case 'stage_failed':
@@ -424,10 +435,26 @@
           detail: notice.failure.code,
         });
         metrics.stages.inc({model, version, outcome: notice.failure.code});
+        this.countFailure(notice);
         break;
     }
   }
 
+  /**
+   * Counts a failure against the version only where its engine took the
+   * request: a full or lost upstream says nothing about a version.
+   */
+  private countFailure(
+    notice: Extract<chatRunner.ChatNotice, {readonly kind: 'stage_failed'}>,
+  ): void {
+    const {run, failure} = notice;
+    if (failure.code === 'aborted' || failure.ran === 'not_run') {
+      return;
+    }
+    const sign = {requests: 1, errors: 1};
+    this.parts.countVersion(run.model, run.version, sign);
+  }
+
   private notifyAttempt(
     run: chatRunner.StageRun,
     notice: upstreams.CompletionNotice,
--- a/packages/entry/src/chat-runner.ts
+++ b/packages/entry/src/chat-runner.ts
@@ -41,6 +41,8 @@
   readonly upstream: string;
   readonly finishReason: string;
   readonly tokens: number;
+  /** The engine's own score, 0 to 1. */
+  readonly confidence: number;
   /** Cost of all stages that ran. */
   readonly cost: number;
   readonly stages: readonly StageCost[];
@@ -72,6 +74,8 @@
       readonly run: StageRun;
       readonly confidence: number;
       readonly accepted: boolean;
+      /** Whether an earlier stage's answer was rejected. */
+      readonly escalated: boolean;
     }
   | {
       readonly kind: 'stage_failed';
@@ -175,12 +179,14 @@
         case 'finished': {
           const {confidence} = item.end;
           const accepted = accepts(confidence);
+          const escalated = this.costs.length > 0;
           this.addCost(stage.model, version, item.end.completionTokens);
           this.parts.notify({
             kind: 'stage_answered',
             run,
             confidence,
             accepted,
+            escalated,
           });
           if (!accepted) {
             this.ran = 'ran';
@@ -214,6 +220,7 @@
       upstream: item.upstream,
       finishReason: item.end.finishReason,
       tokens: item.end.completionTokens,
+      confidence: item.end.confidence,
       cost: this.costs.reduce((sum, stage) => sum + stage.cost, 0),
       stages: this.costs,
     };
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -7,6 +7,7 @@
 import type * as upstreams from '@amaranthknot/upstreams';
 import type * as admissionGate from './admission-gate.js';
 import type * as chatRunner from './chat-runner.js';
+import type * as rolloutCounters from './rollout-counters.js';
 
 /** The configuration that this instance works by. */
 export interface InForce {
@@ -32,6 +33,13 @@
   readonly stopGraceMs: number;
 }
 
+/** An answer that a caller got. */
+export interface GivenAnswer {
+  readonly call: chatRunner.ChatCall;
+  readonly answer: chatRunner.ChatAnswer;
+  readonly text: string;
+}
+
 /** Where one attempt of a chat stage may run. */
 export type PlaceStage = (
   run: chatRunner.StageRun,
@@ -87,6 +95,12 @@
   readonly handlePeer: (text: string) => Promise<string>;
   /** State for operators, as JSON. */
   readonly describeState: () => object;
-  /** Notes how good an answer was rated. */
-  readonly noteRating: (rating: decisions.CascadeRating) => void;
+  /** Notes an answer that was given, so that some of them are rated. */
+  readonly offerForRating: (answer: GivenAnswer) => void;
+  /** Counts what a version did, for a roll-out that may be about it. */
+  readonly countVersion: (
+    model: string,
+    version: string,
+    sign: rolloutCounters.VersionSign,
+  ) => void;
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -11,3 +11,7 @@
 export * from './bill-copies.js';
 export * from './pin-registry.js';
 export * from './upstream-directory.js';
+export * from './rating-desk.js';
+export * from './rollout-counters.js';
+export * from './rollout-driver.js';
+export * from './rollout-shares.js';
--- a/packages/platform/src/http-rating-service.ts
+++ b/packages/platform/src/http-rating-service.ts
@@ -35,9 +35,7 @@
   async collect(
     source: string,
     cursor: number,
-  ): Promise<
-    purify.Either<objectStore.StoreError, ratingService.RatingBatch>
-  > {
+  ): Promise<purify.Either<objectStore.StoreError, ratingService.RatingBatch>> {
     const path = `/ratings/${encodeURIComponent(source)}?after=${cursor}`;
     const answer = await this.client.send('GET', path);
     return answer.chain(({status, body}) => {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -86,6 +86,15 @@
   counters: zod.record(zod.string(), zod.number()),
 });
 
+/** What one instance saw of one version. */
+const versionCounts = zod.object({
+  requests: count,
+  errors: count,
+  slow: count,
+  rated: count,
+  bad: count,
+});
+
 /** Schemas of parameters and results by method. */
 export const schemas = {
   /** Tells what is in force here; answers the same, and newer sections. */
@@ -165,6 +174,16 @@
     }),
     result: zod.object({}),
   },
+  /** Fetches what the receiver counted of a roll-out's two versions. */
+  fetch_evidence: {
+    params: zod.object({rollout: name}),
+    result: zod.object({
+      /** Names the receiver's start; its counters begin at 0 there. */
+      incarnation: name,
+      old: versionCounts,
+      new: versionCounts,
+    }),
+  },
   /** Asks whether a claim that the receiver made is void. */
   describe_claim: {
     params: zod.object({incarnation: name, owner: name}),
