--- /dev/null
+++ b/packages/decisions/tests/rollout-guard.test.ts
@@ -0,0 +1,139 @@
+import * as chai from 'chai';
+import * as decisions from '../src/index.js';
+
+const STEPS = [0.01, 0.02, 0.5, 1];
+
+const createCounts = (
+  requests: number,
+  bad: number,
+): decisions.VersionCounts => ({
+  ...decisions.NO_COUNTS,
+  requests,
+  rated: requests,
+  bad,
+});
+
+const createLook = (
+  evidence: decisions.EvidenceByInstance,
+): decisions.RolloutLook => ({
+  steps: STEPS,
+  evidence,
+  requestRate: 20,
+  ratingDelay: 5,
+});
+
+const createEvidence = (newBad: number): decisions.RolloutEvidence => ({
+  old: createCounts(8_000, 400),
+  new: createCounts(2_000, newBad),
+});
+
+const look = (
+  state: decisions.RolloutState,
+  evidence: decisions.EvidenceByInstance,
+) => decisions.lookAtRollout(state, createLook(evidence));
+
+describe('roll-out guard', () => {
+  const cases = [
+    {name: 'advances an equally good version', bad: 100, kind: 'advance'},
+    {name: 'advances a better version', bad: 20, kind: 'advance'},
+    {name: 'stops a version three times as bad', bad: 300, kind: 'stop'},
+  ];
+  for (const {name, bad, kind} of cases) {
+    it(name, () => {
+      const start = decisions.createRolloutState();
+      const {decision} = look(start, {a: createEvidence(bad)});
+      chai.expect(decision.kind).to.equal(kind);
+    });
+  }
+
+  it('stops for errors that no rating shows', () => {
+    const evidence = createEvidence(100);
+    const failing = {...evidence, new: {...evidence.new, errors: 40}};
+    const start = decisions.createRolloutState();
+    const {decision} = look(start, {a: failing});
+    chai.expect(decision).to.include({kind: 'stop', reason: 'errors'});
+  });
+
+  it('keeps a stopped version stopped', () => {
+    const start = decisions.createRolloutState();
+    const stopped = look(start, {a: createEvidence(300)}).state;
+    const {decision} = look(stopped, {b: createEvidence(10)});
+    chai.expect(decision.kind).to.equal('stop');
+  });
+
+  // Callers of seven instances get bad answers, too few on each for anybody
+  // to notice. Only their sum shows it.
+  it('sees what no instance sees alone', () => {
+    const part = {old: createCounts(100, 5), new: createCounts(20, 6)};
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+    const all = Object.fromEntries(ids.map(id => [id, part]));
+    const start = decisions.createRolloutState();
+    chai.expect(look(start, {a: part}).decision.kind).not.to.equal('stop');
+    chai.expect(look(start, all).decision.kind).to.equal('stop');
+  });
+
+  // The driver is lost after its look; the next resumes from the stored JSON
+  // and sees the same counters again, one of them from before. Counting any
+  // twice would stop a version for bad answers that were never given.
+  it('judges no evidence twice when another driver resumes', () => {
+    const early = {a: {old: createCounts(500, 20), new: createCounts(50, 5)}};
+    const late = {a: {old: createCounts(900, 40), new: createCounts(90, 8)}};
+    const first = look(decisions.createRolloutState(), late).state;
+    const json = JSON.parse(JSON.stringify(first)) as decisions.RolloutState;
+    const again = look(look(json, late).state, early).state;
+    chai.expect(again.ratings).to.deep.equal(first.ratings);
+    chai.expect(again.rated).to.equal(first.rated);
+  });
+
+  it('hands out little at a high rate before ratings come', () => {
+    const {decision} = decisions.lookAtRollout(decisions.createRolloutState(), {
+      ...createLook({}),
+      requestRate: 15_000,
+      ratingDelay: 30,
+    });
+    chai.expect(decision.share * 15_000 * 30).to.be.at.most(20.001);
+  });
+});
+
+describe('assignVersion', () => {
+  const sessions = Array.from({length: 2_000}, (_, i) => `session-${i}`);
+
+  it('gives about the share asked for', () => {
+    const assigned = sessions.filter(
+      key => decisions.assignVersion('r', key, 0.25) === 'new',
+    );
+    chai.expect(assigned.length).to.be.within(430, 570);
+  });
+
+  it('keeps the new version of a session as the share grows', () => {
+    const moved = sessions.filter(
+      key =>
+        decisions.assignVersion('r', key, 0.1) === 'new' &&
+        decisions.assignVersion('r', key, 0.2) === 'old',
+    );
+    chai.expect(moved).to.be.empty;
+  });
+
+  const cases = [
+    {share: 0, version: 'old'},
+    {share: 1, version: 'new'},
+  ];
+  for (const {share, version} of cases) {
+    it(`gives everybody the ${version} version at ${share}`, () => {
+      const versions = sessions.map(key =>
+        decisions.assignVersion('r', key, share),
+      );
+      chai.expect(new Set(versions)).to.deep.equal(new Set([version]));
+    });
+  }
+});
+
+describe('shareRatings', () => {
+  for (const share of [0, 0.005, 0.02, 0.1, 0.5, 1]) {
+    it(`keeps to the budget at a share of ${share}`, () => {
+      const ratings = decisions.shareRatings(share, 0.1);
+      const spent = ratings.new * share + ratings.old * (1 - share);
+      chai.expect(spent).to.be.at.most(0.1 + 1e-9);
+    });
+  }
+});
--- /dev/null
+++ b/packages/decisions/tests/warm-up.test.ts
@@ -0,0 +1,172 @@
+import * as chai from 'chai';
+import * as decisions from '../src/index.js';
+
+const CURVE = {coldSlots: 4, fullSlots: 64, warmMs: 60_000};
+const TIMING = {termMs: 1_000, drainMs: 5_000, viewLagMs: 3_000};
+
+const ask = (
+  issuer: decisions.WarmUpIssuer,
+  instance: string,
+  nowMs: number,
+  inFlight = 0,
+  wanted = 64,
+) =>
+  decisions.issueGrant(
+    issuer,
+    {instance, wanted, inFlight},
+    nowMs,
+    CURVE,
+    TIMING,
+  );
+
+describe('findBearable', () => {
+  const cases = [
+    {ageMs: -1, slots: 4},
+    {ageMs: 0, slots: 4},
+    {ageMs: 30_000, slots: 34},
+    {ageMs: 60_000, slots: 64},
+    {ageMs: Infinity, slots: 64},
+  ];
+  for (const {ageMs, slots} of cases) {
+    it(`is ${slots} slots at ${ageMs} ms`, () => {
+      chai.expect(decisions.findBearable(CURVE, ageMs)).to.equal(slots);
+    });
+  }
+});
+
+describe('issueGrant', () => {
+  it('never issues more than the bound to many instances', () => {
+    let issuer = decisions.createFirstIssuer(0);
+    let sum = 0;
+    for (let i = 0; i < 20; i++) {
+      const answer = ask(issuer, `entry-${i}`, 0);
+      issuer = answer.issuer;
+      sum += answer.grant.slots;
+    }
+    chai.expect(sum).to.equal(4);
+  });
+
+  // The holder of all slots is cut off with work in progress. Its slots may
+  // be issued again only when its work has certainly ended.
+  it('keeps the slots of a holder that went silent until its drain', () => {
+    const {issuer} = ask(decisions.createFirstIssuer(0), 'a', 0);
+    chai.expect(ask(issuer, 'b', 5_900).grant.slots).to.equal(5);
+    chai.expect(ask(issuer, 'b', 6_000).grant.slots).to.equal(10);
+  });
+
+  // A smaller grant is answered, the answer is lost: the holder goes on with
+  // the larger one until its end. Freeing the difference at once would let
+  // another's work come on top.
+  it('frees nothing by a smaller grant whose answer may be lost', () => {
+    const first = ask(decisions.createFirstIssuer(0), 'a', 0);
+    chai.expect(first.grant.slots).to.equal(4);
+    const smaller = ask(first.issuer, 'a', 500, 0, 1);
+    chai.expect(smaller.grant.slots).to.equal(1);
+    chai.expect(ask(smaller.issuer, 'b', 600).grant.slots).to.equal(0);
+  });
+
+  it('issues again at once when a holder wants nothing more', () => {
+    const first = ask(decisions.createFirstIssuer(0), 'a', 0);
+    const released = ask(first.issuer, 'a', 500, 0, 0);
+    const answer = ask(released.issuer, 'b', 2_100);
+    chai.expect(answer.grant.slots).to.be.at.least(4);
+  });
+
+  it('keeps quiet after taking over until earlier grants have drained', () => {
+    const issuer = decisions.createWarmUpIssuer(0, 10_000, TIMING);
+    chai.expect(ask(issuer, 'a', 18_999).grant.slots).to.equal(0);
+    chai.expect(ask(issuer, 'a', 19_000).grant.slots).to.be.above(0);
+  });
+
+  it('issues nothing when cold again before grants in use fit', () => {
+    const warm = ask(decisions.createFirstIssuer(-60_000), 'a', 0);
+    const cold = decisions.resetIssuer(warm.issuer, 100);
+    chai.expect(ask(cold, 'b', 200).grant.slots).to.equal(0);
+  });
+});
+
+describe('mayIssueGrants', () => {
+  const instances = ['a', 'b', 'c'];
+  const [first = ''] = decisions.rankByRendezvous('u', instances, 1);
+  const [, second = ''] = decisions.rankByRendezvous('u', instances, 2);
+  const view = {instances, confirmedAtMs: 10_000, memberSinceMs: 0};
+  const cases = [
+    {name: 'the first rank', self: first, view, expected: true},
+    {name: 'the second rank', self: second, view, expected: false},
+    {
+      name: 'one whose view is old',
+      self: first,
+      view: {...view, confirmedAtMs: 6_000},
+      expected: false,
+    },
+    {
+      name: 'one that others may not know yet',
+      self: first,
+      view: {...view, memberSinceMs: 9_000},
+      expected: false,
+    },
+  ];
+  for (const {name, self, view: seen, expected} of cases) {
+    it(`is ${expected} for ${name}`, () => {
+      const may = decisions.mayIssueGrants('u', self, seen, 10_000, TIMING);
+      chai.expect(may).to.equal(expected);
+    });
+  }
+});
+
+describe('cold detector', () => {
+  const answer = (firstTokenMs: number): decisions.UpstreamSign => ({
+    kind: 'answer',
+    firstTokenMs,
+  });
+  const report = (startedAtMs: number): decisions.UpstreamSign => ({
+    kind: 'report',
+    startedAtMs,
+  });
+  const usual = [report(5), answer(100), answer(110)];
+  const cases: readonly {
+    readonly name: string;
+    readonly signs: readonly decisions.UpstreamSign[];
+    readonly isCold: boolean;
+  }[] = [
+    {name: 'usual answers', signs: [answer(120)], isCold: false},
+    {
+      name: 'two slow answers',
+      signs: [answer(900), answer(900)],
+      isCold: false,
+    },
+    {
+      name: 'three slow answers in a row',
+      signs: [answer(900), answer(900), answer(900)],
+      isCold: true,
+    },
+    {
+      name: 'three slow answers with a usual one between',
+      signs: [answer(900), answer(900), answer(90), answer(900)],
+      isCold: false,
+    },
+    {
+      name: 'a refusal for being cold',
+      signs: [{kind: 'refusal', reason: 'cold'}],
+      isCold: true,
+    },
+    {
+      name: 'a refusal for being full',
+      signs: [{kind: 'refusal', reason: 'full'}],
+      isCold: false,
+    },
+    {name: 'the same start reported', signs: [report(5)], isCold: false},
+    {name: 'a later start reported', signs: [report(6)], isCold: true},
+  ];
+  for (const {name, signs, isCold} of cases) {
+    it(`is ${isCold ? 'cold' : 'warm'} after ${name}`, () => {
+      const warm = decisions.markWarm(decisions.createColdDetector());
+      const seen = [...usual, ...signs].reduce(decisions.seeSign, warm);
+      chai.expect(seen.isCold).to.equal(isCold);
+    });
+  }
+
+  it('takes an upstream for cold that it has not seen', () => {
+    chai.expect(decisions.createColdDetector().isCold).to.equal(true);
+  });
+});
