Let workspaces within their share wait, and test admission under load

Cause: the bound on standing queues refused small workspaces that asked for half of their share: 156 of 431 answered in a test with 8 slots beside a large workspace at 4 times capacity, as the queue that stood was not theirs. They may now wait 1.1 mean services and use 80% of that; the test passes at 95%. Tests run bursts, a large workspace, long work and saturation, and check each history; four planted faults are seen by the check.

--- a/packages/bench/src/benches/burst.ts
+++ b/packages/bench/src/benches/burst.ts
@@ -12,6 +12,8 @@
 const LARGE = 2;
 const LARGE_SHARE = 0.8;
 const BURST = 5;
+/** A burst in which small workspaces ask for less than their fair share. */
+const MILD_BURST = 3;
 const QUIET = 0.5;
 const AFTER = 0.8;
 const BURST_START_MS = 10_000;
@@ -39,6 +41,7 @@
   readonly seed: number;
   readonly isProduct: boolean;
   readonly hasLarge: boolean;
+  readonly burst?: number;
 }
 
 const isLarge = (workspace: string): boolean => workspace.startsWith('large');
@@ -48,17 +51,17 @@
     ? `large-${Math.floor(random() * LARGE)}`
     : `small-${Math.floor(random() * (WORKSPACES - LARGE))}`;
 
-const loadAt = (nowMs: number): number => {
+const loadAt = (nowMs: number, burst: number): number => {
   if (nowMs < BURST_START_MS) {
     return QUIET;
   }
-  return nowMs < BURST_END_MS ? BURST : AFTER;
+  return nowMs < BURST_END_MS ? burst : AFTER;
 };
 
 const isInBurst = (nowMs: number): boolean =>
   nowMs >= BURST_START_MS && nowMs < BURST_END_MS;
 
-const runOnce = ({seed, isProduct, hasLarge}: Mode): Run => {
+const runOnce = ({seed, isProduct, hasLarge, burst = BURST}: Mode): Run => {
   const failureShare = (nowMs: number) =>
     isInBurst(nowMs) ? FAILURE_SHARE : 0;
   const sim = new deployment.Deployment({
@@ -94,7 +97,7 @@
     });
   };
   sim.drive(
-    nowMs => loadAt(nowMs) * capacity * (hasLarge ? 1 : 1 - LARGE_SHARE),
+    nowMs => loadAt(nowMs, burst) * capacity * (hasLarge ? 1 : 1 - LARGE_SHARE),
     END_MS,
     () => {
       const workspace = hasLarge
@@ -196,6 +199,18 @@
     const product = runOnce({seed, isProduct: true, hasLarge: true});
     const alone = runOnce({seed, isProduct: true, hasLarge: false});
     const baseline = runOnce({seed, isProduct: false, hasLarge: true});
+    const mild = runOnce({
+      seed,
+      isProduct: true,
+      hasLarge: true,
+      burst: MILD_BURST,
+    });
+    const mildAlone = runOnce({
+      seed,
+      isProduct: true,
+      hasLarge: false,
+      burst: MILD_BURST,
+    });
     const refused = product.outcomes.filter(o => o.kind === 'refused');
     const told = refused.filter(o => (o.retryAfterMs ?? 0) > 0).length;
     return Promise.resolve([
@@ -234,6 +249,18 @@
         value: smallWaitP99(alone),
         unit: 'ms',
       },
+      {
+        figure: 'small_wait_p99_within_share',
+        value: smallWaitP99(mild),
+        unit: 'ms',
+        baseline: smallWaitP99(mildAlone),
+      },
+      {
+        figure: 'small_answered_share_within_share',
+        value: shareOf(mild, 'answered', isSmallInBurst),
+        unit: 'of offered',
+        baseline: shareOf(mildAlone, 'answered', isSmallInBurst),
+      },
       {
         figure: 'small_goodput',
         value: smallGoodput(product),
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -12,6 +12,7 @@
 import * as fairShare from './fair-share.js';
 import * as slotPool from './slot-pool.js';
 import * as standingQueue from './standing-queue.js';
+import * as waitPolicy from './wait-policy.js';
 import type * as workspaceQueue from './workspace-queue.js';
 
 /** Settings of an admission queue. */
@@ -34,24 +35,6 @@
 /** Deviations kept free after the mean service time, as in TCP's timeout. */
 const SERVICE_DEVIATIONS = 4;
 
-/**
- * Share of the time left that the expected wait may take. Waits vary more than
- * they last; the rest keeps those given up on below 1% of refusals.
- */
-const WAIT_SHARE = 0.35;
-
-/**
- * Mean service times after which a filled queue counts as standing. Waits of
- * a burst's first moments set the tail, so it is short.
- */
-const STANDING_SERVICES = 0.25;
-
-/**
- * Wait allowed in a standing queue, in mean service times: enough to keep all
- * slots busy between two arrivals, as goodput in the burst shows.
- */
-const STANDING_WAIT = 0.8;
-
 /** Shortest and longest time a refused caller is told to stay away. */
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 30_000;
@@ -63,12 +46,18 @@
   private order = 0;
   private readonly standing = new standingQueue.StandingQueue();
   private readonly shares: fairShare.FairShare;
+  private readonly waits: waitPolicy.WaitPolicy;
   private readonly waiting = new Map<string, Entry>();
   private readonly expiries = new expiryQueue.ExpiryQueue();
 
   constructor(private readonly options: AdmissionOptions) {
     this.slots = new slotPool.SlotPool(options.capacity);
     this.shares = new fairShare.FairShare(this.slots);
+    this.waits = new waitPolicy.WaitPolicy(
+      this.slots,
+      this.shares,
+      this.standing,
+    );
     this.maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
   }
 
@@ -189,7 +178,7 @@
     const marginMs = Math.min(fullMargin, Math.max(serviceMs, slackMs / 2));
     const admitByMs = Math.min(
       request.deadlineMs - marginMs,
-      nowMs + this.maxWaitMs(request, nowMs),
+      nowMs + this.waits.maxWaitMs(request, workspace, nowMs),
     );
     return {
       request,
@@ -211,10 +200,12 @@
     if (this.slots.capacity < 1) {
       return 'no_capacity';
     }
-    // Work that would end after its deadline takes a slot and helps no one.
     const neededMs = waitMs * workspace.waitMargin;
-    if (neededMs > WAIT_SHARE * (entry.admitByMs - nowMs)) {
-      return this.maxWaitMs(entry.request, nowMs) < entry.request.maxWaitMs
+    const allowedMs = entry.admitByMs - nowMs;
+    const share = this.waits.waitShare(entry.request, workspace, nowMs);
+    // Work that would end after its deadline takes a slot and helps no one.
+    if (neededMs > share * allowedMs) {
+      return this.waits.isKeptShort(entry.request, nowMs)
         ? 'overloaded'
         : 'deadline_unreachable';
     }
@@ -231,20 +222,6 @@
     return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
   }
 
-  /**
-   * Longest wait allowed now. A queue that never empties adds wait and no
-   * throughput: bursts may use the whole wait that a workspace allows, but a
-   * standing queue is kept short, as by CoDel. Batch work may wait.
-   */
-  private maxWaitMs(request: Request, nowMs: number): number {
-    const serviceMs = this.slots.meanServiceMs;
-    const standingMs = this.standing.standingMs(request.priority, nowMs);
-    const isStanding = standingMs > STANDING_SERVICES * serviceMs;
-    return isStanding && request.priority !== 'batch'
-      ? Math.min(request.maxWaitMs, STANDING_WAIT * serviceMs)
-      : request.maxWaitMs;
-  }
-
   private enqueue(entry: Entry, nowMs: number): void {
     this.shares.push(entry, nowMs);
     this.waiting.set(entry.request.id, entry);
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -146,6 +146,13 @@
     return best;
   }
 
+  /** Whether a workspace asks for no more than its share of late. */
+  isWithinShare(workspace: Workspace): boolean {
+    const asked = workspace.queuedServiceMs / workspace.weight;
+    const limit = this.virtualTime + this.slots.meanServiceMs;
+    return workspace.virtualTime + asked <= limit;
+  }
+
   /** Virtual time at which a workspace without waiting requests starts. */
   private startOf(workspace: Workspace): number {
     const credit = CREDIT * this.slots.meanServiceMs;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,4 +14,5 @@
 export * from './slot-pool.js';
 export * from './standing-queue.js';
 export * from './upstream-load.js';
+export * from './wait-policy.js';
 export * from './workspace-queue.js';
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -32,8 +32,17 @@
   batch: {least: 1 / 4, most: 3 / 4},
 };
 
-/** Slots kept over the mean demand, which varies. */
-const RESERVE_MARGIN = 1.2;
+/**
+ * Deviations of demand that slots are kept for (square-root staffing, demand
+ * being about Poisson). With 2.3 for door checks, who then wait in 1 of 100
+ * cases, interactive work lost a tenth of its answers and door checks gained
+ * nothing, as slots come free often enough.
+ */
+const STAFFING: Readonly<Record<Priority, number>> = {
+  door_check: 1,
+  interactive: 1,
+  batch: 0,
+};
 
 /** Time over which demand is averaged: that of a long answer. */
 const DEMAND_WINDOW_MS = 10_000;
@@ -138,28 +147,30 @@
     const free = this.capacity - this.running.size;
     let urgentRunning = 0;
     let urgentDemand = 0;
+    let wanted = 0;
     for (const other of workspaceQueue.ADMISSION_PRIORITIES) {
       if (other === priority) {
         break;
       }
       urgentRunning += this.runningByPriority[other];
-      urgentDemand += this.demand[other].read(nowMs);
+      const demand = this.demand[other].read(nowMs);
+      urgentDemand += demand;
+      wanted += demand + STAFFING[other] * Math.sqrt(demand);
     }
     if (urgentDemand < LEAST_DEMAND) {
       return free > 0;
     }
-    const kept = this.keptFrom(priority, urgentDemand);
+    const kept = this.keptFrom(priority, wanted);
     return free - Math.max(0, kept - urgentRunning) > 0;
   }
 
-  private keptFrom(priority: Priority, urgentDemand: number): number {
+  private keptFrom(priority: Priority, wanted: number): number {
     const {least, most} = RESERVE[priority];
-    const wanted = Math.ceil(urgentDemand * RESERVE_MARGIN);
     const floor = Math.ceil(least * this.capacity);
     const ceiling = Math.floor(most * this.capacity);
     // One slot always stays open, or small capacities would starve the rest.
     const bound = Math.min(Math.max(floor, ceiling), this.capacity - 1);
-    return Math.min(Math.max(floor, wanted), bound);
+    return Math.min(Math.max(floor, Math.ceil(wanted)), bound);
   }
 
   /**
--- /dev/null
+++ b/packages/decisions/tests/load.test.ts
@@ -0,0 +1,187 @@
+import * as chai from 'chai';
+import * as decisions from '@amaranthknot/decisions';
+import * as fixture from './load-fixture.js';
+
+const CAPACITY = 8;
+const SERVICE_MS = 200;
+/** Requests a second that the slots can do. */
+const RATE = (CAPACITY * 1000) / SERVICE_MS;
+
+const createGate = (): decisions.AdmissionQueue =>
+  new decisions.AdmissionQueue({
+    capacity: CAPACITY,
+    random: fixture.createRandom(1),
+  });
+
+const createLoad = (
+  workspaces: readonly string[],
+  load: number,
+  options: Partial<fixture.DemandOptions> = {},
+): readonly fixture.Demand[] =>
+  workspaces.flatMap((workspace, i) =>
+    fixture.createDemand({
+      workspace,
+      ratePerSecond: (load * RATE) / workspaces.length,
+      untilMs: 30_000,
+      serviceMs: SERVICE_MS,
+      seed: i + 1,
+      ...options,
+    }),
+  );
+
+const SMALL = ['small-0', 'small-1', 'small-2', 'small-3'];
+
+const answered = (outcomes: readonly fixture.Outcome[]) =>
+  outcomes.filter(({answers}) => answers[0] === 'answered');
+
+const inTime = (outcomes: readonly fixture.Outcome[]) =>
+  answered(outcomes).filter(
+    ({demand, endedMs}) => endedMs! <= demand.request.deadlineMs,
+  );
+
+const findWaits = (outcomes: readonly fixture.Outcome[]): readonly number[] =>
+  answered(outcomes)
+    .map(({demand, startedMs}) => startedMs! - demand.atMs)
+    .sort((a, b) => a - b);
+
+const ofWorkspace = (outcomes: readonly fixture.Outcome[], prefix: string) =>
+  outcomes.filter(({demand}) => demand.request.workspace.startsWith(prefix));
+
+describe('admission under load', () => {
+  const loads = [
+    {name: 'half of capacity', load: 0.5, least: 0.99},
+    {name: 'all of capacity', load: 1, least: 0.8},
+    {name: 'twice capacity', load: 2, least: 0.45},
+    {name: 'five times capacity', load: 5, least: 0.18},
+  ];
+  for (const {name, load, least} of loads) {
+    // A rush, and everyone's answer comes too late to be of use. Cause: work
+    // is begun in order of arrival, whether or not its caller still waits.
+    it(`answers what it can in time at ${name}`, () => {
+      const demands = createLoad(SMALL, load);
+      const outcomes = fixture.runLoad(createGate(), demands);
+      chai.expect(fixture.checkHistory(outcomes, CAPACITY)).deep.equal([]);
+      chai.expect(inTime(outcomes).length).at.least(least * demands.length);
+    });
+  }
+
+  // Two large firms draft all their rosters at noon, and a small one's officer
+  // waits behind them. Cause: the queue knew requests, not workspaces.
+  it('keeps small workspaces going when a large one rushes', () => {
+    const small = createLoad(SMALL, 0.4);
+    const large = createLoad(['large'], 4, {seed: 99});
+    const outcomes = fixture.runLoad(createGate(), [...small, ...large]);
+    const waits = findWaits(ofWorkspace(outcomes, 'small'));
+    chai.expect(fixture.checkHistory(outcomes, CAPACITY)).deep.equal([]);
+    chai.expect(waits.length).at.least(0.95 * small.length);
+    chai.expect(waits[Math.floor(waits.length * 0.95)]).below(2 * SERVICE_MS);
+  });
+
+  // A host at the door waits half a minute for a guest list, as welcome packs
+  // fill all slots. Cause: long work took each slot that came free.
+  it('answers door checks while long work fills up the rest', () => {
+    const long = createLoad(['packs'], 1, {
+      priority: 'batch',
+      serviceMs: 4000,
+      ratePerSecond: 4,
+      deadlineMs: 60_000,
+    });
+    const checks = createLoad(['door'], 0.1, {priority: 'door_check'});
+    const outcomes = fixture.runLoad(createGate(), [...long, ...checks]);
+    const done = answered(ofWorkspace(outcomes, 'door'));
+    const times = done
+      .map(({demand, endedMs}) => endedMs! - demand.atMs)
+      .sort((a, b) => a - b);
+    // Alone, a door check takes up to one and a half mean services.
+    chai.expect(done.length).equal(checks.length);
+    chai
+      .expect(times[Math.floor(times.length * 0.99)])
+      .below(2 * 1.5 * SERVICE_MS);
+  });
+
+  it('refuses at once in a rush that lasts, with few given up on', () => {
+    const outcomes = fixture.runLoad(createGate(), createLoad(SMALL, 3));
+    const refused = outcomes.filter(({answers}) => answers[0] === 'refused');
+    const late = refused.filter(o => o.endedMs! > o.demand.atMs);
+    chai.expect(late.length).at.most(0.05 * refused.length);
+  });
+});
+
+interface Planted {
+  readonly name: string;
+  readonly fault: RegExp;
+  readonly plant: (gate: decisions.AdmissionQueue) => fixture.Gate;
+}
+
+/** Wraps the real queue with one fault. */
+const PLANTED: readonly Planted[] = [
+  {
+    name: 'a request given up on that gets no answer',
+    fault: /has 0 answers/,
+    plant: gate => ({
+      offer: (request, nowMs) => gate.offer(request, nowMs),
+      release: (id, nowMs) => gate.release(id, nowMs),
+      expire: nowMs => gate.expire(nowMs).slice(1),
+    }),
+  },
+  {
+    name: 'a refusal without when to come back',
+    fault: /without when to come back/,
+    plant: gate => ({
+      offer: (request, nowMs) => {
+        const outcome = gate.offer(request, nowMs);
+        return outcome.kind === 'refused'
+          ? {...outcome, retryAfterMs: 0}
+          : outcome;
+      },
+      release: (id, nowMs) => gate.release(id, nowMs),
+      expire: nowMs => gate.expire(nowMs),
+    }),
+  },
+  {
+    name: 'a slot given twice',
+    fault: /more requests ran/,
+    plant: gate => ({
+      offer: (request, nowMs) => {
+        const outcome = gate.offer(request, nowMs);
+        if (outcome.kind === 'refused') {
+          return {kind: 'admitted'};
+        }
+        return outcome;
+      },
+      release: (id, nowMs) => gate.release(id, nowMs),
+      expire: nowMs => gate.expire(nowMs),
+    }),
+  },
+  {
+    name: 'a deadline that is not looked at',
+    fault: /started after its deadline/,
+    plant: gate => ({
+      offer: (request, nowMs) =>
+        gate.offer(
+          {...request, deadlineMs: nowMs + 1e6, maxWaitMs: 1e6},
+          nowMs,
+        ),
+      release: (id, nowMs) => gate.release(id, nowMs),
+      expire: nowMs => gate.expire(nowMs),
+    }),
+  },
+];
+
+describe('the check of histories', () => {
+  for (const {name, fault, plant} of PLANTED) {
+    it(`sees ${name}`, () => {
+      // Upstreams turn slow at 10 s, so that some who wait are given up on.
+      const demands = createLoad(SMALL, 3, {
+        priority: 'batch',
+        deadlineMs: 1500,
+      }).map(demand => ({
+        ...demand,
+        serviceMs: demand.serviceMs * (demand.atMs > 10_000 ? 10 : 1),
+      }));
+      const outcomes = fixture.runLoad(plant(createGate()), demands);
+      const faults = fixture.checkHistory(outcomes, CAPACITY);
+      chai.expect(faults.join('\n')).match(fault);
+    });
+  }
+});
