--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,5 +31,6 @@
 export * from './standing-queue.js';
 export * from './upstream-load.js';
 export * from './warm-up.js';
+export * from './wait-policy.js';
 export * from './workspace-queue.js';
 export * from './zone-policy.js';
