--- a/packages/bench/src/histories/fault-plan.ts
+++ b/packages/bench/src/histories/fault-plan.ts
@@ -27,6 +27,8 @@
       readonly ms: number;
       /** Whether it is cut from the platform, too. */
       readonly fromPlatform: boolean;
+      /** Whether it dies before anyone reaches it again. */
+      readonly endsInKill: boolean;
     };
 
 /** Rates of faults of single calls and messages, 0 to 1. */
@@ -127,6 +129,7 @@
     atMs: random() * runMs,
     ms: random() * 15_000,
     fromPlatform: random() < 0.5,
+    endsInKill: random() < 0.4,
   }));
   const pauses = repeat(draw(random, 3), (): PlannedFault => ({
     kind: 'pause',
@@ -139,7 +142,11 @@
   }));
   const hasOutage = outages.length + isolations.length > 0;
   const mayZoneBeAway = isolations.length + pauses.length > 0;
-  const kills = drawKills(random, runMs, hasOutage, mayZoneBeAway);
+  const isKilledAway = isolations.some(
+    fault => fault.kind === 'isolation' && fault.endsInKill,
+  );
+  const groups = drawKills(random, runMs, hasOutage, mayZoneBeAway);
+  const kills = isKilledAway ? [] : groups;
   const faults = [...outages, ...isolations, ...pauses, ...restarts, ...kills];
   return {rates, faults};
 };
--- a/packages/bench/src/histories/run-history.ts
+++ b/packages/bench/src/histories/run-history.ts
@@ -208,7 +208,7 @@
         this.isDeaf = fault.deaf;
         return;
       case 'isolation':
-        this.isolate(fault.ms, fault.fromPlatform);
+        this.isolate(fault);
         return;
     }
   }
@@ -258,7 +258,10 @@
     this.silence(instance, ms);
   }
 
-  private isolate(ms: number, fromPlatform: boolean): void {
+  private isolate(
+    fault: Extract<faultPlan.PlannedFault, {kind: 'isolation'}>,
+  ): void {
+    const {ms, fromPlatform, endsInKill} = fault;
     const instance = this.drawAlive();
     if (!instance) {
       return;
@@ -270,6 +273,10 @@
       this.cutFromPlatform.add(incarnation);
     }
     this.schedule(ms, () => {
+      if (endsInKill && instance.lifeline.alive) {
+        this.noteFault(`kill ${incarnation}, still cut`);
+        this.end(instance);
+      }
       instance.isIsolated = false;
       this.cutFromPlatform.delete(incarnation);
     });
--- a/packages/bench/tests/check-histories.test.ts
+++ b/packages/bench/tests/check-histories.test.ts
@@ -123,11 +123,33 @@
   (await outside.send()) === 'cut' ? 'unknown' : 'answered',
 );
 
+/** Ends an answer whose bill only the instance itself holds. */
+const answerAtRisk = replaceServe(async (instance, request, outside) => {
+  const answers: serveRequest.UpstreamAnswer[] = [];
+  const send = async () => {
+    const answer = await outside.send();
+    answers.push(answer);
+    return answer;
+  };
+  const watched = {...outside, send};
+  const told = await serveRequest.serveRequest(instance, request, watched);
+  return answers.includes('answered') ? 'answered' : told;
+});
+
 const replayUnknown = replaceServe(async (instance, request, outside) => {
   const told = await serveRequest.serveRequest(instance, request, outside);
   return told === 'not_run' ? 'replayed' : told;
 });
 
+/** Gives a claimed request up without abandoning its claim. */
+const leaveClaim: serveRequest.Service = async (instance, request, outside) => {
+  if (!request.idempotent && outside.isGivenUp()) {
+    await instance.claims.claim(request.identity, request.fingerprint);
+    return 'not_run';
+  }
+  return serveRequest.serveRequest(instance, request, outside);
+};
+
 const PLANTS: readonly {
   readonly fault: string;
   readonly options: () => runHistory.RunOptions;
@@ -178,6 +200,16 @@
     options: () => replacePeers({send: () => Promise.resolve(true)}),
     seenBy: 'answered_is_billed',
   },
+  {
+    fault: 'an answer ends whose bill only its instance holds',
+    options: () => answerAtRisk,
+    seenBy: 'answered_is_billed',
+  },
+  {
+    fault: 'claims of given-up attempts are never freed',
+    options: () => replaceServe(leaveClaim),
+    seenBy: 'void_is_freed',
+  },
   {
     fault: 'a conflict on a segment counts as all bills written',
     options: () => trustCreate(ledger.BILL_KIND, 'conflict'),
