--- a/packages/ledger/src/bill-limits.ts
+++ b/packages/ledger/src/bill-limits.ts
@@ -22,10 +22,9 @@
 /**
  * Defaults. At 15,000 requests/s on 1,000 instances a segment each 10 s is
  * 100 writes/s of the platform's several hundred; shorter costs writes, longer
- * leaves more bills to two or three processes' memory. 1,000 bills of about
- * 230 bytes stay under a quarter of the platform's megabyte. 50,000 pending
- * bills are about 20 MB of the 256 MB, and at 15 bills/s nearly an hour of
- * outage.
+ * leaves more bills to two or three processes' memory. A segment of
+ * 1,000 bills is 184 KB of the platform's megabyte. 50,000 pending bills are
+ * 12 MB of the 256 MB, and at 15 bills/s nearly an hour of outage.
  */
 export const DEFAULT_BILL_LIMITS: BillLimits = {
   flushIntervalMs: 10_000,
--- a/packages/ledger/src/claim-limits.ts
+++ b/packages/ledger/src/claim-limits.ts
@@ -23,7 +23,7 @@
 /**
  * Defaults: the platform answers in milliseconds, so a second without an
  * answer is a failure, and three seconds is what a caller at a door waits.
- * 1,000 claims in progress are about 2 MB. 64 KiB holds any confirmation and
+ * 1,000 claims in progress are about 6 MB. 64 KiB holds any confirmation and
  * keeps the object far under the platform's megabyte.
  */
 export const DEFAULT_CLAIM_LIMITS: ClaimLimits = {
--- a/packages/ledger/src/copy-holder.ts
+++ b/packages/ledger/src/copy-holder.ts
@@ -12,7 +12,8 @@
 }
 
 /**
- * As many as an instance keeps of its own, about 20 MB. Past it the owner
+ * As many as an instance keeps of its own, about 33 MB, as
+ * received strings are not shared. Past it the owner
  * finds another peer, or writes the bill before the end of the answer.
  */
 export const DEFAULT_MAX_HELD_BILLS = 50_000;
