--- /dev/null
+++ b/packages/decisions/src/fair-share.ts
@@ -0,0 +1,224 @@
+/**
+ * Order of service over workspaces: start-time fair queueing in slot time,
+ * with a bounded lead for urgent priorities, and the wait that follows from it.
+ */
+import * as demandMeter from './demand-meter.js';
+import type * as slotPool from './slot-pool.js';
+import * as workspaceQueue from './workspace-queue.js';
+
+type Entry = workspaceQueue.QueuedRequest;
+type Priority = workspaceQueue.AdmissionPriority;
+type Workspace = workspaceQueue.WorkspaceQueue;
+
+/**
+ * Lead in virtual time by priority, in mean services of the longest kind of
+ * work, as that is what has to be overtaken. An urgent request goes ahead of
+ * others by this much and no more, so that a workspace which calls everything
+ * urgent cannot starve the rest.
+ */
+const LEAD: Readonly<Record<Priority, number>> = {
+  door_check: 20,
+  interactive: 4,
+  batch: 0,
+};
+
+const isAhead = (
+  tag: number,
+  bestTag: number,
+  entry: Entry,
+  best: Entry | undefined,
+): boolean =>
+  tag < bestTag ||
+  (tag === bestTag && best !== undefined && entry.order < best.order);
+
+/** Most credit for time without demand, in mean service times. */
+const CREDIT = 2;
+
+/** Where a request would stand in the order of service. */
+interface Position {
+  readonly workspace: Workspace;
+  readonly tag: number;
+  /** Slot time of its own workspace that goes before it. */
+  readonly ownMs: number;
+  /** Mean service of the longest kind of work. */
+  readonly unitMs: number;
+  readonly nowMs: number;
+}
+
+/** Shares the slots of a pool between workspaces. */
+export class FairShare {
+  private virtualTime = 0;
+  private readonly workspaces = new Map<string, Workspace>();
+  /** Workspaces with waiting requests; decisions look at no others. */
+  private readonly backlogged = new Set<Workspace>();
+  /** Slots that requests of all workspaces lately keep busy. */
+  private readonly demand = new demandMeter.DemandMeter();
+
+  constructor(private readonly slots: slotPool.SlotPool) {}
+
+  /** State of a workspace, created at its first request. */
+  findWorkspace(name: string): Workspace {
+    const found = this.workspaces.get(name);
+    if (found) {
+      return found;
+    }
+    const created = new workspaceQueue.WorkspaceQueue(this.virtualTime);
+    this.workspaces.set(name, created);
+    return created;
+  }
+
+  /** Drops a workspace that owes nothing, so that state stays bounded. */
+  forgetIfIdle(name: string, workspace: Workspace): void {
+    const isSettled = workspace.virtualTime <= this.virtualTime;
+    if (workspace.isIdle && isSettled && !workspace.serviceTime.hasSamples) {
+      this.workspaces.delete(name);
+    }
+  }
+
+  /** Puts a request into its workspace's queue. */
+  push(entry: Entry, nowMs: number): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    if (workspace.queued === 0) {
+      // Time spent without demand earns a little credit, which evens out a
+      // small workspace's uneven demand; more of it would let a burst after
+      // each pause hold up everyone else.
+      workspace.virtualTime = this.startOf(workspace);
+    }
+    workspace.push(entry, nowMs);
+    this.backlogged.add(workspace);
+    this.demand.add(entry.serviceMs, nowMs);
+  }
+
+  /** Takes a waiting request out of its workspace's queue. */
+  leave(entry: Entry): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    workspace.leave(entry);
+    if (workspace.queued === 0) {
+      this.backlogged.delete(workspace);
+    }
+  }
+
+  /** Notes how long a request waited, to judge later expectations. */
+  recordWait(entry: Entry, nowMs: number): void {
+    this.findWorkspace(entry.request.workspace).recordWait(entry, nowMs);
+  }
+
+  /** Charges the workspace of an admitted request for its expected time. */
+  charge(entry: Entry): void {
+    const workspace = this.findWorkspace(entry.request.workspace);
+    workspace.inFlight++;
+    workspace.virtualTime += entry.serviceMs / entry.request.weight;
+  }
+
+  /** Charges a workspace for the slot time that a request really took. */
+  settle(running: slotPool.RunningRequest, heldMs: number): void {
+    const {request} = running;
+    const workspace = this.findWorkspace(request.workspace);
+    workspace.inFlight--;
+    workspace.virtualTime += (heldMs - running.chargedMs) / request.weight;
+    workspace.serviceTime.add(heldMs);
+  }
+
+  /** The request to run next: that of the workspace furthest behind. */
+  chooseNext(nowMs: number): Entry | undefined {
+    const open = workspaceQueue.ADMISSION_PRIORITIES.filter(priority =>
+      this.slots.isOpen(priority, nowMs),
+    );
+    const unitMs = this.slots.longestServiceMs;
+    let best: Entry | undefined;
+    let bestTag = Infinity;
+    let floor = Infinity;
+    for (const workspace of this.backlogged) {
+      const entry = workspace.head(nowMs, open);
+      if (!entry || workspace.inFlight >= entry.request.maxConcurrent) {
+        continue;
+      }
+      floor = Math.min(floor, workspace.virtualTime);
+      const tag = this.tagOf(workspace, entry, unitMs);
+      if (isAhead(tag, bestTag, entry, best)) {
+        best = entry;
+        bestTag = tag;
+      }
+    }
+    if (best) {
+      this.virtualTime = Math.max(this.virtualTime, floor);
+    }
+    return best;
+  }
+
+  /** Virtual time at which a workspace without waiting requests starts. */
+  private startOf(workspace: Workspace): number {
+    const credit = CREDIT * this.slots.meanServiceMs;
+    return Math.max(workspace.virtualTime, this.virtualTime - credit);
+  }
+
+  private tagOf(workspace: Workspace, entry: Entry, unitMs: number): number {
+    return workspace.virtualTime - LEAD[entry.request.priority] * unitMs;
+  }
+
+  /**
+   * Slot time that runs before `entry`, over the rate of service: the wait
+   * under fair queueing, not under first come, first served.
+   */
+  estimateWaitMs(entry: Entry, workspace: Workspace, nowMs: number): number {
+    const {request} = entry;
+    const isBelowLimit = workspace.inFlight < request.maxConcurrent;
+    const hasSlot = this.slots.isOpen(request.priority, nowMs);
+    const ownAhead = workspace.serviceAheadOf(entry);
+    if (hasSlot && isBelowLimit && ownAhead === 0) {
+      return 0;
+    }
+    const unitMs = this.slots.longestServiceMs;
+    const start = this.startOf(workspace) - LEAD[request.priority] * unitMs;
+    const position: Position = {
+      workspace,
+      tag: start + ownAhead / request.weight,
+      ownMs: ownAhead + this.slots.meanServiceMs,
+      unitMs,
+      nowMs,
+    };
+    const queuedMs = this.waitBehind(position, 0);
+    // Requests that come during the wait go ahead too, where their workspace
+    // is behind in virtual time; without them the wait is guessed too short
+    // for large workspaces, and their requests wait only to be given up on.
+    const sharedMs = this.waitBehind(position, queuedMs);
+    // A workspace at its own bound waits for its own work to end.
+    const ownMs = isBelowLimit
+      ? 0
+      : (ownAhead + this.slots.meanServiceMs) / request.maxConcurrent;
+    return Math.max(sharedMs, ownMs) * this.slots.stallFactor(nowMs);
+  }
+
+  private waitBehind(position: Position, horizonMs: number): number {
+    const {workspace, tag, nowMs} = position;
+    let ahead = position.ownMs;
+    let idleDemand = this.demand.read(nowMs);
+    for (const other of this.backlogged) {
+      idleDemand -= other.demand.read(nowMs);
+      if (other !== workspace) {
+        ahead += this.serviceBefore(other, position, horizonMs);
+      }
+    }
+    const idle = this.workspaces.size - this.backlogged.size;
+    const start = this.virtualTime - CREDIT * this.slots.meanServiceMs;
+    const idleShare = idle * Math.max(0, tag - start);
+    ahead += Math.min(Math.max(0, idleDemand) * horizonMs, idleShare);
+    return ahead / Math.max(1, this.slots.capacity);
+  }
+
+  /** Slot time a workspace gets before its virtual time reaches the tag. */
+  private serviceBefore(
+    workspace: Workspace,
+    position: Position,
+    horizonMs: number,
+  ): number {
+    const {nowMs, unitMs} = position;
+    const arriving = workspace.demand.read(nowMs) * horizonMs;
+    const head = workspace.head(nowMs, workspaceQueue.ADMISSION_PRIORITIES);
+    const from = head
+      ? this.tagOf(workspace, head, unitMs)
+      : this.startOf(workspace);
+    const share = Math.max(0, position.tag - from) * workspace.weight;
+    return Math.min(workspace.queuedServiceMs + arriving, share);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/placement-pool.ts
@@ -0,0 +1,260 @@
+/** Upstreams of one target, by zone, with the subset an instance watches. */
+import * as hashRing from './hash-ring.js';
+import * as hotKeys from './hot-keys.js';
+import * as movingEstimate from './moving-estimate.js';
+import * as rendezvous from './rendezvous.js';
+import type * as upstreamLoad from './upstream-load.js';
+
+type Load = upstreamLoad.UpstreamLoad;
+
+/** Values that one choice computes once. */
+export interface PoolView {
+  /** Requests of all entry instances for each own one. */
+  readonly scale: number;
+  /** Latency that is usual for the target, in milliseconds. */
+  readonly usualMs: number;
+  readonly nowMs: number;
+}
+
+/** Whose view a target is built for. */
+export interface TargetOptions {
+  readonly instanceId: string;
+  readonly zone: string;
+  readonly subsetSize: number;
+}
+
+/** Extra draws when upstreams of the subset are not accepted. */
+const EXTRA_DRAWS = 16;
+
+/** Latency assumed before the first answer, in milliseconds. */
+const INITIAL_LATENCY_MS = 500;
+
+/** Part of an upstream's share of requests from which a key is spread. */
+const HOT_SHARE = 0.5;
+
+/** Homes of a hot key over those its requests fill. */
+const HOME_SPREAD = 1.5;
+
+/** Time for which values over all watched upstreams are kept. */
+const REFRESH_MS = 200;
+
+/** Slowness that counts as chance: answers differ in length. */
+const TOLERATED_SLOWNESS = 1.5;
+
+/**
+ * Cost of one more request: load over slots, times the square of slowness. In
+ * a batch latency grows less than load does; without the square an idle
+ * upstream that is 10 times slower looks as good as one with 10 requests.
+ */
+export const costOf = (load: Load, view: PoolView): number => {
+  const used = load.expectedLoad(view.scale, view.nowMs) + 1;
+  const slowness = load.slowness(view.usualMs, view.nowMs);
+  const penalty = slowness <= TOLERATED_SLOWNESS ? 1 : slowness ** 2;
+  return (used / load.slots) * penalty;
+};
+
+/** Upstreams of one target in one zone. */
+export class PlacementPool {
+  private readonly ring: hashRing.HashRing;
+  /** Upstreams that the instance watches and samples. */
+  readonly subset: readonly Load[];
+  /** Share of an upstream's slots that one request takes. */
+  readonly step: number;
+  private readonly scratch: Load[];
+  private readonly keys = new hotKeys.HotKeys();
+
+  constructor(
+    readonly zone: string,
+    private readonly members: readonly Load[],
+    options: TargetOptions,
+  ) {
+    const ids = members.map(load => load.id);
+    const byId = new Map(members.map(load => [load.id, load]));
+    const {instanceId, subsetSize} = options;
+    // The subset depends on the instance alone: as others come and go it
+    // stays, and so does the number of instances that watch an upstream.
+    const chosen = rendezvous.rankByRendezvous(instanceId, ids, subsetSize);
+    this.ring = new hashRing.HashRing(ids);
+    this.subset = chosen.flatMap(id => byId.get(id) ?? []);
+    this.scratch = [...this.subset];
+    const slots = this.subset.reduce((sum, load) => sum + load.slots, 0);
+    this.step = this.subset.length / Math.max(1, slots);
+  }
+
+  /** All upstreams of the zone that a key prefers, first choice first. */
+  ranked(key: string): readonly Load[] {
+    const ranked: Load[] = [];
+    for (const index of this.ring.lookUp(key)) {
+      const load = this.members[index];
+      if (load) {
+        ranked.push(load);
+      }
+    }
+    return ranked;
+  }
+
+  /**
+   * Upstreams that a key is spread over: one, or as many as its share of
+   * requests fills, or one prefix would take all its first choice has.
+   */
+  homeCount(key: string): number {
+    const filled = this.keys.record(key) * this.members.length;
+    return filled < HOT_SHARE ? 1 : Math.ceil(filled * HOME_SPREAD);
+  }
+
+  /** Mean share of slots in use, as far as the subset shows. */
+  meanUtilization(view: PoolView): number {
+    let load = 0;
+    let slots = 0;
+    for (const member of this.subset) {
+      load += member.expectedLoad(view.scale, view.nowMs);
+      slots += member.slots;
+    }
+    return load / Math.max(1, slots);
+  }
+
+  /** Draws up to `count` accepted upstreams at random, none of them twice. */
+  draw(
+    count: number,
+    random: () => number,
+    accepts: (load: Load) => boolean,
+  ): readonly Load[] {
+    const drawn: Load[] = [];
+    for (let i = 0; i < this.scratch.length && drawn.length < count; i++) {
+      this.swap(i, i + Math.floor(random() * (this.scratch.length - i)));
+      const load = this.scratch[i];
+      if (load && accepts(load)) {
+        drawn.push(load);
+      }
+    }
+    return drawn.length > 0 ? drawn : this.drawOutside(random, accepts);
+  }
+
+  /** When the whole subset is excluded, some of the others may do. */
+  private drawOutside(
+    random: () => number,
+    accepts: (load: Load) => boolean,
+  ): readonly Load[] {
+    const size = this.members.length;
+    if (size <= this.subset.length) {
+      return [];
+    }
+    for (let i = 0; i < EXTRA_DRAWS; i++) {
+      const load = this.members[Math.floor(random() * size)];
+      if (load && accepts(load)) {
+        return [load];
+      }
+    }
+    return [];
+  }
+
+  private swap(i: number, j: number): void {
+    const a = this.scratch[i];
+    const b = this.scratch[j];
+    if (a && b) {
+      this.scratch[i] = b;
+      this.scratch[j] = a;
+    }
+  }
+}
+
+/** Upstreams of one target, the instance's own zone first. */
+export class PlacementTarget {
+  private readonly scale = new movingEstimate.MovingEstimate();
+  private refreshMs = -Infinity;
+  private latencyMs = INITIAL_LATENCY_MS;
+  private readonly watched: readonly Load[];
+  private readonly scratch: Float64Array;
+
+  constructor(readonly pools: readonly PlacementPool[]) {
+    this.watched = pools.flatMap(pool => pool.subset);
+    this.scratch = new Float64Array(this.watched.length);
+  }
+
+  /** Latency that is usual: the median over upstreams that answered. */
+  get usualLatencyMs(): number {
+    return this.latencyMs;
+  }
+
+  /**
+   * Requests of all entry instances for each own one, learnt from reports:
+   * no instance has to know how many others there are.
+   */
+  loadScale(nowMs: number): number {
+    if (nowMs - this.refreshMs >= REFRESH_MS) {
+      this.refreshMs = nowMs;
+      this.refresh(nowMs);
+    }
+    return this.scale.hasSamples ? Math.max(1, this.scale.mean) : 1;
+  }
+
+  private refresh(nowMs: number): void {
+    let answered = 0;
+    let all = 0;
+    let own = 0;
+    for (const load of this.watched) {
+      if (load.measuredLatencyMs !== undefined) {
+        this.scratch[answered++] = load.measuredLatencyMs;
+      }
+      if (load.hasReport(nowMs)) {
+        all += load.lastReport.load;
+        own += load.lastReport.own;
+      }
+    }
+    if (own > 0) {
+      this.scale.add(all / own);
+    }
+    const latencies = this.scratch.subarray(0, answered).sort();
+    const middle = latencies[Math.floor(answered / 2)];
+    this.latencyMs = Math.max(1, middle ?? INITIAL_LATENCY_MS);
+  }
+}
+
+/**
+ * Other zones watched beside the own one, and upstreams in each: enough to
+ * spill over to, without watching a version in all nine zones.
+ */
+const REMOTE_ZONES = 2;
+const REMOTE_SUBSET = 3;
+
+/** Up to this many times the subset, a target's upstreams are all watched. */
+const WATCH_ALL = 2;
+
+/** Upstreams watched in a zone, the own zone being at rank 0. */
+const subsetSizeAt = (
+  rank: number,
+  members: number,
+  options: TargetOptions,
+): number => {
+  if (rank === 0 || members <= WATCH_ALL * options.subsetSize) {
+    return options.subsetSize;
+  }
+  return rank <= REMOTE_ZONES ? REMOTE_SUBSET : 0;
+};
+
+/** Groups a target's upstreams by zone for one instance. */
+export const createTarget = (
+  members: readonly Load[],
+  options: TargetOptions,
+): PlacementTarget => {
+  const byZone = new Map<string, Load[]>();
+  for (const load of members) {
+    const group = byZone.get(load.zone) ?? [];
+    group.push(load);
+    byZone.set(load.zone, group);
+  }
+  // Instances spill over to different zones first, or they all meet in one.
+  const zones = [
+    ...rendezvous.rankByRendezvous(options.instanceId, [...byZone.keys()]),
+  ];
+  const isOwn = (zone: string) => (zone === options.zone ? 0 : 1);
+  zones.sort((a, b) => isOwn(a) - isOwn(b));
+  const pools = zones.map(
+    (zone, rank) =>
+      new PlacementPool(zone, byZone.get(zone) ?? [], {
+        ...options,
+        subsetSize: subsetSizeAt(rank, members.length, options),
+      }),
+  );
+  return new PlacementTarget(pools);
+};
--- /dev/null
+++ b/packages/decisions/src/slot-pool.ts
@@ -0,0 +1,174 @@
+/** Slots of one entry instance: who holds them, and how fast they turn over. */
+import * as demandMeter from './demand-meter.js';
+import * as movingEstimate from './moving-estimate.js';
+import * as workspaceQueue from './workspace-queue.js';
+
+type Priority = workspaceQueue.AdmissionPriority;
+
+/** A request that holds a slot. */
+export interface RunningRequest {
+  readonly request: workspaceQueue.AdmissionRequest;
+  readonly admittedMs: number;
+  /** Slot time charged to the workspace at admission. */
+  readonly chargedMs: number;
+}
+
+/** Least and largest share of slots kept from a priority. */
+interface Reserve {
+  readonly least: number;
+  readonly most: number;
+}
+
+/**
+ * Slots kept from less urgent work for the demand of more urgent work. Running
+ * work is not interrupted: without a reserve a door check waits until one of
+ * many long answers ends, and long answers take each slot that short ones
+ * leave free for a moment. What is left over is never taken, so that less
+ * urgent work is not starved.
+ */
+const RESERVE: Readonly<Record<Priority, Reserve>> = {
+  door_check: {least: 0, most: 0},
+  interactive: {least: 1 / 12, most: 1 / 4},
+  batch: {least: 1 / 4, most: 3 / 4},
+};
+
+/** Slots kept over the mean demand, which varies. */
+const RESERVE_MARGIN = 1.2;
+
+/** Time over which demand is averaged: that of a long answer. */
+const DEMAND_WINDOW_MS = 10_000;
+
+/** Demand in slots below which a priority counts as unused. */
+const LEAST_DEMAND = 0.01;
+
+/** Service time assumed before the first measurement. */
+const INITIAL_SERVICE_MS = 500;
+
+/** Mean gaps between releases without one, after which service has stalled. */
+const STALL_GAPS = 8;
+
+/** Slots that requests hold while they run. */
+export class SlotPool {
+  /** Time that requests hold a slot, in milliseconds. */
+  readonly serviceTime = new movingEstimate.MovingEstimate();
+  private readonly serviceByPriority: Record<
+    Priority,
+    movingEstimate.MovingEstimate
+  > = {
+    door_check: new movingEstimate.MovingEstimate(),
+    interactive: new movingEstimate.MovingEstimate(),
+    batch: new movingEstimate.MovingEstimate(),
+  };
+  private lastReleaseMs = 0;
+  private readonly running = new Map<string, RunningRequest>();
+  private readonly runningByPriority: Record<Priority, number> = {
+    door_check: 0,
+    interactive: 0,
+    batch: 0,
+  };
+  private readonly demand: Readonly<Record<Priority, demandMeter.DemandMeter>> =
+    {
+      door_check: new demandMeter.DemandMeter(DEMAND_WINDOW_MS),
+      interactive: new demandMeter.DemandMeter(DEMAND_WINDOW_MS),
+      batch: new demandMeter.DemandMeter(DEMAND_WINDOW_MS),
+    };
+
+  /** @param capacity slots in all; may fall below those taken. */
+  constructor(public capacity: number) {}
+
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  /** Whether a request holds a slot. */
+  has(id: string): boolean {
+    return this.running.has(id);
+  }
+
+  /** Mean time that a request holds a slot, in milliseconds, at least 1. */
+  get meanServiceMs(): number {
+    return this.serviceTime.hasSamples
+      ? Math.max(1, this.serviceTime.mean)
+      : INITIAL_SERVICE_MS;
+  }
+
+  /** Longest mean service of what may run: that of some priority, or of all. */
+  get longestServiceMs(): number {
+    let longest = this.meanServiceMs;
+    for (const priority of workspaceQueue.ADMISSION_PRIORITIES) {
+      longest = Math.max(longest, this.serviceByPriority[priority].mean);
+    }
+    return longest;
+  }
+
+  /** Notes a request that asks for a slot, for the reserves. */
+  see(priority: Priority, serviceMs: number, nowMs: number): void {
+    this.demand[priority].add(serviceMs, nowMs);
+  }
+
+  take(
+    request: workspaceQueue.AdmissionRequest,
+    chargedMs: number,
+    nowMs: number,
+  ): void {
+    if (this.running.size === 0) {
+      this.lastReleaseMs = nowMs;
+    }
+    this.running.set(request.id, {request, chargedMs, admittedMs: nowMs});
+    this.runningByPriority[request.priority]++;
+  }
+
+  /** Frees a slot; undefined when the request holds none. */
+  release(id: string, nowMs: number): RunningRequest | undefined {
+    const running = this.running.get(id);
+    if (!running) {
+      return undefined;
+    }
+    this.running.delete(id);
+    this.runningByPriority[running.request.priority]--;
+    this.lastReleaseMs = nowMs;
+    const heldMs = nowMs - running.admittedMs;
+    this.serviceTime.add(heldMs);
+    this.serviceByPriority[running.request.priority].add(heldMs);
+    return running;
+  }
+
+  /** Whether a slot is free for a priority, given the reserves. */
+  isOpen(priority: Priority, nowMs: number): boolean {
+    const free = this.capacity - this.running.size;
+    let urgentRunning = 0;
+    let urgentDemand = 0;
+    for (const other of workspaceQueue.ADMISSION_PRIORITIES) {
+      if (other === priority) {
+        break;
+      }
+      urgentRunning += this.runningByPriority[other];
+      urgentDemand += this.demand[other].read(nowMs);
+    }
+    if (urgentDemand < LEAST_DEMAND) {
+      return free > 0;
+    }
+    const kept = this.keptFrom(priority, urgentDemand);
+    return free - Math.max(0, kept - urgentRunning) > 0;
+  }
+
+  private keptFrom(priority: Priority, urgentDemand: number): number {
+    const {least, most} = RESERVE[priority];
+    const wanted = Math.ceil(urgentDemand * RESERVE_MARGIN);
+    const floor = Math.ceil(least * this.capacity);
+    const ceiling = Math.floor(most * this.capacity);
+    // One slot always stays open, or small capacities would starve the rest.
+    const bound = Math.min(Math.max(floor, ceiling), this.capacity - 1);
+    return Math.min(Math.max(floor, wanted), bound);
+  }
+
+  /**
+   * Above 1 when releases stay out: the mean of past service times says
+   * nothing once an upstream hangs, and requests would queue for it in vain.
+   */
+  stallFactor(nowMs: number): number {
+    const gapMs = this.meanServiceMs / Math.max(1, this.capacity);
+    const quietMs = nowMs - this.lastReleaseMs;
+    return Math.max(1, quietMs / (STALL_GAPS * gapMs + this.meanServiceMs));
+  }
+}
--- /dev/null
+++ b/packages/membership/src/configuration-follower.ts
@@ -0,0 +1,248 @@
+/**
+ * Keeps one instance's configuration up to date: a few instances of each zone
+ * watch the platform, all exchange generations with random peers.
+ */
+import * as decisions from '@amaranthknot/decisions';
+import type * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as configurationRelay from './configuration-relay.js';
+import type * as configurationStep from './configuration-step.js';
+import * as exchangePace from './exchange-pace.js';
+import * as headWatcher from './head-watcher.js';
+import * as leaving from './leaving.js';
+import * as peerDiscovery from './peer-discovery.js';
+import type * as peersModule from './peers.js';
+
+/**
+ * Instances of each zone that watch the platform. Three, so that two may die
+ * unnoticed for a while, and so that in today's deployments of 7 instances
+ * all watch: none depends on luck with its peers. With 9 zones 27 in all,
+ * whatever the fleet's size.
+ */
+export const WATCHERS_PER_ZONE = 3;
+
+/** Time between looks at whether to watch, in milliseconds; costs no call. */
+const WATCH_CHECK_MS = 500;
+
+/**
+ * Failed exchanges in a row after which an instance watches the platform
+ * itself. Cut off from its peers it can not learn of a change otherwise; in an
+ * outage of the platform alone exchanges work, so nobody piles onto it.
+ */
+const FAILURES_TO_WATCH = 2;
+
+/** Peers asked at a start, before the platform. */
+const START_PEERS = 3;
+
+/** Parts that a follower works with. */
+export interface ConfigurationFollowerOptions {
+  readonly environment: string;
+  readonly store: platform.ObjectStore;
+  readonly instances: platform.InstanceList;
+  readonly transport: protocol.PeerTransport;
+  readonly peers: peersModule.Peers;
+  readonly clock: platform.Clock;
+  readonly random: () => number;
+  /** Addresses from the settings, asked while the list is out. */
+  readonly seeds?: readonly string[];
+  /** Called each time a higher generation is in force, and only then. */
+  readonly onChange?: configurationRelay.ConfigurationRelayOptions['onChange'];
+}
+
+/** Follows the accepted configuration of an environment. */
+export class ConfigurationFollower {
+  private readonly relay: configurationRelay.ConfigurationRelay;
+  private readonly stopping = new AbortController();
+  private readonly pace: exchangePace.ExchangePace;
+  private failures = 0;
+  private readonly watcher: headWatcher.HeadWatcher;
+  private readonly discovery: peerDiscovery.PeerDiscovery;
+  private loops: Promise<unknown> = Promise.resolve();
+
+  constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.relay = new configurationRelay.ConfigurationRelay({
+      ...options,
+      onChange: (taken, origin) => {
+        this.pace.hurry();
+        options.onChange?.(taken, origin);
+      },
+    });
+    this.watcher = new headWatcher.HeadWatcher({
+      ...options,
+      relay: this.relay,
+      signal: this.stopping.signal,
+    });
+    this.discovery = new peerDiscovery.PeerDiscovery(options);
+    this.pace = new exchangePace.ExchangePace(options.clock, options.random);
+  }
+
+  /** Asks peers and the platform once, then keeps following until `stop`. */
+  async start(): Promise<void> {
+    await this.discovery.refresh();
+    await this.askPeers();
+    if (this.relay.generation() === 0) {
+      await this.watcher.read();
+    }
+    this.loops = Promise.all([
+      this.repeat(() => this.watch()),
+      this.repeat(() => this.exchange()),
+      this.repeat(() => this.discover()),
+    ]);
+  }
+
+  /** Stops following; the configuration stays as it is. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    this.pace.stop();
+    await this.loops;
+  }
+
+  /** Tells peers that this instance leaves, so that none offers it. */
+  announceLeaving(): Promise<void> {
+    return leaving.announceLeaving(this.options);
+  }
+
+  /** The configuration in force; undefined before the first. */
+  inForce(): configurationStep.ConfigurationInForce | undefined {
+    return this.relay.inForce();
+  }
+
+  /** The generation in force; 0 before the first. */
+  generationInForce(): number {
+    return this.relay.generation();
+  }
+
+  /** Age of the last confirmation in milliseconds; undefined for never. */
+  confirmedAgeMs(): number | undefined {
+    return this.relay.freshness.confirmedAgeMs(this.options.clock.now());
+  }
+
+  /** What this instance knows of its configuration. */
+  standing(): protocol.Standing {
+    if (!this.relay.inForce()) {
+      return 'starting';
+    }
+    const {clock, peers} = this.options;
+    return this.relay.freshness.judge(
+      clock.now(),
+      peers.zones(),
+      this.relay.boundMs(this.countWatchers()),
+    );
+  }
+
+  /**
+   * Whether new work may start. Not while isolated: an accepted change may
+   * have withdrawn a version or taken a zone out without this instance.
+   */
+  mayTakeWork(): boolean {
+    const standing = this.standing();
+    return standing === 'confirmed' || standing === 'platform_out';
+  }
+
+  /** Functions that answer the messages of other instances. */
+  handlers(): protocol.Handlers {
+    const {peers, clock} = this.options;
+    const exchangeGenerations = (
+      params: protocol.Params<'exchange_generations'>,
+    ) => this.relay.handleExchange(params);
+    const fetchSections = (params: protocol.Params<'fetch_sections'>) =>
+      this.relay.handleFetch(params);
+    const reportGeneration = () => ({
+      from: peers.self(),
+      generation: this.relay.generation(),
+      standing: this.standing(),
+    });
+    const listPeers = () => ({peers: [peers.self(), ...peers.all()]});
+    const takeLeaving = ({from}: protocol.Params<'leaving'>) => {
+      peers.hear(from, clock.now());
+      return {};
+    };
+    return {
+      exchange_generations: exchangeGenerations,
+      fetch_sections: fetchSections,
+      report_generation: reportGeneration,
+      list_peers: listPeers,
+      leaving: takeLeaving,
+    };
+  }
+
+  /** Whether this instance watches the platform. */
+  isWatcher(): boolean {
+    const {environment, peers} = this.options;
+    const {id, zone} = peers.self();
+    const ids = peers.candidates(zone).map(peer => peer.id);
+    const key = `watch/${environment}/${zone}`;
+    return (
+      this.failures >= FAILURES_TO_WATCH ||
+      decisions.rankByRendezvous(key, ids, WATCHERS_PER_ZONE).includes(id)
+    );
+  }
+
+  private countWatchers(): number {
+    const {peers} = this.options;
+    const sizes = new Map<string, number>();
+    for (const {zone} of peers.candidates()) {
+      sizes.set(zone, (sizes.get(zone) ?? 0) + 1);
+    }
+    return [...sizes.values()]
+      .map(size => Math.min(size, WATCHERS_PER_ZONE))
+      .reduce((sum, size) => sum + size, 0);
+  }
+
+  private async repeat(step: () => Promise<void>): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      await step();
+    }
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return this.options.clock.sleep(ms, this.stopping.signal);
+  }
+
+  private spread(ms: number): number {
+    return ms * (0.9 + 0.2 * this.options.random());
+  }
+
+  private async watch(): Promise<void> {
+    if (!this.isWatcher()) {
+      await this.sleep(WATCH_CHECK_MS);
+      return;
+    }
+    const isAnswered = await this.watcher.next();
+    if (!isAnswered) {
+      // As seldom as a watch that works, and spread: neither an outage nor
+      // its end raises the rate of calls.
+      await this.sleep(this.spread(headWatcher.WATCH_MS));
+    }
+  }
+
+  private async exchange(): Promise<void> {
+    const {peers, clock, random} = this.options;
+    peers.tick(clock.now());
+    const boundMs = this.relay.boundMs(this.countWatchers());
+    const isInDoubt = (this.confirmedAgeMs() ?? Infinity) > boundMs / 2;
+    // In doubt there is no time to lose with peers that did not answer lately.
+    const peer = isInDoubt ? peers.draw(random, 0) : peers.draw(random);
+    this.pace.begin();
+    if (peer) {
+      const isAnswered = await this.relay.exchangeWith(peer);
+      this.failures = isAnswered ? 0 : this.failures + 1;
+    }
+    await this.pace.wait(isInDoubt ? boundMs : undefined);
+  }
+
+  private async discover(): Promise<void> {
+    await this.sleep(this.spread(this.discovery.intervalMs()));
+    await this.discovery.refresh();
+  }
+
+  private async askPeers(): Promise<void> {
+    const {peers, random} = this.options;
+    for (let asked = 0; asked < START_PEERS; asked++) {
+      const peer = peers.draw(random);
+      if (peer && (await this.relay.exchangeWith(peer))) {
+        return;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/src/configuration-publisher.ts
@@ -0,0 +1,259 @@
+/** Puts a checked document in force for an environment, whole or not at all. */
+import * as crypto from 'node:crypto';
+import * as configuration from '@amaranthknot/configuration';
+import type * as platform from '@amaranthknot/platform';
+import * as purify from 'purify-ts';
+import * as configurationHead from './configuration-head.js';
+import * as headMove from './head-move.js';
+import * as compareManifests from './util/compare-manifests.js';
+
+/**
+ * Steps kept in a head. Watchers see each generation within a second, at the
+ * 1.05 changes/s of the design; two steps cover the ones that come together,
+ * and keep the head, which each watcher reads once per change, near 1 KB.
+ */
+const STEPS = 2;
+
+/**
+ * Identities of publications kept in a head. A publisher whose answer was lost
+ * finds its own among them; at 1.05 changes/s for 7 s.
+ */
+const PUBLICATIONS = 8;
+
+const fail = (error: platform.StoreError): headMove.PublishError => ({
+  code: error.code === 'unknown' ? 'unknown' : 'unavailable',
+  message: error.message,
+});
+
+const retry = async <T>(
+  call: () => Promise<platform.StoreResult<T>>,
+): Promise<platform.StoreResult<T>> => {
+  let result = await call();
+  for (let tries = 1; tries < headMove.TRIES; tries++) {
+    const code = result
+      .swap()
+      .map(error => error.code)
+      .extract();
+    if (code !== 'unknown' && code !== 'unavailable') {
+      return result;
+    }
+    result = await call();
+  }
+  return result;
+};
+
+/** Creates an object named by its content; one that exists is the same. */
+const createContent = async (
+  store: platform.ObjectStore,
+  digest: string,
+  value: unknown,
+): Promise<headMove.PublishResult<void>> => {
+  const result = await retry(() =>
+    store.create(configurationHead.SECTION_KIND, digest, value),
+  );
+  return result
+    .map(() => undefined)
+    .chainLeft(error =>
+      error.code === 'conflict'
+        ? purify.Right(undefined)
+        : // Nothing is in force before the head moves, so even a lost answer
+          // here leaves nothing behind but an object that no head names.
+          purify.Left({code: 'unavailable' as const, message: error.message}),
+    );
+};
+
+const createContents = async (
+  store: platform.ObjectStore,
+  contents: ReadonlyMap<string, unknown>,
+): Promise<headMove.PublishResult<void>> => {
+  for (const [digest, value] of contents) {
+    const created = await createContent(store, digest, value);
+    if (created.isLeft()) {
+      return created;
+    }
+  }
+  return purify.Right(undefined);
+};
+
+/**
+ * Reads the head to build on. A stale answer shows as a generation below the
+ * expected one, so the read is repeated before a conflict is reported.
+ */
+const readBase = async (
+  store: platform.ObjectStore,
+  environment: string,
+  expectedGeneration: number | undefined,
+): Promise<
+  headMove.PublishResult<configurationHead.StoredHead | undefined>
+> => {
+  let generation = 0;
+  for (let tries = 0; tries < headMove.TRIES; tries++) {
+    const result = await retry(() =>
+      configurationHead.readHead(store, environment),
+    );
+    if (result.isLeft()) {
+      return result.mapLeft(error => ({
+        code: 'unavailable' as const,
+        message: error.message,
+      }));
+    }
+    const base = result.orDefault(undefined);
+    generation = base?.head.generation ?? 0;
+    if ((expectedGeneration ?? generation) === generation) {
+      return purify.Right(base);
+    }
+    if (generation > (expectedGeneration ?? 0)) {
+      break;
+    }
+  }
+  return purify.Left(headMove.describeConflict(environment, generation));
+};
+
+const createHead = (
+  base: configurationHead.Head | undefined,
+  digest: string,
+  difference: compareManifests.ManifestDifference,
+  publication: string,
+): configurationHead.Head => {
+  const generation = (base?.generation ?? 0) + 1;
+  const step = {generation, digest, ...difference};
+  return {
+    generation,
+    digest,
+    steps: [...(base?.steps ?? []), step].slice(-STEPS),
+    publications: [...(base?.publications ?? []), publication].slice(
+      -PUBLICATIONS,
+    ),
+  };
+};
+
+const readBaseManifest = async (
+  store: platform.ObjectStore,
+  base: configurationHead.StoredHead | undefined,
+): Promise<headMove.PublishResult<configuration.Manifest>> => {
+  if (!base) {
+    return purify.Right(compareManifests.EMPTY_MANIFEST);
+  }
+  const manifest = await retry(() =>
+    configurationHead.readManifest(store, base.head.digest),
+  );
+  return manifest.mapLeft(fail);
+};
+
+/** Random bytes of an identity, unique among the few that a head keeps. */
+const IDENTITY_BYTES = 9;
+
+/** Choices for one publication. */
+export interface PublishOptions {
+  /** Refuse when another generation is in force; 0 means none yet. */
+  readonly expectedGeneration?: number;
+  /** Unique identity of this publication; random by default. */
+  readonly publication?: string;
+}
+
+const publishManifest = async (
+  store: platform.ObjectStore,
+  environment: string,
+  manifest: configuration.Manifest,
+  contents: ReadonlyMap<string, unknown>,
+  options: PublishOptions,
+): Promise<headMove.PublishResult<headMove.Publication>> => {
+  const base = await readBase(store, environment, options.expectedGeneration);
+  if (base.isLeft()) {
+    return base;
+  }
+  const stored = base.orDefault(undefined);
+  const before = await readBaseManifest(store, stored);
+  if (before.isLeft()) {
+    return before;
+  }
+  const difference = compareManifests.compareManifests(
+    before.orDefault(compareManifests.EMPTY_MANIFEST),
+    manifest,
+  );
+  const digest = configuration.digestManifest(manifest);
+  // What the base names is stored already: only the difference is written, so
+  // the calls for one change do not grow with the document.
+  const wanted = new Set(difference.entries.map(entry => entry.digest));
+  const fresh = [...contents].filter(([name]) => wanted.has(name));
+  const created = await createContents(
+    store,
+    new Map([...fresh, [digest, manifest] as const]),
+  );
+  if (created.isLeft()) {
+    return created;
+  }
+  const publication =
+    options.publication ??
+    crypto.randomBytes(IDENTITY_BYTES).toString('base64url');
+  const head = createHead(stored?.head, digest, difference, publication);
+  return headMove.moveHead({
+    store,
+    environment,
+    base: stored,
+    head,
+    publication,
+  });
+};
+
+/**
+ * Puts a checked document in force: sections first, then one conditional
+ * update of the head. Interrupted before that update, nothing is in force.
+ */
+export const publishDocument = (
+  store: platform.ObjectStore,
+  environment: string,
+  document: configuration.Document,
+  expectedGeneration?: number,
+  publication?: string,
+): Promise<headMove.PublishResult<headMove.Publication>> => {
+  const split = configuration.splitDocument(document);
+  const contents = new Map(
+    split.sections.map(({digest, value}) => [digest, value]),
+  );
+  return publishManifest(store, environment, split.manifest, contents, {
+    ...(expectedGeneration === undefined ? {} : {expectedGeneration}),
+    ...(publication === undefined ? {} : {publication}),
+  });
+};
+
+/**
+ * Puts what is in force for one environment in force for another, unchanged.
+ * `digest` is the configuration that was tried: when the other environment
+ * has moved on, also while this runs, nothing is promoted.
+ */
+export const promoteDocument = async (
+  store: platform.ObjectStore,
+  from: string,
+  to: string,
+  digest?: string,
+  options: PublishOptions = {},
+): Promise<headMove.PublishResult<headMove.Publication>> => {
+  const source = await retry(() => configurationHead.readHead(store, from));
+  if (source.isLeft()) {
+    return source.mapLeft(fail);
+  }
+  const head = source.orDefault(undefined)?.head;
+  if (!head) {
+    return purify.Left({
+      code: 'not_found',
+      message: `nothing is in force for ${from}`,
+    });
+  }
+  if (digest !== undefined && digest !== head.digest) {
+    return purify.Left(headMove.describeConflict(from, head.generation));
+  }
+  const manifest = await retry(() =>
+    configurationHead.readManifest(store, head.digest),
+  );
+  if (manifest.isLeft()) {
+    return manifest.mapLeft(fail);
+  }
+  return publishManifest(
+    store,
+    to,
+    manifest.orDefault(compareManifests.EMPTY_MANIFEST),
+    new Map(),
+    options,
+  );
+};
--- /dev/null
+++ b/packages/membership/src/configuration-source.ts
@@ -0,0 +1,102 @@
+/** Reads from the platform what an instance lacks of an accepted head. */
+import type * as platform from '@amaranthknot/platform';
+import * as purify from 'purify-ts';
+import * as configurationHead from './configuration-head.js';
+import type * as configurationStep from './configuration-step.js';
+import * as sectionHistory from './section-history.js';
+import * as compareManifests from './util/compare-manifests.js';
+
+/**
+ * Sections read at a time. A first start reads every section; eight at a time
+ * keep it under a second at a few milliseconds a call, without a burst of
+ * hundreds on the platform.
+ */
+const PARALLEL_READS = 8;
+
+/** Steps of the head from what is in force, when they reach back so far. */
+const listSteps = (
+  current: configurationStep.ConfigurationInForce | undefined,
+  head: configurationHead.Head,
+): readonly configurationHead.HeadStep[] | undefined => {
+  const from = current?.generation ?? 0;
+  const steps = head.steps.filter(step => step.generation > from);
+  return steps.length === head.generation - from ? steps : undefined;
+};
+
+type Outline = Pick<
+  configurationStep.ConfigurationStep,
+  'manifest' | 'history'
+>;
+
+/** Finds what is in the configuration, by the head alone if possible. */
+const readOutline = async (
+  store: platform.ObjectStore,
+  current: configurationStep.ConfigurationInForce | undefined,
+  head: configurationHead.Head,
+): Promise<platform.StoreResult<Outline>> => {
+  const steps = listSteps(current, head);
+  if (steps) {
+    const base = current?.manifest ?? compareManifests.EMPTY_MANIFEST;
+    const history = current?.history ?? sectionHistory.EMPTY_HISTORY;
+    return purify.Right({
+      manifest: steps.reduce(compareManifests.applyDifference, base),
+      history: sectionHistory.followSteps(history, steps),
+    });
+  }
+  const read = await configurationHead.readManifest(store, head.digest);
+  return read.map(manifest => ({
+    manifest,
+    history: sectionHistory.startHistory(
+      Object.keys(manifest.sections),
+      head.generation,
+    ),
+  }));
+};
+
+const readSections = async (
+  store: platform.ObjectStore,
+  digests: readonly string[],
+): Promise<platform.StoreResult<ReadonlyMap<string, unknown>>> => {
+  const contents = new Map<string, unknown>();
+  for (let i = 0; i < digests.length; i += PARALLEL_READS) {
+    const batch = digests.slice(i, i + PARALLEL_READS);
+    const results = await Promise.all(
+      batch.map(digest => configurationHead.readSection(store, digest)),
+    );
+    const values = purify.Either.sequence(results);
+    if (values.isLeft()) {
+      return values;
+    }
+    const read = values.orDefault([]);
+    batch.forEach((digest, j) => {
+      contents.set(digest, read[j]);
+    });
+  }
+  return purify.Right(contents);
+};
+
+/** Reads the step from what is in force to `head`. */
+export const readStep = async (
+  store: platform.ObjectStore,
+  environment: string,
+  current: configurationStep.ConfigurationInForce | undefined,
+  head: configurationHead.Head,
+): Promise<platform.StoreResult<configurationStep.ConfigurationStep>> => {
+  const outline = await readOutline(store, current, head);
+  if (outline.isLeft()) {
+    return outline;
+  }
+  const {manifest, history} = outline.unsafeCoerce();
+  const missing = Object.values(manifest.sections).filter(
+    digest => !current?.sections.has(digest),
+  );
+  const contents = await readSections(store, [...new Set(missing)]);
+  return contents.map(read => ({
+    environment,
+    generation: head.generation,
+    digest: head.digest,
+    manifest,
+    contents: read,
+    history,
+  }));
+};
--- /dev/null
+++ b/packages/membership/src/configuration-step.ts
@@ -0,0 +1,157 @@
+/** Moves a configuration to a later generation; never to an earlier one. */
+import * as configuration from '@amaranthknot/configuration';
+import type * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as sectionHistory from './section-history.js';
+import * as compareManifests from './util/compare-manifests.js';
+
+/** A whole, checked configuration. */
+export interface ConfigurationInForce {
+  readonly environment: string;
+  readonly generation: number;
+  readonly digest: string;
+  readonly manifest: configuration.Manifest;
+  /** Contents of all sections by digest. */
+  readonly sections: ReadonlyMap<string, unknown>;
+  readonly document: configuration.Document;
+  readonly history: sectionHistory.SectionHistory;
+}
+
+/**
+ * Why a step was not taken.
+ *
+ * - `not_newer`: the same or a later generation is in force.
+ * - `other_base`: the step starts at a generation that is not in force here.
+ * - `corrupt`: a content does not match its digest, or can not be joined.
+ */
+export interface StepError {
+  readonly code: 'not_newer' | 'other_base' | 'corrupt';
+  readonly message: string;
+}
+
+const fail = (
+  code: StepError['code'],
+  message: string,
+): purify.Either<StepError, never> => purify.Left({code, message});
+
+/** A later configuration, not yet checked. */
+export interface ConfigurationStep {
+  readonly environment: string;
+  readonly generation: number;
+  readonly digest: string;
+  readonly manifest: configuration.Manifest;
+  /** Contents by digest; those that are in force already may be missing. */
+  readonly contents: ReadonlyMap<string, unknown>;
+  readonly history: sectionHistory.SectionHistory;
+}
+
+/** Contents of a manifest's sections: those that are known, else the fresh. */
+const pickSections = (
+  manifest: configuration.Manifest,
+  known: ReadonlyMap<string, unknown> | undefined,
+  fresh: ReadonlyMap<string, unknown>,
+): ReadonlyMap<string, unknown> =>
+  new Map(
+    Object.values(manifest.sections).map(digest => [
+      digest,
+      known?.get(digest) ?? fresh.get(digest),
+    ]),
+  );
+
+/**
+ * Takes a step from what is in force, if any. Only a higher generation is
+ * taken: a stale answer of the platform, or a peer that lags, shows as the
+ * same or a lower number and changes nothing.
+ */
+export const takeStep = (
+  current: ConfigurationInForce | undefined,
+  step: ConfigurationStep,
+): purify.Either<StepError, ConfigurationInForce> => {
+  const {environment, generation, digest, manifest, history} = step;
+  if (generation <= (current?.generation ?? 0)) {
+    return fail('not_newer', `generation ${generation} is not newer`);
+  }
+  if (configuration.digestManifest(manifest) !== digest) {
+    return fail('corrupt', `the manifest does not match ${digest}`);
+  }
+  const sections = pickSections(manifest, current?.sections, step.contents);
+  return configuration
+    .joinSections(manifest, each => sections.get(each))
+    .mapLeft(([error]) => ({
+      code: 'corrupt' as const,
+      message: error?.message ?? '',
+    }))
+    .map(document => ({
+      environment,
+      generation,
+      digest,
+      manifest,
+      sections,
+      document,
+      history,
+    }));
+};
+
+/** Reads a peer's change as a step from what is in force. */
+export const readChange = (
+  current: ConfigurationInForce | undefined,
+  change: protocol.ConfigurationChange,
+): purify.Either<StepError, ConfigurationStep> => {
+  const {environment, generation, digest, baseGeneration, since} = change;
+  if (baseGeneration !== undefined && baseGeneration !== current?.generation) {
+    return fail('other_base', `the step starts at ${baseGeneration}`);
+  }
+  const base = baseGeneration === undefined ? undefined : current;
+  const sections = change.sections.map(({name, content}) => ({
+    entry: {name, digest: configuration.digestValue(content)},
+    content,
+  }));
+  const manifest = compareManifests.applyDifference(
+    base?.manifest ?? compareManifests.EMPTY_MANIFEST,
+    {
+      entries: sections.map(({entry}) => entry),
+      removed: change.removed.map(({name}) => name),
+    },
+  );
+  return purify.Right({
+    environment,
+    generation,
+    digest,
+    manifest,
+    contents: new Map(
+      sections.map(({entry, content}) => [entry.digest, content]),
+    ),
+    history: sectionHistory.extendHistory(
+      base?.history ?? {...sectionHistory.EMPTY_HISTORY, since},
+      change.sections,
+      change.removed,
+    ),
+  });
+};
+
+/**
+ * Describes the step to `to` from generation `have`, or from nothing when its
+ * history does not reach back so far. It may name more sections than differ,
+ * never fewer: what differs has changed since.
+ */
+export const describeChange = (
+  have: number,
+  to: ConfigurationInForce,
+): protocol.ConfigurationChange => {
+  const {environment, generation, digest, manifest, sections, history} = to;
+  const {changedAt, removedAt, since} = history;
+  const isPartial = have > 0 && have >= since;
+  const after = isPartial ? have : 0;
+  return {
+    environment,
+    generation,
+    digest,
+    ...(isPartial ? {baseGeneration: have} : {}),
+    since,
+    sections: sectionHistory.listAfter(changedAt, after).map(each => ({
+      ...each,
+      content: sections.get(manifest.sections[each.name] ?? ''),
+    })),
+    removed: sectionHistory.listAfter(removedAt, after),
+  };
+};
