--- /dev/null
+++ b/packages/bench/src/models/virtual-deployment.ts
@@ -0,0 +1,227 @@
+/**
+ * Entry instances in virtual time, with all that calls the object API: the
+ * configuration, duties, claims and bills. Requests are reduced to the calls
+ * that they cause.
+ */
+import * as fakes from '@amaranthknot/fakes';
+import * as ledger from '@amaranthknot/ledger';
+import * as membership from '@amaranthknot/membership';
+import type * as platform from '@amaranthknot/platform';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as callCounter from './call-counter.js';
+
+export const ENVIRONMENT = 'production';
+
+/** Time of a call to the platform in milliseconds, at most. */
+const STORE_MS = 8;
+
+/** Duties: a roll-out, and the orders to two pools. */
+const DUTIES = ['rollout/model-00', 'pool/model-00', 'pool/model-01'];
+
+interface Instance {
+  readonly id: string;
+  readonly address: string;
+  readonly follower: membership.ConfigurationFollower;
+  readonly duties: membership.DutyRunner;
+  readonly claims: ledger.ClaimKeeper;
+  readonly bills: ledger.BillKeeper;
+  readonly server: protocol.PeerServer;
+}
+
+/** A deployment of today's size. */
+export class VirtualDeployment {
+  readonly clock = new fakes.VirtualClock();
+  readonly counter = new callCounter.CallCounter(this.clock);
+  readonly store: fakes.MemoryObjectStore;
+  isOut = false;
+  /** Requests that got no claim while the platform was out. */
+  refused = 0;
+  private readonly instances: Instance[] = [];
+  private readonly stopping = new AbortController();
+  private requests = 0;
+
+  constructor(
+    private readonly random: () => number,
+    private readonly zones: readonly string[],
+  ) {
+    this.store = new fakes.MemoryObjectStore({
+      clock: this.clock,
+      delayMs: () => 1 + random() * (STORE_MS - 1),
+      fault: () => (this.isOut ? 'down' : 'none'),
+    });
+  }
+
+  /** Adds and starts instances. */
+  start(count: number): void {
+    for (let index = 0; index < count; index++) {
+      this.instances.push(this.create(index));
+    }
+    for (const instance of this.instances) {
+      void instance.follower.start();
+      void instance.bills.run(this.stopping.signal);
+      for (const name of DUTIES) {
+        instance.duties.add(name, term =>
+          this.clock.sleep(Infinity, term.signal),
+        );
+      }
+    }
+  }
+
+  /** Stops all loops. */
+  stop(): void {
+    this.stopping.abort();
+    for (const {follower, duties} of this.instances) {
+      void follower.stop();
+      void duties.stop();
+    }
+  }
+
+  /** One request at a random instance; `isClaimed` when it must run once. */
+  async request(isClaimed: boolean): Promise<void> {
+    const index = Math.floor(this.random() * this.instances.length);
+    const instance = this.instances[index];
+    const id = `request-${this.requests++}`;
+    const identity = ledger.identifyRequest('workspace', id, id);
+    if (!instance || instance.bills.mayAccept().isLeft()) {
+      this.refused++;
+      return;
+    }
+    if (isClaimed && !(await this.runOnce(instance, identity))) {
+      this.refused++;
+      return;
+    }
+    await instance.bills.record({
+      identity: identity.name,
+      workspace: 'workspace',
+      model: 'model-00',
+      version: 'v1',
+      cost: 1,
+      tokens: 100,
+      atWallMs: this.clock.wallTime(),
+    });
+  }
+
+  private async runOnce(
+    {claims}: Instance,
+    identity: ledger.RequestIdentity,
+  ): Promise<boolean> {
+    const result = await claims.claim(identity, 'body');
+    if (result.kind !== 'granted') {
+      return false;
+    }
+    await claims.finish(result.claim, {
+      kind: 'answer',
+      status: 200,
+      body: 'ok',
+    });
+    return true;
+  }
+
+  /** The store as instances use it, each call noted. */
+  private countingStore(): platform.ObjectStore {
+    const {store, counter} = this;
+    return {
+      get: (kind, name) => {
+        counter.note('get', kind);
+        return store.get(kind, name);
+      },
+      list: (kind, prefix) => {
+        counter.note('list', kind);
+        return store.list(kind, prefix);
+      },
+      create: (kind, name, value) => {
+        counter.note('create', kind);
+        return store.create(kind, name, value);
+      },
+      update: (kind, name, value, version) => {
+        counter.note('update', kind);
+        return store.update(kind, name, value, version);
+      },
+      delete: (kind, name, version) => {
+        counter.note('delete', kind);
+        return store.delete(kind, name, version);
+      },
+      watch: (kind, after, waitMs, signal) => {
+        counter.note('watch', kind);
+        return store.watch(kind, after, waitMs, signal);
+      },
+    };
+  }
+
+  private listed(): readonly platform.ListedInstance[] {
+    return this.instances.map(({id, address}, index) => ({
+      id,
+      address,
+      role: 'entry',
+      state: 'live',
+      zone: this.zones[index % this.zones.length] ?? '',
+      serves: [],
+    }));
+  }
+
+  private create(index: number): Instance {
+    const id = `entry-${index}`;
+    const address = `10.0.0.${index}:80`;
+    const zone = this.zones[index % this.zones.length] ?? '';
+    const {clock, random} = this;
+    const store = this.countingStore();
+    const peers = new membership.Peers({
+      id,
+      address,
+      zone,
+      state: 'live',
+      incarnation: clock.wallTime(),
+    });
+    const follower = new membership.ConfigurationFollower({
+      environment: ENVIRONMENT,
+      store,
+      instances: {list: () => Promise.resolve(purify.Right(this.listed()))},
+      transport: (to, text) => this.carry(to, text),
+      peers,
+      clock,
+      random,
+    });
+    let tokens = 0;
+    const createToken = () => `${id}-${tokens++}`;
+    return {
+      id,
+      address,
+      follower,
+      duties: new membership.DutyRunner({
+        store,
+        clock,
+        random,
+        peers,
+        createToken,
+      }),
+      claims: new ledger.ClaimKeeper({
+        store,
+        clock,
+        random,
+        newToken: createToken,
+        incarnation: `${id}.1`,
+      }),
+      bills: new ledger.BillKeeper({
+        store,
+        clock,
+        random,
+        incarnation: `${id}.1`,
+        // Copies go to peers, not to the platform.
+        copyToPeers: () => Promise.resolve(2),
+      }),
+      server: protocol.createPeerServer(follower.handlers()),
+    };
+  }
+
+  private async carry(
+    address: string,
+    text: string,
+  ): Promise<purify.Either<protocol.PeerError, string>> {
+    const to = this.instances.find(each => each.address === address);
+    await this.clock.sleep(1 + this.random());
+    return to
+      ? purify.Right(await to.server.handle(text))
+      : purify.Left({code: 'not_sent', message: 'no such instance'});
+  }
+}
--- a/packages/membership/src/head-watcher.ts
+++ b/packages/membership/src/head-watcher.ts
@@ -23,6 +23,7 @@
   readonly environment: string;
   readonly store: platform.ObjectStore;
   readonly clock: platform.Clock;
+  readonly random: () => number;
   readonly relay: configurationRelay.ConfigurationRelay;
   /** Ends a waiting watch. */
   readonly signal: AbortSignal;
@@ -64,7 +65,8 @@
     const result = await store.watch(
       configurationHead.HEAD_KIND,
       afterVersion,
-      WATCH_MS,
+      // A change wakes all watchers at once; spread, they drift apart again.
+      WATCH_MS * (0.9 + 0.2 * this.options.random()),
       signal,
     );
     if (result.isLeft() || signal.aborted) {
