--- /dev/null
+++ b/packages/membership/tests/generation-report.test.ts
@@ -0,0 +1,75 @@
+import * as chai from 'chai';
+import * as membership from '@amaranthknot/membership';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as fleets from './fleet.js';
+
+/** A transport of an operator, who reaches all instances that are up. */
+const connect =
+  (fleet: fleets.Fleet): protocol.PeerTransport =>
+  async (address, text) => {
+    const member = fleet.members.find(each => each.peer.address === address);
+    return member && !member.isDown
+      ? purify.Right(
+          await protocol
+            .createPeerServer(member.follower.handlers())
+            .handle(text),
+        )
+      : purify.Left({code: 'not_sent', message: 'refused'});
+  };
+
+const waitFor = async (fleet: fleets.Fleet, generation: number) => {
+  let outcome: membership.WaitOutcome | undefined;
+  const instances = fleet.members.map(({peer}) => peer);
+  void membership
+    .waitInForce(instances, {
+      transport: connect(fleet),
+      clock: fleet.clock,
+      environment: fleets.ENVIRONMENT,
+      generation,
+      timeoutMs: 5_000,
+    })
+    .then(done => {
+      outcome = done;
+    });
+  await fleet.clock.advanceUntil(() => outcome !== undefined, 10_000);
+  return outcome!;
+};
+
+describe('waitInForce', () => {
+  it('ends when a change is in force on all instances', async () => {
+    const fleet = await fleets.createFleet(1);
+    await fleet.publish('v2');
+    const outcome = await waitFor(fleet, 2);
+    chai.expect(outcome.inForce.length).equal(7);
+    chai.expect(outcome.missing).eql([]);
+  });
+
+  // An operator takes a zone out and is told that it worked, while one
+  // instance is dead and another one cut off and still on the old document.
+  it('names the instances where a change is not in force', async () => {
+    const fleet = await fleets.createFleet(2);
+    const [dead, cut] = fleet.members;
+    fleet.kill(dead!);
+    cut!.isCutFromPeers = true;
+    cut!.isCutFromPlatform = true;
+    await fleet.publish('v2');
+    const {inForce, missing} = await waitFor(fleet, 2);
+    chai.expect(inForce.length).equal(5);
+    const said = missing.map(({id, generation, standing, error}) => ({
+      id,
+      generation,
+      standing,
+      code: error?.code,
+    }));
+    chai.expect(said).eql([
+      {
+        id: dead!.id,
+        generation: undefined,
+        standing: undefined,
+        code: 'not_sent',
+      },
+      {id: cut!.id, generation: 1, standing: 'isolated', code: undefined},
+    ]);
+  });
+});
