--- a/packages/membership/tests/configuration-follower.test.ts
+++ b/packages/membership/tests/configuration-follower.test.ts
@@ -123,7 +123,9 @@
     const fleet = await fleets.createFleet(8, 12, ['a', 'b', 'c']);
     const cut = fleet.members.find(({follower}) => !follower.isWatcher());
     cut!.isCutFromPeers = true;
-    await fleet.clock.advance(10_000);
+    // Before it holds enough peers for dead to be first in its zone.
+    await fleet.clock.advance(5_000);
+    chai.expect(cut!.follower.standing()).equal('confirmed');
     await fleet.publish('v2');
     const isDone = await fleet.clock.advanceUntil(
       () => fleet.isInForce(2),
--- a/packages/membership/tests/configuration-step.test.ts
+++ b/packages/membership/tests/configuration-step.test.ts
@@ -2,19 +2,22 @@
 import type * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
 import * as membership from '@amaranthknot/membership';
+import * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import * as fleets from './fleet.js';
 
-/** A relay without peers, fed with heads straight from a store. */
+const refuse: protocol.PeerTransport = () =>
+  Promise.resolve(purify.Left({code: 'not_sent', message: 'none'}));
+
+/** Relays, without peers unless given, fed with heads straight from a store. */
 const createScene = () => {
   const clock = new fakes.VirtualClock();
   const store = new fakes.MemoryObjectStore({clock});
-  const createRelay = () =>
+  const createRelay = (transport: protocol.PeerTransport = refuse) =>
     new membership.ConfigurationRelay({
       environment: fleets.ENVIRONMENT,
       store,
-      transport: () =>
-        Promise.resolve(purify.Left({code: 'not_sent', message: 'none'})),
+      transport,
       peers: new membership.Peers({
         id: 'a',
         address: 'a:80',
@@ -34,7 +37,7 @@
     await relay.adoptHead(stored!.head);
     return relay.inForce()!;
   };
-  return {createRelay, publish, follow};
+  return {clock, createRelay, publish, follow};
 };
 
 const zoned = (state: configuration.ZoneState): configuration.Document => ({
@@ -110,6 +113,11 @@
         change: membership.describeChange(0, last),
         code: 'not_newer',
       },
+      {
+        current: last,
+        change: membership.describeChange(0, first),
+        code: 'not_newer',
+      },
       {current: first, change: altered, code: 'corrupt'},
     ];
     for (const {current, change: given, code} of cases) {
@@ -136,3 +144,60 @@
     chai.expect(taken.unsafeCoerce().document).eql(late.document);
   });
 });
+
+describe('ConfigurationRelay', () => {
+  // The platform answers a watch with an older head than is in force. It must
+  // not count as a word of the platform on what is in force now.
+  it('does not take an older head for a confirmation', async () => {
+    const {createRelay, publish, follow} = createScene();
+    await publish(zoned('in'));
+    const relay = createRelay();
+    const {digest} = await follow(relay);
+    await publish(zoned('out'));
+    await follow(relay);
+    const old = {generation: 1, digest, steps: [], publications: []};
+    chai.expect(await relay.adoptHead(old)).equal(false);
+    chai.expect(relay.generation()).equal(2);
+  });
+
+  // A zone is taken out. One instance hears that there is something newer,
+  // can not fetch it, and goes on as confirmed, as its peer is.
+  const answers = [
+    {name: 'lost', isLost: true, generation: 1, isConfirmed: false},
+    {name: 'given', isLost: false, generation: 2, isConfirmed: true},
+  ];
+  for (const {name, isLost, generation, isConfirmed} of answers) {
+    it(`is confirmed by a newer peer only with sections ${name}`, async () => {
+      const {clock, createRelay, publish, follow} = createScene();
+      const ahead = createRelay();
+      const exchangeGenerations = (
+        params: protocol.Params<'exchange_generations'>,
+      ) => {
+        const {change, ...answer} = ahead.handleExchange(params);
+        return isLost || !change ? answer : {...answer, change};
+      };
+      const server = protocol.createPeerServer({
+        exchange_generations: exchangeGenerations,
+      });
+      const behind = createRelay(async (_address, text) =>
+        purify.Right(await server.handle(text)),
+      );
+      await publish(zoned('in'));
+      await follow(behind);
+      await follow(ahead);
+      await publish(zoned('out'));
+      await follow(ahead);
+      ahead.freshness.confirm(clock.now());
+      await behind.exchangeWith({
+        id: 'b',
+        address: 'b:80',
+        zone: 'a',
+        state: 'live',
+        incarnation: 1,
+      });
+      chai.expect(behind.generation()).equal(generation);
+      const age = behind.freshness.confirmedAgeMs(clock.now());
+      chai.expect(age !== undefined).equal(isConfirmed);
+    });
+  }
+});
