--- a/packages/amaranthknot/src/index.ts
+++ b/packages/amaranthknot/src/index.ts
@@ -1,2 +1,2 @@
 /** See package.json for what this package is for. */
-export {};
+export * from './embedded-deployment.js';
