Sign session tokens with a key object

Cause: the profile of the overhead bench had createPrivateKey at 14.2% of all time. jsonwebtoken tries at each request whether a key given as text is a private key, and throws inside. Ruled out: the signature itself.

--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -227,7 +227,7 @@
     clock,
     random: get('options').random ?? random,
     newId: () => crypto.randomUUID(),
-    sessionKey: secrets.sessionKey,
+    sessionKey: crypto.createSecretKey(secrets.sessionKey, 'utf8'),
     operatorDigest: settings.keys.operatorDigest,
     innerKey: secrets.innerKey,
     inForce: () => (follower.mayTakeWork() ? follower.inForce() : undefined),
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -1,4 +1,5 @@
 /** What the caller-facing server is built from; the wiring passes it in. */
+import type * as crypto from 'node:crypto';
 import type * as configuration from '@amaranthknot/configuration';
 import type * as decisions from '@amaranthknot/decisions';
 import type * as ledger from '@amaranthknot/ledger';
@@ -50,7 +51,7 @@
   readonly clock: platform.Clock;
   readonly random: () => number;
   readonly newId: () => string;
-  readonly sessionKey: string;
+  readonly sessionKey: crypto.KeyObject;
   readonly operatorDigest: string;
   readonly innerKey: string;
   /** Undefined until a first configuration, or when it is too old to act on. */
--- a/packages/entry/src/session-token.ts
+++ b/packages/entry/src/session-token.ts
@@ -3,6 +3,7 @@
  * versions, signed with a key that all instances hold, so that any instance
  * keeps a session on its version without shared state.
  */
+import type * as crypto from 'node:crypto';
 import * as jsonwebtoken from 'jsonwebtoken';
 import * as purify from 'purify-ts';
 import * as zod from 'zod';
@@ -31,10 +32,13 @@
   pins: zod.record(zod.string(), zod.string()),
 });
 
-/** Signs a session. */
+/**
+ * Signs a session. The key is a key object: of a string the library first
+ * tries, at each request, whether it is a private key.
+ */
 export const signSession = (
   session: Session,
-  key: string,
+  key: crypto.KeyObject,
   seconds = DEFAULT_TOKEN_SECONDS,
 ): string =>
   jsonwebtoken.default.sign(
@@ -46,7 +50,7 @@
 /** Reads a token that must belong to `workspace`. */
 export const verifySession = (
   token: string,
-  key: string,
+  key: crypto.KeyObject,
   workspace: string,
 ): purify.Either<SessionProblem, Session> => {
   try {
