Look up keys and plans once for each configuration

Cause: each request compared its key with every workspace's digest, each decoded from hex, and searched models and cascades anew: cost grows with workspaces, tens today, more at the size to design for. The index sits on the document in a weak map; sections share workspaces between documents, so the workspace may not be the key of what rules allow. Found on the way: model@version@anything ran as model@version, so callers had endless names for one plan, each of which would have been kept.

--- a/packages/entry/src/authenticate.ts
+++ b/packages/entry/src/authenticate.ts
@@ -21,22 +21,40 @@
   return match?.[1];
 };
 
+type Index = ReadonlyMap<string, configuration.Workspace>;
+
+const indexes = new WeakMap<configuration.Document, Index>();
+
+const createIndex = (document: configuration.Document): Index =>
+  new Map(
+    document.workspaces.flatMap(workspace =>
+      workspace.keyDigests.map(digest => [digest, workspace] as const),
+    ),
+  );
+
+/** Built once for each configuration in force, not for each request. */
+const findIndex = (document: configuration.Document): Index => {
+  const known = indexes.get(document);
+  if (known) {
+    return known;
+  }
+  const index = createIndex(document);
+  indexes.set(document, index);
+  return index;
+};
+
 /**
- * Finds the workspace of a key. Every digest is compared, so that the time
- * taken does not tell which workspace came close.
+ * Finds the workspace of a key. The time of the look-up may tell something
+ * about the SHA-256 digest of a guess, which says nothing of a key that is
+ * close to it; the digest found is then compared in constant time.
  */
 export const findWorkspace = (
   document: configuration.Document,
   key: string,
 ): configuration.Workspace | undefined => {
   const digest = digestKey(key);
-  let found: configuration.Workspace | undefined;
-  for (const workspace of document.workspaces) {
-    for (const candidate of workspace.keyDigests) {
-      if (equalDigests(digest, candidate)) {
-        found = workspace;
-      }
-    }
-  }
-  return found;
+  const found = findIndex(document).get(digest);
+  return found?.keyDigests.some(candidate => equalDigests(digest, candidate))
+    ? found
+    : undefined;
 };
--- a/packages/entry/src/resolve-plan.ts
+++ b/packages/entry/src/resolve-plan.ts
@@ -60,9 +60,9 @@
   workspace: configuration.Workspace,
   requested: string,
 ): Resolution => {
-  const [name = '', version] = requested.split('@');
+  const [name = '', version, ...rest] = requested.split('@');
   const model = document.models.find(found => found.name === name);
-  if (!model) {
+  if (!model || rest.length > 0) {
     return notFound(requested);
   }
   const versions = configuration
@@ -73,8 +73,7 @@
     : purify.Right({name: requested, stages: [{model, versions}]});
 };
 
-/** Resolves the `model` field of a request for a workspace. */
-export const resolvePlan = (
+const resolveName = (
   document: configuration.Document,
   workspace: configuration.Workspace,
   requested: string,
@@ -90,3 +89,38 @@
     ? resolveCascade(document, workspace, cascade)
     : resolveModel(document, workspace, name);
 };
+
+type Resolved = Map<string, Resolution>;
+
+const resolved = new WeakMap<configuration.Document, Resolved>();
+
+const findResolved = (document: configuration.Document): Resolved => {
+  const known = resolved.get(document);
+  if (known) {
+    return known;
+  }
+  const created: Resolved = new Map();
+  resolved.set(document, created);
+  return created;
+};
+
+/**
+ * Resolves the `model` field of a request for a workspace, once for each
+ * configuration in force. Refusals are not kept: callers choose the names, and
+ * would fill the memory with them.
+ */
+export const resolvePlan = (
+  document: configuration.Document,
+  workspace: configuration.Workspace,
+  requested: string,
+): Resolution => {
+  const known = findResolved(document);
+  const key = `${workspace.name}/${requested}`;
+  const found = known.get(key);
+  if (found) {
+    return found;
+  }
+  const resolution = resolveName(document, workspace, requested);
+  resolution.ifRight(() => known.set(key, resolution));
+  return resolution;
+};
