Bound each request's time by one timer that ends with it

Cause: AbortSignal.timeout keeps its timer and the joined signal for the whole two minutes after an answer: memory grows with the rate, not with requests in progress.

--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -27,19 +27,26 @@
   return typeof value === 'string' && value !== '' ? value : undefined;
 };
 
-/** Aborts when the caller's connection closes before the answer's end. */
+/**
+ * Aborts when the caller's connection closes before the answer's end, or when
+ * the request's time is up. One timer, cleared at the answer's end: a signal
+ * of `AbortSignal.timeout` and one that joins both would outlive each request
+ * by two minutes, at 200 requests/s 48,000 of them.
+ */
 export const watchCaller = (
   request: hapi.Request,
   timeoutMs: number,
 ): AbortSignal => {
-  const caller = new AbortController();
+  const ended = new AbortController();
   const {res} = request.raw;
+  const timer = setTimeout(() => ended.abort(), timeoutMs);
   res.once('close', () => {
+    clearTimeout(timer);
     if (!res.writableFinished) {
-      caller.abort();
+      ended.abort();
     }
   });
-  return AbortSignal.any([caller.signal, AbortSignal.timeout(timeoutMs)]);
+  return ended.signal;
 };
 
 /** Authenticates a caller's request against the configuration in force. */
