Keep cold upstreams within what they bear over all instances

Now an upstream's first instance by rendezvous issues expiring slots; the others ask it every 300 ms; placement starts nothing on a cold upstream without a slot. Left: an engine that turns cold under load gets what was sent before its next report (up to 1 s).

--- a/packages/amaranthknot/src/embedded-deployment.ts
+++ b/packages/amaranthknot/src/embedded-deployment.ts
@@ -5,6 +5,7 @@
 import * as crypto from 'node:crypto';
 import * as net from 'node:net';
 import * as configuration from '@amaranthknot/configuration';
+import type * as decisions from '@amaranthknot/decisions';
 import * as standIns from '@amaranthknot/fakes';
 import * as membership from '@amaranthknot/membership';
 import * as platform from '@amaranthknot/platform';
@@ -21,6 +22,8 @@
   readonly limits?: Partial<configuration.InstanceLimits>;
   /** Time between an engine's tokens, in milliseconds. */
   readonly tokenMs?: number;
+  /** Times of warm-up grants; the decisions' own by default. */
+  readonly warmUpTiming?: decisions.WarmUpTiming;
   /** Random numbers of the instance at an index; the process's by default. */
   readonly createRandom?: (index: number) => () => number;
 }
@@ -125,6 +128,7 @@
       secrets,
       clock: platform.systemClock,
       advertise: address,
+      ...(options.warmUpTiming ? {warmUpTiming: options.warmUpTiming} : {}),
       ...(options.createRandom ? {random: options.createRandom(i)} : {}),
     });
   });
--- a/packages/amaranthknot/src/entry-instance.ts
+++ b/packages/amaranthknot/src/entry-instance.ts
@@ -48,13 +48,17 @@
     await get('follower').start();
     await this.refreshUpstreams();
     const reports = loadPoller.createLoadReader(REPORT_TIMEOUT_MS);
+    // Before the first request: an upstream in cold start is not known as one
+    // until it has reported.
+    await loadPoller.pollLoad(get('directory'), get('warmUp'), reports);
     const {signal} = this.stopping;
     this.loops = Promise.all([
       get('bills').run(signal),
       this.repeat(LIST_INTERVAL_MS, () => this.refreshUpstreams()),
       this.repeat(loadPoller.REPORT_INTERVAL_MS, () =>
-        loadPoller.pollLoad(get('directory'), reports),
+        loadPoller.pollLoad(get('directory'), get('warmUp'), reports),
       ),
+      this.repeat(entry.ASK_INTERVAL_MS, () => get('warmUp').askForGrants()),
       this.repeat(RECOVER_INTERVAL_MS, () => this.recoverBills()),
       this.repeat(entry.SHARES_INTERVAL_MS, () =>
         rolloutParts.followRollouts(get, this.rollouts),
--- a/packages/amaranthknot/src/instance-options.ts
+++ b/packages/amaranthknot/src/instance-options.ts
@@ -1,5 +1,6 @@
 /** What one entry instance is started with. */
 import type * as configuration from '@amaranthknot/configuration';
+import type * as decisions from '@amaranthknot/decisions';
 import type * as platform from '@amaranthknot/platform';
 
 /** Secrets in plain text, read from the settings or their files. */
@@ -16,6 +17,8 @@
   readonly clock: platform.Clock;
   /** `ip:port` at which others reach this instance. */
   readonly advertise: string;
+  /** Times of warm-up grants; the decisions' own by default. */
+  readonly warmUpTiming?: decisions.WarmUpTiming;
   /** Uniform in [0, 1), for cascades and jitter; seeded in demo and tests. */
   readonly random?: () => number;
 }
--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -30,6 +30,7 @@
   readonly logger: telemetry.Logger;
   readonly placement: decisions.Placement;
   readonly directory: entry.UpstreamDirectory;
+  readonly warmUp: entry.WarmUpDesk;
   readonly admission: entry.AdmissionGate;
   readonly claims: ledger.ClaimKeeper;
   readonly bills: ledger.BillKeeper;
@@ -57,6 +58,9 @@
 /** Longest time to ask a claim's owner, in milliseconds. */
 const ASK_OWNER_MS = 500;
 
+/** Longest wait for slots of a cold upstream; below a grant's term, in ms. */
+const ASK_GRANT_MS = 250;
+
 const random = (): number => Math.random();
 
 const createHttp = (url: string, key: string | undefined) =>
@@ -153,8 +157,38 @@
     placement: get('placement'),
     clock: get('options').clock,
     excludedZones: () => excludedZones(get),
+    mayStart: id => get('warmUp').mayStart(id),
   });
 
+const createWarmUp = (get: Resolve): entry.WarmUpDesk => {
+  const {clock, warmUpTiming} = get('options');
+  const peers = get('peers');
+  return new entry.WarmUpDesk({
+    self: peers.self().id,
+    clock,
+    instances: () => peers.candidates().map(peer => peer.id),
+    confirmedAtMs: () =>
+      clock.now() - (get('follower').confirmedAgeMs() ?? Infinity),
+    inFlight: id => get('placement').find(id)?.inFlight ?? 0,
+    ...(warmUpTiming ? {timing: warmUpTiming} : {}),
+    notifyCold: upstream => get('events').record('upstream_cold', {upstream}),
+    ask: async (instance, params) => {
+      const peer = peers.all().find(known => known.id === instance);
+      if (!peer) {
+        return undefined;
+      }
+      const answer = await protocol.callPeer(
+        get('transport').send,
+        peer.address,
+        'request_grant',
+        params,
+        ASK_GRANT_MS,
+      );
+      return answer.toMaybe().extract();
+    },
+  });
+};
+
 const createPeerServer = (get: Resolve): protocol.PeerServer =>
   protocol.createPeerServer({
     ...get('follower').handlers(),
@@ -165,6 +199,7 @@
         writtenLanes,
       ),
     }),
+    request_grant: params => get('warmUp').answer(params),
     fetch_evidence: ({rollout}) => ({
       incarnation: get('incarnation'),
       ...get('rolloutCounters').read(rollout),
@@ -344,6 +379,7 @@
       random,
     }),
   directory: createDirectory,
+  warmUp: createWarmUp,
   admission: () =>
     new entry.AdmissionGate(
       new decisions.AdmissionQueue({
--- a/packages/amaranthknot/src/load-poller.ts
+++ b/packages/amaranthknot/src/load-poller.ts
@@ -10,12 +10,29 @@
  */
 export const REPORT_INTERVAL_MS = 1_000;
 
-const REPORT = zod.object({in_flight: zod.number(), slots: zod.number()});
+const REPORT = zod.object({
+  in_flight: zod.number(),
+  slots: zod.number(),
+  /** Absent where an engine does not tell how it warms up. */
+  cold_slots: zod.number().optional(),
+  warm_ms: zod.number().optional(),
+  age_ms: zod.number().optional(),
+});
 
 /** Reads one report; undefined when there is none. */
 export type LoadReader = (
   address: string,
-) => Promise<{readonly inFlight: number; readonly slots: number} | undefined>;
+) => Promise<entry.LoadReport | undefined>;
+
+const toLoadReport = (report: zod.infer<typeof REPORT>): entry.LoadReport => {
+  const {in_flight: inFlight, slots} = report;
+  const {cold_slots: coldSlots, warm_ms: warmMs, age_ms: ageMs} = report;
+  const isComplete =
+    coldSlots !== undefined && warmMs !== undefined && ageMs !== undefined;
+  return isComplete
+    ? {inFlight, slots, warmth: {coldSlots, warmMs, ageMs}}
+    : {inFlight, slots};
+};
 
 /** Creates a reader over kept connections. */
 export const createLoadReader = (timeoutMs: number): LoadReader => {
@@ -29,7 +46,7 @@
       );
       const body: unknown = await wreck.default.read(response, {json: true});
       const report = REPORT.parse(body);
-      return {inFlight: report.in_flight, slots: report.slots};
+      return toLoadReport(report);
     } catch {
       // A missing report leaves the last one, which placement ages.
       return undefined;
@@ -40,6 +57,7 @@
 /** Asks every watched engine once. */
 export const pollLoad = async (
   directory: entry.UpstreamDirectory,
+  warmUp: entry.WarmUpDesk,
   read: LoadReader,
 ): Promise<void> => {
   const watched = directory.watched();
@@ -48,6 +66,7 @@
       const report = await read(address);
       if (report) {
         directory.applyReport(id, report);
+        warmUp.applyReport(id, report);
       }
     }),
   );
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -15,3 +15,4 @@
 export * from './rollout-counters.js';
 export * from './rollout-driver.js';
 export * from './rollout-shares.js';
+export * from './warm-up-desk.js';
--- a/packages/entry/src/upstream-directory.ts
+++ b/packages/entry/src/upstream-directory.ts
@@ -9,6 +9,19 @@
 /** Slots of an upstream that has not reported any. */
 const DEFAULT_SLOTS = 16;
 
+/** What an engine reports of itself. */
+export interface LoadReport {
+  readonly inFlight: number;
+  readonly slots: number;
+  /** How it warms up, where it tells. */
+  readonly warmth?: {
+    readonly coldSlots: number;
+    readonly warmMs: number;
+    /** Time since it turned cold, in milliseconds. */
+    readonly ageMs: number;
+  };
+}
+
 /** What the directory works with. */
 export interface UpstreamDirectoryOptions {
   readonly placement: decisions.Placement;
@@ -59,10 +72,7 @@
   }
 
   /** Takes in an upstream's load report. */
-  applyReport(
-    id: string,
-    report: {readonly inFlight: number; readonly slots: number},
-  ): void {
+  applyReport(id: string, report: LoadReport): void {
     const now = this.options.clock.now();
     if (this.slots.get(id) !== report.slots) {
       this.slots.set(id, report.slots);
--- /dev/null
+++ b/packages/entry/src/warm-up-desk.ts
@@ -0,0 +1,179 @@
+/**
+ * Keeps upstreams in cold start within what they bear, summed over all entry
+ * instances: asks the upstream's issuer for slots, and issues them where this
+ * instance is the issuer.
+ */
+import * as decisions from '@amaranthknot/decisions';
+import type * as platform from '@amaranthknot/platform';
+import type * as protocol from '@amaranthknot/protocol';
+import type * as upstreamDirectory from './upstream-directory.js';
+
+/** What the desk works with. */
+export interface WarmUpDeskOptions {
+  readonly self: string;
+  readonly clock: platform.Clock;
+  /** Ids of instances that take lasting work, this one included. */
+  readonly instances: () => readonly string[];
+  /** When the view of the others was last confirmed, on `clock`. */
+  readonly confirmedAtMs: () => number;
+  /** This instance's own requests in progress on an upstream. */
+  readonly inFlight: (upstream: string) => number;
+  /** Asks another instance for slots; undefined when it does not answer. */
+  readonly ask: (
+    instance: string,
+    params: protocol.Params<'request_grant'>,
+  ) => Promise<protocol.Result<'request_grant'> | undefined>;
+  readonly notifyCold: (upstream: string) => void;
+  readonly timing?: decisions.WarmUpTiming;
+}
+
+/** Time between two requests for slots; a third of a grant's term. */
+export const ASK_INTERVAL_MS = 300;
+
+/** A report this much younger than the issuer's tells of a new cold start. */
+const RESTART_MARGIN_MS = 1_000;
+
+interface Cold {
+  readonly curve: decisions.WarmUpCurve;
+  readonly sinceMs: number;
+  readonly grant?: decisions.HeldGrant;
+}
+
+/** Grants for upstreams in cold start. */
+export class WarmUpDesk {
+  private readonly cold = new Map<string, Cold>();
+  private readonly issuers = new Map<string, decisions.WarmUpIssuer>();
+  private readonly timing: decisions.WarmUpTiming;
+  private readonly startedAtMs: number;
+  private view = '';
+  private viewSinceMs: number;
+
+  constructor(private readonly options: WarmUpDeskOptions) {
+    this.timing = options.timing ?? decisions.WARM_UP_TIMING;
+    this.startedAtMs = options.clock.now();
+    this.viewSinceMs = this.startedAtMs;
+  }
+
+  /** Takes in a report; an upstream that tells no warmth counts as warm. */
+  applyReport(id: string, report: upstreamDirectory.LoadReport): void {
+    const {warmth, slots} = report;
+    if (!warmth || warmth.ageMs >= warmth.warmMs) {
+      this.cold.delete(id);
+      this.issuers.delete(id);
+      return;
+    }
+    const {coldSlots, warmMs, ageMs} = warmth;
+    const before = this.cold.get(id);
+    if (!before) {
+      this.options.notifyCold(id);
+    }
+    this.cold.set(id, {
+      ...before,
+      curve: {coldSlots, fullSlots: slots, warmMs},
+      sinceMs: this.options.clock.now() - ageMs,
+    });
+  }
+
+  /** Whether one more request may start on an upstream. */
+  mayStart(id: string): boolean {
+    const cold = this.cold.get(id);
+    if (!cold) {
+      return true;
+    }
+    const {clock, inFlight} = this.options;
+    return decisions.mayStartOnGrant(cold.grant, inFlight(id), clock.now());
+  }
+
+  /** Asks for slots of every cold upstream. */
+  async askForGrants(): Promise<void> {
+    this.noteView();
+    await Promise.all(
+      [...this.cold].map(([id, cold]) => this.askForGrant(id, cold)),
+    );
+  }
+
+  /** Answers another instance's request for slots. */
+  answer(
+    params: protocol.Params<'request_grant'>,
+  ): protocol.Result<'request_grant'> {
+    const now = this.options.clock.now();
+    const {upstream, ageMs} = params;
+    const mayIssue = decisions.mayIssueGrants(
+      upstream,
+      this.options.self,
+      {
+        instances: this.options.instances(),
+        confirmedAtMs: this.options.confirmedAtMs(),
+        memberSinceMs: this.startedAtMs,
+      },
+      now,
+      this.timing,
+    );
+    if (!mayIssue) {
+      return {slots: 0, termMs: this.timing.termMs};
+    }
+    const issuer = this.findIssuer(upstream, now - ageMs, now);
+    const issued = decisions.issueGrant(
+      issuer,
+      params,
+      now,
+      params,
+      this.timing,
+    );
+    this.issuers.set(upstream, issued.issuer);
+    return issued.grant;
+  }
+
+  private findIssuer(
+    upstream: string,
+    coldSinceMs: number,
+    now: number,
+  ): decisions.WarmUpIssuer {
+    const known = this.issuers.get(upstream);
+    if (known) {
+      const isRestarted = coldSinceMs > known.coldSinceMs + RESTART_MARGIN_MS;
+      return isRestarted ? decisions.resetIssuer(known, coldSinceMs) : known;
+    }
+    const {viewLagMs, termMs, drainMs} = this.timing;
+    const settledMs = this.viewSinceMs + viewLagMs + termMs + drainMs;
+    // Long the first in an unchanged view: no one else can have issued.
+    return settledMs < now
+      ? decisions.createFirstIssuer(coldSinceMs)
+      : decisions.createWarmUpIssuer(coldSinceMs, now, this.timing);
+  }
+
+  private noteView(): void {
+    const view = [...this.options.instances()].sort().join(' ');
+    if (view !== this.view) {
+      this.view = view;
+      this.viewSinceMs = this.options.clock.now();
+      this.issuers.clear();
+    }
+  }
+
+  private async askForGrant(id: string, cold: Cold): Promise<void> {
+    const {self, clock, instances, inFlight, ask} = this.options;
+    const ids = instances();
+    if (!decisions.mayAskForGrants(id, self, ids, cold.curve)) {
+      return;
+    }
+    const [issuer = self] = decisions.rankByRendezvous(id, ids, 1);
+    const sentAt = clock.now();
+    const params = {
+      upstream: id,
+      instance: self,
+      wanted: cold.curve.fullSlots,
+      inFlight: inFlight(id),
+      ageMs: sentAt - cold.sinceMs,
+      ...cold.curve,
+    };
+    const grant =
+      issuer === self ? this.answer(params) : await ask(issuer, params);
+    const current = this.cold.get(id);
+    if (grant && current) {
+      const {slots, termMs} = grant;
+      const held = {slots, endsAtMs: sentAt + termMs};
+      this.cold.set(id, {...current, grant: held});
+    }
+  }
+}
--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -55,6 +55,12 @@
   fault: EngineFault = 'none';
   /** Tokens sent before a `cut`. */
   cutAfter = 1;
+  /** When the engine turned cold on its clock; undefined while warm. */
+  private coldSince: number | undefined;
+  /** How it warms up once it is cold. */
+  warmth = {coldSlots: 1, warmMs: 10_000};
+  /** Most work at once beyond what it bore at the time; 0 or less is right. */
+  worstOverload = Number.NEGATIVE_INFINITY;
   /** Requests that the fault still applies to. */
   faultsLeft = Number.POSITIVE_INFINITY;
 
@@ -77,6 +83,9 @@
           in_flight: this.inFlight,
           slots: this.slots,
           serves: this.options.serves,
+          cold_slots: this.warmth.coldSlots,
+          warm_ms: this.warmth.warmMs,
+          age_ms: this.findAge(),
         }),
       },
     ]);
@@ -87,6 +96,18 @@
     return `127.0.0.1:${this.server.info.port}`;
   }
 
+  /** Turns cold without warning. */
+  turnCold(): void {
+    this.coldSince = this.options.clock.now();
+  }
+
+  /** Work at once that it bears now. */
+  get bearable(): number {
+    const {coldSlots, warmMs} = this.warmth;
+    const progress = Math.min(1, this.findAge() / warmMs);
+    return Math.floor(coldSlots + (this.slots - coldSlots) * progress);
+  }
+
   async start(): Promise<void> {
     await this.server.start();
   }
@@ -99,6 +120,13 @@
     return this.options.slots ?? DEFAULT_SLOTS;
   }
 
+  /** Time since it turned cold, in ms; long past warm when it never did. */
+  private findAge(): number {
+    return this.coldSince === undefined
+      ? 2 * this.warmth.warmMs
+      : this.options.clock.now() - this.coldSince;
+  }
+
   private takeFault(): EngineFault {
     if (this.fault === 'none' || this.faultsLeft <= 0) {
       return 'none';
@@ -131,6 +159,10 @@
       output.destroy();
     });
     this.inFlight++;
+    this.worstOverload = Math.max(
+      this.worstOverload,
+      this.inFlight - this.bearable,
+    );
     void this.generate(body, fault, output, request).finally(
       () => this.inFlight--,
     );
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -184,6 +184,21 @@
       new: versionCounts,
     }),
   },
+  /** Asks the issuer of an upstream in cold start for slots. */
+  request_grant: {
+    params: zod.object({
+      upstream: name,
+      instance: name,
+      wanted: count,
+      inFlight: count,
+      /** Time since the upstream turned cold, as the asker knows it. */
+      ageMs: milliseconds,
+      coldSlots: count,
+      fullSlots: count,
+      warmMs: milliseconds,
+    }),
+    result: zod.object({slots: count, termMs: milliseconds}),
+  },
   /** Asks whether a claim that the receiver made is void. */
   describe_claim: {
     params: zod.object({incarnation: name, owner: name}),
