--- a/packages/amaranthknot/tests/versions-and-zones.test.ts
+++ b/packages/amaranthknot/tests/versions-and-zones.test.ts
@@ -142,6 +142,33 @@
     chai.expect(inside!.started.length).greaterThan(before);
   });
 
+  // The platform lists an engine as leaving; its process goes on for a while.
+  // Once an instance has read the list, it may start no new work there.
+  it('starts no work on a leaving upstream', async () => {
+    const {platform, engines} = deployment.standIns;
+    const engine = engines.get('engine-1')!;
+    const listed = deployment.instances[0]!.parts('directory')
+      .all()
+      .find(one => one.id === 'engine-1')!;
+    engine.fault = 'none';
+    platform.register({...listed, state: 'leaving'});
+    const isSeen = () =>
+      deployment.instances.every(instance =>
+        instance
+          .parts('directory')
+          .all()
+          .some(one => one.id === 'engine-1' && one.state === 'leaving'),
+      );
+    while (!isSeen()) {
+      await ask(0, {});
+    }
+    const before = engine.started.length;
+    for (let i = 0; i < 12; i++) {
+      await ask(i % 3, {});
+    }
+    chai.expect(engine.started.length).equal(before);
+  });
+
   // A caller shows a session token of another workspace, or a forged one.
   it('refuses session tokens that are not its own', async () => {
     const first = await ask(0, {});
