Read the waiting workspaces once an offer

Cause: an estimate looked at all waiting workspaces twice, for the wait and for the demand during it.

--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -45,6 +45,16 @@
   readonly nowMs: number;
 }
 
+/** What may go before a position. */
+interface Rival {
+  /** Slot time that waits already. */
+  readonly queuedMs: number;
+  /** Slots that requests to come keep busy. */
+  readonly demand: number;
+  /** Slot time it gets at most before the position's turn. */
+  readonly shareMs: number;
+}
+
 /** Shares the slots of a pool between workspaces. */
 export class FairShare {
   private virtualTime = 0;
@@ -184,11 +194,12 @@
       unitMs,
       nowMs,
     };
-    const queuedMs = this.waitBehind(position, 0);
+    const rivals = this.findRivals(position);
+    const queuedMs = this.waitBehind(rivals, position.ownMs, 0);
     // Requests that come during the wait go ahead too, where their workspace
     // is behind in virtual time; without them the wait is guessed too short
     // for large workspaces, and their requests wait only to be given up on.
-    const sharedMs = this.waitBehind(position, queuedMs);
+    const sharedMs = this.waitBehind(rivals, position.ownMs, queuedMs);
     // A workspace at its own bound waits for its own work to end.
     const ownMs = isBelowLimit
       ? 0
@@ -196,36 +207,42 @@
     return Math.max(sharedMs, ownMs) * this.slots.stallFactor(nowMs);
   }
 
-  private waitBehind(position: Position, horizonMs: number): number {
-    const {workspace, tag, nowMs} = position;
-    let ahead = position.ownMs;
+  private waitBehind(
+    rivals: readonly Rival[],
+    ownMs: number,
+    horizonMs: number,
+  ): number {
+    let ahead = ownMs;
+    for (const {queuedMs, demand, shareMs} of rivals) {
+      ahead += Math.min(queuedMs + demand * horizonMs, shareMs);
+    }
+    return ahead / Math.max(1, this.slots.capacity);
+  }
+
+  /** All that may go before a position: waiting workspaces, and the rest. */
+  private findRivals(position: Position): readonly Rival[] {
+    const {workspace, tag, nowMs, unitMs} = position;
+    const rivals: Rival[] = [];
     let idleDemand = this.demand.read(nowMs);
     for (const other of this.backlogged) {
-      idleDemand -= other.demand.read(nowMs);
+      const demand = other.demand.read(nowMs);
+      idleDemand -= demand;
       if (other !== workspace) {
-        ahead += this.serviceBefore(other, position, horizonMs);
+        const head = other.head(nowMs, workspaceQueue.ADMISSION_PRIORITIES);
+        const from = head
+          ? this.tagOf(other, head, unitMs)
+          : this.startOf(other);
+        const shareMs = Math.max(0, tag - from) * other.weight;
+        rivals.push({queuedMs: other.queuedServiceMs, demand, shareMs});
       }
     }
     const idle = this.workspaces.size - this.backlogged.size;
     const start = this.virtualTime - CREDIT * this.slots.meanServiceMs;
-    const idleShare = idle * Math.max(0, tag - start);
-    ahead += Math.min(Math.max(0, idleDemand) * horizonMs, idleShare);
-    return ahead / Math.max(1, this.slots.capacity);
-  }
-
-  /** Slot time a workspace gets before its virtual time reaches the tag. */
-  private serviceBefore(
-    workspace: Workspace,
-    position: Position,
-    horizonMs: number,
-  ): number {
-    const {nowMs, unitMs} = position;
-    const arriving = workspace.demand.read(nowMs) * horizonMs;
-    const head = workspace.head(nowMs, workspaceQueue.ADMISSION_PRIORITIES);
-    const from = head
-      ? this.tagOf(workspace, head, unitMs)
-      : this.startOf(workspace);
-    const share = Math.max(0, position.tag - from) * workspace.weight;
-    return Math.min(workspace.queuedServiceMs + arriving, share);
+    rivals.push({
+      queuedMs: 0,
+      demand: Math.max(0, idleDemand),
+      shareMs: idle * Math.max(0, tag - start),
+    });
+    return rivals;
   }
 }
