--- a/packages/bench/src/benches/scale.ts
+++ b/packages/bench/src/benches/scale.ts
@@ -1,6 +1,7 @@
 /** Cost of decisions at today's size and at the size to design for. */
 import * as decisions from '@amaranthknot/decisions';
 import type * as figures from '../figure.js';
+import * as deployment from '../models/deployment.js';
 import * as statistics from '../models/statistics.js';
 import * as seededRandom from '../seeded-random.js';
 
@@ -21,6 +22,15 @@
 /** Latency, in milliseconds, that the runs give each answer. */
 const LATENCY_MS = 500;
 
+/** A zone's instances before the upstreams of one version there. */
+const HERD_INSTANCES = 300;
+const HERD_UPSTREAMS = 40;
+const HERD_LOAD = 0.7;
+const HERD_SERVICE_MS = 2000;
+const HERD_WARM_UP_MS = 10_000;
+const HERD_END_MS = 30_000;
+const HERD_SAMPLE_MS = 100;
+
 /** Median over batches of the mean time of a step, in microseconds. */
 const timeStep = (step: (index: number) => void): number => {
   const times: number[] = [];
@@ -270,6 +280,41 @@
   ];
 };
 
+/** Load of an upstream over the mean, at p99 of moments, with many instances. */
+const measureHerd = (
+  seed: number,
+  createChooser: deployment.ChooserMaker,
+): number => {
+  const sim = new deployment.Deployment({
+    seed,
+    createChooser,
+    entryInstances: HERD_INSTANCES,
+    upstreams: HERD_UPSTREAMS,
+    slots: SLOTS,
+  });
+  const ratios: number[] = [];
+  sim.time.every(HERD_SAMPLE_MS, () => {
+    if (sim.time.nowMs >= HERD_WARM_UP_MS) {
+      const mean = statistics.mean(sim.upstreams.map(u => u.load));
+      sim.upstreams.forEach(u => ratios.push(u.load / mean));
+    }
+  });
+  sim.drive(
+    () => (HERD_LOAD * sim.slots * 1000) / HERD_SERVICE_MS,
+    HERD_END_MS,
+    () => ({
+      workspace: 'workspace',
+      priority: 'interactive',
+      weight: 1,
+      deadlineMs: sim.time.nowMs + HERD_END_MS,
+      maxWaitMs: HERD_END_MS,
+      serviceMs: statistics.drawLogNormal(sim.random, HERD_SERVICE_MS, 0.5),
+    }),
+  );
+  sim.time.runUntil(HERD_END_MS);
+  return statistics.percentile(ratios, 99);
+};
+
 /** The size to design for. */
 export const bench: figures.Bench = {
   summary: 'cost of decisions with 12 and 12,000 upstreams',
@@ -280,5 +325,11 @@
       ...measureAdmission(seed),
       ...measureRebuild(),
       ...measureControl(),
+      {
+        figure: 'load_p99_to_mean_300_instances',
+        value: measureHerd(seed, deployment.createProductChooser),
+        unit: 'ratio',
+        baseline: measureHerd(seed, deployment.createBaselineChooser),
+      },
     ]),
 };
