--- a/packages/decisions/src/cascade.ts
+++ b/packages/decisions/src/cascade.ts
@@ -11,6 +11,7 @@
  */
 import type * as cascadePlan from './cascade-plan.js';
 import * as estimate from './logistic-estimate.js';
+import * as qualityPrice from './quality-price.js';
 import * as stageBelief from './stage-belief.js';
 
 /** Everything learned so far. Plain JSON. */
@@ -27,10 +28,10 @@
   readonly belief: stageBelief.StageBelief;
 }
 
-/** Price of a bad answer, as a log of costs of the capable stage. */
+/** Price of a bad answer in a workspace. */
 export interface PriceEntry {
   readonly workspace: string;
-  readonly logPrice: number;
+  readonly price: qualityPrice.QualityPrice;
 }
 
 /** Tuning of the policy. */
@@ -44,25 +45,13 @@
 }
 
 /** Enough tries to notice drift for the better, few enough to cost little. */
-const EXPLORATION_SHARE = 0.15;
+const EXPLORATION_SHARE = 0.35;
 /** Old ratings fade over about a thousand of the task's, so drift shows. */
 const AGING = 1e-6;
 /** Requests alike that share a plan, so that a decision stays cheap. */
 const PLAN_USES = 8;
-/**
- * Step of the log price for each request: the price moves within some
- * thousand requests, slower than ratings are late.
- */
-const PRICE_STEP = 0.002;
-/** Answers that one rating stands for, at most: ratings may stop coming. */
-const MOST_ANSWERS_PER_RATING = 50;
 /** Covers the sampling error of some thousand ratings. */
-const MARGIN = 0.0045;
-/** High, so that a new workspace starts with capable models. */
-const FIRST_LOG_PRICE = Math.log(5);
-/** Bounds, so that a long run of bad or good luck is soon undone. */
-const LOWEST_LOG_PRICE = Math.log(0.02);
-const HIGHEST_LOG_PRICE = Math.log(500);
+const MARGIN = 0.005;
 /** Callers name tasks: more kinds than this in a workspace share one entry. */
 const TASK_LIMIT = 64;
 const OTHER_TASKS = '';
@@ -84,10 +73,7 @@
 
 interface WorkspaceState {
   readonly tasks: Map<string, TaskState>;
-  logPrice: number;
-  /** Requests planned and ratings that came. */
-  requests: number;
-  ratings: number;
+  price: qualityPrice.QualityPrice;
   target: number | undefined;
 }
 
@@ -142,11 +128,11 @@
     const startStage = findStart(drawn);
     const expected = drawn[startStage]?.direct.pass ?? 0;
     const state = this.findWorkspace(request.workspace);
-    state.requests += PLAN_USES;
     state.target = request.target ?? state.target;
     if (state.target !== undefined) {
       const goal = Math.min(1, state.target + this.margin);
-      movePrice(state, PLAN_USES * (goal - expected));
+      const missing = goal - expected;
+      state.price = qualityPrice.countPlans(state.price, PLAN_USES, missing);
     }
     const accepted = drawn.map((stage, i) =>
       stageBelief.findAcceptance(
@@ -186,17 +172,17 @@
       stageBelief.rateAnswer(belief, escalated, score, rating.rating),
     );
     const state = this.findWorkspace(rating.workspace);
-    state.ratings++;
     state.target = rating.target ?? state.target;
-    movePrice(state, countAnswers(state) * (expected - rating.rating));
+    const missing = expected - rating.rating;
+    state.price = qualityPrice.countRating(state.price, missing);
   }
 
   /** Everything learned, to hand to other instances. */
   snapshot(): CascadeSnapshot {
     const stages: StageEntry[] = [];
     const prices: PriceEntry[] = [];
-    for (const [workspace, {tasks, logPrice}] of this.workspaces) {
-      prices.push({workspace, logPrice});
+    for (const [workspace, {tasks, price}] of this.workspaces) {
+      prices.push({workspace, price});
       for (const [task, {models}] of tasks) {
         for (const [model, belief] of models) {
           stages.push({workspace, task, model, belief});
@@ -209,8 +195,8 @@
   /** Replaces everything learned. */
   restore(snapshot: CascadeSnapshot): void {
     this.workspaces.clear();
-    for (const {workspace, logPrice} of snapshot.prices) {
-      this.findWorkspace(workspace).logPrice = logPrice;
+    for (const {workspace, price} of snapshot.prices) {
+      this.findWorkspace(workspace).price = price;
     }
     for (const {workspace, task, model, belief} of snapshot.stages) {
       this.findTask(workspace, task).models.set(model, belief);
@@ -226,8 +212,8 @@
     if (!capable) {
       throw new Error('a cascade has at least one stage');
     }
-    const {logPrice} = this.findWorkspace(request.workspace);
-    const badAnswer = Math.exp(logPrice) * capable.cost;
+    const {price} = this.findWorkspace(request.workspace);
+    const badAnswer = Math.exp(price.log) * capable.cost;
     const {models} = this.findTask(request.workspace, request.task);
     let goingOn: stageBelief.Expectation = {loss: Infinity, pass: 0};
     const drawn = request.stages.toReversed().map(stage => {
@@ -258,9 +244,7 @@
     }
     const state = {
       tasks: new Map<string, TaskState>(),
-      logPrice: FIRST_LOG_PRICE,
-      requests: 0,
-      ratings: 0,
+      price: qualityPrice.FIRST_PRICE,
       target: undefined,
     };
     this.workspaces.set(name, state);
@@ -288,23 +272,6 @@
     return stage.model === other?.model && stage.cost === other.cost;
   });
 
-/** Answers that one rating stands for. */
-const countAnswers = (state: WorkspaceState): number =>
-  Math.min(MOST_ANSWERS_PER_RATING, state.requests / state.ratings);
-
-/**
- * Raises the price of a bad answer by what is missing, lowers it by what is
- * in excess, in answers. Plans move it towards the target by what they
- * expect, without waiting for ratings; ratings move it by what the
- * expectation missed. All steps add up to the shortfall so far, hence the
- * mean rating settles at the target whatever the beliefs get wrong.
- */
-const movePrice = (state: WorkspaceState, missing: number): void => {
-  const moved = state.logPrice + PRICE_STEP * missing;
-  const floor = Math.max(LOWEST_LOG_PRICE, moved);
-  state.logPrice = Math.min(HIGHEST_LOG_PRICE, floor);
-};
-
 const findStart = (stages: readonly DrawnStage[]): number => {
   const losses = stages.map(stage => stage.direct.loss);
   return losses.indexOf(Math.min(...losses));
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,6 +12,7 @@
 export * from './moving-estimate.js';
 export * from './placement-pool.js';
 export * from './placement.js';
+export * from './quality-price.js';
 export * from './rendezvous.js';
 export * from './retry-budget.js';
 export * from './rollout-evidence.js';
