--- a/packages/membership/tests/duties.test.ts
+++ b/packages/membership/tests/duties.test.ts
@@ -23,6 +23,7 @@
   );
   const running: string[] = [];
   const fencings: number[] = [];
+  const cut = new Set<string>();
   let tokens = 0;
   const members = listed.map(({id, address}) => {
     const peers = new membership.Peers({
@@ -34,7 +35,7 @@
     });
     peers.applyList(listed, 0);
     const runner = new membership.DutyRunner({
-      store,
+      store: fleets.guardStore(store, () => cut.has(id)),
       clock,
       random,
       peers,
@@ -51,7 +52,7 @@
   const startAll = () => {
     members.forEach(({runner, work}) => runner.add(DUTY, work));
   };
-  return {clock, store, members, running, fencings, startAll};
+  return {clock, store, members, running, fencings, cut, startAll};
 };
 
 describe('DutyRunner', () => {
@@ -89,6 +90,24 @@
     chai.expect(running.length).equal(1);
   });
 
+  // The keeper of a roll-out is gone without a word. The roll-out must go on
+  // elsewhere, under a higher number, and never in both places.
+  it('goes on elsewhere after its keeper was cut off', async () => {
+    const {clock, running, fencings, cut, startAll} = createScene(3);
+    startAll();
+    await clock.advance(20_000);
+    const [gone] = running;
+    cut.add(gone!);
+    const from = clock.now();
+    const isTaken = await clock.advanceUntil(
+      () => running.some(id => id !== gone),
+      20_000,
+    );
+    chai.expect(isTaken).equal(true);
+    chai.expect(clock.now() - from).within(7_000, 14_000);
+    chai.expect(fencings[1]).greaterThan(fencings[0]!);
+  });
+
   // The platform is out for longer than a lease. The keeper must stop, as
   // nobody can tell whether it was replaced, and begin anew afterwards.
   it('stops its work when the lease can not be renewed', async () => {
--- a/packages/membership/tests/fleet.ts
+++ b/packages/membership/tests/fleet.ts
@@ -55,7 +55,7 @@
 const DOWN = {code: 'unavailable', message: 'cut'} as const;
 
 /** The store as a member sees it: out of reach while it is cut off. */
-const guardStore = (
+export const guardStore = (
   store: platform.ObjectStore,
   isCut: () => boolean,
 ): platform.ObjectStore => {
