--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -14,6 +14,7 @@
 import * as telemetry from '@amaranthknot/telemetry';
 import * as upstreams from '@amaranthknot/upstreams';
 import type * as instanceOptions from './instance-options.js';
+import * as rolloutParts from './rollout-parts.js';
 
 /** Parts of a running instance, by token. */
 export interface Parts {
@@ -29,6 +30,7 @@
   readonly logger: telemetry.Logger;
   readonly placement: decisions.Placement;
   readonly directory: entry.UpstreamDirectory;
+  readonly warmUp: entry.WarmUpDesk;
   readonly admission: entry.AdmissionGate;
   readonly claims: ledger.ClaimKeeper;
   readonly bills: ledger.BillKeeper;
@@ -36,6 +38,11 @@
   readonly pins: entry.PinRegistry;
   readonly retries: decisions.RetryBudget;
   readonly cascades: decisions.CascadePolicy;
+  readonly duties: membership.DutyRunner;
+  readonly rolloutCounters: entry.RolloutCounters;
+  readonly rolloutShares: entry.RolloutShares;
+  /** Undefined where the settings name no rating service. */
+  readonly ratingDesk: entry.RatingDesk | undefined;
   readonly peerServer: protocol.PeerServer;
   readonly server: entry.EntryServer;
 }
@@ -51,6 +58,9 @@
 /** Longest time to ask a claim's owner, in milliseconds. */
 const ASK_OWNER_MS = 500;
 
+/** Longest wait for slots of a cold upstream; below a grant's term, in ms. */
+const ASK_GRANT_MS = 250;
+
 const random = (): number => Math.random();
 
 const createHttp = (url: string, key: string | undefined) =>
@@ -147,8 +157,38 @@
     placement: get('placement'),
     clock: get('options').clock,
     excludedZones: () => excludedZones(get),
+    mayStart: id => get('warmUp').mayStart(id),
   });
 
+const createWarmUp = (get: Resolve): entry.WarmUpDesk => {
+  const {clock, warmUpTiming} = get('options');
+  const peers = get('peers');
+  return new entry.WarmUpDesk({
+    self: peers.self().id,
+    clock,
+    instances: () => peers.candidates().map(peer => peer.id),
+    confirmedAtMs: () =>
+      clock.now() - (get('follower').confirmedAgeMs() ?? Infinity),
+    inFlight: id => get('placement').find(id)?.inFlight ?? 0,
+    ...(warmUpTiming ? {timing: warmUpTiming} : {}),
+    notifyCold: upstream => get('events').record('upstream_cold', {upstream}),
+    ask: async (instance, params) => {
+      const peer = peers.all().find(known => known.id === instance);
+      if (!peer) {
+        return undefined;
+      }
+      const answer = await protocol.callPeer(
+        get('transport').send,
+        peer.address,
+        'request_grant',
+        params,
+        ASK_GRANT_MS,
+      );
+      return answer.toMaybe().extract();
+    },
+  });
+};
+
 const createPeerServer = (get: Resolve): protocol.PeerServer =>
   protocol.createPeerServer({
     ...get('follower').handlers(),
@@ -159,6 +199,11 @@
         writtenLanes,
       ),
     }),
+    request_grant: params => get('warmUp').answer(params),
+    fetch_evidence: ({rollout}) => ({
+      incarnation: get('incarnation'),
+      ...get('rolloutCounters').read(rollout),
+    }),
     fetch_bills: ({owner}) => ({bills: [...get('billCopies').of(owner)]}),
     describe_claim: ({incarnation, owner}) => ({
       state:
@@ -227,14 +272,15 @@
     clock,
     random: get('options').random ?? random,
     newId: () => crypto.randomUUID(),
-    sessionKey: secrets.sessionKey,
+    sessionKey: crypto.createSecretKey(secrets.sessionKey, 'utf8'),
     operatorDigest: settings.keys.operatorDigest,
     innerKey: secrets.innerKey,
     inForce: () => (follower.mayTakeWork() ? follower.inForce() : undefined),
     offerAddresses: zone => offerAddresses(get, zone),
     admission: get('admission'),
     cascades: get('cascades'),
-    assignVersion: () => undefined,
+    assignVersion: (model, sessionKey) =>
+      rolloutParts.assignVersion(get, model, sessionKey),
     pinVersion: (workspace, sessionId, model, version) =>
       get('pins').pin(workspace, sessionId, model, version),
     placeStage: (run, tried) =>
@@ -255,7 +301,34 @@
     logger: get('logger'),
     handlePeer: text => get('peerServer').handle(text),
     describeState: () => describeState(get),
-    noteRating: rating => get('cascades').observeRating(rating),
+    offerForRating: given => rolloutParts.offerForRating(get, given),
+    countVersion: (model, version, sign) =>
+      rolloutParts.countVersion(get, model, version, sign),
+  });
+};
+
+const createDuties = (get: Resolve): membership.DutyRunner =>
+  new membership.DutyRunner({
+    store: get('store'),
+    clock: get('options').clock,
+    random,
+    peers: get('peers'),
+    createToken: () => crypto.randomUUID(),
+  });
+
+const createRatingDesk = (get: Resolve): entry.RatingDesk | undefined => {
+  const {settings, secrets} = get('options');
+  const {rating} = settings.platform;
+  if (rating === undefined) {
+    return undefined;
+  }
+  return new entry.RatingDesk({
+    service: new platform.HttpRatingService(
+      createHttp(rating, secrets.platformKey),
+    ),
+    source: get('incarnation'),
+    random,
+    onRating: (answer, value) => rolloutParts.takeRating(get, answer, value),
   });
 };
 
@@ -306,6 +379,7 @@
       random,
     }),
   directory: createDirectory,
+  warmUp: createWarmUp,
   admission: () =>
     new entry.AdmissionGate(
       new decisions.AdmissionQueue({
@@ -324,6 +398,10 @@
   retries: () =>
     new decisions.RetryBudget({initial: decisions.DEFAULT_RETRY_BURST}),
   cascades: () => new decisions.CascadePolicy(),
+  duties: createDuties,
+  rolloutCounters: () => new entry.RolloutCounters(),
+  rolloutShares: get => new entry.RolloutShares(get('store'), options.clock),
+  ratingDesk: createRatingDesk,
   peerServer: createPeerServer,
   server: createServer,
 });
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -1,4 +1,5 @@
 /** What the caller-facing server is built from; the wiring passes it in. */
+import type * as crypto from 'node:crypto';
 import type * as configuration from '@amaranthknot/configuration';
 import type * as decisions from '@amaranthknot/decisions';
 import type * as ledger from '@amaranthknot/ledger';
@@ -7,6 +8,7 @@
 import type * as upstreams from '@amaranthknot/upstreams';
 import type * as admissionGate from './admission-gate.js';
 import type * as chatRunner from './chat-runner.js';
+import type * as rolloutCounters from './rollout-counters.js';
 
 /** The configuration that this instance works by. */
 export interface InForce {
@@ -32,6 +34,13 @@
   readonly stopGraceMs: number;
 }
 
+/** An answer that a caller got. */
+export interface GivenAnswer {
+  readonly call: chatRunner.ChatCall;
+  readonly answer: chatRunner.ChatAnswer;
+  readonly text: string;
+}
+
 /** Where one attempt of a chat stage may run. */
 export type PlaceStage = (
   run: chatRunner.StageRun,
@@ -50,7 +59,7 @@
   readonly clock: platform.Clock;
   readonly random: () => number;
   readonly newId: () => string;
-  readonly sessionKey: string;
+  readonly sessionKey: crypto.KeyObject;
   readonly operatorDigest: string;
   readonly innerKey: string;
   /** Undefined until a first configuration, or when it is too old to act on. */
@@ -87,6 +96,12 @@
   readonly handlePeer: (text: string) => Promise<string>;
   /** State for operators, as JSON. */
   readonly describeState: () => object;
-  /** Notes how good an answer was rated. */
-  readonly noteRating: (rating: decisions.CascadeRating) => void;
+  /** Notes an answer that was given, so that some of them are rated. */
+  readonly offerForRating: (answer: GivenAnswer) => void;
+  /** Counts what a version did, for a roll-out that may be about it. */
+  readonly countVersion: (
+    model: string,
+    version: string,
+    sign: rolloutCounters.VersionSign,
+  ) => void;
 }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -86,6 +86,15 @@
   counters: zod.record(zod.string(), zod.number()),
 });
 
+/** What one instance saw of one version. */
+const versionCounts = zod.object({
+  requests: count,
+  errors: count,
+  slow: count,
+  rated: count,
+  bad: count,
+});
+
 /** Schemas of parameters and results by method. */
 export const schemas = {
   /** Tells what is in force here; answers the same, and newer sections. */
@@ -165,6 +174,31 @@
     }),
     result: zod.object({}),
   },
+  /** Fetches what the receiver counted of a roll-out's two versions. */
+  fetch_evidence: {
+    params: zod.object({rollout: name}),
+    result: zod.object({
+      /** Names the receiver's start; its counters begin at 0 there. */
+      incarnation: name,
+      old: versionCounts,
+      new: versionCounts,
+    }),
+  },
+  /** Asks the issuer of an upstream in cold start for slots. */
+  request_grant: {
+    params: zod.object({
+      upstream: name,
+      instance: name,
+      wanted: count,
+      inFlight: count,
+      /** Time since the upstream turned cold, as the asker knows it. */
+      ageMs: milliseconds,
+      coldSlots: count,
+      fullSlots: count,
+      warmMs: milliseconds,
+    }),
+    result: zod.object({slots: count, termMs: milliseconds}),
+  },
   /** Asks whether a claim that the receiver made is void. */
   describe_claim: {
     params: zod.object({incarnation: name, owner: name}),
