Keep copies of bills by lane

Cause: each message with copies filtered and copied every bill that was held for its sender, thousands between two writes, so that one more bill cost more the more were pending: the added latency grew during a run. Ruled out: the number of messages, which are gathered already.

--- a/packages/entry/src/bill-copies.ts
+++ b/packages/entry/src/bill-copies.ts
@@ -23,10 +23,12 @@
 /** About 20 MB of bills. */
 const DEFAULT_MAX_HELD = 50_000;
 
+type Lane = ledger.PendingBill[];
+
 /** Sends and keeps copies of pending bills. */
 export class BillCopies {
   private holders: string[] = [];
-  private readonly held = new Map<string, ledger.PendingBill[]>();
+  private readonly held = new Map<string, Map<string, Lane>>();
   private heldCount = 0;
 
   constructor(private readonly options: BillCopiesOptions) {}
@@ -42,22 +44,30 @@
     return sent.filter(accepted => accepted).length;
   }
 
-  /** Keeps copies for a peer; answers how many were taken. */
+  /**
+   * Keeps copies for a peer, by lane, so that a message costs what it holds
+   * and not what is kept; answers how many were taken.
+   */
   keep(
     owner: string,
     bills: readonly ledger.PendingBill[],
     writtenLanes: readonly string[],
   ): number {
-    const written = new Set(writtenLanes);
-    const before = this.held.get(owner) ?? [];
-    const kept = before.filter(entry => !written.has(entry.lane));
-    this.heldCount -= before.length - kept.length;
+    const lanes = this.held.get(owner) ?? new Map<string, Lane>();
+    for (const lane of writtenLanes) {
+      this.heldCount -= lanes.get(lane)?.length ?? 0;
+      lanes.delete(lane);
+    }
     const room = (this.options.maxHeld ?? DEFAULT_MAX_HELD) - this.heldCount;
     const taken = bills.slice(0, Math.max(0, room));
     this.heldCount += taken.length;
-    const all = [...kept, ...taken];
-    if (all.length > 0) {
-      this.held.set(owner, all);
+    for (const pending of taken) {
+      const lane = lanes.get(pending.lane) ?? [];
+      lane.push(pending);
+      lanes.set(pending.lane, lane);
+    }
+    if (lanes.size > 0) {
+      this.held.set(owner, lanes);
     } else {
       this.held.delete(owner);
     }
@@ -71,7 +81,7 @@
 
   /** Copies kept for one owner. */
   of(owner: string): readonly ledger.PendingBill[] {
-    return this.held.get(owner) ?? [];
+    return [...(this.held.get(owner)?.values() ?? [])].flat();
   }
 
   /** Forgets copies that were recovered. */
