--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -31,6 +31,7 @@
   readonly placement: decisions.Placement;
   readonly directory: entry.UpstreamDirectory;
   readonly warmUp: entry.WarmUpDesk;
+  readonly zoneRamp: entry.ZoneRamp;
   readonly admission: entry.AdmissionGate;
   readonly claims: ledger.ClaimKeeper;
   readonly bills: ledger.BillKeeper;
@@ -89,6 +90,7 @@
     clock,
     random,
     onChange: taken => {
+      get('zoneRamp').apply(taken.document.zones);
       get('events').record('configuration_in_force', {
         detail: `generation ${taken.generation}`,
       });
@@ -157,6 +159,7 @@
     placement: get('placement'),
     clock: get('options').clock,
     excludedZones: () => excludedZones(get),
+    drawClosedZones: () => get('zoneRamp').listClosed(random()),
     mayStart: id => get('warmUp').mayStart(id),
   });
 
@@ -380,6 +383,7 @@
     }),
   directory: createDirectory,
   warmUp: createWarmUp,
+  zoneRamp: () => new entry.ZoneRamp(() => options.clock.now()),
   admission: () =>
     new entry.AdmissionGate(
       new decisions.AdmissionQueue({
--- a/packages/amaranthknot/tests/versions-and-zones.test.ts
+++ b/packages/amaranthknot/tests/versions-and-zones.test.ts
@@ -135,11 +135,25 @@
       (one: {zone: string}) => one.zone,
     );
     chai.expect(zones).not.include('zone-a');
+  });
+
+  // Operators bring zone-a back. The instance inside prefers its own zone, so
+  // that all its work would go there at once, to an engine with cold caches.
+  it('brings work back to a returning zone little by little', async () => {
+    const requests = 30;
+    const [inside] = [...deployment.standIns.engines.values()];
+    await apply(setZone('zone-a', 'out'));
+    await new Promise(resolve => setTimeout(resolve, 200));
     await apply(setZone('zone-a', 'in'));
-    for (let i = 0; i < 30; i++) {
+    const before = inside!.started.length;
+    for (let i = 0; i < requests; i++) {
+      await ask(0, {});
+    }
+    const first = inside!.started.length - before;
+    chai.expect(first).lessThan(requests / 2);
+    while (inside!.started.length === before + first) {
       await ask(0, {});
     }
-    chai.expect(inside!.started.length).greaterThan(before);
   });
 
   // The platform lists an engine as leaving; its process goes on for a while.
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -16,3 +16,4 @@
 export * from './rollout-driver.js';
 export * from './rollout-shares.js';
 export * from './warm-up-desk.js';
+export * from './zone-ramp.js';
--- a/packages/entry/src/upstream-directory.ts
+++ b/packages/entry/src/upstream-directory.ts
@@ -26,7 +26,9 @@
 export interface UpstreamDirectoryOptions {
   readonly placement: decisions.Placement;
   readonly clock: platform.Clock;
-  /** Zones that operators have taken out. */
+  /** Zones that a request must not use, drawn anew for each. */
+  readonly drawClosedZones: () => ReadonlySet<string>;
+  /** Zones that operators have taken out; never used. */
   readonly excludedZones: () => ReadonlySet<string>;
   /** Whether one more request fits an upstream that may be cold. */
   readonly mayStart?: (upstreamId: string) => boolean;
@@ -99,20 +101,13 @@
 
   /** Chooses an upstream and notes the start of an attempt. */
   place(request: UpstreamRequest): upstreams.Placement | undefined {
-    const {placement, clock, excludedZones} = this.options;
-    const tried = new Set(request.tried ?? []);
+    const {placement, clock, excludedZones, drawClosedZones} = this.options;
     const started = clock.now();
-    const outcome = placement.choose(
-      {
-        target: request.target,
-        excludedZones: excludedZones(),
-        accepts: id => !tried.has(id) && this.accepts(id),
-        ...(request.affinityKey === undefined
-          ? {}
-          : {affinityKey: request.affinityKey}),
-      },
-      started,
-    );
+    // Where only zones still ramping up could take it, they do: the ramp
+    // spares caches, and must not refuse a request.
+    const ramped = this.choose(request, drawClosedZones());
+    const outcome =
+      ramped.kind === 'placed' ? ramped : this.choose(request, excludedZones());
     if (outcome.kind === 'unplaced') {
       return undefined;
     }
@@ -131,6 +126,24 @@
     };
   }
 
+  private choose(
+    request: UpstreamRequest,
+    closedZones: ReadonlySet<string>,
+  ): decisions.PlacementOutcome {
+    const tried = new Set(request.tried ?? []);
+    return this.options.placement.choose(
+      {
+        target: request.target,
+        excludedZones: closedZones,
+        accepts: id => !tried.has(id) && this.accepts(id),
+        ...(request.affinityKey === undefined
+          ? {}
+          : {affinityKey: request.affinityKey}),
+      },
+      this.options.clock.now(),
+    );
+  }
+
   private accepts(id: string): boolean {
     const state = this.listed.get(id)?.state;
     return state === 'live' && (this.options.mayStart?.(id) ?? true);
