--- a/packages/amaranthknot/tests/versions-and-zones.test.ts
+++ b/packages/amaranthknot/tests/versions-and-zones.test.ts
@@ -131,13 +131,56 @@
       '/v1/entry-instances?zone=zone-a',
       {method: 'GET'},
     );
-    const zones = listed.json.instances.map((one: {zone: string}) => one.zone);
+    const zones = (listed.json as {instances: {zone: string}[]}).instances.map(
+      (one: {zone: string}) => one.zone,
+    );
     chai.expect(zones).not.include('zone-a');
+  });
+
+  // Operators bring zone-a back. The instance inside prefers its own zone, so
+  // that all its work would go there at once, to an engine with cold caches.
+  it('brings work back to a returning zone little by little', async () => {
+    const requests = 30;
+    const [inside] = [...deployment.standIns.engines.values()];
+    await apply(setZone('zone-a', 'out'));
+    await new Promise(resolve => setTimeout(resolve, 200));
     await apply(setZone('zone-a', 'in'));
-    for (let i = 0; i < 30; i++) {
+    const before = inside!.started.length;
+    for (let i = 0; i < requests; i++) {
+      await ask(0, {});
+    }
+    const first = inside!.started.length - before;
+    chai.expect(first).lessThan(requests / 2);
+    while (inside!.started.length === before + first) {
+      await ask(0, {});
+    }
+  });
+
+  // The platform lists an engine as leaving; its process goes on for a while.
+  // Once an instance has read the list, it may start no new work there.
+  it('starts no work on a leaving upstream', async () => {
+    const {platform, engines} = deployment.standIns;
+    const engine = engines.get('engine-1')!;
+    const listed = deployment.instances[0]!.parts('directory')
+      .all()
+      .find(one => one.id === 'engine-1')!;
+    engine.fault = 'none';
+    platform.register({...listed, state: 'leaving'});
+    const isSeen = () =>
+      deployment.instances.every(instance =>
+        instance
+          .parts('directory')
+          .all()
+          .some(one => one.id === 'engine-1' && one.state === 'leaving'),
+      );
+    while (!isSeen()) {
       await ask(0, {});
     }
-    chai.expect(inside!.started.length).greaterThan(before);
+    const before = engine.started.length;
+    for (let i = 0; i < 12; i++) {
+      await ask(i % 3, {});
+    }
+    chai.expect(engine.started.length).equal(before);
   });
 
   // A caller shows a session token of another workspace, or a forged one.
@@ -162,33 +205,39 @@
     }
   });
 
-  // The rules change while a request runs on its way up a cascade: it ends as
-  // it began, and the next request is refused.
+  // A workspace tries what its rules leave out: a model that it may use only
+  // inside a cascade, another version than the one named, then, after a change
+  // of the rules, the cascade itself. It must hear that there is no such model.
   it('runs only what the workspace is allowed', async () => {
-    const south = await fixtures.chat(deployment.addresses[0]!, 'hello', {
-      workspace: 'south',
-      model: 'small@v2',
+    const tryModels = async (expected: Readonly<Record<string, number>>) => {
+      for (const [model, status] of Object.entries(expected)) {
+        for (const address of deployment.addresses) {
+          const answer = await fixtures.chat(address, 'hello', {
+            workspace: 'south',
+            model,
+          });
+          chai.expect(answer.status, model).equal(status);
+        }
+      }
+    };
+    await tryModels({
+      answers: 200,
+      'small@v1': 200,
+      small: 200,
+      'small@v2': 404,
+      large: 404,
     });
-    // The cascade allows any version of its stages, a rule on a version less.
-    chai.expect(south.status).equal(200);
     await apply(found => ({
       ...found,
       workspaces: found.workspaces.map(workspace =>
         workspace.name === 'south'
           ? {
               ...workspace,
-              allowed: [{kind: 'model', model: 'small', version: 'v1'}],
+              allowed: [{kind: 'model', model: 'small', version: 'v2'}],
             }
           : workspace,
       ),
     }));
-    for (const model of ['small@v2', 'large', 'answers']) {
-      const answer = await fixtures.chat(deployment.addresses[1]!, 'hello', {
-        workspace: 'south',
-        model,
-      });
-      chai.expect(answer.status, model).equal(404);
-      chai.expect(answer.json.error.ran).equal('not_run');
-    }
+    await tryModels({answers: 404, 'small@v1': 404, small: 200, large: 404});
   });
 });
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -11,6 +11,8 @@
 import * as expiryQueue from './expiry-queue.js';
 import * as fairShare from './fair-share.js';
 import * as slotPool from './slot-pool.js';
+import * as standingQueue from './standing-queue.js';
+import * as waitPolicy from './wait-policy.js';
 import type * as workspaceQueue from './workspace-queue.js';
 
 /** Settings of an admission queue. */
@@ -33,24 +35,6 @@
 /** Deviations kept free after the mean service time, as in TCP's timeout. */
 const SERVICE_DEVIATIONS = 4;
 
-/**
- * Share of the time left that the expected wait may take. Waits vary more than
- * they last; the rest keeps those given up on below 1% of refusals.
- */
-const WAIT_SHARE = 0.35;
-
-/**
- * Mean service times after which a filled queue counts as standing. Waits of
- * a burst's first moments set the tail, so it is short.
- */
-const STANDING_SERVICES = 0.25;
-
-/**
- * Wait allowed in a standing queue, in mean service times: enough to keep all
- * slots busy between two arrivals, as goodput in the burst shows.
- */
-const STANDING_WAIT = 1;
-
 /** Shortest and longest time a refused caller is told to stay away. */
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 30_000;
@@ -60,16 +44,20 @@
   private readonly slots: slotPool.SlotPool;
   private readonly maxQueued: number;
   private order = 0;
-  private queuedCount = 0;
-  /** When last nothing waited. */
-  private emptyMs = 0;
+  private readonly standing = new standingQueue.StandingQueue();
   private readonly shares: fairShare.FairShare;
+  private readonly waits: waitPolicy.WaitPolicy;
   private readonly waiting = new Map<string, Entry>();
   private readonly expiries = new expiryQueue.ExpiryQueue();
 
   constructor(private readonly options: AdmissionOptions) {
     this.slots = new slotPool.SlotPool(options.capacity);
     this.shares = new fairShare.FairShare(this.slots);
+    this.waits = new waitPolicy.WaitPolicy(
+      this.slots,
+      this.shares,
+      this.standing,
+    );
     this.maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
   }
 
@@ -80,7 +68,7 @@
 
   /** Requests that wait. */
   get queued(): number {
-    return this.queuedCount;
+    return this.standing.count;
   }
 
   /** Changes the number of slots; returns the requests now admitted. */
@@ -98,9 +86,9 @@
     if (this.waiting.has(request.id) || this.slots.has(request.id)) {
       throw new Error(`request ${request.id} was offered twice`);
     }
-    this.slots.see(request.priority, nowMs);
     const workspace = this.shares.findWorkspace(request.workspace);
     const entry = this.createEntry(request, workspace, nowMs);
+    this.slots.see(request.priority, entry.serviceMs, nowMs);
     const waitMs = this.shares.estimateWaitMs(entry, workspace, nowMs);
     const reason = this.findRefusal(entry, workspace, waitMs, nowMs);
     if (reason) {
@@ -190,7 +178,7 @@
     const marginMs = Math.min(fullMargin, Math.max(serviceMs, slackMs / 2));
     const admitByMs = Math.min(
       request.deadlineMs - marginMs,
-      nowMs + this.maxWaitMs(request, nowMs),
+      nowMs + this.waits.maxWaitMs(request, workspace, nowMs),
     );
     return {
       request,
@@ -212,60 +200,49 @@
     if (this.slots.capacity < 1) {
       return 'no_capacity';
     }
-    // Work that would end after its deadline takes a slot and helps no one.
     const neededMs = waitMs * workspace.waitMargin;
-    if (neededMs > WAIT_SHARE * (entry.admitByMs - nowMs)) {
-      return this.maxWaitMs(entry.request, nowMs) < entry.request.maxWaitMs
+    const allowedMs = entry.admitByMs - nowMs;
+    const share = this.waits.waitShare(entry.request, workspace, nowMs);
+    // Work that would end after its deadline takes a slot and helps no one.
+    if (neededMs > share * allowedMs) {
+      return this.waits.isKeptShort(entry.request, nowMs)
         ? 'overloaded'
         : 'deadline_unreachable';
     }
     if (waitMs === 0) {
       return undefined;
     }
-    if (this.queuedCount >= this.maxQueued) {
+    if (this.standing.count >= this.maxQueued) {
       return 'queue_full';
     }
     // Dynamic threshold: no workspace queues more than what is still free, so
     // that large ones leave room for those that come after them.
-    const free = this.maxQueued - this.queuedCount;
+    const free = this.maxQueued - this.standing.count;
     const bound = Math.min(entry.request.maxQueued, free);
     return workspace.queued >= bound ? 'workspace_queue_full' : undefined;
   }
 
-  /**
-   * Longest wait allowed now. A queue that never empties adds wait and no
-   * throughput: bursts may use the whole wait that a workspace allows, but a
-   * standing queue is kept short, as by CoDel. Batch work may wait.
-   */
-  private maxWaitMs(request: Request, nowMs: number): number {
-    const serviceMs = this.slots.meanServiceMs;
-    const isStanding =
-      this.queuedCount > 0 &&
-      nowMs - this.emptyMs > STANDING_SERVICES * serviceMs;
-    return isStanding && request.priority !== 'batch'
-      ? Math.min(request.maxWaitMs, STANDING_WAIT * serviceMs)
-      : request.maxWaitMs;
-  }
-
   private enqueue(entry: Entry, nowMs: number): void {
     this.shares.push(entry, nowMs);
     this.waiting.set(entry.request.id, entry);
     this.expiries.push(entry);
-    this.emptyMs = this.queuedCount === 0 ? nowMs : this.emptyMs;
-    this.queuedCount++;
+    this.standing.push(entry.request.priority, nowMs);
   }
 
   private dequeue(entry: Entry): void {
-    this.shares.findWorkspace(entry.request.workspace).leave(entry);
+    this.shares.leave(entry);
     this.waiting.delete(entry.request.id);
-    this.queuedCount--;
-    this.expiries.sweep(this.queuedCount);
+    this.standing.leave(entry.request.priority);
+    this.expiries.sweep(this.standing.count);
   }
 
   /** Admits waiting requests, the workspace furthest behind first. */
   private dispatch(nowMs: number): readonly Request[] {
     const admitted: Request[] = [];
-    while (this.slots.inFlight < this.slots.capacity && this.queuedCount > 0) {
+    while (
+      this.slots.inFlight < this.slots.capacity &&
+      this.standing.count > 0
+    ) {
       const entry = this.shares.chooseNext(nowMs);
       if (!entry) {
         break;
@@ -286,7 +263,7 @@
 
   /** Time until all that waits now has been admitted. */
   private estimateDrainMs(nowMs: number): number {
-    const work = this.queuedCount * this.slots.meanServiceMs;
+    const work = this.standing.count * this.slots.meanServiceMs;
     return (
       (work / Math.max(1, this.slots.capacity)) * this.slots.stallFactor(nowMs)
     );
--- a/packages/membership/src/configuration-source.ts
+++ b/packages/membership/src/configuration-source.ts
@@ -1,10 +1,9 @@
 /** Reads from the platform what an instance lacks of an accepted head. */
-import type * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
-import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import * as configurationHead from './configuration-head.js';
 import type * as configurationStep from './configuration-step.js';
+import * as sectionHistory from './section-history.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /**
@@ -14,27 +13,51 @@
  */
 const PARALLEL_READS = 8;
 
-/** Builds the manifest from the head's latest steps, when they reach back. */
-const followSteps = (
+/** Steps of the head from what is in force, when they reach back so far. */
+const listSteps = (
   current: configurationStep.ConfigurationInForce | undefined,
   head: configurationHead.Head,
-): configuration.Manifest | undefined => {
+): readonly configurationHead.HeadStep[] | undefined => {
   const from = current?.generation ?? 0;
   const steps = head.steps.filter(step => step.generation > from);
-  if (steps.length !== head.generation - from) {
-    return undefined;
+  return steps.length === head.generation - from ? steps : undefined;
+};
+
+type Outline = Pick<
+  configurationStep.ConfigurationStep,
+  'manifest' | 'history'
+>;
+
+/** Finds what is in the configuration, by the head alone if possible. */
+const readOutline = async (
+  store: platform.ObjectStore,
+  current: configurationStep.ConfigurationInForce | undefined,
+  head: configurationHead.Head,
+): Promise<platform.StoreResult<Outline>> => {
+  const steps = listSteps(current, head);
+  if (steps) {
+    const base = current?.manifest ?? compareManifests.EMPTY_MANIFEST;
+    const history = current?.history ?? sectionHistory.EMPTY_HISTORY;
+    return purify.Right({
+      manifest: steps.reduce(compareManifests.applyDifference, base),
+      history: sectionHistory.followSteps(history, steps),
+    });
   }
-  return steps.reduce(
-    compareManifests.applyDifference,
-    current?.manifest ?? compareManifests.EMPTY_MANIFEST,
-  );
+  const read = await configurationHead.readManifest(store, head.digest);
+  return read.map(manifest => ({
+    manifest,
+    history: sectionHistory.startHistory(
+      Object.keys(manifest.sections),
+      head.generation,
+    ),
+  }));
 };
 
 const readSections = async (
   store: platform.ObjectStore,
   digests: readonly string[],
-): Promise<platform.StoreResult<Record<string, unknown>>> => {
-  const contents: Record<string, unknown> = {};
+): Promise<platform.StoreResult<ReadonlyMap<string, unknown>>> => {
+  const contents = new Map<string, unknown>();
   for (let i = 0; i < digests.length; i += PARALLEL_READS) {
     const batch = digests.slice(i, i + PARALLEL_READS);
     const results = await Promise.all(
@@ -46,7 +69,7 @@
     }
     const read = values.orDefault([]);
     batch.forEach((digest, j) => {
-      contents[digest] = read[j];
+      contents.set(digest, read[j]);
     });
   }
   return purify.Right(contents);
@@ -58,28 +81,22 @@
   environment: string,
   current: configurationStep.ConfigurationInForce | undefined,
   head: configurationHead.Head,
-): Promise<platform.StoreResult<protocol.ConfigurationChange>> => {
-  const followed = followSteps(current, head);
-  const manifest = followed
-    ? purify.Right(followed)
-    : await configurationHead.readManifest(store, head.digest);
-  if (manifest.isLeft()) {
-    return manifest;
+): Promise<platform.StoreResult<configurationStep.ConfigurationStep>> => {
+  const outline = await readOutline(store, current, head);
+  if (outline.isLeft()) {
+    return outline;
   }
-  const {entries} = compareManifests.compareManifests(
-    compareManifests.EMPTY_MANIFEST,
-    manifest.orDefault(compareManifests.EMPTY_MANIFEST),
+  const {manifest, history} = outline.unsafeCoerce();
+  const missing = Object.values(manifest.sections).filter(
+    digest => !current?.sections.has(digest),
   );
-  const missing = entries
-    .map(entry => entry.digest)
-    .filter(digest => !current?.sections.has(digest));
   const contents = await readSections(store, [...new Set(missing)]);
   return contents.map(read => ({
     environment,
     generation: head.generation,
     digest: head.digest,
-    entries: [...entries],
-    removed: [],
-    sections: read,
+    manifest,
+    contents: read,
+    history,
   }));
 };
--- a/packages/membership/src/configuration-step.ts
+++ b/packages/membership/src/configuration-step.ts
@@ -2,6 +2,7 @@
 import * as configuration from '@amaranthknot/configuration';
 import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
+import * as sectionHistory from './section-history.js';
 import * as compareManifests from './util/compare-manifests.js';
 
 /** A whole, checked configuration. */
@@ -13,6 +14,7 @@
   /** Contents of all sections by digest. */
   readonly sections: ReadonlyMap<string, unknown>;
   readonly document: configuration.Document;
+  readonly history: sectionHistory.SectionHistory;
 }
 
 /**
@@ -32,16 +34,27 @@
   message: string,
 ): purify.Either<StepError, never> => purify.Left({code, message});
 
+/** A later configuration, not yet checked. */
+export interface ConfigurationStep {
+  readonly environment: string;
+  readonly generation: number;
+  readonly digest: string;
+  readonly manifest: configuration.Manifest;
+  /** Contents by digest; those that are in force already may be missing. */
+  readonly contents: ReadonlyMap<string, unknown>;
+  readonly history: sectionHistory.SectionHistory;
+}
+
 /** Contents of a manifest's sections: those that are known, else the fresh. */
 const pickSections = (
   manifest: configuration.Manifest,
   known: ReadonlyMap<string, unknown> | undefined,
-  fresh: Readonly<Record<string, unknown>>,
+  fresh: ReadonlyMap<string, unknown>,
 ): ReadonlyMap<string, unknown> =>
   new Map(
     Object.values(manifest.sections).map(digest => [
       digest,
-      known?.get(digest) ?? fresh[digest],
+      known?.get(digest) ?? fresh.get(digest),
     ]),
   );
 
@@ -52,61 +65,93 @@
  */
 export const takeStep = (
   current: ConfigurationInForce | undefined,
-  step: protocol.ConfigurationChange,
+  step: ConfigurationStep,
 ): purify.Either<StepError, ConfigurationInForce> => {
-  const {environment, generation, digest, baseGeneration} = step;
+  const {environment, generation, digest, manifest, history} = step;
   if (generation <= (current?.generation ?? 0)) {
     return fail('not_newer', `generation ${generation} is not newer`);
   }
-  if (baseGeneration !== undefined && baseGeneration !== current?.generation) {
-    return fail('other_base', `the step starts at ${baseGeneration}`);
-  }
-  const base =
-    baseGeneration === undefined
-      ? compareManifests.EMPTY_MANIFEST
-      : (current?.manifest ?? compareManifests.EMPTY_MANIFEST);
-  const manifest = compareManifests.applyDifference(base, step);
   if (configuration.digestManifest(manifest) !== digest) {
     return fail('corrupt', `the manifest does not match ${digest}`);
   }
-  const picked = pickSections(manifest, current?.sections, step.sections);
+  const sections = pickSections(manifest, current?.sections, step.contents);
   return configuration
-    .joinSections(manifest, each => picked.get(each))
+    .joinSections(manifest, each => sections.get(each))
     .mapLeft(([error]) => ({
       code: 'corrupt' as const,
-      message: `${error?.section ?? ''}: ${error?.message ?? ''}`,
+      message: error?.message ?? '',
     }))
     .map(document => ({
       environment,
       generation,
       digest,
       manifest,
-      sections: picked,
+      sections,
       document,
+      history,
     }));
 };
 
-/** Describes the step to `to`, from `base` or from nothing. */
-export const describeStep = (
-  base:
-    | {readonly generation: number; readonly manifest: configuration.Manifest}
-    | undefined,
-  to: ConfigurationInForce,
-): protocol.ConfigurationChange => {
-  const difference = compareManifests.compareManifests(
+/** Reads a peer's change as a step from what is in force. */
+export const readChange = (
+  current: ConfigurationInForce | undefined,
+  change: protocol.ConfigurationChange,
+): purify.Either<StepError, ConfigurationStep> => {
+  const {environment, generation, digest, baseGeneration, since} = change;
+  if (baseGeneration !== undefined && baseGeneration !== current?.generation) {
+    return fail('other_base', `the step starts at ${baseGeneration}`);
+  }
+  const base = baseGeneration === undefined ? undefined : current;
+  const sections = change.sections.map(({name, content}) => ({
+    entry: {name, digest: configuration.digestValue(content)},
+    content,
+  }));
+  const manifest = compareManifests.applyDifference(
     base?.manifest ?? compareManifests.EMPTY_MANIFEST,
-    to.manifest,
-  );
-  const contents = difference.entries.map(
-    ({digest}) => [digest, to.sections.get(digest)] as const,
+    {
+      entries: sections.map(({entry}) => entry),
+      removed: change.removed.map(({name}) => name),
+    },
   );
+  return purify.Right({
+    environment,
+    generation,
+    digest,
+    manifest,
+    contents: new Map(
+      sections.map(({entry, content}) => [entry.digest, content]),
+    ),
+    history: sectionHistory.extendHistory(
+      base?.history ?? {...sectionHistory.EMPTY_HISTORY, since},
+      change.sections,
+      change.removed,
+    ),
+  });
+};
+
+/**
+ * Describes the step to `to` from generation `have`, or from nothing when its
+ * history does not reach back so far. It may name more sections than differ,
+ * never fewer: what differs has changed since.
+ */
+export const describeChange = (
+  have: number,
+  to: ConfigurationInForce,
+): protocol.ConfigurationChange => {
+  const {environment, generation, digest, manifest, sections, history} = to;
+  const {changedAt, removedAt, since} = history;
+  const isPartial = have > 0 && have >= since;
+  const after = isPartial ? have : 0;
   return {
-    environment: to.environment,
-    generation: to.generation,
-    digest: to.digest,
-    ...(base ? {baseGeneration: base.generation} : {}),
-    entries: [...difference.entries],
-    removed: [...difference.removed],
-    sections: Object.fromEntries(contents),
+    environment,
+    generation,
+    digest,
+    ...(isPartial ? {baseGeneration: have} : {}),
+    since,
+    sections: sectionHistory.listAfter(changedAt, after).map(each => ({
+      ...each,
+      content: sections.get(manifest.sections[each.name] ?? ''),
+    })),
+    removed: sectionHistory.listAfter(removedAt, after),
   };
 };
--- a/packages/membership/src/head-watcher.ts
+++ b/packages/membership/src/head-watcher.ts
@@ -6,10 +6,11 @@
 /**
  * Longest wait of one watch, in milliseconds. Each answer confirms the
  * configuration as of the call's start, so ages stay below twice this plus a
- * delay: well inside the 2.5 s after which new work stops. 18 watchers make 36
+ * delay: inside the 2.5 s after which new work
+ * stops, also when one call fails. 27 watchers make 39
  * calls/s of the platform's 2,000.
  */
-export const WATCH_MS = 500;
+export const WATCH_MS = 700;
 
 /**
  * Time between plain reads of the head, in milliseconds, in case a watch lost
@@ -22,6 +23,7 @@
   readonly environment: string;
   readonly store: platform.ObjectStore;
   readonly clock: platform.Clock;
+  readonly random: () => number;
   readonly relay: configurationRelay.ConfigurationRelay;
   /** Ends a waiting watch. */
   readonly signal: AbortSignal;
@@ -63,7 +65,8 @@
     const result = await store.watch(
       configurationHead.HEAD_KIND,
       afterVersion,
-      WATCH_MS,
+      // A change wakes all watchers at once; spread, they drift apart again.
+      WATCH_MS * (0.9 + 0.2 * this.options.random()),
       signal,
     );
     if (result.isLeft() || signal.aborted) {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -52,21 +52,30 @@
   'isolated',
 ]);
 
-/** A named part of an environment's document. */
-const sectionEntry = zod.object({name, digest: name});
+/**
+ * A named part of an environment's document, and the generation that last
+ * changed it. Its digest is left out, as the receiver works it out from the
+ * content anyway to check the whole.
+ */
+const section = zod.object({name, generation: count, content: zod.unknown()});
+
+/** A part that is no more, and the generation that removed it. */
+const removedSection = zod.object({name, generation: count});
 
 /**
  * The step from one configuration to a later one. `baseGeneration` is absent
- * when `entries` is the whole manifest. `sections` maps digests to contents.
+ * when `sections` are all there are.
  */
 const configurationChange = zod.object({
   environment: name,
   generation: count,
+  /** Digest of the manifest after the step. */
   digest: name,
   baseGeneration: count.optional(),
-  entries: zod.array(sectionEntry).max(MAX_ITEMS),
-  removed: zod.array(name).max(MAX_ITEMS),
-  sections: zod.record(zod.string(), zod.unknown()),
+  /** Generation from which the sender knows all changes. */
+  since: count,
+  sections: zod.array(section).max(MAX_ITEMS),
+  removed: zod.array(removedSection).max(MAX_ITEMS),
 });
 
 /** Counters of one version on one instance since it started. */
@@ -77,6 +86,15 @@
   counters: zod.record(zod.string(), zod.number()),
 });
 
+/** What one instance saw of one version. */
+const versionCounts = zod.object({
+  requests: count,
+  errors: count,
+  slow: count,
+  rated: count,
+  bad: count,
+});
+
 /** Schemas of parameters and results by method. */
 export const schemas = {
   /** Tells what is in force here; answers the same, and newer sections. */
@@ -156,6 +174,31 @@
     }),
     result: zod.object({}),
   },
+  /** Fetches what the receiver counted of a roll-out's two versions. */
+  fetch_evidence: {
+    params: zod.object({rollout: name}),
+    result: zod.object({
+      /** Names the receiver's start; its counters begin at 0 there. */
+      incarnation: name,
+      old: versionCounts,
+      new: versionCounts,
+    }),
+  },
+  /** Asks the issuer of an upstream in cold start for slots. */
+  request_grant: {
+    params: zod.object({
+      upstream: name,
+      instance: name,
+      wanted: count,
+      inFlight: count,
+      /** Time since the upstream turned cold, as the asker knows it. */
+      ageMs: milliseconds,
+      coldSlots: count,
+      fullSlots: count,
+      warmMs: milliseconds,
+    }),
+    result: zod.object({slots: count, termMs: milliseconds}),
+  },
   /** Asks whether a claim that the receiver made is void. */
   describe_claim: {
     params: zod.object({incarnation: name, owner: name}),
