--- a/packages/ledger/src/bill.ts
+++ b/packages/ledger/src/bill.ts
@@ -50,6 +50,17 @@
 export const nameSegment = (lane: string, index: number): string =>
   `${lane}.${index}`;
 
+/** Bills of each lane, in the order given. */
+export const groupByLane = (
+  pending: readonly PendingBill[],
+): ReadonlyMap<string, readonly Bill[]> => {
+  const lanes = new Map<string, Bill[]>();
+  for (const {lane, bill} of pending) {
+    lanes.set(lane, [...(lanes.get(lane) ?? []), bill]);
+  }
+  return lanes;
+};
+
 /** Reads a segment object's value; undefined when it is not one. */
 export const readBillSegment = (value: unknown): BillSegment | undefined => {
   if (typeof value !== 'object' || value === null) {
--- a/packages/ledger/src/bills.ts
+++ b/packages/ledger/src/bills.ts
@@ -6,7 +6,7 @@
 import type * as platform from '@amaranthknot/platform';
 import * as billLanes from './bill-lanes.js';
 import * as billLimits from './bill-limits.js';
-import type * as billTypes from './bill.js';
+import * as billTypes from './bill.js';
 import * as copyQueue from './copy-queue.js';
 import type * as outageGate from './outage-gate.js';
 import * as writeLane from './write-lane.js';
@@ -46,16 +46,6 @@
  */
 const TRIES_WITH_COPY = 3;
 
-const groupByLane = (
-  pending: readonly billTypes.PendingBill[],
-): ReadonlyMap<string, readonly billTypes.Bill[]> => {
-  const lanes = new Map<string, billTypes.Bill[]>();
-  for (const {lane, bill} of pending) {
-    lanes.set(lane, [...(lanes.get(lane) ?? []), bill]);
-  }
-  return lanes;
-};
-
 /** Keeps and writes the bills of one instance. */
 export class BillKeeper {
   private readonly limits: billLimits.BillLimits;
@@ -160,7 +150,7 @@
     ownerIncarnation: string,
     pending: readonly billTypes.PendingBill[],
   ): Promise<purify.Either<platform.StoreError, number>> {
-    const byLane = groupByLane(pending);
+    const byLane = billTypes.groupByLane(pending);
     let recovered = 0;
     for (const [lane, bills] of byLane) {
       if (!lane.includes(`.${ownerIncarnation}.`)) {
