Copy and recover bills by the ledger's own classes

Cause: the entry had a second, weaker form of the ledger's copies: a new holder did not get earlier bills, lost holders were not replaced, a restarted instance hid the death of its earlier start, and copies that came during a recovery were dropped. Change: PeerCopies and CopyHolder in the product; the entry's own file is gone. A planned stop drains held copies too. An answer whose bill is at risk is not recorded with its claim.

--- a/packages/amaranthknot/src/entry-instance.ts
+++ b/packages/amaranthknot/src/entry-instance.ts
@@ -1,5 +1,7 @@
 /** One running entry instance: its parts, its loops, its planned stop. */
 import * as entry from '@amaranthknot/entry';
+import * as ledger from '@amaranthknot/ledger';
+import * as billCopyParts from './bill-copy-parts.js';
 import * as instanceParts from './instance-parts.js';
 import type * as instanceOptions from './instance-options.js';
 import * as loadPoller from './load-poller.js';
@@ -8,8 +10,8 @@
 /** How often the platform's instance list is read, in milliseconds. */
 const LIST_INTERVAL_MS = 2_000;
 
-/** How often copies of dead instances' bills are looked for, in ms. */
-const RECOVER_INTERVAL_MS = 5_000;
+/** How often copies of bills are renewed or recovered, in milliseconds. */
+const COPIES_INTERVAL_MS = 3_000;
 
 /** How often claims that were given up are cleared away, in ms. */
 const SETTLE_INTERVAL_MS = 3_000;
@@ -17,6 +19,9 @@
 /** How often ratings are sent and collected, in milliseconds. */
 const RATING_INTERVAL_MS = 1_000;
 
+/** Longest time to write bills at a planned stop, in milliseconds. */
+const DRAIN_BILLS_MS = 5_000;
+
 /** How often a planned stop looks whether its requests are done, in ms. */
 const DRAIN_CHECK_MS = 50;
 
@@ -59,7 +64,7 @@
         loadPoller.pollLoad(get('directory'), get('warmUp'), reports),
       ),
       this.repeat(entry.ASK_INTERVAL_MS, () => get('warmUp').askForGrants()),
-      this.repeat(RECOVER_INTERVAL_MS, () => this.recoverBills()),
+      this.repeat(COPIES_INTERVAL_MS, () => billCopyParts.tendCopies(get)),
       this.repeat(entry.SHARES_INTERVAL_MS, () =>
         rolloutParts.followRollouts(get, this.rollouts),
       ),
@@ -93,7 +98,16 @@
       await clock.sleep(DRAIN_CHECK_MS);
     }
     await get('server').stop();
-    await get('bills').flush();
+    const drained = await ledger.drainLedger({
+      clock,
+      random: Math.random,
+      bills: get('bills'),
+      holder: get('copyHolder'),
+      timeoutMs: DRAIN_BILLS_MS,
+    });
+    if (!drained) {
+      get('logger').warn('bills are left to the peers that hold copies');
+    }
     this.stopping.abort();
     await get('follower').stop();
     await this.loops;
@@ -111,26 +125,6 @@
     listed.ifRight(instances => this.get('directory').applyList(instances));
   }
 
-  /** Writes the bills that instances which died left here as copies. */
-  private async recoverBills(): Promise<void> {
-    const {get} = this;
-    for (const owner of get('billCopies').owners()) {
-      const peers = get('peers').all();
-      const peer = peers.find(known => owner.startsWith(`${known.id}.`));
-      if (peer && peer.state !== 'dead') {
-        continue;
-      }
-      const pending = get('billCopies').of(owner);
-      const recovered = await get('bills').recover(owner, pending);
-      recovered.ifRight(count => {
-        get('billCopies').drop(owner);
-        get('events').record('bills_recovered', {
-          detail: `${count} of ${owner}`,
-        });
-      });
-    }
-  }
-
   private async repeat(
     intervalMs: number,
     act: () => Promise<unknown>,
--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -14,6 +14,7 @@
 import * as telemetry from '@amaranthknot/telemetry';
 import * as upstreams from '@amaranthknot/upstreams';
 import type * as instanceOptions from './instance-options.js';
+import * as billCopyParts from './bill-copy-parts.js';
 import * as rolloutParts from './rollout-parts.js';
 
 /** Parts of a running instance, by token. */
@@ -35,7 +36,8 @@
   readonly admission: entry.AdmissionGate;
   readonly claims: ledger.ClaimKeeper;
   readonly bills: ledger.BillKeeper;
-  readonly billCopies: entry.BillCopies;
+  readonly peerCopies: ledger.PeerCopies;
+  readonly copyHolder: ledger.CopyHolder;
   readonly pins: entry.PinRegistry;
   readonly retries: decisions.RetryBudget;
   readonly cascades: decisions.CascadePolicy;
@@ -53,9 +55,6 @@
 
 type Factories = {readonly [K in keyof Parts]: (get: Resolve) => Parts[K]};
 
-/** Copies of a pending bill that survive the loss of an instance and a zone. */
-const BILL_COPIES = 2;
-
 /** Longest time to ask a claim's owner, in milliseconds. */
 const ASK_OWNER_MS = 500;
 
@@ -129,24 +128,16 @@
     },
   });
 
-const createBillCopies = (get: Resolve): entry.BillCopies =>
-  new entry.BillCopies({
-    zone: get('options').settings.instance.zone,
-    transport: get('transport').send,
-    peers: () => get('peers').all(),
-    quorum: BILL_COPIES,
-  });
-
 const createBills = (get: Resolve): ledger.BillKeeper =>
   new ledger.BillKeeper({
     store: get('store'),
     clock: get('options').clock,
     random,
     incarnation: get('incarnation'),
-    copyToPeers: batch => get('billCopies').copy(batch),
+    copyToPeers: batch => get('peerCopies').copy(batch),
     limits: {
       maxPending: get('options').settings.limits.maxPendingBills,
-      copyQuorum: BILL_COPIES,
+      copyQuorum: billCopyParts.BILL_COPIES,
     },
   });
 
@@ -198,19 +189,15 @@
 const createPeerServer = (get: Resolve): protocol.PeerServer =>
   protocol.createPeerServer({
     ...get('follower').handlers(),
-    copy_bills: ({owner, bills, writtenLanes}) => ({
-      accepted: get('billCopies').keep(
-        owner,
-        bills as readonly ledger.PendingBill[],
-        writtenLanes,
-      ),
-    }),
+    copy_bills: params => billCopyParts.holdCopies(get, params),
     request_grant: params => get('warmUp').answer(params),
     fetch_evidence: ({rollout}) => ({
       incarnation: get('incarnation'),
       ...get('rolloutCounters').read(rollout),
     }),
-    fetch_bills: ({owner}) => ({bills: [...get('billCopies').of(owner)]}),
+    fetch_bills: ({owner}) => ({
+      bills: [...get('copyHolder').pendingOf(owner)],
+    }),
     describe_claim: ({incarnation, owner}) => ({
       state:
         incarnation === get('incarnation')
@@ -254,7 +241,7 @@
     peers: peers.all(),
     in_flight: get('admission').inFlight,
     pending_bills: get('bills').pending().length,
-    copies_held: get('billCopies').owners().length,
+    copies_held: get('copyHolder').size,
     upstreams: get('directory')
       .all()
       .map(({id, zone, state, serves}) => ({
@@ -351,8 +338,11 @@
   options: instanceOptions.InstanceOptions,
 ): Factories => ({
   options: () => options,
-  incarnation: () =>
-    `${options.settings.instance.id}.${crypto.randomBytes(6).toString('hex')}`,
+  incarnation: get =>
+    billCopyParts.nameIncarnation(
+      options.settings.instance.id,
+      get('peers').self().incarnation,
+    ),
   store: () =>
     new platform.HttpObjectStore(
       createHttp(
@@ -397,7 +387,8 @@
     ),
   claims: createClaims,
   bills: createBills,
-  billCopies: createBillCopies,
+  peerCopies: billCopyParts.createPeerCopies,
+  copyHolder: () => new ledger.CopyHolder({clock: options.clock}),
   pins: get => new entry.PinRegistry(get('store')),
   // A few requests an hour must survive a failing upstream too: at a low rate
   // a tenth earns nothing, so a model starts with a full bucket. At 1,000
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -8,7 +8,6 @@
 export * from './resolve-plan.js';
 export * from './select-version.js';
 export * from './session-token.js';
-export * from './bill-copies.js';
 export * from './pin-registry.js';
 export * from './upstream-directory.js';
 export * from './rating-desk.js';
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -222,9 +222,12 @@
     const {status, ...rest} = answer.unsafeCoerce();
     const body = encodeAnswer({status, ...rest});
     // The bill comes first: once the answer is recorded, a retry on another
-    // instance may hand it out, and it must be billed by then.
+    // instance may hand it out. Recorded with its bill at risk, an answer was
+    // handed out that nobody billed; unrecorded, the retry hears `unknown`.
     const billed = await this.billAnswer(call, answer);
-    await claims.finish(claim, {kind: 'answer', status, body});
+    if (billed.isRight()) {
+      await claims.finish(claim, {kind: 'answer', status, body});
+    }
     return billed;
   }
 
