Refuse bad input early, in one shape, and read the bounds that were set

Each case had its test first. As measured before the change: a caller that announced 10 MB and sent a part was never answered (hapi reads to the end first; the test ran into its 5 s); a head that never ended was never closed; a flood of headers got 400 without a body instead of 431; what is no HTTP got no body; a token without an end was taken. Cause: limits.header_timeout_ms, max_header_bytes, max_pending_claims and the document's token_max_age_ms were read from their files and used by nobody. Now: a listener of our own holds the bounds and answers what the parser refuses; on a connection where an earlier request may still run it closes without an answer, because not_run would be read as that one's. A token's age is bound when it is read too, so that a shorter life holds at once. Errors inside a stream carry the request's id like others. Already right, now tested: bodies of wrong types, unknown models, other workspaces' keys, models, services and tokens, and a caller that leaves while it waits for admission.

--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -93,6 +93,9 @@
 
 const createClaims = (get: Resolve): ledger.ClaimKeeper =>
   new ledger.ClaimKeeper({
+    limits: {
+      maxInProgress: get('options').settings.limits.maxPendingClaims,
+    },
     store: get('store'),
     clock: get('options').clock,
     random,
--- a/packages/entry/src/admission-gate.ts
+++ b/packages/entry/src/admission-gate.ts
@@ -49,6 +49,11 @@
     return this.queue.inFlight;
   }
 
+  /** Requests that wait. */
+  get queued(): number {
+    return this.queue.queued;
+  }
+
   /** Resolves when the request may run, or at once when it is refused. */
   admit(
     request: decisions.AdmissionRequest,
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -5,7 +5,7 @@
 import * as decisions from '@amaranthknot/decisions';
 import * as ledger from '@amaranthknot/ledger';
 import * as upstreams from '@amaranthknot/upstreams';
-import type * as apiError from './api-error.js';
+import * as apiError from './api-error.js';
 import * as chatRequest from './chat-request.js';
 import * as chatRunner from './chat-runner.js';
 import * as chatSessions from './chat-sessions.js';
@@ -88,7 +88,12 @@
             .resolvePlan(document, context.workspace, body.model)
             .chain(plan =>
               chatSessions
-                .readSession(parts, request, context.workspace.name)
+                .readSession(
+                  parts,
+                  request,
+                  context.workspace.name,
+                  chatSessions.readTokenSeconds(document),
+                )
                 .map(session => ({context, body, plan, session})),
             );
         }),
@@ -313,13 +318,9 @@
             break;
           case 'failed':
             this.count(chat.call, item.error);
-            yield formatCompletion.formatEvent({
-              error: {
-                message: item.error.message,
-                code: item.error.code,
-                ran: item.error.ran,
-              },
-            });
+            yield formatCompletion.formatEvent(
+              apiError.toErrorBody(item.error, identity.requestId),
+            );
             return;
           case 'answered':
             yield formatCompletion.formatEnd(
@@ -351,6 +352,7 @@
         pins: chat.versions.pins,
       },
       this.parts.sessionKey,
+      chatSessions.readTokenSeconds(chat.context.inForce.document),
     );
     return response
       .header('x-request-id', chat.call.requestId)
--- a/packages/entry/src/chat-sessions.ts
+++ b/packages/entry/src/chat-sessions.ts
@@ -4,6 +4,7 @@
  */
 import type * as hapi from '@hapi/hapi';
 import * as purify from 'purify-ts';
+import type * as configuration from '@amaranthknot/configuration';
 import type * as apiError from './api-error.js';
 import type * as entryParts from './entry-parts.js';
 import * as requestContext from './request-context.js';
@@ -33,16 +34,23 @@
 ): purify.Either<apiError.ApiError, RequestSession> =>
   purify.Left({code: 'invalid_session', ran: 'not_run', message});
 
+/** Life of a session's token in seconds, as the document says. */
+export const readTokenSeconds = (document: configuration.Document): number =>
+  document.sessions === undefined
+    ? sessionToken.DEFAULT_TOKEN_SECONDS
+    : Math.ceil(document.sessions.tokenMaxAgeMs / 1000);
+
 /** Reads the session of a request; a new one when it names none. */
 export const readSession = (
   parts: entryParts.EntryParts,
   request: hapi.Request,
   workspace: string,
+  tokenSeconds: number,
 ): purify.Either<apiError.ApiError, RequestSession> => {
   const token = requestContext.readHeader(request, TOKEN_HEADER);
   if (token !== undefined) {
     return sessionToken
-      .verifySession(token, parts.sessionKey, workspace)
+      .verifySession(token, parts.sessionKey, workspace, tokenSeconds)
       .map(({id, pins}) => ({id, pins, isCallersOwn: false}))
       .mapLeft(problem => ({
         code: 'invalid_session',
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -26,6 +26,9 @@
 /** Bounds of the caller-facing server. */
 export interface EntryLimits {
   readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  /** Longest time for a request's head, in milliseconds. */
+  readonly headerTimeoutMs: number;
   readonly requestTimeoutMs: number;
   /** How long callers may keep an answer of `/v1/entry-instances`. */
   readonly addressMaxAgeMs: number;
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,19 +1,14 @@
 /** The caller-facing server of one entry instance. */
 import * as hapi from '@hapi/hapi';
-import * as apiError from './api-error.js';
 import * as authenticate from './authenticate.js';
 import * as chatRoutes from './chat-routes.js';
 import type * as entryParts from './entry-parts.js';
+import * as listeners from './listener.js';
+import * as refuseInput from './refuse-input.js';
 import * as requestContext from './request-context.js';
 import * as resolvePlan from './resolve-plan.js';
 import * as serviceRoutes from './service-routes.js';
 
-/** Time in milliseconds a slow caller may take to send its body. */
-const BODY_TIMEOUT_MS = 10_000;
-
-/** Largest message between entry instances, in bytes. */
-const MAX_PEER_BODY_BYTES = 8 * 1024 * 1024;
-
 /** Serves callers, operators and peers. */
 export class EntryServer {
   private readonly server: hapi.Server;
@@ -25,7 +20,9 @@
   constructor(private readonly parts: entryParts.EntryParts) {
     this.chat = new chatRoutes.ChatRoutes(parts);
     this.services = new serviceRoutes.ServiceRoutes(parts);
+    const listener = new listeners.Listener(parts.limits, parts.newId);
     this.server = hapi.server({
+      listener: listener.server,
       host: parts.listen.host,
       port: parts.listen.port,
       routes: {payload: {maxBytes: parts.limits.maxBodyBytes}},
@@ -35,8 +32,12 @@
       // Errors of our own carry a code; hapi's log would be a second one.
       debug: false,
     });
+    listener.takeRefusals();
+    this.server.ext('onRequest', (request, h) =>
+      refuseInput.refuseLarge(parts, request, h),
+    );
     this.server.ext('onPreResponse', (request, h) =>
-      this.formatBoom(request, h),
+      refuseInput.formatBoom(parts, request, h),
     );
     this.addCallerRoutes();
     this.addOperatorRoutes();
@@ -71,7 +72,7 @@
       parse: false,
       output: 'data',
       maxBytes: this.parts.limits.maxBodyBytes,
-      timeout: BODY_TIMEOUT_MS,
+      timeout: listeners.BODY_TIMEOUT_MS,
     } as const;
     this.server.route([
       {
@@ -153,12 +154,12 @@
       },
       {
         method: 'POST',
-        path: '/inner/rpc',
+        path: refuseInput.INNER_PATH,
         options: {
           payload: {
             parse: false,
             output: 'data',
-            maxBytes: MAX_PEER_BODY_BYTES,
+            maxBytes: refuseInput.MAX_PEER_BODY_BYTES,
           },
         },
         handler: async (request, h) => {
@@ -250,32 +251,4 @@
     const error = {code: 'invalid_key', ran: 'not_run', message} as const;
     return requestContext.replyError(h, error, this.parts.newId());
   }
-
-  /** Gives hapi's own errors, such as a body too large, our shape. */
-  private formatBoom(
-    request: hapi.Request,
-    h: hapi.ResponseToolkit,
-  ): hapi.ResponseObject | symbol {
-    const {response} = request;
-    if (!('isBoom' in response)) {
-      return h.continue;
-    }
-    const status = response.output.statusCode;
-    const isOurs = status >= 500;
-    if (isOurs) {
-      const {message, stack} = response;
-      this.parts.logger.error('request failed', {message, stack});
-    }
-    // hapi refuses a body or path before any handler of ours runs; a failure
-    // inside a handler may have come after the work began.
-    const error: apiError.ApiError = isOurs
-      ? {code: 'internal', ran: 'unknown', message: 'internal error'}
-      : {
-          code: 'invalid_request',
-          ran: 'not_run',
-          message: response.message,
-        };
-    const requestId = this.parts.newId();
-    return requestContext.replyError(h, error, requestId).code(status);
-  }
 }
--- /dev/null
+++ b/packages/entry/src/listener.ts
@@ -0,0 +1,116 @@
+/**
+ * The HTTP listener under the server: bounds what a caller may send before any
+ * handler sees it, and gives what the parser refuses our shape of error.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as apiError from './api-error.js';
+
+/** Bounds of what a caller sends. */
+export interface ListenerLimits {
+  readonly maxHeaderBytes: number;
+  /** Longest time for the head, in milliseconds. */
+  readonly headerTimeoutMs: number;
+}
+
+/** Time in milliseconds a slow caller may take to send its body. */
+export const BODY_TIMEOUT_MS = 10_000;
+
+/** How often slow callers are looked for, at most, in milliseconds. */
+const MAX_CHECK_INTERVAL_MS = 1_000;
+
+interface ParserError {
+  readonly code?: string;
+}
+
+const STATUS_LINES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+const MESSAGES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: 'the head is too large',
+  ERR_HTTP_REQUEST_TIMEOUT: 'the request took too long to arrive',
+};
+
+const formatRefusal = (code: string, requestId: string): string => {
+  const error: apiError.ApiError = {
+    code: 'invalid_request',
+    ran: 'not_run',
+    message: MESSAGES[code] ?? 'this is no HTTP request',
+  };
+  const body = JSON.stringify(apiError.toErrorBody(error, requestId));
+  const head = [
+    `HTTP/1.1 ${STATUS_LINES[code] ?? '400 Bad Request'}`,
+    'content-type: application/json; charset=utf-8',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `x-request-id: ${requestId}`,
+    'connection: close',
+  ];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+};
+
+/** A listener, and what it does about requests that the parser refuses. */
+export class Listener {
+  readonly server: http.Server;
+  private readonly open = new WeakMap<net.Socket, http.IncomingMessage>();
+
+  constructor(
+    limits: ListenerLimits,
+    private readonly newId: () => string,
+  ) {
+    const {maxHeaderBytes, headerTimeoutMs} = limits;
+    this.server = http.createServer({
+      maxHeaderSize: maxHeaderBytes,
+      headersTimeout: headerTimeoutMs,
+      requestTimeout: headerTimeoutMs + BODY_TIMEOUT_MS,
+      connectionsCheckingInterval: Math.min(
+        headerTimeoutMs,
+        MAX_CHECK_INTERVAL_MS,
+      ),
+      // Node.js would answer a request without `host` itself, without a body.
+      requireHostHeader: false,
+    });
+    this.server.on('request', (request, response) =>
+      this.noteOpen(request, response),
+    );
+    this.server.on('checkExpectation', (request, response) =>
+      this.server.emit('request', request, response),
+    );
+  }
+
+  /** Answers refusals itself; call it when a framework has added its own. */
+  takeRefusals(): void {
+    this.server.removeAllListeners('clientError');
+    this.server.on('clientError', (error: ParserError, socket) =>
+      this.refuse(error.code ?? '', socket as net.Socket),
+    );
+  }
+
+  private noteOpen(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const {socket} = request;
+    this.open.set(socket, request);
+    response.once('close', () => {
+      if (this.open.get(socket) === request) {
+        this.open.delete(socket);
+      }
+    });
+  }
+
+  /**
+   * A refusal may meet a connection on which an earlier, whole request still
+   * runs: its caller would take the refusal, which says `not_run`, for the
+   * answer to that one. Such a connection is closed without an answer.
+   */
+  private refuse(code: string, socket: net.Socket): void {
+    const mayRun = this.open.get(socket)?.complete ?? false;
+    if (mayRun || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.end(formatRefusal(code, this.newId()));
+  }
+}
--- a/packages/entry/src/session-token.ts
+++ b/packages/entry/src/session-token.ts
@@ -30,6 +30,7 @@
   ws: zod.string(),
   sid: zod.string(),
   pins: zod.record(zod.string(), zod.string()),
+  exp: zod.number(),
 });
 
 /**
@@ -47,15 +48,22 @@
     {algorithm: ALGORITHM, expiresIn: seconds},
   );
 
-/** Reads a token that must belong to `workspace`. */
+/**
+ * Reads a token that must belong to `workspace` and be at most `seconds` old,
+ * also when it was signed for longer.
+ */
 export const verifySession = (
   token: string,
   key: crypto.KeyObject,
   workspace: string,
+  seconds = DEFAULT_TOKEN_SECONDS,
 ): purify.Either<SessionProblem, Session> => {
   try {
     const claims = CLAIMS.parse(
-      jsonwebtoken.default.verify(token, key, {algorithms: [ALGORITHM]}),
+      jsonwebtoken.default.verify(token, key, {
+        algorithms: [ALGORITHM],
+        maxAge: seconds,
+      }),
     );
     if (claims.ws !== workspace) {
       return purify.Left('other_workspace');
