--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -25,7 +25,12 @@
       listener: listener.server,
       host: parts.listen.host,
       port: parts.listen.port,
-      routes: {payload: {maxBytes: parts.limits.maxBodyBytes}},
+      routes: {
+        payload: {maxBytes: parts.limits.maxBodyBytes},
+        // A part of an answer must not pass for the whole, and a range that
+        // is none must not refuse a request after it ran.
+        response: {ranges: false},
+      },
       // gzip would hold back streamed tokens until its buffer is full: callers
       // that accept it, as most libraries do, saw the whole answer at once.
       compression: false,
