Count small differences in cost as none among samples

Cause: with 300 instances own requests are mostly 0 or 1, so the least of three 2 s old reports decided, for all instances alike.

--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -88,6 +88,13 @@
  */
 const SPILL_UTILIZATION = 0.85;
 
+/**
+ * Difference in cost that counts as none. Where own requests are few, old
+ * reports decide alone: the least of three would then draw all instances at
+ * once, until the next report. Among equals the draw decides.
+ */
+const TOLERANCE = 0.15;
+
 /** How much better another zone has to look, or zones trade requests. */
 const SPILL_ADVANTAGE = 0.8;
 
@@ -247,7 +254,7 @@
   ): Load | undefined {
     const accepts = (load: Load) => isAccepted(load, request);
     const drawn = pool.draw(this.samples, this.options.random, accepts);
-    return findCheapest(drawn, view);
+    return findCheapest(drawn, view, TOLERANCE);
   }
 
   private chooseSpill(
@@ -283,12 +290,13 @@
 const findCheapest = (
   loads: readonly Load[],
   view: placementPool.PoolView,
+  tolerance = 0,
 ): Load | undefined => {
   let best: Load | undefined;
   let bestCost = Infinity;
   for (const load of loads) {
     const cost = placementPool.costOf(load, view);
-    if (cost < bestCost) {
+    if (cost < bestCost * (1 - tolerance)) {
       best = load;
       bestCost = cost;
     }
