Show that memory is bound in an outage and before stuck upstreams

Stuck engines: of 300 callers at once 4 run and at most 100 wait, as the settings and the workspace's limits say; the rest gets 429 with not_run and Retry-After, and all places are free when callers leave. Platform out: 5 bills are kept, as set; then chat and booking get 503 platform_out with not_run and Retry-After before an engine or service sees them; after the outage the bills are written and requests go on. Both held already. That the tests see a fault was tried by planting it: with a capacity of 200 the first failed with 100 in progress instead of 4; with 50,000 bills the second failed as the sixth request was answered.

--- /dev/null
+++ b/packages/amaranthknot/tests/bounds.test.ts
@@ -0,0 +1,111 @@
+import * as chai from 'chai';
+import type * as embedded from '../src/embedded-deployment.js';
+import * as fixtures from './support/fixtures.js';
+import * as rawCaller from './support/raw-caller.js';
+
+const MAX_IN_FLIGHT = 4;
+const MAX_PENDING_BILLS = 5;
+/** `max_queued` of the workspaces in the test document. */
+const MAX_QUEUED = 100;
+
+const checkRefused = (answer: fixtures.RawAnswer, codes: readonly string[]) => {
+  const error = rawCaller.checkError(answer.text);
+  chai.assert.strictEqual(error.ran, 'not_run');
+  chai.assert.include(codes, error.code);
+  const seconds = Number(answer.headers.get('retry-after'));
+  chai.assert.isAtLeast(seconds, 1);
+};
+
+const until = async (holds: () => boolean): Promise<void> => {
+  while (!holds()) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+};
+
+describe('bounds of memory', () => {
+  let deployment: embedded.EmbeddedDeployment;
+  let address: string;
+
+  beforeEach(async () => {
+    deployment = await fixtures.startDeployment({
+      limits: {maxInFlight: MAX_IN_FLIGHT, maxPendingBills: MAX_PENDING_BILLS},
+    });
+    address = deployment.addresses[0] ?? '';
+  });
+
+  afterEach(() => deployment.stop());
+
+  // All engines take requests and answer nothing. Callers go on sending; what
+  // they send is kept while it waits, and the instance grows until it dies.
+  // Past its settings it must refuse at once, with not_run and a time.
+  it('holds no more than its settings before stuck upstreams', async () => {
+    const engines = [...deployment.standIns.engines.values()];
+    engines.forEach(engine => (engine.fault = 'silent'));
+    const admission = deployment.instances[0]!.parts('admission');
+    const leave = new AbortController();
+    const refused: fixtures.RawAnswer[] = [];
+    let asked = 0;
+    const ask = async (): Promise<void> => {
+      asked++;
+      const answer = await fetch(`http://${address}/v1/chat/completions`, {
+        method: 'POST',
+        signal: leave.signal,
+        headers: {authorization: `Bearer ${fixtures.keyOf('north')}`},
+        body: JSON.stringify({
+          model: 'answers',
+          messages: [{role: 'user', content: 'hello'}],
+        }),
+      });
+      const text = await answer.text();
+      const {status, headers} = answer;
+      refused.push({status, headers, text, json: undefined});
+    };
+    const asking = Array.from({length: 300}, () =>
+      ask().catch(() => undefined),
+    );
+    await until(
+      () => refused.length + admission.inFlight + admission.queued === asked,
+    );
+    chai.assert.strictEqual(admission.inFlight, MAX_IN_FLIGHT);
+    chai.assert.isAtMost(admission.queued, MAX_QUEUED);
+    chai.assert.isAtLeast(refused.length, 300 - MAX_IN_FLIGHT - MAX_QUEUED);
+    for (const answer of refused) {
+      chai.assert.strictEqual(answer.status, 429);
+      checkRefused(answer, ['over_capacity', 'deadline_unreachable']);
+    }
+    leave.abort();
+    await Promise.all(asking);
+    await until(() => admission.inFlight + admission.queued === 0);
+  });
+
+  // The platform is out, so that no bill can be written. Answers go on, as
+  // peers hold the bills; but an outage that lasts would fill the memory, and
+  // past the bound a request must be refused before it runs.
+  it('keeps no more bills than its settings in an outage', async () => {
+    const bills = deployment.instances[0]!.parts('bills');
+    deployment.standIns.platform.mode = 'down';
+    for (let i = 0; i < MAX_PENDING_BILLS; i++) {
+      const answer = await fixtures.chat(address, `question ${i}`);
+      chai.assert.strictEqual(answer.status, 200);
+    }
+    chai.assert.lengthOf(bills.pending(), MAX_PENDING_BILLS);
+    const started = () =>
+      [...deployment.standIns.engines.values()].reduce(
+        (sum, engine) => sum + engine.started.length,
+        0,
+      );
+    const before = started();
+    const chat = await fixtures.chat(address, 'one more');
+    const booking = await fixtures.book(address, 'one-more');
+    for (const answer of [chat, booking]) {
+      chai.assert.strictEqual(answer.status, 503);
+      checkRefused(answer, ['platform_out']);
+    }
+    chai.assert.strictEqual(started(), before);
+    chai.assert.lengthOf(bills.pending(), MAX_PENDING_BILLS);
+    deployment.standIns.platform.mode = 'up';
+    chai.assert.isTrue(await bills.flush());
+    const after = await fixtures.chat(address, 'and on');
+    chai.assert.strictEqual(after.status, 200);
+  });
+});
