--- a/packages/amaranthknot/src/embedded-deployment.ts
+++ b/packages/amaranthknot/src/embedded-deployment.ts
@@ -75,6 +75,22 @@
 const sha256 = (text: string): string =>
   crypto.createHash('sha256').update(text).digest('hex');
 
+/** Longest wait for a confirmed configuration after the start, in ms. */
+const READY_WAIT_MS = 10_000;
+
+/** Waits until all instances take work, or the wait is over. */
+const waitReady = async (
+  instances: readonly entryInstance.EntryInstance[],
+): Promise<void> => {
+  const clock = platform.systemClock;
+  const end = clock.now() + READY_WAIT_MS;
+  const isReady = () =>
+    instances.every(instance => instance.parts('follower').mayTakeWork());
+  while (!isReady() && clock.now() < end) {
+    await clock.sleep(10);
+  }
+};
+
 /** Starts stand-ins, publishes the document, starts the entry instances. */
 export const startEmbedded = async (
   options: EmbeddedOptions,
@@ -133,6 +149,7 @@
     });
   });
   await Promise.all(instances.map(instance => instance.start()));
+  await waitReady(instances);
   return {
     standIns: running,
     instances,
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -183,7 +183,12 @@
       ),
     }));
     const plan = this.parts.cascades.choose(
-      {workspace: call.workspace.name, task: call.request.task, stages},
+      {
+        workspace: call.workspace.name,
+        task: call.request.task,
+        stages,
+        target: call.workspace.qualityTarget,
+      },
       this.parts.random,
     );
     return {
