Leave an upstream alone at its first refusal as cold

Cause: an engine that turned cold again under load got full work until its next report, up to a second. It refuses what it does not bear (503); that refusal now closes it to new work on the instance until its report or a grant. Ruled out: the detector's sign of slow answers: three answers at four times the usual are common at a millisecond, and would close sound engines.

--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -295,6 +295,7 @@
     handlePeer: text => get('peerServer').handle(text),
     describeState: () => describeState(get),
     offerForRating: given => rolloutParts.offerForRating(get, given),
+    noteCold: upstream => get('warmUp').noteRefusal(upstream),
     countVersion: (model, version, sign) =>
       rolloutParts.countVersion(get, model, version, sign),
   });
--- a/packages/amaranthknot/tests/cold-upstream.test.ts
+++ b/packages/amaranthknot/tests/cold-upstream.test.ts
@@ -64,4 +64,19 @@
     await runLoad(3_000);
     chai.expect(engine.worstOverload).lessThanOrEqual(0);
   });
+
+  // An engine turns cold again under full load, without warning, and refuses
+  // what it does not bear. Its next report comes up to a second later; until
+  // then all instances would go on sending, which makes it fall over.
+  it('is left alone at its first refusal when it turns cold again', async () => {
+    const engine = findEngine();
+    engine.warmth = {coldSlots: 1, warmMs: 60_000};
+    const load = runLoad(2_500);
+    await sleep(1_000);
+    engine.turnCold();
+    await load;
+    // Those already on their way, not one a caller and 10 ms.
+    chai.expect(engine.coldRefusals).within(1, CALLERS);
+    chai.expect(knowCold()).equal(true);
+  });
 });
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -482,6 +482,9 @@
           ...subject,
           detail: `${notice.failure.code} at ${notice.offset}`,
         });
+        if (notice.failure.code === 'cold') {
+          this.parts.noteCold(upstream);
+        }
         break;
     }
   }
--- a/packages/entry/src/chat-runner.ts
+++ b/packages/entry/src/chat-runner.ts
@@ -97,9 +97,16 @@
   readonly notify: (notice: ChatNotice) => void;
 }
 
+/** Failures by which no upstream had room for the request. */
+const NO_ROOM: readonly upstreams.EngineFailureCode[] = [
+  'unreachable',
+  'overloaded',
+  'cold',
+];
+
 const toApiError = (failure: upstreams.EngineFailure): apiError.ApiError => {
   const {ran, message} = failure;
-  return failure.code === 'unreachable' || failure.code === 'overloaded'
+  return NO_ROOM.includes(failure.code)
     ? {code: 'no_upstream', ran, message, retryAfterMs: 1000}
     : {code: 'upstream_failed', ran, message, retryAfterMs: 1000};
 };
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -101,6 +101,8 @@
   readonly describeState: () => object;
   /** Notes an answer that was given, so that some of them are rated. */
   readonly offerForRating: (answer: GivenAnswer) => void;
+  /** Notes that an upstream refused as in cold start. */
+  readonly noteCold: (upstream: string) => void;
   /** Counts what a version did, for a roll-out that may be about it. */
   readonly countVersion: (
     model: string,
--- a/packages/entry/src/warm-up-desk.ts
+++ b/packages/entry/src/warm-up-desk.ts
@@ -33,6 +33,13 @@
 /** A report this much younger than the issuer's tells of a new cold start. */
 const RESTART_MARGIN_MS = 1_000;
 
+/** What an upstream is taken to bear until its report says. */
+const UNREPORTED_CURVE: decisions.WarmUpCurve = {
+  coldSlots: 1,
+  fullSlots: 2,
+  warmMs: 60_000,
+};
+
 interface Cold {
   readonly curve: decisions.WarmUpCurve;
   readonly sinceMs: number;
@@ -74,6 +81,19 @@
     });
   }
 
+  /**
+   * An upstream refused as cold. Between two reports it can turn cold again
+   * without warning; every further request would add to what makes it fall
+   * over, so that nothing starts until its next report, or on a first grant.
+   */
+  noteRefusal(id: string): void {
+    if (!this.cold.has(id)) {
+      this.options.notifyCold(id);
+      const sinceMs = this.options.clock.now();
+      this.cold.set(id, {curve: UNREPORTED_CURVE, sinceMs});
+    }
+  }
+
   /** Whether one more request may start on an upstream. */
   mayStart(id: string): boolean {
     const cold = this.cold.get(id);
--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -59,6 +59,8 @@
   private coldSince: number | undefined;
   /** How it warms up once it is cold. */
   warmth = {coldSlots: 1, warmMs: 10_000};
+  /** Requests that it refused because it was cold. */
+  coldRefusals = 0;
   /** Most work at once beyond what it bore at the time; 0 or less is right. */
   worstOverload = Number.NEGATIVE_INFINITY;
   /** Requests that the fault still applies to. */
@@ -140,10 +142,16 @@
     h: hapi.ResponseToolkit,
   ): hapi.ResponseObject | Promise<hapi.ResponseObject> {
     const body = request.payload as EngineRequest;
+    const overload = this.inFlight + 1 - this.bearable;
+    this.worstOverload = Math.max(this.worstOverload, overload);
     const fault = this.takeFault();
     if (fault === 'refuse' || this.inFlight >= this.slots) {
       return h.response({error: {code: 'overloaded', ran: false}}).code(429);
     }
+    if (this.inFlight >= this.bearable) {
+      this.coldRefusals++;
+      return h.response({error: {code: 'cold', ran: false}}).code(503);
+    }
     if (!this.options.serves.includes(body.model)) {
       return h.response({error: {code: 'not_loaded', ran: false}}).code(404);
     }
@@ -159,10 +167,6 @@
       output.destroy();
     });
     this.inFlight++;
-    this.worstOverload = Math.max(
-      this.worstOverload,
-      this.inFlight - this.bearable,
-    );
     void this.generate(body, fault, output, request).finally(
       () => this.inFlight--,
     );
--- a/packages/upstreams/src/engine-client.ts
+++ b/packages/upstreams/src/engine-client.ts
@@ -27,6 +27,7 @@
 export type EngineFailureCode =
   | 'unreachable'
   | 'overloaded'
+  | 'cold'
   | 'not_loaded'
   | 'engine_error'
   | 'broken_stream'
@@ -144,8 +145,9 @@
 
 const describeStatus = (status: number): EngineItem => {
   switch (status) {
-    case 429:
     case 503:
+      return failed('cold', 'not_run', 'the engine is in cold start');
+    case 429:
       return failed('overloaded', 'not_run', 'the engine is at its limit');
     case 404:
       return failed('not_loaded', 'not_run', 'the engine lacks the version');
