Give roll-out tests a workspace of their own

Cause: the suite's one failure: the roll-out tests had let workspace north call small directly, which the test of another workspace's model relies on not being allowed. A third workspace has that rule now; north's are as before, and the failing test is unchanged.

--- a/packages/amaranthknot/tests/cold-upstream.test.ts
+++ b/packages/amaranthknot/tests/cold-upstream.test.ts
@@ -40,6 +40,7 @@
         const address = deployment.addresses[index % 3]!;
         const answer = await fixtures.chat(address, 'a b c d e f', {
           model: 'small',
+          workspace: 'west',
         });
         answered += answer.status === 200 ? 1 : 0;
         await sleep(10);
--- a/packages/amaranthknot/tests/rollouts.test.ts
+++ b/packages/amaranthknot/tests/rollouts.test.ts
@@ -32,6 +32,7 @@
         Array.from({length: BATCH}, (_, i) =>
           fixtures.chat(addresses[i % addresses.length]!, 'hello', {
             model: 'small',
+            workspace: 'west',
           }),
         ),
       );
--- a/packages/amaranthknot/tests/support/fixtures.ts
+++ b/packages/amaranthknot/tests/support/fixtures.ts
@@ -1,4 +1,4 @@
-/** A small deployment for tests: two models, one service, two workspaces. */
+/** A small deployment for tests: two models, one service, three workspaces. */
 import * as crypto from 'node:crypto';
 import * as configuration from '@amaranthknot/configuration';
 import type * as platform from '@amaranthknot/platform';
@@ -12,13 +12,13 @@
 /** Key of a test workspace. */
 export const keyOf = (workspace: string): string => `test-key-of-${workspace}`;
 
-const createWorkspaceTable = (name: string): string => `
+const createWorkspaceTable = (name: string, cascade?: string): string => `
 [workspaces.${name}]
 keys = ["${digest(keyOf(name))}"]
 quality_target = 0.9
 priority = "interactive"
 weight = 1
-default_cascade = "answers"
+${cascade === undefined ? '' : `default_cascade = "${cascade}"`}
 [workspaces.${name}.limits]
 max_concurrent = 100
 max_queued = 100
@@ -51,12 +51,17 @@
 cost_per_call = 0.01
 idempotent_methods = ["GET", "HEAD"]
 
-${createWorkspaceTable('north')}
-${createWorkspaceTable('south')}
+${createWorkspaceTable('north', 'answers')}
+${createWorkspaceTable('south', 'answers')}
+${createWorkspaceTable('west')}
 
 [[rules]]
 workspaces = ["north"]
-allow = ["cascade:answers", "model:small", "service:bookings"]
+allow = ["cascade:answers", "service:bookings"]
+
+[[rules]]
+workspaces = ["west"]
+allow = ["model:small"]
 
 [[rules]]
 workspaces = ["south"]
