Add the timeline command: text, JSON and a picture

Cause: the time line of all processes could be read only instance by instance. Events come by the instances' own messages, so that no further key is needed.

--- a/packages/amaranthknot/src/commands/operator-commands.ts
+++ b/packages/amaranthknot/src/commands/operator-commands.ts
@@ -7,6 +7,7 @@
 import * as promote from './promote.js';
 import * as rollout from './rollout.js';
 import * as status from './status.js';
+import * as timeline from './timeline.js';
 import * as zone from './zone.js';
 import * as operations from '../operator/operations.js';
 
@@ -21,6 +22,7 @@
   promote: promote.createPromote(connect),
   rollout: rollout.createRollout(connect),
   status: status.createStatus(connect),
+  timeline: timeline.createTimeline(connect),
   zone: zone.createZone(connect),
 });
 
--- /dev/null
+++ b/packages/amaranthknot/src/commands/timeline.ts
@@ -0,0 +1,149 @@
+/** `amaranthknot timeline`: the events of all instances, merged by cause. */
+import * as fs from 'node:fs';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as telemetry from '@amaranthknot/telemetry';
+import type * as command from '../command.js';
+import * as createCommand from '../operator/create-command.js';
+import type * as operations from '../operator/operations.js';
+import * as outcome from '../operator/outcome.js';
+import * as waits from '../operator/wait-everywhere.js';
+
+const HELP = `
+  Collects the events that all entry instances still hold, merges them so that
+  a cause comes before its effect, and prints one line each.
+
+  Usage
+    $ amaranthknot timeline --settings FILE [FILTERS] [--json] [--svg FILE]
+
+  Options
+    --settings FILE   settings of any instance
+    --request ID      events of one request
+    --workspace NAME  of one workspace
+    --model NAME      of one model
+    --version NAME    of one version
+    --upstream ID     of one upstream
+    --zone NAME       of one availability zone
+    --svg FILE        draw a picture too
+    --json            one line of JSON
+
+  Example
+    $ amaranthknot timeline --settings examples/settings.toml \\
+        --workspace tamaki-newcomers --svg timeline.svg
+
+  Exit codes
+    0 printed; 1 some instance did not answer, what the others hold is printed;
+    2 wrong command line; 3 the platform is out of reach
+`;
+
+const FILTERS = [
+  'request',
+  'workspace',
+  'model',
+  'version',
+  'upstream',
+  'zone',
+] as const;
+
+const FLAGS = {
+  request: {type: 'string'},
+  workspace: {type: 'string'},
+  model: {type: 'string'},
+  version: {type: 'string'},
+  upstream: {type: 'string'},
+  zone: {type: 'string'},
+  svg: {type: 'string'},
+} as const;
+
+/** Events in one message. */
+const BATCH = 1_000;
+
+/** Time for one message, in milliseconds. */
+const MESSAGE_TIMEOUT_MS = 3_000;
+
+/** Events of one instance, or undefined when it does not answer. */
+const collect = async (
+  reached: operations.Operations,
+  address: string,
+): Promise<readonly telemetry.TimelineEvent[] | undefined> => {
+  const events: telemetry.TimelineEvent[] = [];
+  let afterSequence = -1;
+  for (;;) {
+    const answer = await protocol.callPeer(
+      reached.transport,
+      address,
+      'collect_events',
+      {afterSequence, limit: BATCH},
+      MESSAGE_TIMEOUT_MS,
+    );
+    const batch = answer.toMaybe().extract();
+    if (!batch) {
+      return undefined;
+    }
+    events.push(...(batch.events as readonly telemetry.TimelineEvent[]));
+    if (batch.events.length < BATCH) {
+      return events;
+    }
+    afterSequence = batch.lastSequence;
+  }
+};
+
+const readFilter = (
+  flags: Readonly<Record<string, unknown>>,
+): telemetry.TimelineFilter =>
+  Object.fromEntries(
+    FILTERS.filter(name => typeof flags[name] === 'string').map(name => [
+      name,
+      flags[name],
+    ]),
+  );
+
+const draw = (
+  file: string,
+  events: readonly telemetry.TimelineEvent[],
+): purify.Either<outcome.Failure, void> =>
+  purify.Either.encase(() => {
+    const picture = telemetry.drawTimeline(events, telemetry.formatEvent);
+    fs.writeFileSync(file, picture);
+  }).mapLeft(error => outcome.fail('unreadable_file', error.message));
+
+/** Creates the command. */
+export const createTimeline = (connect: operations.Connect): command.Command =>
+  createCommand.createOperatorCommand(
+    {
+      summary: 'show the events of all instances',
+      help: HELP,
+      syntax: {inputs: [], flags: FLAGS},
+      act: async ({operations: reached, given, showProgress}) => {
+        const listed = await waits.listEntryInstances(reached.instances);
+        if (listed.isLeft()) {
+          return listed;
+        }
+        const instances = listed.orDefault([]);
+        showProgress(`asking ${instances.length} instances`);
+        const rings = await Promise.all(
+          instances.map(({address}) => collect(reached, address)),
+        );
+        const silent = instances
+          .filter((_, index) => rings[index] === undefined)
+          .map(({id}) => id);
+        const events = telemetry.mergeTimelines(
+          rings.filter(ring => ring !== undefined),
+          readFilter(given.flags),
+        );
+        const {svg} = given.flags;
+        const drawn =
+          svg === undefined ? purify.Right(undefined) : draw(svg, events);
+        const lines = events.map(telemetry.formatEvent);
+        if (silent.length > 0) {
+          return purify.Left({
+            code: 'not_found' as const,
+            lines: [`no answer from ${silent.join(', ')}`, ...lines],
+            details: {silent, events},
+          });
+        }
+        return drawn.map(() => ({lines, json: {events}}));
+      },
+    },
+    connect,
+  );
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -154,14 +154,15 @@
   /** Collects events of the receiver's time line, oldest first. */
   collect_events: {
     params: zod.object({
-      afterSequence: count,
+      /** -1 for all that the receiver still has. */
+      afterSequence: zod.number().int().min(-1),
       limit: count.max(MAX_ITEMS),
       filter: zod.record(zod.string(), zod.string()).optional(),
     }),
     result: zod.object({
       events: zod.array(zod.unknown()).max(MAX_ITEMS),
       /** Sequence of the last event looked at; pass it as `afterSequence`. */
-      lastSequence: count,
+      lastSequence: zod.number().int().min(-1),
     }),
   },
   /** Reports counters for roll-outs and cascades; they only grow. */
