Confirm a stage's version by the configuration in force when it starts

Cause: found reading the code: versions were fixed before admission, so that a request which waited, or ran an earlier stage, started new work on a version withdrawn or forbidden meanwhile, for as long as requests may wait (10 s in the examples; the promise is a few seconds). A test shows it: small@v1 after its withdrawal was in force. Ruled out: doing it all after admission, which would admit requests that are refused anyway and pin sessions late. Change: the chosen version is confirmed against the configuration in force when each stage starts.

--- a/packages/amaranthknot/tests/versions-and-zones.test.ts
+++ b/packages/amaranthknot/tests/versions-and-zones.test.ts
@@ -241,3 +241,34 @@
     await tryModels({answers: 404, 'small@v1': 404, small: 200, large: 404});
   });
 });
+
+describe('a request that waits for admission', () => {
+  // One slot: a second request waits behind a long one. Meanwhile its version
+  // is withdrawn, in force on the instance. Chosen before the wait, the version
+  // would get new work seconds after its withdrawal.
+  it('starts on no version that was withdrawn meanwhile', async () => {
+    const deployment = await fixtures.startDeployment({
+      zones: ['zone-a'],
+      limits: {maxInFlight: 1},
+      tokenMs: 20,
+    });
+    const [address] = deployment.addresses;
+    const ask = (prompt: string) =>
+      fixtures.chat(address!, prompt, {model: 'small', workspace: 'west'});
+    const long = ask('word '.repeat(60));
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const waiting = ask('hello');
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const {store} = deployment.standIns.platform;
+    const document = withdraw('v1', 'v2')(fixtures.createDocument());
+    const published = await membership.publishDocument(store, 'test', document);
+    const {generation} = published.unsafeCoerce();
+    const follower = deployment.instances[0]!.parts('follower');
+    while (follower.generationInForce() < generation) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    chai.expect((await long).json.model).equal('small@v1');
+    chai.expect((await waiting).json.model).equal('small@v2');
+    await deployment.stop();
+  });
+});
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -1,34 +1,21 @@
 /** `/v1/chat/completions`: from a caller's request to its whole answer. */
 import * as stream from 'node:stream';
 import type * as hapi from '@hapi/hapi';
-import type * as purify from 'purify-ts';
 import * as decisions from '@amaranthknot/decisions';
-import * as ledger from '@amaranthknot/ledger';
 import * as upstreams from '@amaranthknot/upstreams';
 import * as apiError from './api-error.js';
-import * as chatRequest from './chat-request.js';
+import * as chatObserver from './chat-observer.js';
 import * as chatRunner from './chat-runner.js';
 import * as chatSessions from './chat-sessions.js';
 import type * as entryParts from './entry-parts.js';
 import * as formatCompletion from './format-completion.js';
+import * as prepareChat from './prepare-chat.js';
 import * as requestContext from './request-context.js';
-import * as resolvePlan from './resolve-plan.js';
 import * as sessionToken from './session-token.js';
 
 /** Tokens that a stage is expected to generate, for comparing costs. */
 const EXPECTED_TOKENS = 500;
 
-/** A request that is ready to run. */
-interface PreparedChat {
-  readonly context: requestContext.RequestContext;
-  readonly call: chatRunner.ChatCall;
-  readonly versions: chatSessions.PlanVersions;
-  readonly session: chatSessions.RequestSession;
-  readonly identity: ledger.RequestIdentity;
-}
-
-type Failable<T> = purify.Either<apiError.ApiError, T>;
-
 const toChunkIdentity = (
   parts: entryParts.EntryParts,
   requestId: string,
@@ -39,14 +26,18 @@
 
 /** Answers chat completion requests. */
 export class ChatRoutes {
-  constructor(private readonly parts: entryParts.EntryParts) {}
+  private readonly observer: chatObserver.ChatObserver;
+
+  constructor(private readonly parts: entryParts.EntryParts) {
+    this.observer = new chatObserver.ChatObserver(parts);
+  }
 
   /** Handles one request. */
   async handle(
     request: hapi.Request,
     h: hapi.ResponseToolkit,
   ): Promise<hapi.ResponseObject> {
-    const prepared = await this.prepare(request);
+    const prepared = await prepareChat.prepareChat(this.parts, request);
     if (prepared.isLeft()) {
       const error = prepared.extract();
       return this.refuse(h, error, this.parts.newId());
@@ -64,66 +55,9 @@
       : this.answerPlain(h, chat, items);
   }
 
-  private async prepare(
-    request: hapi.Request,
-  ): Promise<Failable<PreparedChat>> {
-    const {parts} = this;
-    const text = Buffer.isBuffer(request.payload)
-      ? request.payload.toString('utf8')
-      : '';
-    const ready = parts.bills
-      .mayAccept()
-      .mapLeft((refusal): apiError.ApiError => ({
-        code: 'platform_out',
-        ran: 'not_run',
-        message: 'bills cannot be kept safe now',
-        retryAfterMs: refusal.retryAfterMs,
-      }));
-    const resolved = ready
-      .chain(() => requestContext.createContext(parts, request))
-      .chain(context =>
-        chatRequest.parseChatRequest(text).chain(body => {
-          const {document} = context.inForce;
-          return resolvePlan
-            .resolvePlan(document, context.workspace, body.model)
-            .chain(plan =>
-              chatSessions
-                .readSession(
-                  parts,
-                  request,
-                  context.workspace.name,
-                  chatSessions.readTokenSeconds(document),
-                )
-                .map(session => ({context, body, plan, session})),
-            );
-        }),
-      );
-    if (resolved.isLeft()) {
-      return resolved;
-    }
-    const {context, body, plan, session} = resolved.unsafeCoerce();
-    const {requestId, workspace} = context;
-    const versions = await chatSessions.chooseVersions(
-      parts,
-      workspace.name,
-      session,
-      plan,
-    );
-    const key = requestContext.readHeader(request, 'idempotency-key');
-    const identity = ledger.identifyRequest(workspace.name, key, requestId);
-    const affinityKey = `${workspace.name}/${session.id}`;
-    const call = {requestId, workspace, plan, request: body, affinityKey};
-    parts.events.record('request_received', {
-      request: requestId,
-      workspace: workspace.name,
-      detail: plan.name,
-    });
-    return resolved.map(() => ({context, call, versions, session, identity}));
-  }
-
   /** Runs an admitted request; the slot is given back at its end. */
   private async *run(
-    chat: PreparedChat,
+    chat: prepareChat.PreparedChat,
     release: () => void,
   ): AsyncGenerator<chatRunner.ChatItem> {
     const {parts} = this;
@@ -164,13 +98,20 @@
     }
   }
 
-  private createChatParts(chat: PreparedChat): chatRunner.ChatParts {
+  private createChatParts(
+    chat: prepareChat.PreparedChat,
+  ): chatRunner.ChatParts {
     return {
       chooseStages: call => this.chooseStages(call),
-      selectVersion: (_call, stage) =>
-        chat.versions.byModel.get(stage.model.name),
+      selectVersion: (call, stage) =>
+        chatSessions.confirmVersion(
+          this.parts.inForce(),
+          call,
+          stage.model.name,
+          chat.versions.byModel.get(stage.model.name),
+        ),
       runStage: (run, signal) => this.runStage(run, signal),
-      notify: notice => this.notify(notice),
+      notify: notice => this.observer.notify(notice),
     };
   }
 
@@ -210,7 +151,7 @@
         open: parts.openEngine,
         place: tried => parts.placeStage(run, tried),
         mayRetry: () => parts.mayRetry(run.model),
-        notify: notice => this.notifyAttempt(run, notice),
+        notify: notice => this.observer.notifyAttempt(run, notice),
       },
       {
         requestId,
@@ -230,7 +171,7 @@
    * after the end would otherwise take an answered request's bill with it.
    */
   private async bill(
-    chat: PreparedChat,
+    chat: prepareChat.PreparedChat,
     answer: chatRunner.ChatAnswer,
   ): Promise<chatRunner.ChatItem> {
     const {parts} = this;
@@ -268,7 +209,7 @@
 
   private async answerPlain(
     h: hapi.ResponseToolkit,
-    chat: PreparedChat,
+    chat: prepareChat.PreparedChat,
     items: AsyncGenerator<chatRunner.ChatItem>,
   ): Promise<hapi.ResponseObject> {
     const {requestId} = chat.call;
@@ -297,7 +238,7 @@
   /** Waits for the first item, so that a failure still has its status. */
   private async answerStreamed(
     h: hapi.ResponseToolkit,
-    chat: PreparedChat,
+    chat: prepareChat.PreparedChat,
     items: AsyncGenerator<chatRunner.ChatItem>,
   ): Promise<hapi.ResponseObject> {
     const first = await items.next();
@@ -317,7 +258,7 @@
   }
 
   private async *formatItems(
-    chat: PreparedChat,
+    chat: prepareChat.PreparedChat,
     first: chatRunner.ChatItem,
     rest: AsyncGenerator<chatRunner.ChatItem>,
   ): AsyncGenerator<string> {
@@ -358,7 +299,7 @@
 
   private addHeaders(
     response: hapi.ResponseObject,
-    chat: PreparedChat,
+    chat: prepareChat.PreparedChat,
   ): hapi.ResponseObject {
     const token = sessionToken.signSession(
       {
@@ -405,87 +346,4 @@
       detail: `${error.code} ${error.ran}`,
     });
   }
-
-  private notify(notice: chatRunner.ChatNotice): void {
-    const {run} = notice;
-    const {model, version} = run;
-    const {requestId, workspace, request} = run.call;
-    const subject = {
-      request: requestId,
-      workspace: workspace.name,
-      model,
-      version,
-    };
-    const {events, metrics, cascades} = this.parts;
-    switch (notice.kind) {
-      case 'stage_started':
-        events.record('stage_started', subject);
-        break;
-      case 'stage_answered': {
-        const name = notice.accepted ? 'stage_answered' : 'stage_escalated';
-        const detail = `confidence ${notice.confidence}`;
-        events.record(name, {...subject, detail});
-        metrics.stages.inc({model, version, outcome: name});
-        cascades.observeAnswer({
-          workspace: workspace.name,
-          task: request.task,
-          model,
-          escalated: notice.escalated,
-          score: notice.confidence,
-        });
-        this.parts.countVersion(model, version, {requests: 1});
-        break;
-      }
-      case 'stage_failed':
-        events.record('stage_escalated', {
-          ...subject,
-          detail: notice.failure.code,
-        });
-        metrics.stages.inc({model, version, outcome: notice.failure.code});
-        this.countFailure(notice);
-        break;
-    }
-  }
-
-  /**
-   * Counts a failure against the version only where its engine took the
-   * request: a full or lost upstream says nothing about a version.
-   */
-  private countFailure(
-    notice: Extract<chatRunner.ChatNotice, {readonly kind: 'stage_failed'}>,
-  ): void {
-    const {run, failure} = notice;
-    if (failure.code === 'aborted' || failure.ran === 'not_run') {
-      return;
-    }
-    const sign = {requests: 1, errors: 1};
-    this.parts.countVersion(run.model, run.version, sign);
-  }
-
-  private notifyAttempt(
-    run: chatRunner.StageRun,
-    notice: upstreams.CompletionNotice,
-  ): void {
-    const {upstream} = notice;
-    const subject = {request: run.call.requestId, upstream};
-    switch (notice.kind) {
-      case 'started':
-        break;
-      case 'discarded':
-        this.parts.events.record('answer_discarded', {
-          ...subject,
-          detail: notice.reason,
-        });
-        break;
-      case 'attempt_failed':
-        this.parts.events.record('upstream_failed', {
-          ...subject,
-          detail: `${notice.failure.code} at ${notice.offset}`,
-        });
-        if (notice.failure.code === 'cold') {
-          this.parts.noteCold(upstream);
-        }
-        break;
-    }
-  }
 }
--- a/packages/entry/src/chat-sessions.ts
+++ b/packages/entry/src/chat-sessions.ts
@@ -4,8 +4,9 @@
  */
 import type * as hapi from '@hapi/hapi';
 import * as purify from 'purify-ts';
-import type * as configuration from '@amaranthknot/configuration';
+import * as configuration from '@amaranthknot/configuration';
 import type * as apiError from './api-error.js';
+import type * as chatRunner from './chat-runner.js';
 import type * as entryParts from './entry-parts.js';
 import * as requestContext from './request-context.js';
 import type * as resolvePlan from './resolve-plan.js';
@@ -123,3 +124,41 @@
   });
   return kept ?? wanted;
 };
+
+/**
+ * The version that a stage starts on, by the configuration in force now.
+ *
+ * Guards against a change while the request waited for admission or ran an
+ * earlier stage: a version withdrawn or forbidden meanwhile would get new work
+ * for as long as requests may wait. Undefined when none may take it, also when
+ * this instance may start no work at all.
+ */
+export const confirmVersion = (
+  inForce: entryParts.InForce | undefined,
+  call: chatRunner.ChatCall,
+  modelName: string,
+  chosen: string | undefined,
+): string | undefined => {
+  const {document} = inForce ?? {};
+  const model = document?.models.find(found => found.name === modelName);
+  const workspace = document?.workspaces.find(
+    found => found.name === call.workspace.name,
+  );
+  if (!document || !model || !workspace || chosen === undefined) {
+    return undefined;
+  }
+  const cascade = document.cascades.find(
+    found => found.name === call.plan.name,
+  );
+  const allowed = configuration.listAllowedVersions(
+    workspace.allowed,
+    model,
+    cascade,
+  );
+  const [, named] = call.plan.name.split('@');
+  return selectVersion.selectVersion({
+    model,
+    pinned: chosen,
+    allowed: allowed.filter(name => named === undefined || name === named),
+  });
+};
--- /dev/null
+++ b/packages/entry/src/prepare-chat.ts
@@ -0,0 +1,80 @@
+/** Everything that is settled about a chat request before it is admitted. */
+import type * as hapi from '@hapi/hapi';
+import type * as purify from 'purify-ts';
+import * as ledger from '@amaranthknot/ledger';
+import type * as apiError from './api-error.js';
+import * as chatRequest from './chat-request.js';
+import type * as chatRunner from './chat-runner.js';
+import * as chatSessions from './chat-sessions.js';
+import type * as entryParts from './entry-parts.js';
+import * as requestContext from './request-context.js';
+import * as resolvePlan from './resolve-plan.js';
+
+/** A request that is ready to be admitted. */
+export interface PreparedChat {
+  readonly context: requestContext.RequestContext;
+  readonly call: chatRunner.ChatCall;
+  readonly versions: chatSessions.PlanVersions;
+  readonly session: chatSessions.RequestSession;
+  readonly identity: ledger.RequestIdentity;
+}
+
+type Preparation = purify.Either<apiError.ApiError, PreparedChat>;
+
+/** Authenticates, parses, resolves and fixes the versions of a request. */
+export const prepareChat = async (
+  parts: entryParts.EntryParts,
+  request: hapi.Request,
+): Promise<Preparation> => {
+  const text = Buffer.isBuffer(request.payload)
+    ? request.payload.toString('utf8')
+    : '';
+  const ready = parts.bills
+    .mayAccept()
+    .mapLeft((refusal): apiError.ApiError => ({
+      code: 'platform_out',
+      ran: 'not_run',
+      message: 'bills cannot be kept safe now',
+      retryAfterMs: refusal.retryAfterMs,
+    }));
+  const resolved = ready
+    .chain(() => requestContext.createContext(parts, request))
+    .chain(context =>
+      chatRequest.parseChatRequest(text).chain(body => {
+        const {document} = context.inForce;
+        return resolvePlan
+          .resolvePlan(document, context.workspace, body.model)
+          .chain(plan =>
+            chatSessions
+              .readSession(
+                parts,
+                request,
+                context.workspace.name,
+                chatSessions.readTokenSeconds(document),
+              )
+              .map(session => ({context, body, plan, session})),
+          );
+      }),
+    );
+  if (resolved.isLeft()) {
+    return resolved;
+  }
+  const {context, body, plan, session} = resolved.unsafeCoerce();
+  const {requestId, workspace} = context;
+  const versions = await chatSessions.chooseVersions(
+    parts,
+    workspace.name,
+    session,
+    plan,
+  );
+  const key = requestContext.readHeader(request, 'idempotency-key');
+  const identity = ledger.identifyRequest(workspace.name, key, requestId);
+  const affinityKey = `${workspace.name}/${session.id}`;
+  const call = {requestId, workspace, plan, request: body, affinityKey};
+  parts.events.record('request_received', {
+    request: requestId,
+    workspace: workspace.name,
+    detail: plan.name,
+  });
+  return resolved.map(() => ({context, call, versions, session, identity}));
+};
