Split the wiring by concern; refuse service calls that waited too long for it

A service call that waited for admission could start after the instance had lost touch with the configuration, or after its rule was gone: it is asked again, and refused as not_run. That check has no test of its own yet. A message that nothing sent (report_evidence) is gone.

--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -15,7 +15,10 @@
 import * as upstreams from '@amaranthknot/upstreams';
 import type * as instanceOptions from './instance-options.js';
 import * as billCopyParts from './bill-copy-parts.js';
+import * as instanceViews from './instance-views.js';
+import * as peerServerParts from './peer-server-parts.js';
 import * as rolloutParts from './rollout-parts.js';
+import * as upstreamParts from './upstream-parts.js';
 
 /** Parts of a running instance, by token. */
 export interface Parts {
@@ -58,9 +61,6 @@
 /** Longest time to ask a claim's owner, in milliseconds. */
 const ASK_OWNER_MS = 500;
 
-/** Longest wait for slots of a cold upstream; below a grant's term, in ms. */
-const ASK_GRANT_MS = 250;
-
 const random = (): number => Math.random();
 
 const createHttp = (url: string, key: string | undefined) =>
@@ -141,119 +141,6 @@
     },
   });
 
-const excludedZones = (get: Resolve): ReadonlySet<string> => {
-  const zones = get('follower').inForce()?.document.zones ?? [];
-  return new Set(
-    zones.filter(zone => zone.state === 'out').map(zone => zone.name),
-  );
-};
-
-const createDirectory = (get: Resolve): entry.UpstreamDirectory =>
-  new entry.UpstreamDirectory({
-    placement: get('placement'),
-    clock: get('options').clock,
-    excludedZones: () => excludedZones(get),
-    drawClosedZones: () => get('zoneRamp').listClosed(random()),
-    mayStart: id => get('warmUp').mayStart(id),
-  });
-
-const createWarmUp = (get: Resolve): entry.WarmUpDesk => {
-  const {clock, warmUpTiming} = get('options');
-  const peers = get('peers');
-  return new entry.WarmUpDesk({
-    self: peers.self().id,
-    clock,
-    instances: () => peers.candidates().map(peer => peer.id),
-    confirmedAtMs: () =>
-      clock.now() - (get('follower').confirmedAgeMs() ?? Infinity),
-    inFlight: id => get('placement').find(id)?.inFlight ?? 0,
-    ...(warmUpTiming ? {timing: warmUpTiming} : {}),
-    notifyCold: upstream => get('events').record('upstream_cold', {upstream}),
-    ask: async (instance, params) => {
-      const peer = peers.all().find(known => known.id === instance);
-      if (!peer) {
-        return undefined;
-      }
-      const answer = await protocol.callPeer(
-        get('transport').send,
-        peer.address,
-        'request_grant',
-        params,
-        ASK_GRANT_MS,
-      );
-      return answer.toMaybe().extract();
-    },
-  });
-};
-
-const createPeerServer = (get: Resolve): protocol.PeerServer =>
-  protocol.createPeerServer({
-    ...get('follower').handlers(),
-    copy_bills: params => billCopyParts.holdCopies(get, params),
-    request_grant: params => get('warmUp').answer(params),
-    fetch_evidence: ({rollout}) => ({
-      incarnation: get('incarnation'),
-      ...get('rolloutCounters').read(rollout),
-    }),
-    fetch_bills: ({owner}) => ({
-      bills: [...get('copyHolder').pendingOf(owner)],
-    }),
-    describe_claim: ({incarnation, owner}) => ({
-      state:
-        incarnation === get('incarnation')
-          ? get('claims').describeOwner(owner)
-          : 'no_answer',
-    }),
-    collect_events: ({afterSequence, limit}) => {
-      const events = get('events').read(afterSequence, limit);
-      const lastSequence = events.at(-1)?.sequence ?? afterSequence;
-      return {events: [...events], lastSequence};
-    },
-  });
-
-/** Addresses for callers: none in a zone that is out, while others are left. */
-const offerAddresses = (
-  get: Resolve,
-  zone?: string,
-): readonly entry.OfferedAddress[] => {
-  const out = excludedZones(get);
-  const peers = get('peers');
-  const all = [peers.self(), ...peers.all()];
-  const inside = all.filter(peer => !out.has(peer.zone));
-  const offered = inside.length > 0 ? inside : all;
-  const {addresses} = membership.orderAddresses(zone, offered, random);
-  return addresses.map(address => ({
-    address,
-    zone: all.find(peer => peer.address === address)?.zone ?? '',
-  }));
-};
-
-const describeState = (get: Resolve): object => {
-  const follower = get('follower');
-  const peers = get('peers');
-  return {
-    instance: peers.self(),
-    environment: follower.inForce()?.environment,
-    generation: follower.generationInForce(),
-    digest: follower.inForce()?.digest,
-    standing: follower.standing(),
-    confirmed_age_ms: follower.confirmedAgeMs(),
-    peers: peers.all(),
-    in_flight: get('admission').inFlight,
-    pending_bills: get('bills').pending().length,
-    copies_held: get('copyHolder').size,
-    upstreams: get('directory')
-      .all()
-      .map(({id, zone, state, serves}) => ({
-        id,
-        zone,
-        state,
-        serves,
-        in_flight: get('placement').find(id)?.inFlight ?? 0,
-      })),
-  };
-};
-
 const createServer = (get: Resolve): entry.EntryServer => {
   const {settings, secrets, clock} = get('options');
   const follower = get('follower');
@@ -269,7 +156,7 @@
     operatorDigest: settings.keys.operatorDigest,
     innerKey: secrets.innerKey,
     inForce: () => (follower.mayTakeWork() ? follower.inForce() : undefined),
-    offerAddresses: zone => offerAddresses(get, zone),
+    offerAddresses: zone => instanceViews.offerAddresses(get, zone),
     admission: get('admission'),
     cascades: get('cascades'),
     assignVersion: (model, sessionKey) =>
@@ -293,7 +180,7 @@
     metrics: get('metrics'),
     logger: get('logger'),
     handlePeer: text => get('peerServer').handle(text),
-    describeState: () => describeState(get),
+    describeState: () => instanceViews.describeState(get),
     offerForRating: given => rolloutParts.offerForRating(get, given),
     noteCold: upstream => get('warmUp').noteRefusal(upstream),
     countVersion: (model, version, sign) =>
@@ -375,8 +262,8 @@
       zone: options.settings.instance.zone,
       random,
     }),
-  directory: createDirectory,
-  warmUp: createWarmUp,
+  directory: upstreamParts.createDirectory,
+  warmUp: upstreamParts.createWarmUp,
   zoneRamp: () => new entry.ZoneRamp(() => options.clock.now()),
   admission: () =>
     new entry.AdmissionGate(
@@ -401,7 +288,7 @@
   rolloutCounters: () => new entry.RolloutCounters(),
   rolloutShares: get => new entry.RolloutShares(get('store'), options.clock),
   ratingDesk: createRatingDesk,
-  peerServer: createPeerServer,
+  peerServer: peerServerParts.createPeerServer,
   server: createServer,
 });
 
--- /dev/null
+++ b/packages/amaranthknot/src/instance-views.ts
@@ -0,0 +1,58 @@
+/** What an entry instance tells callers and operators of itself. */
+import type * as entry from '@amaranthknot/entry';
+import * as membership from '@amaranthknot/membership';
+import type * as instanceParts from './instance-parts.js';
+
+/** Zones that operators have taken out. */
+export const excludedZones = (
+  get: instanceParts.Resolve,
+): ReadonlySet<string> => {
+  const zones = get('follower').inForce()?.document.zones ?? [];
+  return new Set(
+    zones.filter(zone => zone.state === 'out').map(zone => zone.name),
+  );
+};
+
+/** Addresses for callers: none in a zone that is out, while others are left. */
+export const offerAddresses = (
+  get: instanceParts.Resolve,
+  zone?: string,
+): readonly entry.OfferedAddress[] => {
+  const out = excludedZones(get);
+  const peers = get('peers');
+  const all = [peers.self(), ...peers.all()];
+  const inside = all.filter(peer => !out.has(peer.zone));
+  const offered = inside.length > 0 ? inside : all;
+  const {addresses} = membership.orderAddresses(zone, offered, Math.random);
+  return addresses.map(address => ({
+    address,
+    zone: all.find(peer => peer.address === address)?.zone ?? '',
+  }));
+};
+
+/** State of this instance for operators, as JSON. */
+export const describeState = (get: instanceParts.Resolve): object => {
+  const follower = get('follower');
+  const peers = get('peers');
+  return {
+    instance: peers.self(),
+    environment: follower.inForce()?.environment,
+    generation: follower.generationInForce(),
+    digest: follower.inForce()?.digest,
+    standing: follower.standing(),
+    confirmed_age_ms: follower.confirmedAgeMs(),
+    peers: peers.all(),
+    in_flight: get('admission').inFlight,
+    pending_bills: get('bills').pending().length,
+    copies_held: get('copyHolder').size,
+    upstreams: get('directory')
+      .all()
+      .map(({id, zone, state, serves}) => ({
+        id,
+        zone,
+        state,
+        serves,
+        in_flight: get('placement').find(id)?.inFlight ?? 0,
+      })),
+  };
+};
--- /dev/null
+++ b/packages/amaranthknot/src/peer-server-parts.ts
@@ -0,0 +1,32 @@
+/** Wires what an entry instance answers to its peers. */
+import * as protocol from '@amaranthknot/protocol';
+import * as billCopyParts from './bill-copy-parts.js';
+import type * as instanceParts from './instance-parts.js';
+
+/** Creates the server of messages between instances. */
+export const createPeerServer = (
+  get: instanceParts.Resolve,
+): protocol.PeerServer =>
+  protocol.createPeerServer({
+    ...get('follower').handlers(),
+    copy_bills: params => billCopyParts.holdCopies(get, params),
+    request_grant: params => get('warmUp').answer(params),
+    fetch_evidence: ({rollout}) => ({
+      incarnation: get('incarnation'),
+      ...get('rolloutCounters').read(rollout),
+    }),
+    fetch_bills: ({owner}) => ({
+      bills: [...get('copyHolder').pendingOf(owner)],
+    }),
+    describe_claim: ({incarnation, owner}) => ({
+      state:
+        incarnation === get('incarnation')
+          ? get('claims').describeOwner(owner)
+          : 'no_answer',
+    }),
+    collect_events: ({afterSequence, limit}) => {
+      const events = get('events').read(afterSequence, limit);
+      const lastSequence = events.at(-1)?.sequence ?? afterSequence;
+      return {events: [...events], lastSequence};
+    },
+  });
--- /dev/null
+++ b/packages/amaranthknot/src/upstream-parts.ts
@@ -0,0 +1,50 @@
+/** Wires upstreams: where attempts are placed, and cold ones kept in bounds. */
+import * as entry from '@amaranthknot/entry';
+import * as protocol from '@amaranthknot/protocol';
+import type * as instanceParts from './instance-parts.js';
+import * as instanceViews from './instance-views.js';
+
+/** Longest wait for slots of a cold upstream; below a grant's term, in ms. */
+const ASK_GRANT_MS = 250;
+
+/** Creates the directory of upstreams. */
+export const createDirectory = (
+  get: instanceParts.Resolve,
+): entry.UpstreamDirectory =>
+  new entry.UpstreamDirectory({
+    placement: get('placement'),
+    clock: get('options').clock,
+    excludedZones: () => instanceViews.excludedZones(get),
+    drawClosedZones: () => get('zoneRamp').listClosed(Math.random()),
+    mayStart: id => get('warmUp').mayStart(id),
+  });
+
+/** Creates the desk of warm-up grants. */
+export const createWarmUp = (get: instanceParts.Resolve): entry.WarmUpDesk => {
+  const {clock, warmUpTiming} = get('options');
+  const peers = get('peers');
+  return new entry.WarmUpDesk({
+    self: peers.self().id,
+    clock,
+    instances: () => peers.candidates().map(peer => peer.id),
+    confirmedAtMs: () =>
+      clock.now() - (get('follower').confirmedAgeMs() ?? Infinity),
+    inFlight: id => get('placement').find(id)?.inFlight ?? 0,
+    ...(warmUpTiming ? {timing: warmUpTiming} : {}),
+    notifyCold: upstream => get('events').record('upstream_cold', {upstream}),
+    ask: async (instance, params) => {
+      const peer = peers.all().find(known => known.id === instance);
+      if (!peer) {
+        return undefined;
+      }
+      const answer = await protocol.callPeer(
+        get('transport').send,
+        peer.address,
+        'request_grant',
+        params,
+        ASK_GRANT_MS,
+      );
+      return answer.toMaybe().extract();
+    },
+  });
+};
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -93,9 +93,11 @@
     }
     const release = admitted.unsafeCoerce();
     try {
-      const answer = call.isIdempotent
-        ? await this.runIdempotent(call)
-        : await this.runOnce(call);
+      const answer = !this.mayStart(call)
+        ? this.refuseLate()
+        : call.isIdempotent
+          ? await this.runIdempotent(call)
+          : await this.runOnce(call);
       return this.reply(h, call, answer);
     } catch (error) {
       // A defect here must not say `not_run` of a call that may have run.
@@ -111,6 +113,31 @@
     }
   }
 
+  /**
+   * Whether the call may still start after its wait: the rules may have
+   * changed, or this instance may have lost touch with the configuration.
+   */
+  private mayStart({context, service}: ServiceRequest): boolean {
+    const workspace = this.parts
+      .inForce()
+      ?.document.workspaces.find(
+        found => found.name === context.workspace.name,
+      );
+    return (
+      workspace !== undefined &&
+      configuration.isServiceAllowed(workspace.allowed, service.name)
+    );
+  }
+
+  private refuseLate(): Answer {
+    return purify.Left({
+      code: 'not_ready',
+      ran: 'not_run',
+      message: 'the configuration changed while the call waited',
+      retryAfterMs: ASK_AGAIN_MS,
+    });
+  }
+
   private read(
     request: hapi.Request,
   ): purify.Either<apiError.ApiError, ServiceRequest> {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -78,14 +78,6 @@
   removed: zod.array(removedSection).max(MAX_ITEMS),
 });
 
-/** Counters of one version on one instance since it started. */
-const evidence = zod.object({
-  /** Names what is counted, for instance `model@version` or a cascade. */
-  subject: name,
-  workspace: name.optional(),
-  counters: zod.record(zod.string(), zod.number()),
-});
-
 /** What one instance saw of one version. */
 const versionCounts = zod.object({
   requests: count,
@@ -165,16 +157,6 @@
       lastSequence: zod.number().int().min(-1),
     }),
   },
-  /** Reports counters for roll-outs and cascades; they only grow. */
-  report_evidence: {
-    params: zod.object({
-      from: name,
-      /** Start of the counters, so that a restart is told from a step back. */
-      incarnation: count,
-      evidence: zod.array(evidence).max(MAX_ITEMS),
-    }),
-    result: zod.object({}),
-  },
   /** Fetches what the receiver counted of a roll-out's two versions. */
   fetch_evidence: {
     params: zod.object({rollout: name}),
@@ -247,6 +229,3 @@
 export type ConfigurationChange = Readonly<
   zod.infer<typeof configurationChange>
 >;
-
-/** Counters of one version on one instance since it started. */
-export type Evidence = Readonly<zod.infer<typeof evidence>>;
