--- a/packages/amaranthknot/tests/versions-and-zones.test.ts
+++ b/packages/amaranthknot/tests/versions-and-zones.test.ts
@@ -271,4 +271,39 @@
     chai.expect((await waiting).json.model).equal('small@v2');
     await deployment.stop();
   });
+
+  // A booking waits behind a long answer; meanwhile its workspace loses the
+  // service. Checked before the wait only, the booking would run all the same.
+  it('books nothing that the rules forbid meanwhile', async () => {
+    const deployment = await fixtures.startDeployment({
+      zones: ['zone-a'],
+      limits: {maxInFlight: 1},
+      tokenMs: 20,
+    });
+    const [address] = deployment.addresses;
+    const long = fixtures.chat(address!, 'word '.repeat(60));
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const waiting = fixtures.book(address!, 'key-1');
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const {store} = deployment.standIns.platform;
+    const before = fixtures.createDocument();
+    const document = {
+      ...before,
+      workspaces: before.workspaces.map(workspace => ({
+        ...workspace,
+        allowed: workspace.allowed.filter(({kind}) => kind !== 'service'),
+      })),
+    };
+    const published = await membership.publishDocument(store, 'test', document);
+    const {generation} = published.unsafeCoerce();
+    const follower = deployment.instances[0]!.parts('follower');
+    while (follower.generationInForce() < generation) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    chai.expect((await long).status).equal(200);
+    chai.expect((await waiting).json.error.ran).equal('not_run');
+    const services = [...deployment.standIns.services.values()];
+    chai.expect(services.flatMap(service => service.runs)).eql([]);
+    await deployment.stop();
+  });
 });
