Keep the recorded form of a service's answer in a file of its own

Nothing else changes. Measured: types, lint, format; 44 tests of at-most-once, bills, bad input and the fuzz pass.

--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -10,6 +10,7 @@
 import type * as upstreams from '@amaranthknot/upstreams';
 import type * as apiError from './api-error.js';
 import type * as entryParts from './entry-parts.js';
+import * as recordedAnswer from './recorded-answer.js';
 import * as requestContext from './request-context.js';
 
 /** Longest idempotency key that a caller may choose. */
@@ -38,33 +39,6 @@
 ): purify.Either<apiError.ApiError, never> =>
   purify.Left({code, ran: 'not_run', message});
 
-/** Text answers are recorded as they are, others as base64 behind a mark. */
-const BASE64_MARK = 'base64:';
-
-const encodeAnswer = (answer: upstreams.ServiceAnswer): string => {
-  const text = answer.body.toString('utf8');
-  const isText = Buffer.from(text, 'utf8').equals(answer.body);
-  const body = isText
-    ? `text:${text}`
-    : BASE64_MARK + answer.body.toString('base64');
-  return `${answer.contentType}\n${body}`;
-};
-
-const decodeAnswer = (
-  status: number,
-  recorded: string,
-): upstreams.ServiceAnswer => {
-  const end = recorded.indexOf('\n');
-  const body = recorded.slice(end + 1);
-  const encoded = body.slice(body.indexOf(':') + 1);
-  const encoding = body.startsWith(BASE64_MARK) ? 'base64' : 'utf8';
-  return {
-    status,
-    contentType: recorded.slice(0, end),
-    body: Buffer.from(encoded, encoding),
-  };
-};
-
 const toApiError = (failure: upstreams.ServiceFailure): apiError.ApiError => {
   const {ran, message} = failure;
   return ran === 'not_run'
@@ -247,7 +221,7 @@
       return answer;
     }
     const {status, ...rest} = answer.unsafeCoerce();
-    const body = encodeAnswer({status, ...rest});
+    const body = recordedAnswer.encodeAnswer({status, ...rest});
     // The bill comes first: once the answer is recorded, a retry on another
     // instance may hand it out. Recorded with its bill at risk, an answer was
     // handed out that nobody billed; unrecorded, the retry hears `unknown`.
@@ -274,7 +248,9 @@
         message: `it ran with status ${outcome.status}; the answer was too large to keep`,
       });
     }
-    return purify.Right(decodeAnswer(outcome.status, outcome.body));
+    return purify.Right(
+      recordedAnswer.decodeAnswer(outcome.status, outcome.body),
+    );
   }
 
   private async send(call: ServiceRequest): Promise<Answer> {
