--- a/packages/amaranthknot/src/commands/timeline.ts
+++ b/packages/amaranthknot/src/commands/timeline.ts
@@ -36,15 +36,6 @@
     2 wrong command line; 3 the platform is out of reach
 `;
 
-const FILTERS = [
-  'request',
-  'workspace',
-  'model',
-  'version',
-  'upstream',
-  'zone',
-] as const;
-
 const FLAGS = {
   request: {type: 'string'},
   workspace: {type: 'string'},
@@ -92,10 +83,9 @@
   flags: Readonly<Record<string, unknown>>,
 ): telemetry.TimelineFilter =>
   Object.fromEntries(
-    FILTERS.filter(name => typeof flags[name] === 'string').map(name => [
-      name,
-      flags[name],
-    ]),
+    telemetry.TIMELINE_FIELDS.filter(
+      name => typeof flags[name] === 'string',
+    ).map(name => [name, flags[name]]),
   );
 
 const draw = (
--- a/packages/telemetry/src/timeline.ts
+++ b/packages/telemetry/src/timeline.ts
@@ -8,7 +8,8 @@
   'request' | 'workspace' | 'model' | 'version' | 'upstream' | 'zone'
 >;
 
-const FIELDS = [
+/** Fields that a time line can be filtered by. */
+export const TIMELINE_FIELDS = [
   'request',
   'workspace',
   'model',
@@ -21,7 +22,7 @@
   event: eventRing.TimelineEvent,
   filter: TimelineFilter,
 ): boolean =>
-  FIELDS.every(
+  TIMELINE_FIELDS.every(
     field => filter[field] === undefined || filter[field] === event[field],
   );
 
@@ -40,7 +41,7 @@
     );
 
 const formatSubject = (event: eventRing.TimelineEvent): string =>
-  [...FIELDS, 'detail' as const]
+  [...TIMELINE_FIELDS, 'detail' as const]
     .filter(field => event[field] !== undefined)
     .map(field => `${field}=${event[field] ?? ''}`)
     .join(' ');
