Judge a new version by route, against medians, and by the pace of its streams

Two reasons in its logs: slowness was measured against a mean that a zone without power had raised, and by the first byte alone, which came in time (0.12 s; 236 ms an event against 41).

Ruled out: too little evidence (23 streams of the version before the end), the share in the lead, a late report.

Also: one function adds counts of versions, in place of two.

--- a/packages/bench/src/benches/state.ts
+++ b/packages/bench/src/benches/state.ts
@@ -73,7 +73,15 @@
 
 const sizeOf = (text: string): number => Buffer.byteLength(text);
 
-const counts = {requests: 1e6, errors: 1e3, slow: 1e3, rated: 1e5, bad: 1e3};
+const counts = {
+  requests: 1e6,
+  errors: 1e3,
+  slow: 1e3,
+  paced: 1e6,
+  dragging: 1e3,
+  rated: 1e5,
+  bad: 1e3,
+};
 
 const run = (): Promise<readonly figures.Figure[]> => {
   const ring = measureHeap(fillRing);
--- a/packages/bench/src/models/rollout-traffic.ts
+++ b/packages/bench/src/models/rollout-traffic.ts
@@ -49,13 +49,9 @@
 /** Seconds between looks. */
 const TICK = 10;
 
-interface MutableCounts {
-  requests: number;
-  errors: number;
-  slow: number;
-  rated: number;
-  bad: number;
-}
+type MutableCounts = {
+  -readonly [K in keyof decisions.VersionCounts]: number;
+};
 
 interface LateRating {
   readonly instance: number;
--- a/packages/decisions/src/rollout-evidence.ts
+++ b/packages/decisions/src/rollout-evidence.ts
@@ -12,6 +12,10 @@
   readonly errors: number;
   /** Requests slower than the roll-out's latency bound. */
   readonly slow: number;
+  /** Streams whose pace was seen. */
+  readonly paced: number;
+  /** Streams whose events came slower than the roll-out's bound. */
+  readonly dragging: number;
   /** Answers rated. */
   readonly rated: number;
   /** Answers rated bad. */
@@ -35,6 +39,8 @@
   requests: 0,
   errors: 0,
   slow: 0,
+  paced: 0,
+  dragging: 0,
   rated: 0,
   bad: 0,
 };
@@ -50,10 +56,19 @@
   requests: combine(a.requests, b.requests),
   errors: combine(a.errors, b.errors),
   slow: combine(a.slow, b.slow),
+  paced: combine(a.paced, b.paced),
+  dragging: combine(a.dragging, b.dragging),
   rated: combine(a.rated, b.rated),
   bad: combine(a.bad, b.bad),
 });
 
+/** Adds to some of the counts. */
+export const addCounts = (
+  counts: VersionCounts,
+  added: Partial<VersionCounts>,
+): VersionCounts =>
+  combineCounts(counts, {...NO_COUNTS, ...added}, (a, b) => a + b);
+
 const combineEvidence = (
   a: RolloutEvidence,
   b: RolloutEvidence,
@@ -76,6 +91,15 @@
   return merged;
 };
 
+/** The sum of several. */
+export const addEvidence = (
+  parts: readonly RolloutEvidence[],
+): RolloutEvidence =>
+  parts.reduce(
+    (sum, part) => combineEvidence(sum, part, (a, b) => a + b),
+    NO_EVIDENCE,
+  );
+
 /**
  * What `now` counts beyond `before`, over all instances. An instance missing
  * from `now` adds nothing; a late, older report adds nothing either.
@@ -84,13 +108,10 @@
   before: EvidenceByInstance,
   now: EvidenceByInstance,
 ): RolloutEvidence => {
-  let sum = NO_EVIDENCE;
-  for (const [instance, evidence] of Object.entries(now)) {
-    const known = before[instance] ?? NO_EVIDENCE;
-    const grown = combineEvidence(evidence, known, (n, k) =>
+  const grown = Object.entries(now).map(([instance, evidence]) =>
+    combineEvidence(evidence, before[instance] ?? NO_EVIDENCE, (n, k) =>
       Math.max(0, n - k),
-    );
-    sum = combineEvidence(sum, grown, (x, y) => x + y);
-  }
-  return sum;
+    ),
+  );
+  return addEvidence(grown);
 };
--- a/packages/decisions/src/rollout-schedule.ts
+++ b/packages/decisions/src/rollout-schedule.ts
@@ -77,29 +77,63 @@
 /** Answers of the new version below which nothing is said in its favour. */
 const CLEAR_COUNT = 5;
 
-/** Judges the new version by all evidence of an order. */
-export const judgeVersion = (
-  evidence: rolloutEvidence.EvidenceByInstance,
-): VersionVerdict => {
-  const {old: o, new: n} = rolloutEvidence.findNewEvidence({}, evidence);
-  const streams = [
-    {oldBad: o.errors, newBad: n.errors},
-    {oldBad: o.slow, newBad: n.slow},
-  ];
-  const against = streams.map(stream =>
-    sequentialTest.findEvidenceAgainst(
-      sequentialTest.addBlock(sequentialTest.NO_RATIOS, {
-        // A version that nobody compares with still has a few good answers.
-        oldCount: o.requests + CLEAR_COUNT,
-        newCount: n.requests,
-        ...stream,
-      }),
+/** Evidence of one order by route, and by instance within it. */
+export type EvidenceByRoute = ReadonlyMap<
+  string,
+  rolloutEvidence.EvidenceByInstance
+>;
+
+/** What all instances counted on all routes of an order. */
+export const sumEvidence = (
+  byRoute: EvidenceByRoute,
+): rolloutEvidence.RolloutEvidence =>
+  rolloutEvidence.addEvidence(
+    [...byRoute.values()].map(evidence =>
+      rolloutEvidence.findNewEvidence({}, evidence),
     ),
   );
-  if (against.some(odds => odds >= BAD_BOUND)) {
+
+const isWorse = (
+  {old: o, new: n}: rolloutEvidence.RolloutEvidence,
+  bound: number,
+): boolean => {
+  const answers = {oldCount: o.requests, newCount: n.requests};
+  const streams = {oldCount: o.paced, newCount: n.paced};
+  const blocks: readonly sequentialTest.Block[] = [
+    {...answers, oldBad: o.errors, newBad: n.errors},
+    {...answers, oldBad: o.slow, newBad: n.slow},
+    {...streams, oldBad: o.dragging, newBad: n.dragging},
+  ];
+  return blocks.some(block => {
+    // A version that nobody compares with still has a few good answers.
+    const oldCount = block.oldCount + CLEAR_COUNT;
+    const ratios = sequentialTest.addBlock(sequentialTest.NO_RATIOS, {
+      ...block,
+      oldCount,
+    });
+    return sequentialTest.findEvidenceAgainst(ratios) >= bound;
+  });
+};
+
+/**
+ * Judges the new version by all evidence of an order.
+ *
+ * A version may be bad on one route alone: among the answers of all routes its
+ * failures are as rare as chance ones (4 of 46, where the route had 4 of 9).
+ * Each route is therefore judged by itself as well. The bound grows with the
+ * routes, so that a good version is as rarely stopped on any of them as by all
+ * answers together.
+ */
+export const judgeVersion = (byRoute: EvidenceByRoute): VersionVerdict => {
+  const all = sumEvidence(byRoute);
+  const routeBound = BAD_BOUND + Math.log(Math.max(1, byRoute.size));
+  const isBadSomewhere = [...byRoute.values()].some(evidence =>
+    isWorse(rolloutEvidence.findNewEvidence({}, evidence), routeBound),
+  );
+  if (isBadSomewhere || isWorse(all, BAD_BOUND)) {
     return 'bad';
   }
-  return n.requests >= CLEAR_COUNT ? 'good' : 'unclear';
+  return all.new.requests >= CLEAR_COUNT ? 'good' : 'unclear';
 };
 
 /** Time after an order during which the new version gets nothing. */
@@ -128,10 +162,9 @@
  */
 export const findLeadMs = (
   timing: RolloutTiming,
-  evidence: rolloutEvidence.EvidenceByInstance,
+  {old: o, new: n}: rolloutEvidence.RolloutEvidence,
   limit: ExposureLimit,
 ): number => {
-  const {old: o, new: n} = rolloutEvidence.findNewEvidence({}, evidence);
   const perMs = (o.requests + n.requests) / Math.max(1, timing.ageMs);
   const borne = limit.share * perMs * timing.durationMs + limit.slack;
   const left = Math.max(0, PLANNED_PART * borne - n.requests);
--- a/packages/decisions/tests/rollout-guard.test.ts
+++ b/packages/decisions/tests/rollout-guard.test.ts
@@ -9,6 +9,8 @@
 ): decisions.VersionCounts => ({
   ...decisions.NO_COUNTS,
   requests,
+  paced: 0,
+  dragging: 0,
   rated: requests,
   bad,
 });
--- a/packages/decisions/tests/rollout-schedule.test.ts
+++ b/packages/decisions/tests/rollout-schedule.test.ts
@@ -11,12 +11,18 @@
   requests: number,
   errors: number,
   slow = 0,
-): decisions.VersionCounts => ({requests, errors, slow, rated: 0, bad: 0});
+): decisions.VersionCounts => ({
+  ...decisions.NO_COUNTS,
+  requests,
+  errors,
+  slow,
+});
 
 const evidenceOf = (
   old: decisions.VersionCounts,
   fresh: decisions.VersionCounts,
-): decisions.EvidenceByInstance => ({'instance-1.1': {old, new: fresh}});
+): decisions.EvidenceByRoute =>
+  new Map([['route-1', {'instance-1.1': {old, new: fresh}}]]);
 
 const outlookAt = (
   ageMs: number,
@@ -82,13 +88,28 @@
   });
 
   it('pools what all instances counted', () => {
-    const one = evidenceOf(countsOf(50, 0), countsOf(4, 1))['instance-1.1'];
-    const few = {a: one!};
-    const many = {a: one!, b: one!, c: one!, d: one!, e: one!};
+    const one = {old: countsOf(50, 0), new: countsOf(4, 1)};
+    const few = new Map([['route-1', {a: one}]]);
+    const many = new Map([
+      ['route-1', {a: one, b: one, c: one, d: one, e: one}],
+    ]);
     chai.expect(decisions.judgeVersion(few)).not.equal('bad');
     chai.expect(decisions.judgeVersion(many)).equal('bad');
   });
 
+  it('stops a version that fails on one route only', () => {
+    // A third of the answers on the smallest route fails. Among the answers of
+    // all routes that is one in twenty, as if by chance, and the order was
+    // reported as done with the version bad.
+    const good = {a: {old: countsOf(300, 6), new: countsOf(40, 1)}};
+    const bad = {a: {old: countsOf(60, 1), new: countsOf(8, 4)}};
+    const byRoute = new Map([
+      ['route-1', good],
+      ['route-2', bad],
+    ]);
+    chai.expect(decisions.judgeVersion(byRoute)).equal('bad');
+  });
+
   const shares: readonly {
     readonly name: string;
     readonly ageMs: number;
@@ -120,10 +141,10 @@
     for (let ageMs = 0; ageMs < TIMING.durationMs; ageMs += STEP_MS) {
       const timing = {...TIMING, ageMs};
       const known = history.at(-1 - lagMs / STEP_MS) ?? {old: 0, fresh: 0};
-      const evidence = evidenceOf(
-        countsOf(known.old, 0),
-        countsOf(known.fresh, 0),
-      );
+      const evidence = {
+        old: countsOf(known.old, 0),
+        new: countsOf(known.fresh, 0),
+      };
       const share = decisions.findRolloutShare({
         timing,
         verdict: 'good',
--- a/packages/entry/src/rollout-counters.ts
+++ b/packages/entry/src/rollout-counters.ts
@@ -7,24 +7,7 @@
   `${rollout.model}.${rollout.from}.${rollout.to}`;
 
 /** One observation about a version. */
-export interface VersionSign {
-  readonly requests?: number;
-  readonly errors?: number;
-  readonly slow?: number;
-  readonly rated?: number;
-  readonly bad?: number;
-}
-
-const addSign = (
-  counts: decisions.VersionCounts,
-  sign: VersionSign,
-): decisions.VersionCounts => ({
-  requests: counts.requests + (sign.requests ?? 0),
-  errors: counts.errors + (sign.errors ?? 0),
-  slow: counts.slow + (sign.slow ?? 0),
-  rated: counts.rated + (sign.rated ?? 0),
-  bad: counts.bad + (sign.bad ?? 0),
-});
+export type VersionSign = Partial<decisions.VersionCounts>;
 
 /** Evidence of one instance, by roll-out. */
 export class RolloutCounters {
@@ -45,8 +28,8 @@
     const name = nameRollout(rollout);
     const before = this.evidence.get(name) ?? decisions.NO_EVIDENCE;
     const after = isOld
-      ? {...before, old: addSign(before.old, sign)}
-      : {...before, new: addSign(before.new, sign)};
+      ? {...before, old: decisions.addCounts(before.old, sign)}
+      : {...before, new: decisions.addCounts(before.new, sign)};
     this.evidence.set(name, after);
   }
 
--- a/packages/gateway/src/gateway-parts.ts
+++ b/packages/gateway/src/gateway-parts.ts
@@ -42,6 +42,8 @@
   readonly inputs: telemetry.Details;
   /** Called when the head of the answer has come. */
   readonly begun: () => void;
+  /** Called when an event of the answer has come. */
+  readonly passed: () => void;
   /** Called once when the try has ended. */
   readonly settle: (outcome: TryOutcome) => void;
 }
--- a/packages/gateway/src/rollout-desk.ts
+++ b/packages/gateway/src/rollout-desk.ts
@@ -24,10 +24,23 @@
   readonly part: number;
 }
 
-/** One finished try, as far as it tells something about its version. */
-export interface VersionSign {
+/** What ran: answers of the same service, route and model are alike. */
+export interface VersionWork {
   readonly service: string;
   readonly version: string;
+  readonly route: string;
+  /** The model that ran; undefined where there is no choice of one. */
+  readonly model: string | undefined;
+}
+
+/** The pace of one stream. */
+export interface PaceSign extends VersionWork {
+  /** Mean pause between its first events. */
+  readonly paceMs: number;
+}
+
+/** One finished try, as far as it tells something about its version. */
+export interface VersionSign extends VersionWork {
   readonly isBad: boolean;
   /** Time to the first byte; undefined where none came. */
   readonly firstByteMs: number | undefined;
@@ -57,11 +70,21 @@
 const MAX_PINNED = 2_000;
 
 /**
- * An answer counts as slow when its first byte takes this many times what is
- * usual for the old version: prompts differ by a factor of three, and a
+ * An answer counts as slow when its first byte takes this many times the
+ * median of the old version's answers of the same route and model. Within one
+ * of these, a prompt that nobody has read before takes up to twice as long; a
  * version worth stopping is slower than that.
  */
-const SLOW_FACTOR = 4;
+const SLOW_FACTOR = 3;
+
+/**
+ * Routes of one order whose answers are counted apart; bounds the messages
+ * between instances. Answers of further routes count together.
+ */
+const MAX_ROUTES = 8;
+
+/** Name under which answers of further routes are counted. */
+const OTHER_ROUTES = '*';
 
 /** One order as this instance follows it. */
 interface Following {
@@ -69,8 +92,7 @@
   startedAtMs: number;
   verdict: decisions.VersionVerdict;
   readonly pinned: Set<number>;
-  evidence: decisions.EvidenceByInstance;
-  readonly usual: decisions.MovingEstimate;
+  readonly evidence: Map<string, decisions.EvidenceByInstance>;
   /** When this instance may report the end; undefined while there is none. */
   reportAtMs: number | undefined;
   isReporting: boolean;
@@ -84,12 +106,22 @@
     concentration: undefined,
   }) as const;
 
+/** Names work whose latencies are about the same. */
+const nameWork = ({service, route, model}: VersionWork): string =>
+  `${service}/${route}/${model ?? ''}`;
+
+type Counting = Partial<Record<keyof decisions.VersionCounts, number>>;
+
 const nameOrder = (order: routing.RolloutOrder): string =>
   `${order.service}/${order.version}`;
 
 /** The roll-outs of all services. */
 export class RolloutDesk {
   private readonly byService = new Map<string, Following>();
+  /** First bytes of versions in use, also while no order runs. */
+  private readonly firstBytes = new decisions.UsualLatency();
+  /** Paces of their streams. */
+  private readonly paces = new decisions.UsualLatency();
 
   constructor(private readonly options: RolloutDeskOptions) {}
 
@@ -161,34 +193,66 @@
 
   /** Notes a finished try. */
   note(sign: VersionSign): void {
-    const following = this.byService.get(sign.service);
-    if (following?.order.state !== 'running') {
-      return;
-    }
-    const isNew = sign.version === following.order.version;
     const {firstByteMs} = sign;
-    const {usual} = following;
     const isSlow =
       firstByteMs !== undefined &&
-      usual.hasSamples &&
-      firstByteMs > SLOW_FACTOR * usual.mean;
-    if (!isNew && firstByteMs !== undefined) {
-      usual.add(firstByteMs);
+      this.isBeyondUsual(this.firstBytes, sign, firstByteMs);
+    this.count(sign, {
+      requests: 1,
+      errors: sign.isBad ? 1 : 0,
+      slow: isSlow ? 1 : 0,
+    });
+  }
+
+  /**
+   * Notes the pace of a stream.
+   *
+   * Guards against a version whose first tokens are on time and whose streams
+   * then take five times as long: judged by first bytes alone it was reported
+   * as done, and nothing else was left to go back to.
+   */
+  notePace(sign: PaceSign): void {
+    const isDragging = this.isBeyondUsual(this.paces, sign, sign.paceMs);
+    this.count(sign, {paced: 1, dragging: isDragging ? 1 : 0});
+  }
+
+  /** Whether a latency is far beyond what is usual; learns the usual ones. */
+  private isBeyondUsual(
+    usual: decisions.UsualLatency,
+    work: VersionWork,
+    latencyMs: number,
+  ): boolean {
+    const name = nameWork(work);
+    const usualMs = usual.medianMs(name);
+    if (!this.isOnTrial(work)) {
+      usual.note(name, latencyMs);
+    }
+    return usualMs !== undefined && latencyMs > SLOW_FACTOR * usualMs;
+  }
+
+  /** Whether the version is one that an order brings in now. */
+  private isOnTrial({service, version}: VersionWork): boolean {
+    const order = this.byService.get(service)?.order;
+    return order?.state === 'running' && order.version === version;
+  }
+
+  private count(work: VersionWork, counting: Counting): void {
+    const following = this.byService.get(work.service);
+    if (following?.order.state !== 'running') {
+      return;
     }
-    const key = this.options.incarnation;
-    const before = following.evidence[key] ?? decisions.NO_EVIDENCE;
-    const side = isNew ? 'new' : 'old';
-    const counts = before[side];
+    const {evidence} = following;
+    const isApart = evidence.has(work.route) || evidence.size < MAX_ROUTES;
+    const route = isApart ? work.route : OTHER_ROUTES;
+    const side = this.isOnTrial(work) ? 'new' : 'old';
+    const {incarnation} = this.options;
+    const ofRoute = evidence.get(route) ?? {};
+    const before = ofRoute[incarnation] ?? decisions.NO_EVIDENCE;
     const after = {
       ...before,
-      [side]: {
-        ...counts,
-        requests: counts.requests + 1,
-        errors: counts.errors + (sign.isBad ? 1 : 0),
-        slow: counts.slow + (isSlow ? 1 : 0),
-      },
+      [side]: decisions.addCounts(before[side], counting),
     };
-    following.evidence = {...following.evidence, [key]: after};
+    evidence.set(route, {...ofRoute, [incarnation]: after});
     this.judge(following);
   }
 
@@ -203,12 +267,15 @@
 
   /** All evidence that this instance knows of orders that run. */
   evidence(): readonly protocol.OrderEvidence[] {
-    return this.running().flatMap(following =>
-      Object.entries(following.evidence).map(([incarnation, counts]) => ({
-        order: nameOrder(following.order),
-        incarnation,
-        ...counts,
-      })),
+    return this.running().flatMap(({order, evidence}) =>
+      [...evidence].flatMap(([route, ofRoute]) =>
+        Object.entries(ofRoute).map(([incarnation, counts]) => ({
+          order: nameOrder(order),
+          incarnation,
+          route,
+          ...counts,
+        })),
+      ),
     );
   }
 
@@ -226,9 +293,11 @@
         heard.pinned.forEach(session => this.pin(following, session));
       }
       for (const heard of evidence.filter(({order}) => order === name)) {
-        following.evidence = decisions.mergeEvidence(following.evidence, {
+        const known = following.evidence.get(heard.route) ?? {};
+        const merged = decisions.mergeEvidence(known, {
           [heard.incarnation]: {old: heard.old, new: heard.new},
         });
+        following.evidence.set(heard.route, merged);
       }
       this.judge(following);
     }
@@ -254,8 +323,7 @@
       startedAtMs: this.options.clock.now(),
       verdict: 'unclear',
       pinned: new Set(),
-      evidence: {},
-      usual: new decisions.MovingEstimate(),
+      evidence: new Map(),
       reportAtMs: undefined,
       isReporting: false,
     };
@@ -286,7 +354,11 @@
       timing,
       verdict: following.verdict,
       limit,
-      leadMs: decisions.findLeadMs(timing, following.evidence, limit),
+      leadMs: decisions.findLeadMs(
+        timing,
+        decisions.sumEvidence(following.evidence),
+        limit,
+      ),
     };
   }
 
@@ -327,10 +399,7 @@
     const verdict = decisions.judgeVersion(following.evidence);
     if (verdict !== following.verdict) {
       following.verdict = verdict;
-      const {new: n, old: o} = decisions.findNewEvidence(
-        {},
-        following.evidence,
-      );
+      const {new: n, old: o} = decisions.sumEvidence(following.evidence);
       this.options.log.belief('rollout_judged', {
         order: nameOrder(following.order),
         verdict,
@@ -338,9 +407,13 @@
         newRequests: n.requests,
         newErrors: n.errors,
         newSlow: n.slow,
+        newPaced: n.paced,
+        newDragging: n.dragging,
         oldRequests: o.requests,
         oldErrors: o.errors,
         oldSlow: o.slow,
+        oldPaced: o.paced,
+        oldDragging: o.dragging,
       });
     }
   }
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -352,7 +352,10 @@
       body.on('data', (chunk: Buffer) => {
         stall.touch();
         // What follows a gap is not passed on, be it the stream's end.
-        isInOrder &&= splitter.push(chunk).every(event => this.passOn(event));
+        isInOrder &&= splitter.push(chunk).every(event => {
+          placed.passed();
+          return this.passOn(event);
+        });
         if (!isInOrder || splitter.isOverlong) {
           giveUp();
         }
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -157,16 +157,32 @@
   private begin(
     known: Known,
     wish: gatewayParts.PlacementWish,
-    work: decisions.PickWork,
+    pickWork: decisions.PickWork,
   ): Omit<gatewayParts.PlacedTry, 'inputs'> {
     const {upstream} = known;
+    const {rollouts} = this.options;
     const startedAtMs = this.options.now();
     this.noteColdSend(known, startedAtMs);
-    const ticket = this.options.picker.start(upstream.id, work);
+    const ticket = this.options.picker.start(upstream.id, pickWork);
+    const work = {
+      service: wish.request.service.name,
+      version: upstream.version,
+      route: wish.request.route.name,
+      model: wish.model,
+    };
+    const pace = new decisions.StreamPace();
+    const notePace = (paceMs: number | undefined) => {
+      if (paceMs !== undefined) {
+        rollouts.notePace({...work, paceMs});
+      }
+    };
     let firstByteMs: number | undefined;
     let isOpen = true;
     return {
       upstream,
+      passed: () => {
+        notePace(pace.note(this.options.now()));
+      },
       begun: () => {
         firstByteMs ??= this.options.now() - startedAtMs;
         ticket.begun();
@@ -174,12 +190,8 @@
       settle: outcome => {
         ticket.end(outcome);
         if (isOpen && (outcome === 'answered' || outcome === 'failed')) {
-          this.options.rollouts.note({
-            service: wish.request.service.name,
-            version: upstream.version,
-            isBad: outcome === 'failed',
-            firstByteMs,
-          });
+          notePace(pace.take());
+          rollouts.note({...work, isBad: outcome === 'failed', firstByteMs});
         }
         isOpen = false;
       },
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -86,6 +86,9 @@
   requests: count,
   errors: count,
   slow: count,
+  // Absent from releases that do not measure it.
+  paced: count.default(0),
+  dragging: count.default(0),
   rated: count,
   bad: count,
 });
@@ -151,6 +154,8 @@
   order: name,
   /** Names an instance and one start of it; its counters begin at 0 there. */
   incarnation: name,
+  /** Name of the route that was counted on. */
+  route: name,
   old: versionCounts,
   new: versionCounts,
 });
