--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -84,14 +84,6 @@
  */
 const OTHER_TIER_TOKENS = 5_000;
 
-/**
- * Part of a shared beginning that is expected to be kept at its first choice
- * of upstream, at the second and so on. What the first one is too busy for
- * goes to the second for all instances, and finds the beginning there; spread
- * over all, each would read it again.
- */
-const HOME_PARTS = [1, 0.7, 0.4] as const;
-
 /** Differences below this many tokens are chance; among them the draw decides. */
 const NOISE_TOKENS = 150;
 
@@ -149,13 +141,13 @@
     const rested = candidates.filter(({id}) => this.row(id).restUntilMs <= now);
     const usable = rested.length > 0 ? rested : candidates;
     const own = work.tier ? findTier(usable, work.tier) : usable;
-    const homes = findHomes(own, work.sharedKey);
+    const home = findHome(own, work.sharedKey);
     let best: PickCandidate | undefined;
     let bestCost = Infinity;
     for (const candidate of usable) {
       const isOther = own !== usable && !own.includes(candidate);
       const apart = isOther ? OTHER_TIER_TOKENS : 0;
-      const cost = this.costOf(candidate, work, homes, now) + apart;
+      const cost = this.costOf(candidate, work, home, now) + apart;
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -239,7 +231,7 @@
   private costOf(
     candidate: PickCandidate,
     work: PickWork,
-    homes: readonly string[],
+    home: string | undefined,
     now: number,
   ): number {
     const {signs} = this.row(candidate.id);
@@ -248,8 +240,8 @@
     const load = isGeneration
       ? signs.waitingTokens + inFlight * REQUEST_TOKENS
       : (inFlight / candidate.slots) * FULL_TOKENS;
-    const kept = HOME_PARTS[homes.indexOf(candidate.id)] ?? 0;
-    const unread = work.promptTokens - kept * work.sharedTokens;
+    const unread =
+      work.promptTokens - (candidate.id === home ? work.sharedTokens : 0);
     const far = candidate.zone === this.options.zone ? 0 : ZONE_TOKENS;
     const rate = failed / (answered + failed + 1);
     const noise = this.options.random() * NOISE_TOKENS;
@@ -344,18 +336,15 @@
   return candidates.filter(({id}) => cheap.includes(id) === (tier === 'cheap'));
 };
 
-/**
- * The upstreams to which all instances send a shared beginning, first choice
- * first.
- */
-const findHomes = (
+/** The upstream to which all instances send a shared beginning. */
+const findHome = (
   candidates: readonly PickCandidate[],
   sharedKey: string | undefined,
-): readonly string[] =>
+): string | undefined =>
   sharedKey === undefined
-    ? []
+    ? undefined
     : rendezvous.rankByRendezvous(
         sharedKey,
         candidates.map(({id}) => id),
-        HOME_PARTS.length,
-      );
+        1,
+      )[0];
