Pass over a watcher that has lost the store

Ruled out: longer times before an instance asks (a change must be in force within the bound), watchers that ask more often.

Change: an instance whose calls have failed for a second says so; roles are worked out among those that reach the store, and stay as they are where nobody does. One that has lost it tries again every five seconds.

--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -127,6 +127,7 @@
     onCall: (called, error) => {
       get('metrics').noteStoreCall(called, error?.code ?? 'done');
       get('state').noteStoreCall(error);
+      get('watching').noteStoreCall(error);
     },
   });
 };
@@ -163,6 +164,7 @@
     start: Math.floor(clock.wallTime()),
     beat: 0,
     phase: 'starting',
+    store: 'reached',
   });
 };
 
--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -2,6 +2,7 @@
 import type * as configuration from '@amaranthknot/configuration';
 import * as decisions from '@amaranthknot/decisions';
 import type * as fleet from '@amaranthknot/fleet';
+import type * as ports from '@amaranthknot/ports';
 import type * as protocol from '@amaranthknot/protocol';
 import type * as gatewayState from './gateway-state.js';
 
@@ -30,6 +31,18 @@
  */
 const SETTLING_MS = 1_000;
 
+/**
+ * Time for which calls to the store fail before an instance says that it has
+ * lost it, in milliseconds: longer than one call that is not answered.
+ */
+const LOST_MS = 1_000;
+
+/**
+ * Time between two calls of an instance that has lost the store and watches
+ * nothing, in milliseconds: only a call shows that the way is open again.
+ */
+const PROBE_MS = 5_000;
+
 /** Roles as worked out last. */
 interface Roles {
   readonly atMs: number;
@@ -43,6 +56,9 @@
   private roles: Roles | undefined;
   private readonly boundsByKind: ReadonlyMap<string, number>;
   private readonly startedAtMs: number;
+  /** Since when calls to the store fail; undefined while they do not. */
+  private failingSinceMs: number | undefined;
+  private lastCallMs = -Infinity;
 
   constructor(private readonly options: StoreWatchingOptions) {
     const {views, bounds} = options;
@@ -72,6 +88,9 @@
 
   /** What this instance does about a kind now. */
   findNeed(view: fleet.KindView): decisions.WatchNeed {
+    if (this.mustProbe(view)) {
+      return 'ask';
+    }
     const ageMs = this.options.now() - view.confirmedAtMs;
     return decisions.findWatchNeed(
       this.isWatcher(),
@@ -80,6 +99,36 @@
     );
   }
 
+  /**
+   * Notes the outcome of a call to the store.
+   *
+   * Guards against watchers that can't watch: with three of four cut off from
+   * the store, instances that they told asked the store one by one, fifty
+   * calls a second. One that says it has lost the store is passed over.
+   */
+  noteStoreCall(error: ports.StoreError | undefined): void {
+    const {now, members} = this.options;
+    this.lastCallMs = now();
+    if (!error || error.code === 'history_gone') {
+      this.failingSinceMs = undefined;
+      members.setStore('reached');
+      return;
+    }
+    this.failingSinceMs ??= now();
+    if (now() - this.failingSinceMs >= LOST_MS) {
+      members.setStore('lost');
+    }
+  }
+
+  private mustProbe(view: fleet.KindView): boolean {
+    const {members, views, now} = this.options;
+    return (
+      members.self.store === 'lost' &&
+      view === views.configuration &&
+      now() - this.lastCallMs >= PROBE_MS
+    );
+  }
+
   /**
    * Instances to be told of changes by. A watcher needs none, unless it has
    * lost the store itself.
@@ -104,11 +153,14 @@
   private workOutRoles(atMs: number): Roles {
     const {members} = this.options;
     const serving = members.serving(atMs);
-    const find = (id: string) => serving.filter(member => member.id === id);
+    const reaching = serving.filter(({store}) => store === 'reached');
+    // In an outage for all the roles stay as they are.
+    const able = reaching.length > 0 ? reaching : serving;
+    const find = (id: string) => able.filter(member => member.id === id);
     return {
       atMs,
-      watchers: decisions.findWatchers(serving).flatMap(find),
-      sources: decisions.rankSources(members.self, serving).flatMap(find),
+      watchers: decisions.findWatchers(able).flatMap(find),
+      sources: decisions.rankSources(members.self, able).flatMap(find),
     };
   }
 
--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -30,6 +30,7 @@
   start: 1,
   beat: 0,
   phase: 'serving',
+  store: 'reached',
 });
 
 const createInstance = (
--- a/packages/fleet/src/member-table.ts
+++ b/packages/fleet/src/member-table.ts
@@ -88,6 +88,13 @@
     this.selfRow = {...this.selfRow, phase, beat: this.selfRow.beat + 1};
   }
 
+  /** Changes what this instance says of its way to the store. */
+  setStore(store: protocol.Member['store']): void {
+    if (store !== this.selfRow.store) {
+      this.selfRow = {...this.selfRow, store, beat: this.selfRow.beat + 1};
+    }
+  }
+
   /**
    * Takes in rows that a peer passed on.
    *
@@ -154,7 +161,7 @@
   list(nowMs: number): MemberList {
     const members = this.report(nowMs);
     const names = members
-      .map(({id, start, phase}) => `${id}.${start}.${phase}`)
+      .map(({id, start, phase, store}) => `${id}.${start}.${phase}.${store}`)
       .sort();
     const {id, start} = this.selfRow;
     const digest = murmurhash.default.v3(names.join()).toString(36);
--- a/packages/fleet/tests/member-table.test.ts
+++ b/packages/fleet/tests/member-table.test.ts
@@ -13,6 +13,7 @@
   start: 1,
   beat: 1,
   phase: 'serving',
+  store: 'reached',
   ...overrides,
 });
 
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -47,6 +47,7 @@
     start: 1,
     beat: 1,
     phase: 'serving',
+    store: 'reached',
   };
   return {view, relay, member};
 };
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -109,6 +109,8 @@
   start: count,
   beat: count,
   phase: zod.enum(['starting', 'serving', 'leaving']),
+  /** Whether its calls to the store are answered, as far as it knows. */
+  store: zod.enum(['reached', 'lost']).default('reached'),
 });
 
 /** What an instance knows of one kind of objects in the store. */
