Split the roll-out desk: evidence of an order and usual latencies stand apart

It keeps sessions, shares and ends; counts of versions and what is usual moved to files of their own.

--- a/packages/gateway/src/rollout-desk.ts
+++ b/packages/gateway/src/rollout-desk.ts
@@ -4,6 +4,8 @@
 import type * as protocol from '@amaranthknot/protocol';
 import type * as telemetry from '@amaranthknot/telemetry';
 import type * as routing from '@amaranthknot/routing';
+import * as orderEvidence from './order-evidence.js';
+import * as versionLatencies from './version-latencies.js';
 
 /** Which version of a service a request is to run on. */
 export type VersionWish =
@@ -24,24 +26,14 @@
   readonly part: number;
 }
 
-/** What ran: answers of the same service, route and model are alike. */
-export interface VersionWork {
-  readonly service: string;
-  readonly version: string;
-  readonly route: string;
-  readonly isStream: boolean;
-  /** The model that ran; undefined where there is no choice of one. */
-  readonly model: string | undefined;
-}
-
 /** The pace of one stream. */
-export interface PaceSign extends VersionWork {
+export interface PaceSign extends versionLatencies.VersionWork {
   /** Mean pause between its first events. */
   readonly paceMs: number;
 }
 
 /** One finished try, as far as it tells something about its version. */
-export interface VersionSign extends VersionWork {
+export interface VersionSign extends versionLatencies.VersionWork {
   readonly isBad: boolean;
   /** Time to the first byte; undefined where none came. */
   readonly firstByteMs: number | undefined;
@@ -70,50 +62,13 @@
 /** Sessions remembered of one order. */
 const MAX_PINNED = 2_000;
 
-/**
- * A stream's pace, and the first byte of a plain answer, count as slow at this
- * many times the median of the old version's answers of the same route and
- * model. On a day of high load one stream in nine took over three times the
- * median, and of a new version's, whose caches fill, three in ten; a bad
- * version's streams took four to fifteen times.
- */
-const SLOW_FACTOR = 4;
-
-/**
- * The same for the first byte of a stream. The first prompts of a new version
- * find nothing kept at its upstreams and wait for each other: four of its five
- * first answers took over three times the median, and a good version was
- * rolled back. A slow one shows by its pace as well.
- */
-const SLOW_STREAM_FACTOR = 8;
-
-/**
- * Routes of one order whose answers are counted apart; bounds the messages
- * between instances. Answers of further routes count together.
- */
-const MAX_ROUTES = 8;
-
-/** Name under which answers of further routes are counted. */
-const OTHER_ROUTES = '*';
-
-/** Time for which a watcher's sums count, in ms: some of its answers. */
-const TOLD_MS = 1_500;
-
-/** Name under which sums over all instances are kept. */
-const TOLD_NAME = 'all';
-
 /** One order as this instance follows it. */
 interface Following {
   order: routing.RolloutOrder;
   startedAtMs: number;
   verdict: decisions.VersionVerdict;
   readonly pinned: Set<number>;
-  /** Counts by route and instance: own ones, and those that peers told. */
-  readonly evidence: Map<string, decisions.EvidenceByInstance>;
-  /** Sums over all instances that a watcher told. */
-  told:
-    | {readonly atMs: number; readonly evidence: decisions.EvidenceByRoute}
-    | undefined;
+  readonly evidence: orderEvidence.OrderEvidence;
   /** When this instance may report the end; undefined while there is none. */
   reportAtMs: number | undefined;
   isReporting: boolean;
@@ -127,22 +82,16 @@
     concentration: undefined,
   }) as const;
 
-/** Names work whose latencies are about the same. */
-const nameWork = ({service, route, model}: VersionWork): string =>
-  `${service}/${route}/${model ?? ''}`;
-
-type Counting = Partial<Record<keyof decisions.VersionCounts, number>>;
-
 const nameOrder = (order: routing.RolloutOrder): string =>
   `${order.service}/${order.version}`;
 
 /** The roll-outs of all services. */
 export class RolloutDesk {
   private readonly byService = new Map<string, Following>();
-  /** First bytes of versions in use, also while no order runs. */
-  private readonly firstBytes = new decisions.UsualLatency();
-  /** Paces of their streams. */
-  private readonly paces = new decisions.UsualLatency();
+  /** Latencies of versions in use, learnt also while no order runs. */
+  private readonly latencies = new versionLatencies.VersionLatencies(work =>
+    this.isOnTrial(work),
+  );
 
   constructor(private readonly options: RolloutDeskOptions) {}
 
@@ -214,11 +163,10 @@
 
   /** Notes a finished try. */
   note(sign: VersionSign): void {
-    const {firstByteMs, isStream} = sign;
-    const factor = isStream ? SLOW_STREAM_FACTOR : SLOW_FACTOR;
+    const {firstByteMs} = sign;
     const isSlow =
       firstByteMs !== undefined &&
-      this.isBeyondUsual(this.firstBytes, sign, firstByteMs, factor);
+      this.latencies.isFirstByteSlow(sign, firstByteMs);
     this.count(sign, {
       requests: 1,
       errors: sign.isBad ? 1 : 0,
@@ -234,54 +182,26 @@
    * as done, and nothing else was left to go back to.
    */
   notePace(sign: PaceSign): void {
-    const {paceMs} = sign;
-    const isDragging = this.isBeyondUsual(
-      this.paces,
-      sign,
-      paceMs,
-      SLOW_FACTOR,
-    );
+    const isDragging = this.latencies.isPaceSlow(sign, sign.paceMs);
     this.count(sign, {paced: 1, dragging: isDragging ? 1 : 0});
   }
 
-  /** Whether a latency is far beyond what is usual; learns the usual ones. */
-  private isBeyondUsual(
-    usual: decisions.UsualLatency,
-    work: VersionWork,
-    latencyMs: number,
-    factor: number,
-  ): boolean {
-    const name = nameWork(work);
-    const usualMs = usual.medianMs(name);
-    if (!this.isOnTrial(work)) {
-      usual.note(name, latencyMs);
-    }
-    return usualMs !== undefined && latencyMs > factor * usualMs;
-  }
-
   /** Whether the version is one that an order brings in now. */
-  private isOnTrial({service, version}: VersionWork): boolean {
+  private isOnTrial({service, version}: versionLatencies.VersionWork): boolean {
     const order = this.byService.get(service)?.order;
     return order?.state === 'running' && order.version === version;
   }
 
-  private count(work: VersionWork, counting: Counting): void {
+  private count(
+    work: versionLatencies.VersionWork,
+    sign: orderEvidence.CountedSign,
+  ): void {
     const following = this.byService.get(work.service);
     if (following?.order.state !== 'running') {
       return;
     }
-    const {evidence} = following;
-    const isApart = evidence.has(work.route) || evidence.size < MAX_ROUTES;
-    const route = isApart ? work.route : OTHER_ROUTES;
     const side = this.isOnTrial(work) ? 'new' : 'old';
-    const {incarnation} = this.options;
-    const ofRoute = evidence.get(route) ?? {};
-    const before = ofRoute[incarnation] ?? decisions.NO_EVIDENCE;
-    const after = {
-      ...before,
-      [side]: decisions.addCounts(before[side], counting),
-    };
-    evidence.set(route, {...ofRoute, [incarnation]: after});
+    following.evidence.count(work.route, side, sign);
     this.judge(following);
   }
 
@@ -313,29 +233,15 @@
 
   /** Evidence on orders that run: all that is known, or this instance's own. */
   evidence(whose: 'all' | 'own' = 'all'): readonly protocol.OrderEvidence[] {
-    const {incarnation: self} = this.options;
     return this.running().flatMap(({order, evidence}) =>
-      [...evidence].flatMap(([route, ofRoute]) =>
-        Object.entries(ofRoute)
-          .filter(([incarnation]) => whose === 'all' || incarnation === self)
-          .map(([incarnation, counts]) => ({
-            order: nameOrder(order),
-            incarnation,
-            route,
-            ...counts,
-          })),
-      ),
+      evidence.rows(whose).map(row => ({order: nameOrder(order), ...row})),
     );
   }
 
   /** Evidence on orders that run, added up over instances. */
   evidenceSums(): readonly protocol.EvidenceSum[] {
     return this.running().flatMap(({order, evidence}) =>
-      [...evidence].map(([route, ofRoute]) => ({
-        order: nameOrder(order),
-        route,
-        ...decisions.findNewEvidence({}, ofRoute),
-      })),
+      evidence.sums().map(sum => ({order: nameOrder(order), ...sum})),
     );
   }
 
@@ -347,13 +253,11 @@
     for (const following of this.running()) {
       const name = nameOrder(following.order);
       this.takeProgress(following, progress);
-      for (const heard of evidence.filter(({order}) => order === name)) {
-        const known = following.evidence.get(heard.route) ?? {};
-        const merged = decisions.mergeEvidence(known, {
-          [heard.incarnation]: {old: heard.old, new: heard.new},
+      evidence
+        .filter(({order}) => order === name)
+        .forEach(row => {
+          following.evidence.merge(row);
         });
-        following.evidence.set(heard.route, merged);
-      }
       this.judge(following);
     }
   }
@@ -367,15 +271,7 @@
       const name = nameOrder(following.order);
       this.takeProgress(following, progress);
       const told = sums.filter(({order}) => order === name);
-      following.told = {
-        atMs: this.options.clock.now(),
-        evidence: new Map(
-          told.map(({route, old, new: fresh}) => [
-            route,
-            {[TOLD_NAME]: {old, new: fresh}},
-          ]),
-        ),
-      };
+      following.evidence.takeSums(told, this.options.clock.now());
       this.judge(following);
     }
   }
@@ -393,16 +289,6 @@
     }
   }
 
-  /**
-   * What is known of an order's versions: a watcher's sums while it tells
-   * them, which count this instance's answers too, else what peers told.
-   */
-  private evidenceOf({told, evidence}: Following): decisions.EvidenceByRoute {
-    const isTold =
-      told !== undefined && this.options.clock.now() - told.atMs <= TOLD_MS;
-    return isTold ? told.evidence : evidence;
-  }
-
   /** Reports ends that are due. */
   step(): void {
     for (const following of this.running()) {
@@ -423,8 +309,7 @@
       startedAtMs: this.options.clock.now(),
       verdict: 'unclear',
       pinned: new Set(),
-      evidence: new Map(),
-      told: undefined,
+      evidence: new orderEvidence.OrderEvidence(this.options.incarnation),
       reportAtMs: undefined,
       isReporting: false,
     };
@@ -436,6 +321,10 @@
     );
   }
 
+  private evidenceOf({evidence}: Following): decisions.EvidenceByRoute {
+    return evidence.current(this.options.clock.now());
+  }
+
   private ageOf({startedAtMs}: Following): number {
     return this.options.clock.now() - startedAtMs;
   }
