Pass events on in a class of its own

stream-run.ts chose models, tried upstreams, watched for silence and passed events on in 427 lines; the last of these is event-relay.ts now. No change of behaviour; the same tests pass.

--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -2,13 +2,12 @@
 import * as decisions from '@amaranthknot/decisions';
 import type * as routing from '@amaranthknot/routing';
 import type * as callerAnswer from './caller-answer.js';
-import * as eventSplitter from './event-splitter.js';
+import * as eventRelay from './event-relay.js';
 import * as gatewayParts from './gateway-parts.js';
 import * as rawHeaders from './raw-headers.js';
 import type * as refusals from './refusal.js';
 import * as silenceWatch from './silence-watch.js';
 import * as tryUpstream from './try-upstream.js';
-import type * as upstreamCall from './upstream-call.js';
 
 /** As for plain requests; a prompt is worth a longer wait. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -23,17 +22,10 @@
 const DROPPED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
 /** An answer whose head has come, and the try it belongs to. */
-interface OpenStream {
-  readonly placed: gatewayParts.PlacedTry;
-  readonly answer: upstreamCall.UpstreamAnswer;
+interface OpenStream extends eventRelay.RelayedStream {
   readonly model: string | undefined;
-  /** Ends this try alone. */
-  readonly ending: AbortController;
 }
 
-/** How the passing on of one upstream's stream ended. */
-type RelayEnd = 'complete' | 'broken';
-
 const isOpen = (found: OpenStream | refusals.Refusal): found is OpenStream =>
   'answer' in found;
 
@@ -44,17 +36,18 @@
   private sends = 0;
   /** A try that was placed before the one in progress was left. */
   private reserved: gatewayParts.PlacedTry | undefined;
-  /** Number of the last event that was passed on. */
-  private lastEventId: number | undefined;
-  /** Number of the last event that the caller had before this request. */
-  private readonly firstEventId: string | undefined;
+  private readonly relay: eventRelay.EventRelay;
 
   constructor(
     private readonly parts: gatewayParts.RunParts,
     private readonly context: gatewayParts.RunContext,
     private readonly answer: callerAnswer.CallerAnswer,
   ) {
-    this.firstEventId = context.request.caller.lastEventId;
+    this.relay = new eventRelay.EventRelay(
+      answer,
+      context.request.caller.lastEventId,
+      context.signal,
+    );
   }
 
   /**
@@ -78,9 +71,9 @@
     let open = first;
     this.beginAnswer(open);
     for (;;) {
-      const end = await this.relay(open);
+      const end = await this.relay.run(open, this.watchForStall(open));
       const upstream = open.placed.upstream.id;
-      const {lastEventId} = this;
+      const {lastEventId} = this.relay;
       if (end === 'complete') {
         this.answer.end();
         log.step('request_answered', {upstream, lastEventId});
@@ -100,7 +93,11 @@
 
   private noteBroken(upstream: string): void {
     const {signal, log} = this.context;
-    const details = {upstream, lastEventId: this.lastEventId, runs: this.runs};
+    const details = {
+      upstream,
+      lastEventId: this.relay.lastEventId,
+      runs: this.runs,
+    };
     if (signal.aborted && gatewayParts.endOf(signal) === 'caller_left') {
       log.step('caller_left', details);
     } else {
@@ -321,9 +318,10 @@
   }
 
   private nextLastEventId(): string | undefined {
-    return this.lastEventId === undefined
-      ? this.firstEventId
-      : String(this.lastEventId);
+    const {lastEventId} = this.relay;
+    return lastEventId === undefined
+      ? this.context.request.caller.lastEventId
+      : String(lastEventId);
   }
 
   private beginAnswer({answer}: OpenStream): void {
@@ -331,52 +329,6 @@
     this.answer.begin({status: answer.status, headers});
   }
 
-  /** Passes events on as they arrive, whole ones only. */
-  private relay(open: OpenStream): Promise<RelayEnd> {
-    const {placed, answer, ending} = open;
-    const {body} = answer;
-    const {signal} = this.context;
-    const splitter = new eventSplitter.EventSplitter();
-    return new Promise(resolve => {
-      const giveUp = () => {
-        ending.abort('not_needed' satisfies gatewayParts.RunEnd);
-      };
-      const stall = this.watchForStall(open);
-      const finish = (end: RelayEnd) => {
-        stall.stop();
-        const outcome = signal.aborted ? 'cancelled' : 'failed';
-        placed.settle(end === 'complete' ? 'answered' : outcome);
-        resolve(end);
-      };
-      let isInOrder = true;
-      body.on('data', (chunk: Buffer) => {
-        stall.touch();
-        // What follows a gap is not passed on, be it the stream's end.
-        isInOrder &&= splitter.push(chunk).every(event => {
-          placed.passed();
-          return this.passOn(event);
-        });
-        if (!isInOrder || splitter.isOverlong) {
-          giveUp();
-        }
-      });
-      body.once('end', () => {
-        const isWhole =
-          isInOrder &&
-          body.complete &&
-          !answer.isBroken() &&
-          splitter.pendingBytes === 0;
-        finish(isWhole ? 'complete' : 'broken');
-      });
-      body.once('error', () => {
-        finish('broken');
-      });
-      body.once('close', () => {
-        finish('broken');
-      });
-    });
-  }
-
   /**
    * Leaves an upstream that has been silent for so long that the caller would
    * count the stream as late, or earlier where it can no longer be reached.
@@ -396,23 +348,6 @@
     });
   }
 
-  /**
-   * Passes one event on; false where it does not follow the one before. A
-   * gap or a repeat would reach the caller as a stream that looks whole.
-   */
-  private passOn(event: eventSplitter.StreamEvent): boolean {
-    const {id} = event;
-    if (id !== undefined) {
-      const before = this.lastEventId ?? Number(this.firstEventId ?? 0);
-      if (id !== before + 1) {
-        return false;
-      }
-      this.lastEventId = id;
-    }
-    this.answer.write(event.bytes);
-    return true;
-  }
-
   /** Goes on with a broken stream at another upstream, with the same model. */
   private async resume(
     model: string | undefined,
