Log which peers were lost and heard, and who watches the store

Two beliefs that decide where callers are sent and by whom an instance is told left no line; peer_lost and peer_heard were in the list of events and nobody wrote them. One line a tick at the most of each, with twenty names.

--- /dev/null
+++ b/packages/amaranthknot/src/gateway/fleet-watch.ts
@@ -0,0 +1,68 @@
+/** Notes in the log how what an instance believes of the fleet changes. */
+import type * as fleet from '@amaranthknot/fleet';
+import type * as telemetry from '@amaranthknot/telemetry';
+import type * as storeWatching from './store-watching.js';
+
+/** Parts that are looked at. */
+export interface FleetWatchOptions {
+  readonly now: () => number;
+  readonly members: fleet.MemberTable;
+  readonly watching: storeWatching.StoreWatching;
+  readonly log: telemetry.DecisionLog;
+}
+
+/** Names in one line; a zone that is lost takes hundreds. */
+const MAX_NAMES = 20;
+
+/** One instance's beliefs of the fleet, as they were noted last. */
+export class FleetWatch {
+  private serving: ReadonlySet<string> = new Set();
+  private wasWatcher = false;
+
+  constructor(private readonly options: FleetWatchOptions) {}
+
+  /** Notes what has changed since the last look. */
+  look(): void {
+    this.lookAtPeers();
+    this.lookAtRole();
+  }
+
+  private lookAtPeers(): void {
+    const {members, now} = this.options;
+    const serving = new Set(members.serving(now()).map(({id}) => id));
+    const before = this.serving;
+    this.serving = serving;
+    this.notePeers('peer_heard', [...serving], before);
+    this.notePeers('peer_lost', [...before], serving);
+  }
+
+  private notePeers(
+    event: 'peer_heard' | 'peer_lost',
+    ids: readonly string[],
+    known: ReadonlySet<string>,
+  ): void {
+    const changed = ids.filter(id => !known.has(id));
+    if (changed.length > 0) {
+      this.options.log.belief(event, {
+        peers: changed.slice(0, MAX_NAMES),
+        count: changed.length,
+        serving: this.serving.size,
+      });
+    }
+  }
+
+  private lookAtRole(): void {
+    const {watching, members, log} = this.options;
+    const isWatcher = watching.isWatcher();
+    if (isWatcher === this.wasWatcher) {
+      return;
+    }
+    this.wasWatcher = isWatcher;
+    log.belief('watch_role_changed', {
+      isWatcher,
+      watchers: watching.findWatchers().map(({id}) => id),
+      serving: this.serving.size,
+      store: members.self.store,
+    });
+  }
+}
--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -165,6 +165,7 @@
     while (!signal.aborted) {
       this.updatePhase();
       get('state').tick();
+      get('fleetWatch').look();
       get('rollouts').step();
       wiring.updateRetryShare(get);
       get('log').tick();
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -13,6 +13,7 @@
 import * as telemetry from '@amaranthknot/telemetry';
 import * as tsyringe from 'tsyringe';
 import * as fleetReport from './fleet-report.js';
+import * as fleetWatch from './fleet-watch.js';
 import * as gatewayState from './gateway-state.js';
 import type * as settingsSource from './settings-source.js';
 import * as storeWatching from './store-watching.js';
@@ -45,6 +46,7 @@
   /** Takes in that a view changed, and tells peers that wait for it. */
   readonly takeView: (view: fleet.KindView) => void;
   readonly watching: storeWatching.StoreWatching;
+  readonly fleetWatch: fleetWatch.FleetWatch;
   readonly subscription: fleet.ViewSubscription;
   readonly transport: protocol.HttpTransport;
   readonly members: fleet.MemberTable;
@@ -396,6 +398,13 @@
       bounds: options.settings.current.bounds,
       hasSeeds: options.settings.current.seeds.length > 0,
     }),
+  fleetWatch: get =>
+    new fleetWatch.FleetWatch({
+      now: () => options.clock.now(),
+      members: get('members'),
+      watching: get('watching'),
+      log: get('log'),
+    }),
   subscription: createSubscription,
   reports: get => new fleetReport.FleetReports(get),
   exchange: createExchange,
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -39,6 +39,8 @@
   | 'instance_stopped'
   /** Another instance watches the store for this one, or none does. */
   | 'watch_source_changed'
+  /** This instance begins or ceases to watch the store for others. */
+  | 'watch_role_changed'
   | 'settings_reloaded'
   | 'settings_refused'
   | 'configuration_in_force'
