Make the wiring's imports a tree; test what is noted of the fleet

instance-parts.ts and five parts imported each other in a circle, as did gateway-wiring.ts and fleet-report.ts: tokens and how one gets at parts are types in modules of their own now. Types only; the bundle is the same.

--- a/packages/amaranthknot/src/bill-copy-parts.ts
+++ b/packages/amaranthknot/src/bill-copy-parts.ts
@@ -2,7 +2,7 @@
 import * as decisions from '@amaranthknot/decisions';
 import * as ledger from '@amaranthknot/ledger';
 import * as protocol from '@amaranthknot/protocol';
-import type * as instanceParts from './instance-parts.js';
+import type * as instanceTokens from './instance-tokens.js';
 
 /** Copies of a pending bill that survive the loss of an instance and a zone. */
 export const BILL_COPIES = 2;
@@ -35,7 +35,7 @@
 };
 
 const findPeer = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   id: string,
 ): protocol.Peer | undefined =>
   get('peers')
@@ -44,7 +44,7 @@
 
 /** Live peers in other zones, ranked for this instance. */
 const listCandidates = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
 ): readonly ledger.ReplicaCandidate[] => {
   const {id, zone} = get('peers').self();
   const live = get('peers')
@@ -63,7 +63,7 @@
 };
 
 const send = async (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   candidate: string,
   batch: ledger.CopyBatch,
 ): Promise<boolean> => {
@@ -89,7 +89,7 @@
 
 /** Creates the copies of this instance's bills on peers. */
 export const createPeerCopies = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
 ): ledger.PeerCopies =>
   new ledger.PeerCopies({
     quorum: BILL_COPIES,
@@ -100,7 +100,7 @@
 
 /** Takes copies from a peer; answers how many are held. */
 export const holdCopies = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   params: protocol.Params<'copy_bills'>,
 ): protocol.Result<'copy_bills'> => {
   const bills = params.bills as readonly ledger.PendingBill[];
@@ -110,7 +110,7 @@
 };
 
 /** Whether the start of an instance that left copies here is over. */
-const isDead = (get: instanceParts.Resolve, incarnation: string): boolean => {
+const isDead = (get: instanceTokens.Resolve, incarnation: string): boolean => {
   const {id, startedMs} = splitIncarnation(incarnation);
   const peer = findPeer(get, id);
   return (
@@ -120,7 +120,9 @@
 };
 
 /** Renews this instance's copies and recovers bills of dead ones. */
-export const tendCopies = async (get: instanceParts.Resolve): Promise<void> => {
+export const tendCopies = async (
+  get: instanceTokens.Resolve,
+): Promise<void> => {
   await get('peerCopies').changeMembership(get('incarnation'));
   const recovered = await get('copyHolder').recoverDead(
     incarnation => isDead(get, incarnation),
--- a/packages/amaranthknot/src/entry-instance.ts
+++ b/packages/amaranthknot/src/entry-instance.ts
@@ -3,6 +3,7 @@
 import * as ledger from '@amaranthknot/ledger';
 import * as billCopyParts from './bill-copy-parts.js';
 import * as instanceParts from './instance-parts.js';
+import type * as instanceTokens from './instance-tokens.js';
 import type * as instanceOptions from './instance-options.js';
 import * as loadPoller from './load-poller.js';
 import * as rolloutParts from './rollout-parts.js';
@@ -30,7 +31,7 @@
 
 /** An entry instance. */
 export class EntryInstance {
-  private readonly get: instanceParts.Resolve;
+  private readonly get: instanceTokens.Resolve;
   private readonly stopping = new AbortController();
   /** Names of the roll-out duties that this instance competes for. */
   private readonly rollouts = new Set<string>();
@@ -41,7 +42,7 @@
   }
 
   /** Resolves one part, for tests and the demo. */
-  get parts(): instanceParts.Resolve {
+  get parts(): instanceTokens.Resolve {
     return this.get;
   }
 
--- a/packages/amaranthknot/src/gateway/fleet-report.ts
+++ b/packages/amaranthknot/src/gateway/fleet-report.ts
@@ -1,6 +1,6 @@
 /** What instances tell each other, put together from their parts. */
 import type * as protocol from '@amaranthknot/protocol';
-import type * as wiring from './gateway-wiring.js';
+import type * as gatewayTokens from './gateway-tokens.js';
 
 /** Sessions that one instance and its watcher have told each other. */
 interface ToldSessions {
@@ -25,7 +25,7 @@
   /** Sessions of each order when this instance reported last. */
   private reportedCounts: Readonly<Record<string, number>> = {};
 
-  constructor(private readonly get: wiring.ResolveGateway) {}
+  constructor(private readonly get: gatewayTokens.ResolveGateway) {}
 
   /** What this instance tells a peer: all that it knows of all. */
   create(): protocol.FleetReport {
--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -3,6 +3,7 @@
 import * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
 import type * as hapi from '@hapi/hapi';
+import type * as gatewayTokens from './gateway-tokens.js';
 import * as wiring from './gateway-wiring.js';
 
 /** How often a planned stop looks whether its requests are done, in ms. */
@@ -39,13 +40,13 @@
 
 /** A gateway instance. */
 export class GatewayInstance {
-  private readonly get: wiring.ResolveGateway;
+  private readonly get: gatewayTokens.ResolveGateway;
   private readonly ending = new AbortController();
   private readonly sideServers: readonly hapi.Server[];
   private stopping = false;
   private reloadedAtMs = 0;
 
-  constructor(private readonly options: wiring.GatewayOptions) {
+  constructor(private readonly options: gatewayTokens.GatewayOptions) {
     this.get = wiring.wireGateway(options);
     const {listen} = options.settings.current;
     this.sideServers = [
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -15,65 +15,13 @@
 import * as fleetReport from './fleet-report.js';
 import * as fleetWatch from './fleet-watch.js';
 import * as gatewayState from './gateway-state.js';
-import type * as settingsSource from './settings-source.js';
+import type * as gatewayTokens from './gateway-tokens.js';
 import * as storeWatching from './store-watching.js';
 
-/** What a gateway instance is made for. */
-export interface GatewayOptions {
-  /** The settings in force; a reload replaces them. */
-  readonly settings: settingsSource.SettingsSource;
-  readonly clock: ports.Clock;
-  /** Uniform random numbers in [0, 1). */
-  readonly random: () => number;
-}
-
-/** Followers of all kinds. */
-export type Followers = Readonly<
-  Record<gatewayState.FollowedKind, fleet.KindFollower>
->;
-
-/** Parts of a running instance, by token. */
-export interface GatewayWiring {
-  readonly options: GatewayOptions;
-  readonly log: telemetry.DecisionLog;
-  readonly metrics: telemetry.GatewayMetrics;
-  readonly latencies: decisions.LatencyBook;
-  readonly capable: gateway.CapableModels;
-  readonly store: ports.StatusStore;
-  readonly views: gatewayState.Views;
-  readonly state: gatewayState.GatewayState;
-  readonly followers: Followers;
-  /** Takes in that a view changed, and tells peers that wait for it. */
-  readonly takeView: (view: fleet.KindView) => void;
-  readonly watching: storeWatching.StoreWatching;
-  readonly fleetWatch: fleetWatch.FleetWatch;
-  readonly subscription: fleet.ViewSubscription;
-  readonly transport: protocol.HttpTransport;
-  readonly members: fleet.MemberTable;
-  readonly refresh: fleet.ViewRefresh;
-  readonly relay: fleet.ViewRelay;
-  readonly reports: fleetReport.FleetReports;
-  readonly exchange: fleet.ReportExchange;
-  readonly peerServer: protocol.PeerServer;
-  readonly catalog: gateway.UpstreamCatalog;
-  readonly picker: decisions.UpstreamPicker;
-  readonly retries: decisions.RetryBudget;
-  readonly rollouts: gateway.RolloutDesk;
-  readonly pool: gateway.ConnectionPool;
-  readonly placement: gateway.UpstreamPlacement;
-  readonly gateway: gateway.Gateway;
-  readonly callerServer: gateway.CallerServer;
-}
-
-/** Resolves one part. */
-export type ResolveGateway = <K extends keyof GatewayWiring>(
-  token: K,
-) => GatewayWiring[K];
-
 type Factories = {
-  readonly [K in keyof GatewayWiring]: (
-    get: ResolveGateway,
-  ) => GatewayWiring[K];
+  readonly [K in keyof gatewayTokens.GatewayWiring]: (
+    get: gatewayTokens.ResolveGateway,
+  ) => gatewayTokens.GatewayWiring[K];
 };
 
 const DIALECT: gateway.Dialect = {
@@ -109,7 +57,7 @@
 };
 
 const createFollower = (
-  get: ResolveGateway,
+  get: gatewayTokens.ResolveGateway,
   kind: gatewayState.FollowedKind,
 ): fleet.KindFollower => {
   const {clock, random} = get('options');
@@ -134,7 +82,9 @@
   });
 };
 
-const createState = (get: ResolveGateway): gatewayState.GatewayState =>
+const createState = (
+  get: gatewayTokens.ResolveGateway,
+): gatewayState.GatewayState =>
   new gatewayState.GatewayState({
     now: () => get('options').clock.now(),
     views: get('views'),
@@ -155,7 +105,9 @@
     },
   });
 
-const createMembers = (get: ResolveGateway): fleet.MemberTable => {
+const createMembers = (
+  get: gatewayTokens.ResolveGateway,
+): fleet.MemberTable => {
   const {settings, clock} = get('options');
   const {listen, instance} = settings.current;
   return new fleet.MemberTable({
@@ -170,12 +122,14 @@
   });
 };
 
-const nameIncarnation = (get: ResolveGateway): string => {
+const nameIncarnation = (get: gatewayTokens.ResolveGateway): string => {
   const {id, start} = get('members').self;
   return `${id}.${start}`;
 };
 
-const createExchange = (get: ResolveGateway): fleet.ReportExchange => {
+const createExchange = (
+  get: gatewayTokens.ResolveGateway,
+): fleet.ReportExchange => {
   const {clock, random, settings} = get('options');
   return new fleet.ReportExchange({
     clock,
@@ -193,7 +147,9 @@
   });
 };
 
-const createSubscription = (get: ResolveGateway): fleet.ViewSubscription =>
+const createSubscription = (
+  get: gatewayTokens.ResolveGateway,
+): fleet.ViewSubscription =>
   new fleet.ViewSubscription({
     clock: get('options').clock,
     transport: get('transport').send,
@@ -210,7 +166,9 @@
     },
   });
 
-const createPeerServer = (get: ResolveGateway): protocol.PeerServer =>
+const createPeerServer = (
+  get: gatewayTokens.ResolveGateway,
+): protocol.PeerServer =>
   protocol.createPeerServer({
     exchange_reports: report => {
       get('reports').take(report);
@@ -221,7 +179,7 @@
   });
 
 const answerFollower = async (
-  get: ResolveGateway,
+  get: gatewayTokens.ResolveGateway,
   call: protocol.Params<'await_views'>,
 ): Promise<protocol.Result<'await_views'>> => {
   const {report} = call;
@@ -233,7 +191,9 @@
   return {...answer, summary: get('reports').summarize(report)};
 };
 
-const createRollouts = (get: ResolveGateway): gateway.RolloutDesk => {
+const createRollouts = (
+  get: gatewayTokens.ResolveGateway,
+): gateway.RolloutDesk => {
   const {clock, settings} = get('options');
   return new gateway.RolloutDesk({
     clock,
@@ -258,7 +218,9 @@
   });
 };
 
-const createPlacement = (get: ResolveGateway): gateway.UpstreamPlacement => {
+const createPlacement = (
+  get: gatewayTokens.ResolveGateway,
+): gateway.UpstreamPlacement => {
   const {settings, clock} = get('options');
   return new gateway.UpstreamPlacement({
     catalog: get('catalog'),
@@ -278,7 +240,7 @@
   });
 };
 
-const createGateway = (get: ResolveGateway): gateway.Gateway => {
+const createGateway = (get: gatewayTokens.ResolveGateway): gateway.Gateway => {
   const {clock, random, settings} = get('options');
   const {change} = settings.current.bounds;
   return new gateway.Gateway({
@@ -306,7 +268,7 @@
 };
 
 const logUpstream = (
-  get: ResolveGateway,
+  get: gatewayTokens.ResolveGateway,
   change: gateway.CatalogChange,
   {upstream, coldUntilMs}: gateway.KnownUpstream,
 ): void => {
@@ -322,7 +284,9 @@
   });
 };
 
-const createStore = (options: GatewayOptions): ports.StatusStore => {
+const createStore = (
+  options: gatewayTokens.GatewayOptions,
+): ports.StatusStore => {
   const address = configuration.formatAddress(
     options.settings.current.store.address,
   );
@@ -333,7 +297,7 @@
   return new platform.StoreClient((...call) => client.send(...call));
 };
 
-const createFactories = (options: GatewayOptions): Factories => ({
+const createFactories = (options: gatewayTokens.GatewayOptions): Factories => ({
   options: () => options,
   log: get =>
     new telemetry.DecisionLog({
@@ -450,10 +414,12 @@
 });
 
 /** Registers all parts; returns how to get one. */
-export const wireGateway = (options: GatewayOptions): ResolveGateway => {
+export const wireGateway = (
+  options: gatewayTokens.GatewayOptions,
+): gatewayTokens.ResolveGateway => {
   const container = tsyringe.container.createChildContainer();
-  const get: ResolveGateway = token => container.resolve(token);
-  const register = <K extends keyof GatewayWiring>(
+  const get: gatewayTokens.ResolveGateway = token => container.resolve(token);
+  const register = <K extends keyof gatewayTokens.GatewayWiring>(
     token: K,
     factory: Factories[K],
   ): void => {
@@ -462,14 +428,16 @@
     });
   };
   const factories = createFactories(options);
-  for (const token of Object.keys(factories) as (keyof GatewayWiring)[]) {
+  for (const token of Object.keys(
+    factories,
+  ) as (keyof gatewayTokens.GatewayWiring)[]) {
     register(token, factories[token]);
   }
   return get;
 };
 
 /** Retries that this instance may save up, by the instances there are. */
-export const updateRetryShare = (get: ResolveGateway): void => {
+export const updateRetryShare = (get: gatewayTokens.ResolveGateway): void => {
   const {settings, clock} = get('options');
   const count = get('members').namesForShares(clock.now()).length;
   const {slack} = settings.current.bounds.retry;
--- a/packages/amaranthknot/src/instance-parts.ts
+++ b/packages/amaranthknot/src/instance-parts.ts
@@ -1,5 +1,5 @@
 /**
- * The one module that wires the parts of an entry instance. Parts are
+ * The one module that wires the parts of an entry instance. instanceTokens.Parts are
  * registered by factory; each is made once, when first asked for.
  */
 import 'reflect-metadata';
@@ -14,49 +14,18 @@
 import * as telemetry from '@amaranthknot/telemetry';
 import * as upstreams from '@amaranthknot/upstreams';
 import type * as instanceOptions from './instance-options.js';
+import type * as instanceTokens from './instance-tokens.js';
 import * as billCopyParts from './bill-copy-parts.js';
 import * as instanceViews from './instance-views.js';
 import * as peerServerParts from './peer-server-parts.js';
 import * as rolloutParts from './rollout-parts.js';
 import * as upstreamParts from './upstream-parts.js';
 
-/** Parts of a running instance, by token. */
-export interface Parts {
-  readonly options: instanceOptions.InstanceOptions;
-  readonly incarnation: string;
-  readonly store: ports.ObjectStore;
-  readonly instanceList: ports.InstanceList;
-  readonly transport: protocol.HttpTransport;
-  readonly peers: membership.Peers;
-  readonly follower: membership.ConfigurationFollower;
-  readonly events: telemetry.EventRing;
-  readonly metrics: telemetry.Metrics;
-  readonly logger: telemetry.Logger;
-  readonly placement: decisions.Placement;
-  readonly directory: entry.UpstreamDirectory;
-  readonly warmUp: entry.WarmUpDesk;
-  readonly zoneRamp: entry.ZoneRamp;
-  readonly admission: entry.AdmissionGate;
-  readonly claims: ledger.ClaimKeeper;
-  readonly bills: ledger.BillKeeper;
-  readonly peerCopies: ledger.PeerCopies;
-  readonly copyHolder: ledger.CopyHolder;
-  readonly pins: entry.PinRegistry;
-  readonly retries: decisions.RetryBudget;
-  readonly cascades: decisions.CascadePolicy;
-  readonly duties: membership.DutyRunner;
-  readonly rolloutCounters: entry.RolloutCounters;
-  readonly rolloutShares: entry.RolloutShares;
-  /** Undefined where the settings name no rating service. */
-  readonly ratingDesk: entry.RatingDesk | undefined;
-  readonly peerServer: protocol.PeerServer;
-  readonly server: entry.EntryServer;
-}
-
-/** Resolves one part. */
-export type Resolve = <K extends keyof Parts>(token: K) => Parts[K];
-
-type Factories = {readonly [K in keyof Parts]: (get: Resolve) => Parts[K]};
+type Factories = {
+  readonly [K in keyof instanceTokens.Parts]: (
+    get: instanceTokens.Resolve,
+  ) => instanceTokens.Parts[K];
+};
 
 /** Longest time to ask a claim's owner, in milliseconds. */
 const ASK_OWNER_MS = 500;
@@ -66,7 +35,7 @@
 const createHttp = (url: string, key: string | undefined) =>
   new ports.HttpClient({url, ...(key === undefined ? {} : {key})});
 
-const createPeers = (get: Resolve): membership.Peers => {
+const createPeers = (get: instanceTokens.Resolve): membership.Peers => {
   const {settings, clock} = get('options');
   const {id, zone} = settings.instance;
   return new membership.Peers({
@@ -78,7 +47,9 @@
   });
 };
 
-const createFollower = (get: Resolve): membership.ConfigurationFollower => {
+const createFollower = (
+  get: instanceTokens.Resolve,
+): membership.ConfigurationFollower => {
   const {settings, clock} = get('options');
   return new membership.ConfigurationFollower({
     environment: settings.instance.environment,
@@ -97,12 +68,12 @@
   });
 };
 
-const findOwner = (get: Resolve, incarnation: string) =>
+const findOwner = (get: instanceTokens.Resolve, incarnation: string) =>
   get('peers')
     .all()
     .find(peer => incarnation.startsWith(`${peer.id}.`));
 
-const createClaims = (get: Resolve): ledger.ClaimKeeper =>
+const createClaims = (get: instanceTokens.Resolve): ledger.ClaimKeeper =>
   new ledger.ClaimKeeper({
     limits: {
       maxInProgress: get('options').settings.limits.maxPendingClaims,
@@ -128,7 +99,7 @@
     },
   });
 
-const createBills = (get: Resolve): ledger.BillKeeper =>
+const createBills = (get: instanceTokens.Resolve): ledger.BillKeeper =>
   new ledger.BillKeeper({
     store: get('store'),
     clock: get('options').clock,
@@ -141,7 +112,7 @@
     },
   });
 
-const createServer = (get: Resolve): entry.EntryServer => {
+const createServer = (get: instanceTokens.Resolve): entry.EntryServer => {
   const {settings, secrets, clock} = get('options');
   const follower = get('follower');
   return new entry.EntryServer({
@@ -188,7 +159,7 @@
   });
 };
 
-const createDuties = (get: Resolve): membership.DutyRunner =>
+const createDuties = (get: instanceTokens.Resolve): membership.DutyRunner =>
   new membership.DutyRunner({
     store: get('store'),
     clock: get('options').clock,
@@ -197,7 +168,9 @@
     createToken: () => crypto.randomUUID(),
   });
 
-const createRatingDesk = (get: Resolve): entry.RatingDesk | undefined => {
+const createRatingDesk = (
+  get: instanceTokens.Resolve,
+): entry.RatingDesk | undefined => {
   const {settings, secrets} = get('options');
   const {rating} = settings.platform;
   if (rating === undefined) {
@@ -213,7 +186,7 @@
   });
 };
 
-const createEvents = (get: Resolve): telemetry.EventRing => {
+const createEvents = (get: instanceTokens.Resolve): telemetry.EventRing => {
   const {settings, clock} = get('options');
   return new telemetry.EventRing(
     settings.instance.id,
@@ -295,10 +268,10 @@
 /** Registers all parts; returns how to get one. */
 export const wireParts = (
   options: instanceOptions.InstanceOptions,
-): Resolve => {
+): instanceTokens.Resolve => {
   const container = tsyringe.container.createChildContainer();
-  const get: Resolve = token => container.resolve(token);
-  const register = <K extends keyof Parts>(
+  const get: instanceTokens.Resolve = token => container.resolve(token);
+  const register = <K extends keyof instanceTokens.Parts>(
     token: K,
     factory: Factories[K],
   ): void => {
@@ -307,7 +280,9 @@
     });
   };
   const factories = createFactories(options);
-  for (const token of Object.keys(factories) as (keyof Parts)[]) {
+  for (const token of Object.keys(
+    factories,
+  ) as (keyof instanceTokens.Parts)[]) {
     register(token, factories[token]);
   }
   return get;
--- /dev/null
+++ b/packages/amaranthknot/src/instance-tokens.ts
@@ -0,0 +1,45 @@
+/** The parts of an entry instance by token, and how one gets at them. */
+import type * as decisions from '@amaranthknot/decisions';
+import type * as entry from '@amaranthknot/entry';
+import type * as ledger from '@amaranthknot/ledger';
+import type * as membership from '@amaranthknot/membership';
+import type * as ports from '@amaranthknot/ports';
+import type * as protocol from '@amaranthknot/protocol';
+import type * as telemetry from '@amaranthknot/telemetry';
+import type * as instanceOptions from './instance-options.js';
+
+/** Parts of a running instance, by token. */
+export interface Parts {
+  readonly options: instanceOptions.InstanceOptions;
+  readonly incarnation: string;
+  readonly store: ports.ObjectStore;
+  readonly instanceList: ports.InstanceList;
+  readonly transport: protocol.HttpTransport;
+  readonly peers: membership.Peers;
+  readonly follower: membership.ConfigurationFollower;
+  readonly events: telemetry.EventRing;
+  readonly metrics: telemetry.Metrics;
+  readonly logger: telemetry.Logger;
+  readonly placement: decisions.Placement;
+  readonly directory: entry.UpstreamDirectory;
+  readonly warmUp: entry.WarmUpDesk;
+  readonly zoneRamp: entry.ZoneRamp;
+  readonly admission: entry.AdmissionGate;
+  readonly claims: ledger.ClaimKeeper;
+  readonly bills: ledger.BillKeeper;
+  readonly peerCopies: ledger.PeerCopies;
+  readonly copyHolder: ledger.CopyHolder;
+  readonly pins: entry.PinRegistry;
+  readonly retries: decisions.RetryBudget;
+  readonly cascades: decisions.CascadePolicy;
+  readonly duties: membership.DutyRunner;
+  readonly rolloutCounters: entry.RolloutCounters;
+  readonly rolloutShares: entry.RolloutShares;
+  /** Undefined where the settings name no rating service. */
+  readonly ratingDesk: entry.RatingDesk | undefined;
+  readonly peerServer: protocol.PeerServer;
+  readonly server: entry.EntryServer;
+}
+
+/** Resolves one part. */
+export type Resolve = <K extends keyof Parts>(token: K) => Parts[K];
--- a/packages/amaranthknot/src/instance-views.ts
+++ b/packages/amaranthknot/src/instance-views.ts
@@ -1,11 +1,11 @@
 /** What an entry instance tells callers and operators of itself. */
 import type * as entry from '@amaranthknot/entry';
 import * as membership from '@amaranthknot/membership';
-import type * as instanceParts from './instance-parts.js';
+import type * as instanceTokens from './instance-tokens.js';
 
 /** Zones that operators have taken out. */
 export const excludedZones = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
 ): ReadonlySet<string> => {
   const zones = get('follower').inForce()?.document.zones ?? [];
   return new Set(
@@ -15,7 +15,7 @@
 
 /** Addresses for callers: none in a zone that is out, while others are left. */
 export const offerAddresses = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   zone?: string,
 ): readonly entry.OfferedAddress[] => {
   const out = excludedZones(get);
@@ -31,7 +31,7 @@
 };
 
 /** State of this instance for operators, as JSON. */
-export const describeState = (get: instanceParts.Resolve): object => {
+export const describeState = (get: instanceTokens.Resolve): object => {
   const follower = get('follower');
   const peers = get('peers');
   return {
--- a/packages/amaranthknot/src/peer-server-parts.ts
+++ b/packages/amaranthknot/src/peer-server-parts.ts
@@ -1,11 +1,11 @@
 /** Wires what an entry instance answers to its peers. */
 import * as protocol from '@amaranthknot/protocol';
 import * as billCopyParts from './bill-copy-parts.js';
-import type * as instanceParts from './instance-parts.js';
+import type * as instanceTokens from './instance-tokens.js';
 
 /** Creates the server of messages between instances. */
 export const createPeerServer = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
 ): protocol.PeerServer =>
   protocol.createPeerServer({
     ...get('follower').handlers(),
--- a/packages/amaranthknot/src/rollout-parts.ts
+++ b/packages/amaranthknot/src/rollout-parts.ts
@@ -5,7 +5,7 @@
 import type * as membership from '@amaranthknot/membership';
 import * as protocol from '@amaranthknot/protocol';
 import * as rollout from './commands/rollout.js';
-import type * as instanceParts from './instance-parts.js';
+import type * as instanceTokens from './instance-tokens.js';
 import * as inForce from './operator/in-force.js';
 
 /** Share of answers that is rated. */
@@ -18,16 +18,16 @@
 const EVIDENCE_TIMEOUT_MS = 500;
 
 const listRollouts = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
 ): readonly configuration.Rollout[] =>
   get('follower').inForce()?.document.rollouts ?? [];
 
-const environmentOf = (get: instanceParts.Resolve): string =>
+const environmentOf = (get: instanceTokens.Resolve): string =>
   get('options').settings.instance.environment;
 
 /** Counts a sign of a version, if a roll-out is about it. */
 export const countVersion = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   model: string,
   version: string,
   sign: entry.VersionSign,
@@ -36,7 +36,7 @@
 
 /** Version that a roll-out gives a session that has none. */
 export const assignVersion = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   model: string,
   sessionKey: string,
 ): string | undefined =>
@@ -49,7 +49,7 @@
 
 /** Hands a rating to what learns from it. */
 export const takeRating = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   answer: entry.RatedAnswer,
   rating: number,
 ): void => {
@@ -62,7 +62,7 @@
 
 /** Chance that an answer is rated: more of a version that is rolled out. */
 const findRatingChance = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   model: string,
   version: string,
 ): number => {
@@ -77,7 +77,7 @@
 
 /** Offers a given answer to the rating service. */
 export const offerForRating = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   {call, answer, text}: entry.GivenAnswer,
 ): void => {
   const {model, version} = answer;
@@ -102,7 +102,7 @@
 };
 
 const fetchEvidence = async (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   peer: protocol.Peer,
   name: string,
 ): Promise<decisions.EvidenceByInstance> => {
@@ -121,7 +121,7 @@
 };
 
 const collectEvidence = async (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   name: string,
 ): Promise<decisions.EvidenceByInstance> => {
   const peers = get('peers')
@@ -135,7 +135,7 @@
 };
 
 const withdraw = async (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   model: string,
 ): Promise<boolean> => {
   const changed = await inForce.changeDocument(
@@ -148,7 +148,7 @@
 
 const createWork =
   (
-    get: instanceParts.Resolve,
+    get: instanceTokens.Resolve,
     one: configuration.Rollout,
   ): membership.DutyWork =>
   term =>
@@ -171,7 +171,7 @@
 
 /** Competes for the duties of running roll-outs, and reads their shares. */
 export const followRollouts = async (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
   known: Set<string>,
 ): Promise<void> => {
   const environment = environmentOf(get);
--- a/packages/amaranthknot/src/upstream-parts.ts
+++ b/packages/amaranthknot/src/upstream-parts.ts
@@ -1,7 +1,7 @@
 /** Wires upstreams: where attempts are placed, and cold ones kept in bounds. */
 import * as entry from '@amaranthknot/entry';
 import * as protocol from '@amaranthknot/protocol';
-import type * as instanceParts from './instance-parts.js';
+import type * as instanceTokens from './instance-tokens.js';
 import * as instanceViews from './instance-views.js';
 
 /** Longest wait for slots of a cold upstream; below a grant's term, in ms. */
@@ -9,7 +9,7 @@
 
 /** Creates the directory of upstreams. */
 export const createDirectory = (
-  get: instanceParts.Resolve,
+  get: instanceTokens.Resolve,
 ): entry.UpstreamDirectory =>
   new entry.UpstreamDirectory({
     placement: get('placement'),
@@ -20,7 +20,7 @@
   });
 
 /** Creates the desk of warm-up grants. */
-export const createWarmUp = (get: instanceParts.Resolve): entry.WarmUpDesk => {
+export const createWarmUp = (get: instanceTokens.Resolve): entry.WarmUpDesk => {
   const {clock, warmUpTiming} = get('options');
   const peers = get('peers');
   return new entry.WarmUpDesk({
--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -6,7 +6,7 @@
 import type * as protocol from '@amaranthknot/protocol';
 import * as telemetry from '@amaranthknot/telemetry';
 import * as fleetReport from '../../src/gateway/fleet-report.js';
-import type * as wiring from '../../src/gateway/gateway-wiring.js';
+import type * as gatewayTokens from '../../src/gateway/gateway-tokens.js';
 
 /** Time between two rounds in which all tell each other, in milliseconds. */
 const ROUND_MS = 250;
@@ -75,7 +75,7 @@
     watching: {isWatcher: () => isWatcher},
   };
   const get = ((token: keyof typeof parts) =>
-    parts[token]) as unknown as wiring.ResolveGateway;
+    parts[token]) as unknown as gatewayTokens.ResolveGateway;
   const reports = new fleetReport.FleetReports(get);
   return {members, picker, rollouts, reports, isWatcher};
 };
--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/fleet-watch.test.ts
@@ -0,0 +1,102 @@
+import * as chai from 'chai';
+import * as fleet from '@amaranthknot/fleet';
+import type * as protocol from '@amaranthknot/protocol';
+import type * as telemetry from '@amaranthknot/telemetry';
+import * as fleetWatch from '../../src/gateway/fleet-watch.js';
+import type * as storeWatching from '../../src/gateway/store-watching.js';
+
+const createMember = (id: string): protocol.Member => ({
+  id,
+  zone: 'a',
+  callers: `${id}:1`,
+  peers: `${id}:2`,
+  start: 1,
+  beat: 1,
+  phase: 'serving',
+  store: 'reached',
+});
+
+interface Line {
+  readonly event: string;
+  readonly details: telemetry.Details;
+}
+
+interface Setup {
+  readonly members: fleet.MemberTable;
+  readonly role: {isWatcher: boolean};
+  readonly lines: readonly Line[];
+  readonly lookAt: (nowMs: number) => void;
+}
+
+const setUp = (): Setup => {
+  const lines: Line[] = [];
+  const role = {isWatcher: false};
+  const members = new fleet.MemberTable(createMember('self'));
+  let nowMs = 0;
+  const watch = new fleetWatch.FleetWatch({
+    now: () => nowMs,
+    members,
+    watching: {
+      isWatcher: () => role.isWatcher,
+      findWatchers: () => [members.self],
+    } as unknown as storeWatching.StoreWatching,
+    log: {
+      belief: (event: string, details: telemetry.Details) => {
+        lines.push({event, details});
+      },
+    } as unknown as telemetry.DecisionLog,
+  });
+  return {
+    members,
+    role,
+    lines,
+    lookAt: at => {
+      nowMs = at;
+      watch.look();
+    },
+  };
+};
+
+const namesOf = (lines: readonly Line[]): readonly string[] =>
+  lines.map(({event}) => event);
+
+describe('what is noted of the fleet', () => {
+  it('is each peer that is heard and lost, in one line a look', () => {
+    const {members, lines, lookAt} = setUp();
+    lookAt(0);
+    members.merge([createMember('a'), createMember('b')], 100);
+    lookAt(100);
+    lookAt(200);
+    lookAt(100 + fleet.SILENT_MS + 1);
+    chai.expect(namesOf(lines)).eql(['peer_heard', 'peer_heard', 'peer_lost']);
+    chai.expect(lines[2]?.details).eql({
+      peers: ['a', 'b'],
+      count: 2,
+      serving: 1,
+    });
+  });
+
+  it('is bounded where a zone is lost', () => {
+    const {members, lines, lookAt} = setUp();
+    const many = Array.from({length: 300}, (_, i) => createMember(`i-${i}`));
+    members.merge(many, 0);
+    lookAt(0);
+    const [line] = lines;
+    chai.expect(line?.details['count']).equal(301);
+    chai.expect(line?.details['peers']).length(20);
+  });
+
+  it('is when the instance begins and ceases to watch the store', () => {
+    const {role, lines, lookAt} = setUp();
+    lookAt(0);
+    role.isWatcher = true;
+    lookAt(200);
+    lookAt(400);
+    role.isWatcher = false;
+    lookAt(600);
+    const roles = lines.filter(({event}) => event === 'watch_role_changed');
+    chai
+      .expect(roles.map(({details}) => details['isWatcher']))
+      .eql([true, false]);
+  });
+});
