--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -3,9 +3,9 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as fleet from '@amaranthknot/fleet';
 import * as gateway from '@amaranthknot/gateway';
-import type * as protocol from '@amaranthknot/protocol';
 import * as telemetry from '@amaranthknot/telemetry';
 import * as fleetReport from '../../src/gateway/fleet-report.js';
+import * as fixture from './gateway-fixture.js';
 import type * as gatewayTokens from '../../src/gateway/gateway-tokens.js';
 
 /** Time between two rounds in which all tell each other, in milliseconds. */
@@ -22,17 +22,6 @@
   readonly isWatcher: boolean;
 }
 
-const createMember = (id: string): protocol.Member => ({
-  id,
-  zone: 'a',
-  callers: `${id}:1`,
-  peers: `${id}:2`,
-  start: 1,
-  beat: 0,
-  phase: 'serving',
-  store: 'reached',
-});
-
 const createInstance = (
   clock: fakes.VirtualClock,
   id: string,
@@ -40,7 +29,7 @@
 ): Instance => {
   const now = () => clock.now();
   const log = new telemetry.DecisionLog({instance: id, level: 'error', now});
-  const members = new fleet.MemberTable(createMember(id));
+  const members = new fleet.MemberTable(fixture.createMember(id));
   const picker = new decisions.UpstreamPicker({
     onRest: () => undefined,
     zone: 'a',
--- a/packages/amaranthknot/tests/gateway/fleet-watch.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-watch.test.ts
@@ -1,21 +1,10 @@
 import * as chai from 'chai';
 import * as fleet from '@amaranthknot/fleet';
-import type * as protocol from '@amaranthknot/protocol';
 import type * as telemetry from '@amaranthknot/telemetry';
 import * as fleetWatch from '../../src/gateway/fleet-watch.js';
+import * as fixture from './gateway-fixture.js';
 import type * as storeWatching from '../../src/gateway/store-watching.js';
 
-const createMember = (id: string): protocol.Member => ({
-  id,
-  zone: 'a',
-  callers: `${id}:1`,
-  peers: `${id}:2`,
-  start: 1,
-  beat: 1,
-  phase: 'serving',
-  store: 'reached',
-});
-
 interface Line {
   readonly event: string;
   readonly details: telemetry.Details;
@@ -31,7 +20,7 @@
 const setUp = (): Setup => {
   const lines: Line[] = [];
   const role = {isWatcher: false};
-  const members = new fleet.MemberTable(createMember('self'));
+  const members = new fleet.MemberTable(fixture.createMember('self'));
   let nowMs = 0;
   const watch = new fleetWatch.FleetWatch({
     now: () => nowMs,
@@ -64,7 +53,7 @@
   it('is each peer that is heard and lost, in one line a look', () => {
     const {members, lines, lookAt} = setUp();
     lookAt(0);
-    members.merge([createMember('a'), createMember('b')], 100);
+    members.merge([fixture.createMember('a'), fixture.createMember('b')], 100);
     lookAt(100);
     lookAt(200);
     lookAt(100 + fleet.SILENT_MS + 1);
@@ -78,7 +67,9 @@
 
   it('is bounded where a zone is lost', () => {
     const {members, lines, lookAt} = setUp();
-    const many = Array.from({length: 300}, (_, i) => createMember(`i-${i}`));
+    const many = Array.from({length: 300}, (_, i) =>
+      fixture.createMember(`i-${i}`),
+    );
     members.merge(many, 0);
     lookAt(0);
     const [line] = lines;
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -3,8 +3,12 @@
 import * as net from 'node:net';
 import type * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
+import * as fleet from '@amaranthknot/fleet';
+import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
+import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
+import type * as gatewayState from '../../src/gateway/gateway-state.js';
 import * as gatewayInstance from '../../src/gateway/gateway-instance.js';
 import * as settingsSource from '../../src/gateway/settings-source.js';
 
@@ -109,6 +113,47 @@
   ...overrides,
 });
 
+/** An instance's row, as its peers know it. */
+export const createMember = (id: string, zone = 'a'): protocol.Member => ({
+  id,
+  zone,
+  callers: `${id}:1`,
+  peers: `${id}:2`,
+  start: 1,
+  beat: 1,
+  phase: 'serving',
+  store: 'reached',
+});
+
+/** Views of all kinds, empty. */
+export const createViews = (): gatewayState.Views => {
+  const view = (kind: gatewayState.FollowedKind) =>
+    new fleet.KindView(platform.STORE_KINDS[kind]);
+  return {
+    configuration: view('configuration'),
+    upstreams: view('upstreams'),
+    rollouts: view('rollouts'),
+    evacuations: view('evacuations'),
+  };
+};
+
+/** Bounds of the users' deployments. */
+export const BOUNDS: configuration.GatewayBounds = {
+  change: {
+    configurationMs: 2_000,
+    leavingMs: 2_000,
+    evacuationMs: 5_000,
+    revocationMs: 5_000,
+    stopGraceMs: 8_000,
+    stabilityMs: 3_000,
+  },
+  retry: {ratio: 0.9, slack: 50, windowMs: 10_000},
+  exposure: {share: 0.15, slack: 30, rollbackMs: 5_000},
+  cold: {overrun: 1.5, slack: 5},
+  sessionMs: 5_000,
+  addressMaxAgeMs: 5_000,
+};
+
 const findFreePort = async (): Promise<number> => {
   const server = net.createServer();
   await new Promise<void>(resolve => {
@@ -144,21 +189,7 @@
       writesPerSecond: 400,
       readsPerSecond: 2_000,
     },
-    bounds: {
-      change: {
-        configurationMs: 2_000,
-        leavingMs: 2_000,
-        evacuationMs: 5_000,
-        revocationMs: 5_000,
-        stopGraceMs: 8_000,
-        stabilityMs: 3_000,
-      },
-      retry: {ratio: 0.9, slack: 50, windowMs: 10_000},
-      exposure: {share: 0.15, slack: 30, rollbackMs: 5_000},
-      cold: {overrun: 1.5, slack: 5},
-      sessionMs: 5_000,
-      addressMaxAgeMs: 5_000,
-    },
+    bounds: BOUNDS,
     limits: {memoryMb: 300, fileDescriptors: 4_000},
     log: {level: 'error'},
   };
--- a/packages/amaranthknot/tests/gateway/store-outage.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-outage.test.ts
@@ -16,22 +16,11 @@
   readonly wait: (ms: number) => void;
 }
 
-const createViews = (): gatewayState.Views => {
-  const view = (kind: gatewayState.FollowedKind) =>
-    new fleet.KindView(platform.STORE_KINDS[kind]);
-  return {
-    configuration: view('configuration'),
-    upstreams: view('upstreams'),
-    rollouts: view('rollouts'),
-    evacuations: view('evacuations'),
-  };
-};
-
 /** An instance that knows one upstream, `i-1`. */
 const createState = (): Setup => {
   let nowMs = 100_000;
   const now = () => nowMs;
-  const views = createViews();
+  const views = fixture.createViews();
   const log = new telemetry.DecisionLog({instance: 'a', level: 'error', now});
   const catalog = new gateway.UpstreamCatalog({
     onChange: () => undefined,
--- a/packages/amaranthknot/tests/gateway/store-watching.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-watching.test.ts
@@ -1,8 +1,7 @@
 import * as chai from 'chai';
 import * as fleet from '@amaranthknot/fleet';
-import * as platform from '@amaranthknot/platform';
 import type * as ports from '@amaranthknot/ports';
-import type * as protocol from '@amaranthknot/protocol';
+import * as fixture from './gateway-fixture.js';
 import type * as gatewayState from '../../src/gateway/gateway-state.js';
 import * as storeWatching from '../../src/gateway/store-watching.js';
 
@@ -10,28 +9,6 @@
 
 const IDS = ['a', 'b', 'c', 'd', 'e'] as const;
 
-const createMember = (id: string): protocol.Member => ({
-  id,
-  zone: `zone-${id}`,
-  callers: `${id}:1`,
-  peers: `${id}:2`,
-  start: 1,
-  beat: 1,
-  phase: 'serving',
-  store: 'reached',
-});
-
-const createViews = (): gatewayState.Views => {
-  const view = (kind: gatewayState.FollowedKind) =>
-    new fleet.KindView(platform.STORE_KINDS[kind]);
-  return {
-    configuration: view('configuration'),
-    upstreams: view('upstreams'),
-    rollouts: view('rollouts'),
-    evacuations: view('evacuations'),
-  };
-};
-
 interface Setup {
   readonly members: fleet.MemberTable;
   readonly watching: storeWatching.StoreWatching;
@@ -43,32 +20,20 @@
 /** Instance `a` of five, settled. */
 const setUp = (): Setup => {
   let nowMs = 0;
-  const members = new fleet.MemberTable(createMember('a'));
-  const views = createViews();
-  const change = {
-    configurationMs: 2_000,
-    leavingMs: 2_000,
-    evacuationMs: 5_000,
-    revocationMs: 5_000,
-    stopGraceMs: 8_000,
-    stabilityMs: 3_000,
-  };
+  const members = new fleet.MemberTable(fixture.createMember('a', 'a'));
+  const views = fixture.createViews();
   const watching = new storeWatching.StoreWatching({
     now: () => nowMs,
     members,
     views,
-    bounds: {
-      change,
-      retry: {ratio: 0.9, slack: 50, windowMs: 10_000},
-      exposure: {share: 0.15, slack: 30, rollbackMs: 5_000},
-      cold: {overrun: 1.5, slack: 5},
-      sessionMs: 5_000,
-      addressMaxAgeMs: 5_000,
-    },
+    bounds: fixture.BOUNDS,
     hasSeeds: true,
   });
   nowMs = 2_000;
-  members.merge(IDS.slice(1).map(createMember), nowMs);
+  members.merge(
+    IDS.slice(1).map(id => fixture.createMember(id, id)),
+    nowMs,
+  );
   return {
     members,
     watching,
@@ -87,7 +52,10 @@
     // one by one.
     const {members, wait, watchers} = setUp();
     const [lost = ''] = watchers().filter(id => id !== 'a');
-    members.merge([{...createMember(lost), beat: 2, store: 'lost'}], 2_000);
+    members.merge(
+      [{...fixture.createMember(lost, lost), beat: 2, store: 'lost'}],
+      2_000,
+    );
     wait(300);
     chai.expect(watchers()).not.include(lost);
     chai.expect(watchers()).length(2);
@@ -99,7 +67,7 @@
     members.setStore('lost');
     members.merge(
       IDS.slice(1).map(id => ({
-        ...createMember(id),
+        ...fixture.createMember(id, id),
         beat: 2,
         store: 'lost' as const,
       })),
