Count repeats in a window; do not complete a version that is in doubt

Each instance's tokens were capped at its part of the slack, 2.3 at 88 instances, and forgot what was earned a second before; the fleet had used half of its bound. Ruled out: scarcity (at price for 92 in 100), places. Change: an instance may repeat the ratio of its own requests of the window plus its part of the slack; every window of all together stays within the bound.

Change: a version whose failures speak against it by four to one gets no more than its first share and is rolled back at the deadline. Open: an order whose lead falls into an outage is judged by its first share alone.

--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -168,7 +168,7 @@
       get('state').tick();
       get('fleetWatch').look();
       get('rollouts').step();
-      wiring.updateRetryShare(get);
+      wiring.updateRepeatSlack(get);
       get('log').tick();
       this.reloadSometimes();
       await clock.sleep(TICK_MS, signal);
--- a/packages/amaranthknot/src/gateway/gateway-tokens.ts
+++ b/packages/amaranthknot/src/gateway/gateway-tokens.ts
@@ -50,7 +50,7 @@
   readonly peerServer: protocol.PeerServer;
   readonly catalog: gateway.UpstreamCatalog;
   readonly picker: decisions.UpstreamPicker;
-  readonly retries: decisions.RetryBudget;
+  readonly repeats: decisions.RepeatBudget;
   readonly rollouts: gateway.RolloutDesk;
   readonly pool: gateway.ConnectionPool;
   readonly placement: gateway.UpstreamPlacement;
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -225,7 +225,7 @@
   return new gateway.UpstreamPlacement({
     catalog: get('catalog'),
     picker: get('picker'),
-    retries: get('retries'),
+    repeats: get('repeats'),
     rollouts: get('rollouts'),
     now: () => clock.now(),
     isZoneOut: zone => get('state').isZoneOut(zone),
@@ -321,7 +321,7 @@
       now: () => options.clock.now(),
       catalog: get('catalog'),
       picker: get('picker'),
-      retries: get('retries'),
+      repeats: get('repeats'),
       isZoneOut: zone => get('state').isZoneOut(zone),
     }),
   store: () => createStore(options),
@@ -391,15 +391,12 @@
       now: () => options.clock.now(),
       random: options.random,
     }),
-  retries: get => {
-    const {ratio, slack} = options.settings.current.bounds.retry;
-    const burst =
-      (RETRY_PART * slack) /
-      get('members').namesForShares(options.clock.now()).length;
-    return new decisions.RetryBudget({
+  repeats: () => {
+    const {ratio, windowMs} = options.settings.current.bounds.retry;
+    return new decisions.RepeatBudget({
       ratio: RETRY_PART * ratio,
-      burst,
-      initial: burst,
+      windowMs,
+      now: () => options.clock.now(),
     });
   },
   rollouts: createRollouts,
@@ -436,10 +433,10 @@
   return get;
 };
 
-/** Retries that this instance may save up, by the instances there are. */
-export const updateRetryShare = (get: gatewayTokens.ResolveGateway): void => {
+/** This instance's part of the repeats on top of the ratio. */
+export const updateRepeatSlack = (get: gatewayTokens.ResolveGateway): void => {
   const {settings, clock} = get('options');
   const count = get('members').namesForShares(clock.now()).length;
   const {slack} = settings.current.bounds.retry;
-  get('retries').setBurst(Math.max(1, (RETRY_PART * slack) / count));
+  get('repeats').setSlack(Math.max(1, (RETRY_PART * slack) / count));
 };
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export * from './prefill-load.js';
 export * from './quality-price.js';
 export * from './rendezvous.js';
+export * from './repeat-budget.js';
 export * from './retry-budget.js';
 export * from './rollout-evidence.js';
 export * from './rollout-guard.js';
--- a/packages/decisions/src/rollout-schedule.ts
+++ b/packages/decisions/src/rollout-schedule.ts
@@ -22,7 +22,7 @@
 }
 
 /** What is known of the new version. */
-export type VersionVerdict = 'bad' | 'unclear' | 'good';
+export type VersionVerdict = 'bad' | 'doubtful' | 'unclear' | 'good';
 
 /**
  * Part of the allowed share that is used until half of the time has passed:
@@ -82,6 +82,14 @@
  */
 const SLOW_ODDS = [4, 8, 20] as const;
 
+/**
+ * Odds by failures against a version, as a log, with which it gets no more than its first
+ * share and is not reported as done. A third of a version's answers failed, one
+ * in ten of the old one's for other reasons; at the deadline the odds were
+ * still below those of a stop, and the bad version was completed.
+ */
+const DOUBT_BOUND = Math.log(4);
+
 /** Answers of the new version below which nothing is said in its favour. */
 const CLEAR_COUNT = 5;
 
@@ -107,6 +115,19 @@
   readonly oddsRatios: readonly number[];
 }
 
+const compareErrors = (
+  o: rolloutEvidence.VersionCounts,
+  n: rolloutEvidence.VersionCounts,
+): Comparison => ({
+  block: {
+    oldCount: o.requests,
+    oldBad: o.errors,
+    newCount: n.requests,
+    newBad: n.errors,
+  },
+  oddsRatios: sequentialTest.ODDS_RATIOS,
+});
+
 const listComparisons = ({
   old: o,
   new: n,
@@ -114,10 +135,7 @@
   const answers = {oldCount: o.requests, newCount: n.requests};
   const streams = {oldCount: o.paced, newCount: n.paced};
   return [
-    {
-      block: {...answers, oldBad: o.errors, newBad: n.errors},
-      oddsRatios: sequentialTest.ODDS_RATIOS,
-    },
+    compareErrors(o, n),
     {
       block: {...answers, oldBad: o.slow, newBad: n.slow},
       oddsRatios: SLOW_ODDS,
@@ -129,16 +147,22 @@
   ];
 };
 
-const isWorse = (
-  evidence: rolloutEvidence.RolloutEvidence,
-  bound: number,
-): boolean =>
-  listComparisons(evidence).some(({block, oddsRatios}) => {
-    // A version that nobody compares with still has a few good answers.
-    const oldCount = block.oldCount + CLEAR_COUNT;
-    const odds = sequentialTest.judgeBlock({...block, oldCount}, oddsRatios);
-    return odds >= bound;
-  });
+/** Log of the odds against the new version by one comparison. */
+const judge = ({block, oddsRatios}: Comparison): number => {
+  // A version that nobody compares with still has a few good answers.
+  const oldCount = block.oldCount + CLEAR_COUNT;
+  return sequentialTest.judgeBlock({...block, oldCount}, oddsRatios);
+};
+
+/** The same, in what it is worst in. */
+const findOdds = (evidence: rolloutEvidence.RolloutEvidence): number =>
+  Math.max(...listComparisons(evidence).map(judge));
+
+/** The same by failures alone. */
+const findErrorOdds = ({
+  old: o,
+  new: n,
+}: rolloutEvidence.RolloutEvidence): number => judge(compareErrors(o, n));
 
 /**
  * Judges the new version by all evidence of an order.
@@ -151,13 +175,17 @@
  */
 export const judgeVersion = (byRoute: EvidenceByRoute): VersionVerdict => {
   const all = sumEvidence(byRoute);
-  const routeBound = BAD_BOUND + Math.log(Math.max(1, byRoute.size));
-  const isBadSomewhere = [...byRoute.values()].some(evidence =>
-    isWorse(rolloutEvidence.findNewEvidence({}, evidence), routeBound),
+  const routeMargin = Math.log(Math.max(1, byRoute.size));
+  const routeOdds = [...byRoute.values()].map(
+    evidence =>
+      findOdds(rolloutEvidence.findNewEvidence({}, evidence)) - routeMargin,
   );
-  if (isBadSomewhere || isWorse(all, BAD_BOUND)) {
+  if (Math.max(findOdds(all), ...routeOdds) >= BAD_BOUND) {
     return 'bad';
   }
+  if (findErrorOdds(all) >= DOUBT_BOUND) {
+    return 'doubtful';
+  }
   return all.new.requests >= CLEAR_COUNT ? 'good' : 'unclear';
 };
 
@@ -209,8 +237,8 @@
   readonly leadMs: number;
 }
 
-const isAllNew = ({timing, leadMs}: RolloutOutlook): boolean =>
-  timing.ageMs >= timing.durationMs - leadMs;
+const isAllNew = ({timing, verdict, leadMs}: RolloutOutlook): boolean =>
+  verdict !== 'doubtful' && timing.ageMs >= timing.durationMs - leadMs;
 
 /** Share of sessions, 0 to 1, that get the new version. */
 export const findRolloutShare = (outlook: RolloutOutlook): number => {
@@ -238,5 +266,8 @@
   }
   const {ageMs, durationMs} = timing;
   const reportMs = Math.max(REPORT_LEAST_MS, REPORT_PART * durationMs);
-  return ageMs >= durationMs - reportMs ? 'completed' : undefined;
+  if (ageMs < durationMs - reportMs) {
+    return undefined;
+  }
+  return verdict === 'doubtful' ? 'rolled_back' : 'completed';
 };
--- a/packages/decisions/tests/rollout-schedule.test.ts
+++ b/packages/decisions/tests/rollout-schedule.test.ts
@@ -97,6 +97,17 @@
     chai.expect(decisions.judgeVersion(many)).equal('bad');
   });
 
+  it('does not complete a version of which more fails than of the old one', () => {
+    // Three in ten answers of a new version fail. One in ten of the old one's
+    // does too, since connections are reset and upstreams leave. At the
+    // deadline the evidence did not suffice to stop it; it was completed, and
+    // callers got its failures with nothing to go back to.
+    const evidence = evidenceOf(countsOf(440, 43), countsOf(24, 7));
+    const verdict = decisions.judgeVersion(evidence);
+    const atEnd = {...TIMING, ageMs: 23_300};
+    chai.expect(decisions.findRolloutEnd(atEnd, verdict)).equal('rolled_back');
+  });
+
   it('keeps a good version whose upstreams fill their caches under load', () => {
     // On a day of high load answers of both versions are slow at times, those
     // of the new upstreams twice as often. The version was rolled back, and
@@ -142,6 +153,7 @@
     {name: 'after that', ageMs: 6_000, verdict: 'unclear', share: 0.09},
     {name: 'until the lead', ageMs: 20_900, verdict: 'good', share: 0.09},
     {name: 'in the lead', ageMs: 21_100, verdict: 'unclear', share: 1},
+    {name: 'while in doubt', ageMs: 21_100, verdict: 'doubtful', share: 0.09},
     {name: 'once judged bad', ageMs: 21_100, verdict: 'bad', share: 0},
   ];
 
@@ -217,6 +229,8 @@
     {ageMs: 22_000, verdict: 'good', end: undefined},
     {ageMs: 23_300, verdict: 'good', end: 'completed'},
     {ageMs: 23_300, verdict: 'unclear', end: 'completed'},
+    {ageMs: 22_000, verdict: 'doubtful', end: undefined},
+    {ageMs: 23_300, verdict: 'doubtful', end: 'rolled_back'},
   ];
 
   ends.forEach(({ageMs, verdict, end}) => {
--- a/packages/gateway/src/capable-models.ts
+++ b/packages/gateway/src/capable-models.ts
@@ -9,7 +9,7 @@
   readonly now: () => number;
   readonly catalog: upstreamCatalog.UpstreamCatalog;
   readonly picker: decisions.UpstreamPicker;
-  readonly retries: decisions.RetryBudget;
+  readonly repeats: decisions.RepeatBudget;
   readonly isZoneOut: (zone: string) => boolean;
 }
 
@@ -49,7 +49,7 @@
   ): CapableJudgement {
     const {generation} = caller;
     const model = service.engine?.models.find(({name}) => name === capable);
-    const hasBudget = this.options.retries.hasRetry(
+    const hasBudget = this.options.repeats.hasRepeat(
       service.name,
       REPEATS_RESERVE,
     );
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -11,7 +11,7 @@
 export interface UpstreamPlacementOptions {
   readonly catalog: upstreamCatalog.UpstreamCatalog;
   readonly picker: decisions.UpstreamPicker;
-  readonly retries: decisions.RetryBudget;
+  readonly repeats: decisions.RepeatBudget;
   readonly rollouts: rolloutDesk.RolloutDesk;
   readonly now: () => number;
   /** Whether operators have taken a zone out. */
@@ -77,12 +77,12 @@
   }
 
   private payForRepeat({request, isRepeat}: gatewayParts.PlacementWish) {
-    const {retries} = this.options;
+    const {repeats} = this.options;
     const {name} = request.service;
     if (isRepeat) {
-      return retries.tryRetry(name);
+      return repeats.take(name);
     }
-    retries.recordAttempt(name);
+    repeats.noteRequest(name);
     return true;
   }
 
