--- a/packages/soak/src/caller-load.ts
+++ b/packages/soak/src/caller-load.ts
@@ -1,5 +1,6 @@
 /** Callers that send requests without a pause and note what they get. */
 import * as http from 'node:http';
+import * as platform from '@amaranthknot/platform';
 import type * as promises from './promises.js';
 
 /** Parts that callers work with. */
@@ -84,7 +85,9 @@
           status: answer?.statusCode ?? 0,
           body: Buffer.concat(chunks).toString(),
           isComplete: answer?.complete ?? false,
-          isSigned: answer?.headers['x-server-seal'] !== undefined,
+          isSigned:
+            answer?.headers[platform.HEADER_NAMES.receipt.toLowerCase()] !==
+            undefined,
         });
       };
       const request = http.request({
@@ -96,8 +99,8 @@
         path: `/${kind}/1`,
         headers: {
           Host: 'svc.example',
-          'X-Attempt-Id': id,
-          'X-Remaining-Milliseconds': String(PATIENCE_MS),
+          [platform.HEADER_NAMES.requestId]: id,
+          [platform.HEADER_NAMES.timeLeft]: String(PATIENCE_MS),
           'Api-Key': key,
           'Content-Length': '0',
         },
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -1,7 +1,10 @@
 /** An upstream that runs requests, fails some of them, and notes every run. */
 import * as fakes from '@amaranthknot/fakes';
+import * as platform from '@amaranthknot/platform';
 import * as promises from './promises.js';
 
+const REQUEST_ID = platform.HEADER_NAMES.requestId.toLowerCase();
+
 /** Shares of requests that end badly; small, so that most days go on. */
 const NOT_RUN_SHARE = 0.04;
 const ANSWER_LOST_SHARE = 0.03;
@@ -32,7 +35,7 @@
       socket.write(fakes.formatNotRun(request));
       return;
     }
-    const requestId = headers['x-attempt-id'] ?? '';
+    const requestId = headers[REQUEST_ID] ?? '';
     const lastEventId = Number(headers['last-event-id'] ?? 0);
     note({id: requestId, upstream: id, atMs: now(), lastEventId});
     const workMs = WORK_MS.least + random() * (WORK_MS.most - WORK_MS.least);
