--- /dev/null
+++ b/packages/protocol/src/fleet-messages.ts
@@ -0,0 +1,156 @@
+/**
+ * What gateway instances tell each other: who lives, what upstreams and
+ * versions show, and views of the store.
+ */
+import * as zod from 'zod';
+import * as shapes from './shapes.js';
+
+/**
+ * One gateway instance as the others know it. Each instance counts its own
+ * `beat` up; a row whose beat stands still belongs to an instance that is
+ * gone, or that nobody hears.
+ */
+export const member = zod.object({
+  id: shapes.name,
+  zone: shapes.name,
+  /** `host:port` at which it takes callers. */
+  callers: shapes.name,
+  /** `host:port` at which it takes messages of its peers. */
+  peers: shapes.name,
+  /** Wall time of its start in milliseconds; the higher start wins. */
+  start: shapes.count,
+  beat: shapes.count,
+  phase: zod.enum(['starting', 'serving', 'leaving']),
+  /** Whether its calls to the store are answered, as far as it knows. */
+  store: zod.enum(['reached', 'lost']).default('reached'),
+});
+
+/** What an instance knows of one kind of objects in the store. */
+export const viewState = zod.object({
+  kind: shapes.name,
+  /** Store version up to which the view is complete. */
+  version: shapes.count,
+  /** Equal where the contents are equal. */
+  digest: shapes.name,
+  /** Time since it was last known to be complete. */
+  ageMs: shapes.milliseconds,
+});
+
+/** One object of the store. */
+export const viewObject = zod.object({
+  name: shapes.name,
+  version: shapes.count,
+  value: zod.unknown(),
+  status: zod.unknown().optional(),
+});
+
+/** The step from a view that is complete up to a version to a later one. */
+export const viewStep = zod.object({
+  /** All names that there are; others are gone. */
+  names: zod.array(shapes.name).max(shapes.MAX_OBJECTS),
+  /** Objects that changed after the asker's version. */
+  objects: zod.array(viewObject).max(shapes.MAX_OBJECTS),
+});
+
+/** What an instance sees of one upstream; counts over the last seconds. */
+export const upstreamSigns = zod.object({
+  id: shapes.name,
+  inFlight: shapes.count,
+  /** Weighted prompt tokens sent, a second. */
+  tokensPerS: zod.number().nonnegative(),
+  answered: shapes.count,
+  failed: shapes.count,
+});
+
+/** What one start of an instance counted of a roll-out's versions. */
+export const orderEvidence = zod.object({
+  /** Names the order: service and version. */
+  order: shapes.name,
+  /** Names an instance and one start of it; its counters begin at 0 there. */
+  incarnation: shapes.name,
+  /** Name of the route that was counted on. */
+  route: shapes.name,
+  old: shapes.versionCounts,
+  new: shapes.versionCounts,
+});
+
+/** A roll-out as an instance follows it. */
+export const rolloutProgress = zod.object({
+  order: shapes.name,
+  /** Time since the order, as far as the instance knows. */
+  ageMs: shapes.milliseconds,
+  /** Sessions that must stay with the old version, by hash. */
+  pinned: zod.array(shapes.count).max(shapes.MAX_ITEMS),
+});
+
+/** What all instances counted of a roll-out's versions on one route. */
+export const evidenceSum = orderEvidence.omit({incarnation: true});
+
+/**
+ * What an instance tells the watcher that it is told by. Of what lists only
+ * grow, it tells what the watcher has not confirmed yet.
+ */
+export const followerReport = zod.object({
+  from: member,
+  upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
+  evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
+  rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
+  /** Which list of members the instance has. */
+  membersVersion: shapes.name,
+  /** Sessions of each order that the watcher has told it. */
+  pinnedKnown: zod.record(zod.string(), shapes.count),
+});
+
+/** What a watcher knows of the fleet, put together for one instance. */
+export const fleetSummary = zod.object({
+  membersVersion: shapes.name,
+  /** Instances that live; absent where the asker has this version. */
+  members: zod.array(member).max(shapes.MAX_ITEMS).optional(),
+  /** Sums over all instances but the asker. */
+  upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
+  /** Sums over all instances. */
+  evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
+  rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
+  /** Sessions of each order that the watcher knows. */
+  pinnedCounts: zod.record(zod.string(), shapes.count),
+});
+
+/** What a gateway instance tells its peers, and they answer. */
+export const fleetReport = zod.object({
+  from: member,
+  members: zod.array(member).max(shapes.MAX_ITEMS),
+  views: zod.array(viewState).max(shapes.MAX_ENVIRONMENTS),
+  upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
+  evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
+  rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
+});
+
+/** One gateway instance as the others know it. */
+export type Member = Readonly<zod.infer<typeof member>>;
+
+/** What an instance knows of one kind of objects in the store. */
+export type ViewState = Readonly<zod.infer<typeof viewState>>;
+
+/** The step from one state of a view to a later one. */
+export type ViewStep = Readonly<zod.infer<typeof viewStep>>;
+
+/** What an instance sees of one upstream. */
+export type UpstreamSigns = Readonly<zod.infer<typeof upstreamSigns>>;
+
+/** What one start of an instance counted of a roll-out's versions. */
+export type OrderEvidence = Readonly<zod.infer<typeof orderEvidence>>;
+
+/** A roll-out as an instance follows it. */
+export type RolloutProgress = Readonly<zod.infer<typeof rolloutProgress>>;
+
+/** What all instances counted of a roll-out's versions on one route. */
+export type EvidenceSum = Readonly<zod.infer<typeof evidenceSum>>;
+
+/** What an instance tells the watcher that it is told by. */
+export type FollowerReport = Readonly<zod.infer<typeof followerReport>>;
+
+/** What a watcher knows of the fleet, put together for one instance. */
+export type FleetSummary = Readonly<zod.infer<typeof fleetSummary>>;
+
+/** What a gateway instance tells its peers. */
+export type FleetReport = Readonly<zod.infer<typeof fleetReport>>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Typed messages between entry instances. */
+export type * from './fleet-messages.js';
 export * from './http-transport.js';
 export * from './messages.js';
 export * from './peer-client.js';
