--- a/packages/decisions/tests/repeat-budget.test.ts
+++ b/packages/decisions/tests/repeat-budget.test.ts
@@ -34,7 +34,7 @@
   it('are there for doubtful answers that come together', () => {
     // An instance of 88 sees four requests a second; of some seconds' answers
     // all are doubtful, of others none. With tokens capped at its 2.3 of the
-    // slack, 42 of 153 wanted repeats were refused; callers got weak answers.
+    // slack, 68 of 136 wanted repeats were refused; callers got weak answers.
     const {budget, wait} = setUp(2.33);
     const random = fakes.createRandom(4);
     let wanted = 0;
