Report a version as done only if it looks no worse than the old one

The lead of the order falls into an outage in which keys can't be confirmed and hardly a request comes, so that a version of which three in ten answers fail is judged by some twenty answers alone; with two failures of 21 its odds are below those of doubt, and it was completed.

Change: an order ends as done only if by failures the version is less likely worse than as good, or if nobody uses the service. The lead is still given up to odds of four to one, so that a good one can clear itself. With 2 of 21 against 3 of 117 the log odds are 0.55: tried, not completed.

Measured: by the binomial, a version with 31 in 100 failures passes with 21 answers in 0.4 of 100 orders, where it passed in 3. A good one whose failures are 3 in 100 is rolled back at 21 answers in about one of ten orders if its lead brings no request. Tests: two that fail without it.

--- a/packages/decisions/src/rollout-schedule.ts
+++ b/packages/decisions/src/rollout-schedule.ts
@@ -21,8 +21,17 @@
   readonly sessionMs: number;
 }
 
-/** What is known of the new version. */
-export type VersionVerdict = 'bad' | 'doubtful' | 'unclear' | 'good';
+/**
+ * What is known of the new version.
+ *
+ * - `bad`: it is stopped.
+ * - `doubtful`: it fails so much more often that it gets no more than its
+ *   first share.
+ * - `unproved`: it may be tried with all traffic, but is not reported as done.
+ * - `unclear`: nothing was seen of it, nor much of the old one.
+ */
+export type VersionVerdict =
+  'bad' | 'doubtful' | 'unproved' | 'unclear' | 'good';
 
 /**
  * Part of the allowed share that is used until half of the time has passed:
@@ -93,6 +102,12 @@
 /** Answers of the new version below which nothing is said in its favour. */
 const CLEAR_COUNT = 5;
 
+/**
+ * Answers of the old version below which nobody uses the service: a new one
+ * that was never asked then stands for what nobody asks.
+ */
+const IDLE_COUNT = 20;
+
 /** Evidence of one order by route, and by instance within it. */
 export type EvidenceByRoute = ReadonlyMap<
   string,
@@ -186,7 +201,10 @@
   if (findErrorOdds(all) >= DOUBT_BOUND) {
     return 'doubtful';
   }
-  return all.new.requests >= CLEAR_COUNT ? 'good' : 'unclear';
+  if (all.new.requests < CLEAR_COUNT) {
+    return all.old.requests < IDLE_COUNT ? 'unclear' : 'unproved';
+  }
+  return findErrorOdds(all) > 0 ? 'unproved' : 'good';
 };
 
 /** Time after an order during which the new version gets nothing. */
@@ -256,7 +274,14 @@
 export const isConcentrated = (outlook: RolloutOutlook): boolean =>
   !isAllNew(outlook);
 
-/** What an order comes to; undefined while it goes on. */
+/**
+ * What an order comes to; undefined while it goes on.
+ *
+ * Guards against a bad version that looks good by luck: with the old
+ * upstreams stopped there is nothing to go back to, and every caller gets its
+ * failures. A version is reported as done only if it is less likely worse than
+ * as good; an order that was rolled back can be given again.
+ */
 export const findRolloutEnd = (
   timing: RolloutTiming,
   verdict: VersionVerdict,
@@ -269,5 +294,6 @@
   if (ageMs < durationMs - reportMs) {
     return undefined;
   }
-  return verdict === 'doubtful' ? 'rolled_back' : 'completed';
+  const isProved = verdict === 'good' || verdict === 'unclear';
+  return isProved ? 'completed' : 'rolled_back';
 };
--- a/packages/decisions/tests/rollout-schedule.test.ts
+++ b/packages/decisions/tests/rollout-schedule.test.ts
@@ -48,6 +48,12 @@
       fresh: countsOf(0, 0),
       verdict: 'unclear',
     },
+    {
+      name: 'too few answers of a version whose service is in use',
+      old: countsOf(200, 2),
+      fresh: countsOf(4, 0),
+      verdict: 'unproved',
+    },
     {
       name: 'a few good answers',
       old: countsOf(200, 2),
@@ -108,6 +114,24 @@
     chai.expect(decisions.findRolloutEnd(atEnd, verdict)).equal('rolled_back');
   });
 
+  it('does not complete a version that an outage kept from being tried', () => {
+    // Three in ten answers of a new version fail, and by luck two of the 21
+    // that were seen. In the lead, in which it is to get all traffic, keys
+    // can't be confirmed and no request comes. It was completed, and from then
+    // on three in ten callers got its failures.
+    const evidence = evidenceOf(countsOf(117, 3), countsOf(21, 2));
+    const verdict = decisions.judgeVersion(evidence);
+    const atEnd = {...TIMING, ageMs: 23_300};
+    chai.expect(decisions.findRolloutEnd(atEnd, verdict)).equal('rolled_back');
+  });
+
+  it('tries a version in its lead that has failed a little more', () => {
+    const evidence = evidenceOf(countsOf(117, 3), countsOf(21, 2));
+    const verdict = decisions.judgeVersion(evidence);
+    const share = decisions.findRolloutShare(outlookAt(21_100, verdict));
+    chai.expect(share).equal(1);
+  });
+
   it('keeps a good version whose upstreams fill their caches under load', () => {
     // On a day of high load answers of both versions are slow at times, those
     // of the new upstreams twice as often. The version was rolled back, and
