Take callers before loading what callers don't need

Change: callers' server is the runtime's own; the framework is loaded after the first configuration is known. Options are read by library only where there are any.

--- a/packages/amaranthknot/src/commands/gateway.ts
+++ b/packages/amaranthknot/src/commands/gateway.ts
@@ -5,7 +5,6 @@
 import * as purify from 'purify-ts';
 import * as gatewayInstance from '../gateway/gateway-instance.js';
 import * as settingsSource from '../gateway/settings-source.js';
-import * as readFlags from '../read-flags.js';
 
 /** Names the settings file where the command line does not. */
 const SETTINGS_VARIABLE = 'AMARANTHKNOT_CONFIG';
@@ -56,17 +55,32 @@
     });
   });
 
+/**
+ * The settings file that the command line names, if any. The library that
+ * reads options takes a fifth of a start, and an instance that is started
+ * again after a kill has none to read.
+ */
+const readPath = async (
+  args: readonly string[],
+): Promise<purify.Either<string, string | undefined>> => {
+  if (args.length === 0) {
+    return purify.Right(undefined);
+  }
+  const {readFlags} = await import('../read-flags.js');
+  const read = readFlags(args, {settings: {type: 'string'}});
+  return read.map(({flags}) => flags.settings);
+};
+
 const run = async (
   args: readonly string[],
   streams: command.CommandStreams,
 ): Promise<command.ExitCode> => {
-  const read = readFlags.readFlags(args, {settings: {type: 'string'}});
+  const read = await readPath(args);
   if (read.isLeft()) {
     streams.err(`${read.extract()}\n`);
     return 2;
   }
-  const path =
-    read.unsafeCoerce().flags.settings ?? process.env[SETTINGS_VARIABLE];
+  const path = read.unsafeCoerce() ?? process.env[SETTINGS_VARIABLE];
   if (path === undefined) {
     streams.err(`gateway needs --settings FILE or ${SETTINGS_VARIABLE}\n`);
     return 2;
--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -1,5 +1,4 @@
 /** One running gateway instance: its servers, its loops, its planned stop. */
-import * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
 import type * as hapi from '@hapi/hapi';
@@ -18,6 +17,12 @@
  */
 const RELOAD_MS = 2_000;
 
+/**
+ * Longest time for which an instance that has just started waits for the
+ * store's answers before it starts what others than callers ask, in ms.
+ */
+const CALLERS_FIRST_MS = 150;
+
 /** Part of the time for a planned stop in which requests may end. */
 const STOP_SHARE = 0.95;
 
@@ -42,52 +47,67 @@
 export class GatewayInstance {
   private readonly get: gatewayTokens.ResolveGateway;
   private readonly ending = new AbortController();
-  private readonly sideServers: readonly hapi.Server[];
+  private sideServers: readonly hapi.Server[] = [];
   private stopping = false;
   private reloadedAtMs = 0;
 
   constructor(private readonly options: gatewayTokens.GatewayOptions) {
     this.get = wiring.wireGateway(options);
-    const {listen} = options.settings.current;
+  }
+
+  /** Starts serving. */
+  async start(): Promise<void> {
+    const {get} = this;
+    get('log').belief('instance_started', {uptimeMs: uptimeMs()});
+    const {signal} = this.ending;
+    // The store is asked before this instance listens: its answers are on
+    // their way meanwhile.
+    for (const follower of Object.values(get('followers'))) {
+      void follower.run(signal);
+    }
+    await get('callerServer').start();
+    await Promise.race([
+      get('state').whenKnowing(),
+      this.options.clock.sleep(CALLERS_FIRST_MS, signal),
+    ]);
+    await this.startSideServers();
+    void get('exchange').run(signal);
+    void get('subscription').run(signal);
+    void this.tickUntil(signal);
+  }
+
+  /**
+   * Starts what others ask this instance. The library that these servers are
+   * built with is loaded here, after callers are taken: loading it holds the
+   * process for longer than all that comes before.
+   */
+  private async startSideServers(): Promise<void> {
+    const {get} = this;
+    const {listen} = this.options.settings.current;
+    const sideServer = await import('@amaranthknot/gateway/side-server');
     this.sideServers = [
-      gateway.createReadinessServer(
+      sideServer.createReadinessServer(
         listen.readiness,
         platform.INSTANCE_PATHS.readiness,
         () => this.isReady(),
       ),
-      gateway.createDirectoryServer(
+      sideServer.createDirectoryServer(
         listen.directory,
         platform.INSTANCE_PATHS.directory,
         () => this.answerDirectory(),
       ),
-      gateway.createPeerServer(listen.peers, protocol.INNER_PATH, text =>
-        this.get('peerServer').handle(text),
+      sideServer.createPeerServer(listen.peers, protocol.INNER_PATH, text =>
+        get('peerServer').handle(text),
       ),
       ...(listen.metrics
         ? [
-            gateway.createMetricsServer(listen.metrics, () =>
-              this.get('metrics').format(),
+            sideServer.createMetricsServer(listen.metrics, () =>
+              get('metrics').format(),
             ),
           ]
         : []),
     ];
-  }
-
-  /** Starts serving. */
-  async start(): Promise<void> {
-    const {get} = this;
-    get('log').belief('instance_started', {uptimeMs: uptimeMs()});
-    const {signal} = this.ending;
-    // The store is asked before this instance listens: its answers are on
-    // their way meanwhile.
-    for (const follower of Object.values(get('followers'))) {
-      void follower.run(signal);
-    }
-    await get('callerServer').start();
     await Promise.all(this.sideServers.map(server => server.start()));
-    void get('exchange').run(signal);
-    void get('subscription').run(signal);
-    void this.tickUntil(signal);
   }
 
   /**
--- a/packages/amaranthknot/src/main.ts
+++ b/packages/amaranthknot/src/main.ts
@@ -1,6 +1,6 @@
 /** Entry point of the binary: picks the command and sets the exit code. */
-import * as fs from 'node:fs';
 import type * as command from './command.js';
+import * as processStreams from './process-streams.js';
 
 /** Loads one command. */
 type Load = () => Promise<command.Command>;
@@ -45,12 +45,7 @@
 /** The command that is told of new settings by a signal. */
 const LASTING_COMMAND = 'gateway';
 
-const streams: command.CommandStreams = {
-  out: text => process.stdout.write(text),
-  err: text => process.stderr.write(text),
-  isTerminal: process.stderr.isTTY,
-  readFile: path => fs.readFileSync(path, 'utf8'),
-};
+const streams = processStreams.PROCESS_STREAMS;
 
 const listCommands = async (): Promise<string> => {
   const rows = await Promise.all(
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,7 +1,6 @@
 /** Listens for callers. */
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import * as hapi from '@hapi/hapi';
 import type * as configuration from '@amaranthknot/configuration';
 import type * as routing from '@amaranthknot/routing';
 
@@ -27,32 +26,27 @@
 const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 /**
- * A hapi server that hands every request over before its own routing: paths
- * and headers are passed on byte for byte, and answers begin while the
- * upstream's still arrives.
+ * Hands every request over as it came: paths and headers are passed on byte
+ * for byte, and answers begin while the upstream's still arrives. It is the
+ * runtime's own server: nothing of a framework's would be used here, and
+ * loading one takes two fifths of the start of an instance whose callers wait.
  */
 export class CallerServer {
   private readonly listener: http.Server;
-  private readonly server: hapi.Server;
 
-  constructor(address: configuration.Address, handle: HandleRequest) {
-    this.listener = http.createServer({
-      maxHeaderSize: FIRST_HEADER_BYTES,
-      connectionsCheckingInterval: SLOW_CHECK_MS,
-      requestTimeout: 0,
-      keepAliveTimeout: 60_000,
-    });
-    this.server = hapi.server({
-      listener: this.listener,
-      host: address.host,
-      port: address.port,
-      debug: false,
-    });
-    this.server.ext('onRequest', (request, h) => {
-      void handle(request.raw.req, request.raw.res);
-      return h.abandon;
-    });
-    this.listener.removeAllListeners('clientError');
+  constructor(
+    private readonly address: configuration.Address,
+    handle: HandleRequest,
+  ) {
+    this.listener = http.createServer(
+      {
+        maxHeaderSize: FIRST_HEADER_BYTES,
+        connectionsCheckingInterval: SLOW_CHECK_MS,
+        requestTimeout: 0,
+        keepAliveTimeout: 60_000,
+      },
+      (message, response) => void handle(message, response),
+    );
     this.listener.on('clientError', (_error, socket) => {
       refuseMalformed(socket as net.Socket);
     });
@@ -64,13 +58,33 @@
     this.listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  async start(): Promise<void> {
-    await this.server.start();
+  /** Listens; rejects where the address can't be had. */
+  start(): Promise<void> {
+    const {host, port} = this.address;
+    return new Promise((resolve, reject) => {
+      this.listener.once('error', reject);
+      this.listener.listen({host, port}, () => {
+        this.listener.off('error', reject);
+        resolve();
+      });
+    });
   }
 
-  /** Stops listening and closes what is idle; requests in progress go on. */
+  /**
+   * Stops listening and closes what is idle; what is still in progress after
+   * `timeoutMs` is cut.
+   */
   async stop(timeoutMs: number): Promise<void> {
-    await this.server.stop({timeout: timeoutMs});
+    const closed = new Promise<void>(resolve => {
+      this.listener.close(() => {
+        resolve();
+      });
+    });
+    const cutting = setTimeout(() => {
+      this.listener.closeAllConnections();
+    }, timeoutMs);
+    await closed;
+    clearTimeout(cutting);
   }
 }
 
--- a/tools/build-platform.js
+++ b/tools/build-platform.js
@@ -11,7 +11,7 @@
 const START = path.join(TARGET, 'start-cached.cjs');
 
 await esbuild.build({
-  entryPoints: [path.join(ROOT, 'packages/amaranthknot/src/main.ts')],
+  entryPoints: [path.join(ROOT, 'packages/amaranthknot/src/gateway-main.ts')],
   outfile: path.join(TARGET, 'amaranthknot.cjs'),
   bundle: true,
   platform: 'node',
@@ -21,18 +21,13 @@
   banner: {
     js: "const __importMetaUrl = require('node:url').pathToFileURL(__filename).href;",
   },
+  minifyWhitespace: true,
   logLevel: 'warning',
 });
 fs.copyFileSync(path.join(ROOT, 'tools/start-cached.cjs'), START);
 fs.rmSync(path.join(TARGET, 'amaranthknot.cache'), {force: true});
-// The cache is taken after a start, so that it holds what a start compiles.
-const MAKE_CACHE = `
-process.argv = [process.argv[0], ${JSON.stringify(START)}, 'gateway', '--help'];
-const {script, CACHE} = require(${JSON.stringify(START)});
-setTimeout(() => {
-  require('node:fs').writeFileSync(CACHE, script.createCachedData());
-}, 500);
-`;
-childProcess.execFileSync(process.execPath, ['-e', MAKE_CACHE], {
-  stdio: ['ignore', 'ignore', 'inherit'],
-});
+childProcess.execFileSync(
+  process.execPath,
+  [path.join(ROOT, 'tools/make-start-cache.cjs')],
+  {stdio: ['ignore', 'ignore', 'inherit']},
+);
