Count what long answers and long prompts do to each other; forget old waits

Change: what is known of reading fades by half in four seconds without a sample. Placement counts the prompts that come while an answer is made, and the answers that a prompt holds up, up to less than an engine of the other tier.

--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -69,7 +69,12 @@
   return {members, picker, rollouts, reports, isWatcher};
 };
 
-const NO_WORK = {promptTokens: 0, sharedTokens: 0, sharedKey: undefined};
+const NO_WORK = {
+  promptTokens: 0,
+  answerTokens: 0,
+  sharedTokens: 0,
+  sharedKey: undefined,
+};
 
 /** One instance reports to a watcher and is told of the fleet. */
 const follow = (follower: Instance, watcher: Instance): void => {
--- a/packages/decisions/src/reading-backlog.ts
+++ b/packages/decisions/src/reading-backlog.ts
@@ -19,20 +19,31 @@
  */
 const FADING = 0.02;
 
+/**
+ * Time in which half of what was learned fades while no prompt is read, in ms.
+ *
+ * Guards against an instance that has only seen a crowd: it takes the crowd's
+ * waits for the engines' speed, finds the capable model too dear for any
+ * answer, and never sees a prompt read that would show otherwise.
+ */
+const HALF_LIFE_MS = 4_000;
+
 /** Part of a latency target that the backlog may take at price. */
 const FREE_PART = 0.4;
 
 /** Learns how fast one service's engines read. */
 export class ReadingBacklog {
   private msPerToken: number | undefined;
+  private lastMs = 0;
 
   /** Notes a first token that took `waitMs` after so many weighted tokens. */
-  note(tokens: number, waitMs: number): void {
+  note(tokens: number, waitMs: number, nowMs: number): void {
     if (tokens < LEAST_TOKENS) {
       return;
     }
     const sample = waitMs / tokens;
-    const known = this.msPerToken ?? sample;
+    const known = this.speedAt(nowMs) ?? sample;
+    this.lastMs = nowMs;
     this.msPerToken =
       sample < known ? sample : known + FADING * (sample - known);
   }
@@ -43,8 +54,15 @@
    *
    * @param waitingTokens weighted tokens that wait at all engines together.
    */
-  waitMs(waitingTokens: number, engines: number): number {
-    return ((this.msPerToken ?? 0) * waitingTokens) / Math.max(1, engines);
+  waitMs(waitingTokens: number, engines: number, nowMs: number): number {
+    const msPerToken = this.speedAt(nowMs) ?? 0;
+    return (msPerToken * waitingTokens) / Math.max(1, engines);
+  }
+
+  /** Time that a token takes to be read, in ms, as far as it is known. */
+  private speedAt(nowMs: number): number | undefined {
+    const idleMs = Math.max(0, nowMs - this.lastMs);
+    return this.msPerToken && this.msPerToken * 2 ** (-idleMs / HALF_LIFE_MS);
   }
 }
 
--- a/packages/decisions/src/sliding-count.ts
+++ b/packages/decisions/src/sliding-count.ts
@@ -26,3 +26,32 @@
     return this.times.length - this.first;
   }
 }
+
+interface Amount {
+  readonly atMs: number;
+  readonly amount: number;
+}
+
+/** Sum of amounts within a window that slides. */
+export class SlidingSum {
+  private amounts: Amount[] = [];
+  private total = 0;
+
+  /** @param windowMs length of the window in milliseconds. */
+  constructor(private readonly windowMs: number) {}
+
+  /** Notes an amount. */
+  add(amount: number, nowMs: number): void {
+    this.amounts.push({atMs: nowMs, amount});
+    this.total += amount;
+  }
+
+  /** Sum within the window that ends now. */
+  sum(nowMs: number): number {
+    const from = nowMs - this.windowMs;
+    const kept = this.amounts.findIndex(({atMs}) => atMs > from);
+    const gone = this.amounts.splice(0, kept === -1 ? Infinity : kept);
+    this.total -= gone.reduce((sum, {amount}) => sum + amount, 0);
+    return this.amounts.length === 0 ? 0 : this.total;
+  }
+}
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -21,7 +21,9 @@
 export interface PickWork {
   /** Tokens to read, weighted by what the model takes for each; 0 for none. */
   readonly promptTokens: number;
-  /** Of these, tokens of a beginning that other requests share. */
+  /** Tokens of the answer to expect, weighted alike; 0 for none. */
+  readonly answerTokens: number;
+  /** Of the prompt, tokens of a beginning that other requests share. */
   readonly sharedTokens: number;
   /** Names that beginning; undefined where nothing is shared. */
   readonly sharedKey: string | undefined;
@@ -64,6 +66,25 @@
  */
 const REQUEST_TOKENS = 250;
 
+/**
+ * Time that making an answer's token counts for, in seconds, against the
+ * prompts that come in it: a fifth of what a capable model takes, for an answer
+ * that is held up is still on time if it began in time.
+ */
+const ANSWER_TOKEN_S = 0.002;
+
+/**
+ * Part of a prompt's cost that it brings to each request in progress, which
+ * mostly can wait.
+ */
+const HELD_UP_PART = 0.02;
+
+/**
+ * Most that standing still counts for, in prompt tokens: less than an engine
+ * that is set apart for the other tier, which reads little by this measure.
+ */
+const MOST_STANDSTILL_TOKENS = 4_000;
+
 /**
  * Cost of another zone, in prompt tokens: two ms of round trip and the price
  * of the bytes, less than reading a short shared beginning again.
@@ -162,6 +183,7 @@
     const {signs} = row;
     signs.inFlight++;
     signs.waitingTokens += work.promptTokens;
+    signs.notePrompt(work.promptTokens, this.options.now());
     let isWaiting = true;
     let isOpen = true;
     const begun = () => {
@@ -234,10 +256,12 @@
     now: number,
   ): number {
     const {signs} = this.row(candidate.id);
-    const {inFlight, answered, failed} = signs.total(now);
+    const {inFlight, tokensPerS, answered, failed} = signs.total(now);
     const isGeneration = work.promptTokens > 0;
     const load = isGeneration
-      ? signs.waitingTokens + inFlight * REQUEST_TOKENS
+      ? signs.waitingTokens +
+        inFlight * REQUEST_TOKENS +
+        standstillTokens(work, inFlight, tokensPerS)
       : (inFlight / candidate.slots) * FULL_TOKENS;
     const unread =
       work.promptTokens - (candidate.id === home ? work.sharedTokens : 0);
@@ -314,6 +338,25 @@
 /** How long a full upstream is passed over, in milliseconds. */
 const REFUSED_REST_MS = 40;
 
+/**
+ * Cost of standing still, in prompt tokens. An engine makes no answer's token
+ * while it reads a piece of a prompt: a long answer is held up by the prompts
+ * that come meanwhile, and a long prompt holds up the answers in progress.
+ * Counted, long answers and long prompts find their way to different engines;
+ * side by side, answers of a few seconds took twenty, and were cut by their
+ * time limit or by the end of a process.
+ */
+const standstillTokens = (
+  {promptTokens, answerTokens}: PickWork,
+  inFlight: number,
+  tokensPerS: number,
+): number =>
+  Math.min(
+    MOST_STANDSTILL_TOKENS,
+    ANSWER_TOKEN_S * answerTokens * tokensPerS +
+      HELD_UP_PART * promptTokens * inFlight,
+  );
+
 /** Names the ranking that sets engines apart; any fixed text does. */
 const TIER_KEY = 'tier';
 
--- a/packages/decisions/src/upstream-signs.ts
+++ b/packages/decisions/src/upstream-signs.ts
@@ -7,6 +7,11 @@
 /** Time for which answers and failures count, in milliseconds. */
 export const SIGNS_WINDOW_MS = 4_000;
 
+/** Time over which the work that is sent is averaged, in milliseconds. */
+const WORK_WINDOW_MS = 2_000;
+
+const MS_PER_S = 1_000;
+
 /** Time for which what another instance told counts, in milliseconds. */
 const HEARSAY_MS = 1_500;
 
@@ -15,6 +20,8 @@
   readonly inFlight: number;
   /** Weighted tokens of prompts whose answers have not begun. */
   readonly waitingTokens: number;
+  /** Weighted prompt tokens sent in the last seconds, a second. */
+  readonly tokensPerS: number;
   readonly answered: number;
   readonly failed: number;
 }
@@ -40,8 +47,14 @@
   failuresInRow = 0;
   private readonly answered = new slidingCount.SlidingCount(SIGNS_WINDOW_MS);
   private readonly failed = new slidingCount.SlidingCount(SIGNS_WINDOW_MS);
+  private readonly sent = new slidingCount.SlidingSum(WORK_WINDOW_MS);
   private readonly heard = new Map<string, Hearsay>();
 
+  /** Notes the weighted tokens of a prompt that is sent. */
+  notePrompt(tokens: number, nowMs: number): void {
+    this.sent.add(tokens, nowMs);
+  }
+
   /** Notes a good answer. */
   noteAnswer(nowMs: number): void {
     this.failuresInRow = 0;
@@ -69,6 +82,7 @@
     return {
       inFlight: this.inFlight,
       waitingTokens: this.waitingTokens,
+      tokensPerS: (this.sent.sum(nowMs) * MS_PER_S) / WORK_WINDOW_MS,
       answered: this.answered.count(nowMs),
       failed: this.failed.count(nowMs),
     };
@@ -79,7 +93,8 @@
     nowMs: number,
     counts: (instance: string, scope: SignsScope) => boolean = () => true,
   ): HeardSigns {
-    let {inFlight, waitingTokens, answered, failed} = this.own(nowMs);
+    let {inFlight, waitingTokens, tokensPerS, answered, failed} =
+      this.own(nowMs);
     for (const [instance, signs] of this.heard) {
       if (nowMs - signs.atMs > HEARSAY_MS) {
         this.heard.delete(instance);
@@ -90,9 +105,10 @@
       }
       inFlight += signs.inFlight;
       waitingTokens += signs.waitingTokens;
+      tokensPerS += signs.tokensPerS;
       answered += signs.answered;
       failed += signs.failed;
     }
-    return {inFlight, waitingTokens, answered, failed};
+    return {inFlight, waitingTokens, tokensPerS, answered, failed};
   }
 }
--- a/packages/decisions/tests/upstream-picker.test.ts
+++ b/packages/decisions/tests/upstream-picker.test.ts
@@ -3,7 +3,12 @@
 import * as distribution from 'pure-rand/distribution/uniformFloat64';
 import * as decisions from '@amaranthknot/decisions';
 
-const PLAIN = {promptTokens: 0, sharedTokens: 0, sharedKey: undefined};
+const PLAIN = {
+  promptTokens: 0,
+  answerTokens: 0,
+  sharedTokens: 0,
+  sharedKey: undefined,
+};
 
 const createRandom = (seed: number): (() => number) => {
   const generator = prand.xoroshiro128plus(seed);
@@ -63,7 +68,14 @@
     setup.picker.start('u-0', PLAIN);
     setup.picker.start('u-1', PLAIN);
     setup.picker.hear('peer', [
-      {id: 'u-0', inFlight: 6, waitingTokens: 0, answered: 0, failed: 0},
+      {
+        id: 'u-0',
+        inFlight: 6,
+        waitingTokens: 0,
+        tokensPerS: 0,
+        answered: 0,
+        failed: 0,
+      },
     ]);
     const picked = Array.from({length: 10}, () => pickId(setup));
     chai.expect(new Set(picked)).eql(new Set(['u-1']));
@@ -72,8 +84,18 @@
   it('sends short prompts past an upstream that reads a long one', () => {
     // A short question waits for seconds behind a prompt of 50,000 tokens.
     const setup = setUp(2);
-    const long = {promptTokens: 50_000, sharedTokens: 0, sharedKey: undefined};
-    const short = {promptTokens: 500, sharedTokens: 0, sharedKey: undefined};
+    const long = {
+      promptTokens: 50_000,
+      answerTokens: 0,
+      sharedTokens: 0,
+      sharedKey: undefined,
+    };
+    const short = {
+      promptTokens: 500,
+      answerTokens: 0,
+      sharedTokens: 0,
+      sharedKey: undefined,
+    };
     setup.picker.start('u-0', long);
     const picked = Array.from({length: 10}, () => pickId(setup, short));
     chai.expect(new Set(picked)).eql(new Set(['u-1']));
@@ -83,6 +105,7 @@
     const setup = setUp();
     const work = {
       promptTokens: 6_000,
+      answerTokens: 0,
       sharedTokens: 5_000,
       sharedKey: 'model/part-1',
     };
@@ -119,7 +142,14 @@
     const setup = setUp(3);
     setup.picker.start('u-0', PLAIN).end('answered');
     setup.picker.hear('peer', [
-      {id: 'u-0', inFlight: 0, waitingTokens: 0, answered: 2, failed: 8},
+      {
+        id: 'u-0',
+        inFlight: 0,
+        waitingTokens: 0,
+        tokensPerS: 0,
+        answered: 2,
+        failed: 8,
+      },
     ]);
     const picked = Array.from({length: 20}, () => pickId(setup));
     chai.expect(picked).not.include('u-0');
--- a/packages/gateway/src/caller-request.ts
+++ b/packages/gateway/src/caller-request.ts
@@ -19,6 +19,16 @@
   readonly parts: readonly PromptPart[];
 }
 
+/** Part of the most tokens that an answer takes where no guess is given. */
+const USUAL_PART = 0.5;
+
+/** Tokens of the answer to expect. */
+export const expectAnswerTokens = ({
+  maxTokens,
+  expectedTokens,
+}: GenerationSize): number =>
+  Math.min(maxTokens, expectedTokens ?? USUAL_PART * maxTokens);
+
 /** A request as a caller sent it. */
 export interface CallerRequest {
   /** Empty where the caller gave none. */
--- a/packages/gateway/src/capable-models.ts
+++ b/packages/gateway/src/capable-models.ts
@@ -1,6 +1,7 @@
 /** Whether a capable model runs after a cheap one, by what engines bear. */
 import * as decisions from '@amaranthknot/decisions';
 import type * as routing from '@amaranthknot/routing';
+import * as callerRequest from './caller-request.js';
 import type * as gatewayParts from './gateway-parts.js';
 import type * as upstreamCatalog from './upstream-catalog.js';
 
@@ -57,11 +58,11 @@
     if (!generation || !model || !hasBudget) {
       return {confidence, scarcity, hasBudget, runs: false};
     }
-    const {promptTokens, maxTokens, expectedTokens} = generation;
+    const {promptTokens, maxTokens} = generation;
     const stake = {
       promptTokens,
       maxTokens,
-      expectedTokens: Math.min(maxTokens, expectedTokens ?? maxTokens / 2),
+      expectedTokens: callerRequest.expectAnswerTokens(generation),
       capablePrice: model.cost,
     };
     const runs = decisions.shouldEscalate(confidence, stake, scarcity);
@@ -81,7 +82,8 @@
     const {waits, reading} = this.metersOf(service);
     waits.note(waitMs, route.latencyTargetMs, this.options.now());
     if (!wasInVain) {
-      reading.note(caller.generation?.promptTokens ?? 0, waitMs);
+      const tokens = caller.generation?.promptTokens ?? 0;
+      reading.note(tokens, waitMs, this.options.now());
     }
   }
 
@@ -100,7 +102,7 @@
           name === service.name && state === 'ready' && !isZoneOut(zone),
       );
     const waiting = picker.sumWaitingTokens(usable.map(({id}) => id));
-    const backlogMs = reading.waitMs(waiting, usable.length);
+    const backlogMs = reading.waitMs(waiting, usable.length, now());
     return Math.max(
       waits.value(now()),
       decisions.scarcityOfBacklog(backlogMs, latencyTargetMs),
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -3,6 +3,7 @@
 import type * as routing from '@amaranthknot/routing';
 import * as purify from 'purify-ts';
 import type * as telemetry from '@amaranthknot/telemetry';
+import * as callerRequest from './caller-request.js';
 import type * as gatewayParts from './gateway-parts.js';
 import type * as rolloutDesk from './rollout-desk.js';
 import type * as upstreamCatalog from './upstream-catalog.js';
@@ -237,7 +238,12 @@
   const {caller, service} = wish.request;
   const {generation} = caller;
   if (!generation) {
-    return {promptTokens: 0, sharedTokens: 0, sharedKey: undefined};
+    return {
+      promptTokens: 0,
+      answerTokens: 0,
+      sharedTokens: 0,
+      sharedKey: undefined,
+    };
   }
   const weight = weightOf(wish.model, service.engine);
   // The last part belongs to the request or its session.
@@ -251,6 +257,7 @@
   const isCapable = wish.model === models.at(-1);
   return {
     promptTokens: generation.promptTokens * weight,
+    answerTokens: callerRequest.expectAnswerTokens(generation) * weight,
     sharedTokens: sharedTokens * weight,
     sharedKey,
     ...(models.length < 2 ? {} : {tier: isCapable ? 'capable' : 'cheap'}),
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -58,6 +58,8 @@
   inFlight: shapes.count,
   /** Weighted tokens of prompts whose answers have not begun. */
   waitingTokens: zod.number().nonnegative(),
+  /** Weighted prompt tokens sent, a second. */
+  tokensPerS: zod.number().nonnegative(),
   answered: shapes.count,
   failed: shapes.count,
 });
