--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -18,16 +18,15 @@
 
 /**
  * Time for which the roles of instances are kept, in milliseconds. They are
- * looked at forty times a second, and ranking 88 instances each time took a
- * tenth of an idle instance's processor time.
+ * looked at forty times a second, and each time all instances would be ranked.
  */
 const ROLES_MS = 200;
 
 /**
  * Time after its start in which an instance watches nothing, in milliseconds.
- * It knows few others yet: 91 that started together all took themselves for
- * watchers, and made 700 calls to the store for the entries that upstreams
- * wrote in those two seconds. What it listed at its start is young enough.
+ * It knows few others yet: of many that start together each takes itself for a
+ * watcher, and asks the store for every entry that upstreams write meanwhile.
+ * What it listed at its start is young enough.
  */
 const SETTLING_MS = 1_000;
 
--- a/packages/amaranthknot/tests/gateway/stream-wire.test.ts
+++ b/packages/amaranthknot/tests/gateway/stream-wire.test.ts
@@ -313,4 +313,31 @@
     chai.expect(models).eql(['small', 'large']);
     chai.expect(all()).length(2);
   });
+
+  it('tells engines the rank of a prompt, and no caller does', async () => {
+    // A caller that puts itself first would push all others back; engines are
+    // told only what instances work out from the prompt's length.
+    const ranks: (string | undefined)[] = [];
+    const answerSurely = withConfidence({small: '95', large: '100'});
+    const script: fakes.UpstreamScript = exchange => {
+      ranks.push(exchange.request.headers['x-request-priority']);
+      answerSurely(exchange);
+    };
+    first.script = script;
+    second.script = script;
+    const ask = (counts: string) =>
+      gateway.call({
+        path: fixture.PATHS.model,
+        method: 'POST',
+        headers: {
+          ...GENERATION,
+          'X-Token-Counts': counts,
+          'X-Request-Priority': '0',
+        },
+        body: 'prompt',
+      });
+    await ask('700,500');
+    await ask('9200,500');
+    chai.expect(ranks).eql(['1', '5']);
+  });
 });
--- a/packages/decisions/src/model-choice.ts
+++ b/packages/decisions/src/model-choice.ts
@@ -20,8 +20,8 @@
 
 /**
  * Worth of an answer for each 1,000 tokens of its prompt and ten times its
- * longest answer, in the unit of the prices. Operators of the two users value
- * drafts, summaries and checks at 0.12 to 0.2.
+ * longest answer, in the unit of the prices: operators say what models cost,
+ * not what answers are worth.
  */
 const WORTH_PER_THOUSAND = 0.18;
 
@@ -34,11 +34,7 @@
 /** Confidence at which an answer is as likely good enough as not. */
 const EVEN_CONFIDENCE = 50;
 
-/**
- * Standard deviation of the opinion, in points of confidence. Accepting from
- * 30 on instead of 50 cost a tenth of what answers are worth on a calm day;
- * 65 or 80 instead of 50 gained nothing that could be told from noise.
- */
+/** Standard deviation of the opinion, in points of confidence. */
 const CONFIDENCE_DEVIATION = 8;
 
 const TOKENS = 1_000;
--- a/packages/decisions/src/repeat-budget.ts
+++ b/packages/decisions/src/repeat-budget.ts
@@ -5,10 +5,9 @@
  * Load: a fleet of which each instance sees a few requests a second, and every
  * other one wants a second, more capable model. Harm prevented: repeats that
  * multiply the load of upstreams which fail; and, the other way, repeats that
- * are refused though the fleet is far below its bound. Tokens capped at an
- * instance's part of the slack (2.3 of 216 at 88 instances) forgot what was
- * earned a second before: 450 of 2,528 doubtful answers were passed on for want
- * of a repeat on a calm day, with half of the bound used.
+ * are refused though the fleet is far below its bound: saved up no further than
+ * an instance's small part of the slack, what was earned a second before is
+ * forgotten.
  *
  * In every window an instance's repeats stay within its part of the slack and
  * the ratio of its own requests; so do all together, without a message.
--- a/packages/decisions/src/rollout-schedule.ts
+++ b/packages/decisions/src/rollout-schedule.ts
@@ -64,8 +64,7 @@
 /**
  * How many times faster than until now requests may come in the lead. Callers
  * come in waves and repeat what fails, and an answer in progress is not counted
- * yet: 97 requests/s came in the lead of an order that had seen 66, and a bad
- * version got 296 requests where 288 are borne.
+ * yet; without room for them a bad version gets more than is borne.
  */
 const RATE_MARGIN = 1.4;
 
@@ -85,9 +84,8 @@
 
 /**
  * Odds ratios of slow answers that a version is suspected of. New upstreams
- * are two to three times as often slow on a day of high load, while their
- * caches fill (19 of 87 answers against 138 of 1,221); a version with a slow
- * half is ten times as often.
+ * are two to three times as often slow under high load, while their caches
+ * fill; a version with a slow half is ten times as often.
  */
 const SLOW_ODDS = [4, 8, 20] as const;
 
@@ -100,10 +98,10 @@
 const SLOW_BOUND = Math.log(100);
 
 /**
- * Odds by failures against a version, as a log, with which it gets no more than its first
- * share and is not reported as done. A third of a version's answers failed, one
- * in ten of the old one's for other reasons; at the deadline the odds were
- * still below those of a stop, and the bad version was completed.
+ * Odds by failures against a version, as a log, with which it gets no more
+ * than its first share and is not reported as done: where the old version's
+ * answers fail too, the odds grow slowly, and at the deadline they may still
+ * be below those of a stop.
  */
 const DOUBT_BOUND = Math.log(4);
 
@@ -193,7 +191,7 @@
  * Judges the new version by all evidence of an order.
  *
  * A version may be bad on one route alone: among the answers of all routes its
- * failures are as rare as chance ones (4 of 46, where the route had 4 of 9).
+ * failures are as rare as chance ones.
  * Each route is therefore judged by itself as well. The bound grows with the
  * routes, so that a good version is as rarely stopped on any of them as by all
  * answers together.
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -93,9 +93,8 @@
 
 /**
  * Part of the engines that is set apart for cheap models. They read all
- * prompts first, at a tenth of the capable model's time for each token; a
- * cheap model's tokens come 1.4 to 2 times slower where a capable model reads
- * beside it (21 ms an event alone, 35 to 45 ms beside two or three runs).
+ * prompts first, at a tenth of the capable model's time for each token, and
+ * make tokens up to twice as slowly where a capable model reads beside them.
  */
 const CHEAP_PART = 0.3;
 
--- a/packages/decisions/src/watch-roles.ts
+++ b/packages/decisions/src/watch-roles.ts
@@ -4,8 +4,7 @@
  *
  * Load: up to a thousand instances that must all know of each change within
  * seconds, and a store that counts every waiting watch. Harm prevented: calls
- * that grow with the fleet (88 instances that watched four kinds each made
- * 19,000 calls in a minute), and instances that rely on a watcher which has
+ * that grow with the fleet, and instances that rely on a watcher which has
  * lost the store. Every instance works the roles out from the members that it
  * hears of; where two disagree, views grow old and both ask the store.
  */
@@ -38,16 +37,15 @@
 /**
  * Part of the time within which a change must be in force that one watch
  * waits. Changes come at once, however long it waits; its end only shows that
- * the store still answers. 0.3 took 40 calls in 3 s of a calm fleet with four
- * watchers, 0.45 takes 27.
+ * the store still answers.
  */
 const WATCH_PART = 0.45;
 
 /**
  * Age, as a part of that time, at which a watch ends at the latest, and the
  * least part that one waits. An answer with changes confirms only what was
- * known when it was asked for: one that came at the end of a watch, followed
- * by another whole watch, made watchers look as if they had lost the store.
+ * known when it was asked for: after one that comes at the end of a watch,
+ * another whole watch makes a watcher look as if it had lost the store.
  */
 const CONFIRMED_PART = 0.5;
 const LEAST_WATCH_PART = 0.1;
@@ -128,9 +126,9 @@
   );
 
 /**
- * Pause, in ms, after a watch that brought changes due within `boundMs`. In a
- * release of 43 upstreams four watchers made 40 calls a second, one for each
- * entry; at most ten in the time of one bound are left.
+ * Pause, in ms, after a watch that brought changes due within `boundMs`. When
+ * upstreams are replaced in series, each entry would else end a watch; at most
+ * ten do in the time of one bound.
  */
 export const findChangePauseMs = (boundMs: number): number =>
   CHANGE_PAUSE_PART * boundMs;
--- a/packages/fleet/src/report-exchange.ts
+++ b/packages/fleet/src/report-exchange.ts
@@ -2,9 +2,8 @@
  * Exchanges reports with peers, one at a time.
  *
  * Instances that watch the store exchange with each other, and those that a
- * watcher tells of the fleet leave it at a call in a while: 88 instances that
- * all told each other all they knew, four times a second, spent more on that
- * than on callers' requests.
+ * watcher tells of the fleet leave it at a call in a while: where all tell each
+ * other all they know, that costs more than callers' requests.
  */
 import type * as ports from '@amaranthknot/ports';
 import * as protocol from '@amaranthknot/protocol';
--- a/packages/gateway/src/rollout-desk.ts
+++ b/packages/gateway/src/rollout-desk.ts
@@ -146,8 +146,8 @@
 
   /**
    * As many upstreams as the share is of the traffic, so that each carries
-   * about as much as all will later. One alone, of 42, got four times that,
-   * was overloaded, and a good version was rolled back.
+   * about as much as all will later. One alone would be overloaded, and a good
+   * version be rolled back for it.
    */
   private findConcentration(
     following: Following,
