Tell who lives by watchers' groups, and work roles out only when they change

Cause: each instance passed on a beat of its own; one that is told by a watcher counts it up every 2 s, the way to the last instance takes a call and some exchanges, and 2.5 s without a new beat counts as a loss. Every exchange of watchers held all rows, and every change brought each follower the whole list.

Change: a watcher knows who is on its line, and tells other watchers one beat for the whole group; rows go only when they change, lists in steps. Watchers call each other in turn at doubling distances. Instances that are told no longer exchange. Roles are worked out anew only when the members change. Watchers are drawn by their cores, which the settings now pass on.

--- a/packages/amaranthknot/src/gateway/fleet-report.ts
+++ b/packages/amaranthknot/src/gateway/fleet-report.ts
@@ -24,17 +24,28 @@
   private toldSessions: ToldSessions | undefined;
   /** Sessions of each order when this instance reported last. */
   private reportedCounts: Readonly<Record<string, number>> = {};
+  /** Groups that watchers had when they were heard last, by their address. */
+  private readonly peerGroups = new Map<
+    string,
+    readonly protocol.GroupState[]
+  >();
 
   constructor(private readonly get: gatewayTokens.ResolveGateway) {}
 
-  /** What this instance tells a peer: all that it knows of all. */
-  create(): protocol.FleetReport {
+  /** What this instance tells the peer at `address`. */
+  create(address: string): protocol.FleetReport {
     const {get} = this;
     const now = get('options').clock.now();
     const isLed = this.isLed();
+    const known = this.peerGroups.get(address);
+    const keepsGroup = get('watching').isWatcher();
     return {
       from: get('members').self,
-      members: [...get('members').report(now)],
+      watchers: known ? [] : [...get('watching').findWatchers()],
+      groups: keepsGroup ? [...get('members').groupStates(now)] : [],
+      groupMembers: keepsGroup
+        ? [...get('members').groupMembersBeyond(known ?? [], now)]
+        : [],
       views: [...get('relay').report()],
       // An instance that is told by a watcher reports these to it alone.
       upstreams: isLed ? [] : [...this.signsOfReporters()],
@@ -47,8 +58,7 @@
   take(report: protocol.FleetReport): void {
     const {get} = this;
     const now = get('options').clock.now();
-    get('members').mergeCaller(report.from, now);
-    get('members').merge(report.members, now);
+    this.takeMembers(report, now);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isLed()) {
       // A watcher's sums count the same requests; with both, engines look
@@ -57,6 +67,24 @@
     }
   }
 
+  private takeMembers(
+    {from, watchers, groups, groupMembers}: protocol.FleetReport,
+    nowMs: number,
+  ): void {
+    const members = this.get('members');
+    members.merge(watchers, nowMs);
+    if (groups.length === 0) {
+      this.peerGroups.delete(from.peers);
+      members.noteCaller(from, nowMs);
+      return;
+    }
+    members.noteKeeper(from, nowMs);
+    if (!this.isLed()) {
+      members.takeGroups(groups, groupMembers, nowMs);
+      this.peerGroups.set(from.peers, groups);
+    }
+  }
+
   /** What this instance tells its watcher. */
   createForWatcher(watcher: protocol.Member): protocol.FollowerReport {
     const {get} = this;
@@ -78,7 +106,7 @@
   /** Takes in what an instance reported that is told by this one. */
   takeFromFollower(report: protocol.FollowerReport): void {
     const {get} = this;
-    get('members').mergeCaller(report.from, get('options').clock.now());
+    get('members').noteCaller(report.from, get('options').clock.now());
     get('picker').hear(report.from.id, report.upstreams, 'itself');
     get('rollouts').merge(report.rollouts, report.evidence);
   }
@@ -87,11 +115,12 @@
   summarize(report: protocol.FollowerReport): protocol.FleetSummary {
     const {get} = this;
     const {id} = report.from;
-    const list = get('members').list(get('options').clock.now());
-    const isKnown = list.version === report.membersVersion;
+    const now = get('options').clock.now();
+    const membersVersion = get('members').listVersion(now);
+    const members = get('members').listStep(report.membersVersion);
     return {
-      membersVersion: list.version,
-      ...(isKnown ? {} : {members: [...list.members]}),
+      membersVersion,
+      ...(members ? {members} : {}),
       upstreams: [
         ...get('picker').report(name => name !== id && name !== WATCHER),
       ],
--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -4,19 +4,11 @@
 import type * as hapi from '@hapi/hapi';
 import type * as gatewayTokens from './gateway-tokens.js';
 import * as wiring from './gateway-wiring.js';
+import * as instanceLoops from './instance-loops.js';
 
 /** How often a planned stop looks whether its requests are done, in ms. */
 const DRAIN_CHECK_MS = 50;
 
-/** How often lapsed upstreams and roll-outs are looked at, in ms. */
-const TICK_MS = 200;
-
-/**
- * How often the settings file is looked at, in ms: bounds in it count in
- * seconds, and reading it takes a tenth of a millisecond.
- */
-const RELOAD_MS = 2_000;
-
 /**
  * Longest time for which an instance that has just started waits for the
  * store's answers before it starts what others than callers ask, in ms.
@@ -40,40 +32,40 @@
  */
 const LEAST_STOP_MS = 800;
 
-/** Time since the process began, in milliseconds. */
-const uptimeMs = (): number => Math.round(process.uptime() * 1_000);
-
 /** A gateway instance. */
 export class GatewayInstance {
   private readonly get: gatewayTokens.ResolveGateway;
   private readonly ending = new AbortController();
   private sideServers: readonly hapi.Server[] = [];
   private stopping = false;
-  private reloadedAtMs = 0;
+  private readonly loops: instanceLoops.InstanceLoops;
 
   constructor(private readonly options: gatewayTokens.GatewayOptions) {
     this.get = wiring.wireGateway(options);
+    this.loops = new instanceLoops.InstanceLoops(this.get, {
+      isReady: () => this.isReady(),
+      reload: () => {
+        this.reload();
+      },
+    });
   }
 
   /** Starts serving. */
   async start(): Promise<void> {
     const {get} = this;
-    get('log').belief('instance_started', {uptimeMs: uptimeMs()});
+    get('log').belief('instance_started', {uptimeMs: instanceLoops.uptimeMs()});
     const {signal} = this.ending;
     // The store is asked before this instance listens: its answers are on
     // their way meanwhile.
-    for (const follower of Object.values(get('followers'))) {
-      void follower.run(signal);
-    }
+    this.loops.followStore(signal);
     await get('callerServer').start();
     await Promise.race([
       get('state').whenKnowing(),
       this.options.clock.sleep(CALLERS_FIRST_MS, signal),
     ]);
     await this.startSideServers();
-    void get('exchange').run(signal);
-    void get('subscription').run(signal);
-    void this.tickUntil(signal);
+    this.loops.talkToPeers(signal);
+    void this.loops.tick(signal);
   }
 
   /**
@@ -180,38 +172,6 @@
     return this.get('catalog').find(id) !== undefined;
   }
 
-  private async tickUntil(signal: AbortSignal): Promise<void> {
-    const {get} = this;
-    const {clock} = this.options;
-    while (!signal.aborted) {
-      this.updatePhase();
-      get('state').tick();
-      get('fleetWatch').look();
-      get('rollouts').step();
-      wiring.updateRepeatSlack(get);
-      get('log').tick();
-      this.reloadSometimes();
-      await clock.sleep(TICK_MS, signal);
-    }
-  }
-
-  /** Settings may change without a signal. */
-  private reloadSometimes(): void {
-    const now = this.options.clock.now();
-    if (now - this.reloadedAtMs >= RELOAD_MS) {
-      this.reloadedAtMs = now;
-      this.reload();
-    }
-  }
-
-  private updatePhase(): void {
-    const {phase} = this.get('members').self;
-    if (phase === 'starting' && this.isReady()) {
-      this.get('log').belief('instance_serving', {uptimeMs: uptimeMs()});
-      this.get('members').setPhase('serving');
-    }
-  }
-
   private isReady(): boolean {
     return !this.stopping && this.get('state').isKnowing();
   }
--- a/packages/amaranthknot/src/gateway/gateway-tokens.ts
+++ b/packages/amaranthknot/src/gateway/gateway-tokens.ts
@@ -18,6 +18,10 @@
   readonly clock: ports.Clock;
   /** Uniform random numbers in [0, 1). */
   readonly random: () => number;
+  /** The platform's store; reached over HTTP where none is given. */
+  readonly store?: ports.StatusStore;
+  /** Carries messages to peers; over HTTP where none is given. */
+  readonly transport?: protocol.HttpTransport;
 }
 
 /** Followers of all kinds. */
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -109,16 +109,17 @@
   get: gatewayTokens.ResolveGateway,
 ): fleet.MemberTable => {
   const {settings, clock} = get('options');
-  const {listen, instance} = settings.current;
+  const {listen, instance, limits} = settings.current;
   return new fleet.MemberTable({
     id: instance.id,
     zone: instance.zone,
     callers: configuration.formatAddress(listen.callers),
     peers: configuration.formatAddress(listen.peers),
     start: Math.floor(clock.wallTime()),
-    beat: 0,
+    revision: 0,
     phase: 'starting',
     store: 'reached',
+    cores: limits.cores,
   });
 };
 
@@ -137,9 +138,10 @@
     transport: get('transport').send,
     members: get('members'),
     seeds: () => settings.current.seeds.map(configuration.formatAddress),
-    isTold: () => get('members').isTold(clock.now()),
+    isTold: () =>
+      get('members').isTold(clock.now()) && !get('watching').isWatcher(),
     findWatchers: () => get('watching').findWatchers(),
-    createReport: () => get('reports').create(),
+    createReport: address => get('reports').create(address),
     onAnswer: (address, report, askedAtMs) => {
       get('relay').take(address, report.views, askedAtMs);
       get('reports').take(report);
@@ -172,7 +174,7 @@
   protocol.createPeerServer({
     exchange_reports: report => {
       get('reports').take(report);
-      return get('reports').create();
+      return get('reports').create(report.from.peers);
     },
     fetch_view: ({kind}) => get('relay').answer(kind),
     await_views: call => answerFollower(get, call),
@@ -326,7 +328,7 @@
       repeats: get('repeats'),
       isZoneOut: zone => get('state').isZoneOut(zone),
     }),
-  store: () => createStore(options),
+  store: () => options.store ?? createStore(options),
   views: createViews,
   state: createState,
   followers: get => ({
@@ -335,7 +337,7 @@
     rollouts: createFollower(get, 'rollouts'),
     evacuations: createFollower(get, 'evacuations'),
   }),
-  transport: () => protocol.createHttpTransport({}),
+  transport: () => options.transport ?? protocol.createHttpTransport({}),
   members: createMembers,
   refresh: get =>
     new fleet.ViewRefresh({
--- /dev/null
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -0,0 +1,78 @@
+/** What an instance does all the time, beside answering others. */
+import type * as gatewayTokens from './gateway-tokens.js';
+import * as wiring from './gateway-wiring.js';
+
+/** How often lapsed upstreams and roll-outs are looked at, in ms. */
+const TICK_MS = 200;
+
+/**
+ * How often the settings file is looked at, in ms: bounds in it count in
+ * seconds, and reading it takes a tenth of a millisecond.
+ */
+const RELOAD_MS = 2_000;
+
+/** Time since the process began, in milliseconds. */
+export const uptimeMs = (): number => Math.round(process.uptime() * 1_000);
+
+/** What the loops ask of their instance. */
+export interface InstanceDuties {
+  /** Whether enough is known to take callers, and no stop was ordered. */
+  readonly isReady: () => boolean;
+  /** Reads the settings again. */
+  readonly reload: () => void;
+}
+
+/** The loops of one instance; each runs until its signal aborts. */
+export class InstanceLoops {
+  private reloadedAtMs = 0;
+
+  constructor(
+    private readonly get: gatewayTokens.ResolveGateway,
+    private readonly duties: InstanceDuties,
+  ) {}
+
+  /** Follows the store. */
+  followStore(signal: AbortSignal): void {
+    for (const follower of Object.values(this.get('followers'))) {
+      void follower.run(signal);
+    }
+  }
+
+  /** Tells peers what this instance knows, and is told by them. */
+  talkToPeers(signal: AbortSignal): void {
+    void this.get('exchange').run(signal);
+    void this.get('subscription').run(signal);
+  }
+
+  /** Looks at what falls due. */
+  async tick(signal: AbortSignal): Promise<void> {
+    const {get} = this;
+    const {clock} = get('options');
+    while (!signal.aborted) {
+      this.updatePhase();
+      get('state').tick();
+      get('fleetWatch').look();
+      get('rollouts').step();
+      wiring.updateRepeatSlack(get);
+      get('log').tick();
+      this.reloadSometimes(clock.now());
+      await clock.sleep(TICK_MS, signal);
+    }
+  }
+
+  /** Settings may change without a signal. */
+  private reloadSometimes(nowMs: number): void {
+    if (nowMs - this.reloadedAtMs >= RELOAD_MS) {
+      this.reloadedAtMs = nowMs;
+      this.duties.reload();
+    }
+  }
+
+  private updatePhase(): void {
+    const {phase} = this.get('members').self;
+    if (phase === 'starting' && this.duties.isReady()) {
+      this.get('log').belief('instance_serving', {uptimeMs: uptimeMs()});
+      this.get('members').setPhase('serving');
+    }
+  }
+}
--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -18,7 +18,8 @@
 
 /**
  * Time for which the roles of instances are kept, in milliseconds. They are
- * looked at forty times a second, and each time all instances would be ranked.
+ * looked at forty times a second, and each time all instances would be looked
+ * through.
  */
 const ROLES_MS = 200;
 
@@ -45,11 +46,19 @@
 /** Roles as worked out last. */
 interface Roles {
   readonly atMs: number;
+  /** Instances that could watch then. */
+  readonly able: readonly protocol.Member[];
   readonly watchers: readonly protocol.Member[];
   /** Watchers that this instance may be told by, best first. */
   readonly sources: readonly protocol.Member[];
 }
 
+const isSameList = (
+  a: readonly protocol.Member[],
+  b: readonly protocol.Member[],
+): boolean =>
+  a.length === b.length && a.every((member, index) => member === b[index]);
+
 /** One instance's part. */
 export class StoreWatching {
   private roles: Roles | undefined;
@@ -155,22 +164,31 @@
     const reaching = serving.filter(({store}) => store === 'reached');
     // In an outage for all the roles stay as they are.
     const able = reaching.length > 0 ? reaching : serving;
-    const find = (id: string) => able.filter(member => member.id === id);
+    if (this.roles && isSameList(this.roles.able, able)) {
+      return {...this.roles, atMs};
+    }
+    const byId = new Map(able.map(member => [member.id, member]));
+    const find = (id: string) => byId.get(id) ?? [];
     return {
       atMs,
+      able,
       watchers: decisions.findWatchers(able).flatMap(find),
       sources: decisions.rankSources(members.self, able).flatMap(find),
     };
   }
 
+  /** Whether it has started too lately to know the fleet. */
+  isSettling(): boolean {
+    const {hasSeeds, now} = this.options;
+    return hasSeeds && now() - this.startedAtMs < SETTLING_MS;
+  }
+
   /** Whether this instance watches the store. */
   isWatcher(): boolean {
     const {id} = this.options.members.self;
-    const isSettling =
-      this.options.hasSeeds &&
-      this.options.now() - this.startedAtMs < SETTLING_MS;
     return (
-      !isSettling && this.findWatchers().some(watcher => watcher.id === id)
+      !this.isSettling() &&
+      this.findWatchers().some(watcher => watcher.id === id)
     );
   }
 
--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/fleet-life.test.ts
@@ -0,0 +1,93 @@
+import * as chai from 'chai';
+import * as virtualFleet from './virtual-fleet.js';
+
+/** Time in which a fleet that started at once knows itself, in ms. */
+const SETTLE_MS = 6_000;
+
+/** Time for which a calm fleet is looked at, in ms, and how often. */
+const CALM_MS = 10_000;
+const LOOK_MS = 100;
+
+/** Time by which all know that an instance is gone, in ms. */
+const LOSS_KNOWN_MS = 4_000;
+
+/** Beliefs that an instance that serves does not serve. */
+const countFalseLosses = async (
+  {clock, live}: virtualFleet.VirtualFleet,
+  forMs: number,
+): Promise<number> => {
+  let losses = 0;
+  const count = live().length;
+  for (let waitedMs = 0; waitedMs < forMs; waitedMs += LOOK_MS) {
+    await clock.advance(LOOK_MS);
+    for (const {get} of live()) {
+      losses += count - get('members').serving(clock.now()).length;
+    }
+  }
+  return losses;
+};
+
+const startFleet = async (
+  instances: number,
+): Promise<virtualFleet.VirtualFleet> => {
+  const fleet = await virtualFleet.startVirtualFleet({instances, zones: 6});
+  await fleet.clock.advance(SETTLE_MS);
+  return fleet;
+};
+
+/** Instances that take `id` for one that serves. */
+const countBelievers = (
+  {clock, live}: virtualFleet.VirtualFleet,
+  id: string,
+): number =>
+  live().filter(({get}) =>
+    get('members')
+      .serving(clock.now())
+      .some(member => member.id === id),
+  ).length;
+
+describe('who lives in a fleet', () => {
+  for (const instances of [7, 73, 195]) {
+    it(`is known of ${instances} on a calm day`, async () => {
+      // Live instances fell out of the directory for a moment, and callers
+      // closed their connections to them.
+      const fleet = await startFleet(instances);
+      chai.expect(await countFalseLosses(fleet, CALM_MS)).equal(0);
+    });
+  }
+
+  it('is known again soon after one is gone, a watcher or not', async () => {
+    const fleet = await startFleet(73);
+    const isWatcher = ({get}: virtualFleet.VirtualInstance) =>
+      get('watching').isWatcher();
+    const watcher = fleet.live().find(isWatcher)?.id ?? '';
+    const other = fleet.live().find(found => !isWatcher(found))?.id ?? '';
+    for (const id of [watcher, other]) {
+      fleet.kill(id);
+      await fleet.clock.advance(LOSS_KNOWN_MS);
+      chai.expect(countBelievers(fleet, id)).equal(0);
+      chai.expect(await countFalseLosses(fleet, 1_000)).equal(0);
+    }
+  });
+
+  it('is known again soon after a zone is gone', async () => {
+    const fleet = await startFleet(73);
+    const lost = fleet.live().filter(({zone}) => zone === 'zone-0');
+    lost.forEach(({id}) => {
+      fleet.kill(id);
+    });
+    await fleet.clock.advance(LOSS_KNOWN_MS);
+    chai
+      .expect(lost.map(({id}) => countBelievers(fleet, id)))
+      .eql(lost.map(() => 0));
+    chai.expect(await countFalseLosses(fleet, 1_000)).equal(0);
+  });
+
+  it('is known to an instance soon after its start', async () => {
+    const fleet = await startFleet(73);
+    fleet.kill('instance-40');
+    fleet.restart('instance-40');
+    await fleet.clock.advance(1_000);
+    chai.expect(await countFalseLosses(fleet, 1_000)).equal(0);
+  });
+});
--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -61,7 +61,7 @@
     picker,
     rollouts,
     relay: {report: () => []},
-    watching: {isWatcher: () => isWatcher},
+    watching: {isWatcher: () => isWatcher, findWatchers: () => []},
   };
   const get = ((token: keyof typeof parts) =>
     parts[token]) as unknown as gatewayTokens.ResolveGateway;
@@ -86,8 +86,8 @@
 
 /** Two watchers tell each other all they know. */
 const exchange = (a: Instance, b: Instance): void => {
-  b.reports.take(a.reports.create());
-  a.reports.take(b.reports.create());
+  b.reports.take(a.reports.create(b.members.self.peers));
+  a.reports.take(b.reports.create(a.members.self.peers));
 };
 
 interface Fleet {
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -120,9 +120,10 @@
   callers: `${id}:1`,
   peers: `${id}:2`,
   start: 1,
-  beat: 1,
+  revision: 1,
   phase: 'serving',
   store: 'reached',
+  cores: 1,
 });
 
 /** Views of all kinds, empty. */
@@ -190,13 +191,13 @@
       readsPerSecond: 2_000,
     },
     bounds: BOUNDS,
-    limits: {memoryMb: 300, fileDescriptors: 4_000},
+    limits: {memoryMb: 300, fileDescriptors: 4_000, cores: 1},
     log: {level: 'error'},
   };
 };
 
 /** Settings that a reload leaves as they are. */
-const createSource = (
+export const createSource = (
   settings: configuration.GatewaySettings,
 ): settingsSource.SettingsSource =>
   new settingsSource.SettingsSource(
--- a/packages/amaranthknot/tests/gateway/store-watching.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-watching.test.ts
@@ -53,7 +53,7 @@
     const {members, wait, watchers} = setUp();
     const [lost = ''] = watchers().filter(id => id !== 'a');
     members.merge(
-      [{...fixture.createMember(lost, lost), beat: 2, store: 'lost'}],
+      [{...fixture.createMember(lost, lost), revision: 2, store: 'lost'}],
       2_000,
     );
     wait(300);
@@ -68,7 +68,7 @@
     members.merge(
       IDS.slice(1).map(id => ({
         ...fixture.createMember(id, id),
-        beat: 2,
+        revision: 2,
         store: 'lost' as const,
       })),
       2_000,
--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -0,0 +1,180 @@
+/**
+ * Many gateway instances in one process, on a virtual clock and without
+ * sockets: they follow one store and tell each other what they know, wired as
+ * they run.
+ */
+import type * as configuration from '@amaranthknot/configuration';
+import * as fakes from '@amaranthknot/fakes';
+import type * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import type * as gatewayTokens from '../../src/gateway/gateway-tokens.js';
+import * as gatewayWiring from '../../src/gateway/gateway-wiring.js';
+import * as instanceLoops from '../../src/gateway/instance-loops.js';
+import * as fixture from './gateway-fixture.js';
+
+/** One way between two instances, in milliseconds. */
+const LINK_MS = 1;
+
+/** Delay of each call to the store, in milliseconds. */
+const STORE_MS = 4;
+
+/** Instances that all settings name as seeds. */
+const SEEDS = 3;
+
+const PORT = 7_000;
+
+/** One instance of the fleet. */
+export interface VirtualInstance {
+  readonly id: string;
+  readonly zone: string;
+  readonly get: gatewayTokens.ResolveGateway;
+}
+
+/** A running fleet. */
+export interface VirtualFleet {
+  readonly clock: fakes.VirtualClock;
+  readonly store: fakes.MemoryObjectStore;
+  /** Instances that run now. */
+  readonly live: () => readonly VirtualInstance[];
+  /** Ends an instance's process; it answers nobody any more. */
+  readonly kill: (id: string) => void;
+  /** Starts the process of an instance again. */
+  readonly restart: (id: string) => void;
+  /** Bytes of messages that instances have sent to each other. */
+  readonly sentBytes: () => number;
+}
+
+/** What the fleet looks like. */
+export interface VirtualFleetOptions {
+  readonly instances: number;
+  readonly zones: number;
+  readonly seed?: number;
+}
+
+const hostOf = (index: number): string =>
+  `10.0.${Math.floor(index / 250)}.${1 + (index % 250)}`;
+
+const createSettings = (
+  index: number,
+  {zones}: VirtualFleetOptions,
+): configuration.GatewaySettings => {
+  const address = {host: hostOf(index), port: PORT};
+  return {
+    instance: {
+      id: `instance-${index}`,
+      zone: `zone-${index % zones}`,
+      region: 'north',
+    },
+    zones: new Map(
+      Array.from({length: zones}, (_, zone) => [`zone-${zone}`, 'north']),
+    ),
+    listen: {
+      callers: address,
+      readiness: address,
+      directory: address,
+      peers: address,
+    },
+    seeds: Array.from({length: SEEDS}, (_, seed) => ({
+      host: hostOf(seed),
+      port: PORT,
+    })),
+    store: {address, writesPerSecond: 3_200, readsPerSecond: 16_000},
+    bounds: fixture.BOUNDS,
+    limits: {memoryMb: 300, fileDescriptors: 4_000, cores: 1},
+    log: {level: 'error'},
+  };
+};
+
+interface Running extends VirtualInstance {
+  readonly ending: AbortController;
+}
+
+/** Starts all instances within 0.3 s of each other. */
+export const startVirtualFleet = async (
+  options: VirtualFleetOptions,
+): Promise<VirtualFleet> => {
+  const clock = new fakes.VirtualClock();
+  const random = fakes.createRandom(options.seed ?? 1);
+  const store = new fakes.MemoryObjectStore({clock, delayMs: () => STORE_MS});
+  const running = new Map<string, Running>();
+  const network = createNetwork(clock, running);
+  const setUp = store.create('config', 'main', fixture.createManifest(1));
+  await clock.advance(2 * STORE_MS);
+  await setUp;
+
+  const start = (index: number): void => {
+    const settings = createSettings(index, options);
+    const ending = new AbortController();
+    const get = gatewayWiring.wireGateway({
+      settings: fixture.createSource(settings),
+      clock,
+      random: fakes.createRandom(Math.floor(random() * 2 ** 31)),
+      store,
+      transport: network.transport,
+    });
+    const {id, zone} = settings.instance;
+    running.set(hostOf(index), {id, zone, get, ending});
+    const loops = new instanceLoops.InstanceLoops(get, {
+      isReady: () => get('state').isKnowing(),
+      reload: () => undefined,
+    });
+    loops.followStore(ending.signal);
+    loops.talkToPeers(ending.signal);
+    void loops.tick(ending.signal);
+  };
+  const indexes = Array.from({length: options.instances}, (_, index) => index);
+  for (const index of indexes) {
+    void clock.sleep(300 * random()).then(() => {
+      start(index);
+    });
+  }
+  const indexOf = (id: string): number => Number(id.split('-').at(-1));
+  return {
+    clock,
+    store,
+    live: () => [...running.values()],
+    kill: id => {
+      const host = hostOf(indexOf(id));
+      running.get(host)?.ending.abort();
+      running.delete(host);
+    },
+    restart: id => {
+      start(indexOf(id));
+    },
+    sentBytes: network.sentBytes,
+  };
+};
+
+/** Carries messages between running instances, each way in `LINK_MS`. */
+const createNetwork = (
+  clock: fakes.VirtualClock,
+  running: ReadonlyMap<string, Running>,
+): {
+  readonly transport: protocol.HttpTransport;
+  readonly sentBytes: () => number;
+} => {
+  let bytes = 0;
+  const send: protocol.PeerTransport = async (address, text, timeoutMs) => {
+    bytes += text.length;
+    await clock.sleep(LINK_MS);
+    const peer = running.get(address.split(':')[0] ?? '');
+    if (!peer) {
+      return purify.Left({code: 'not_sent', message: 'no one listens'});
+    }
+    const timedOut = clock.sleep(timeoutMs).then(() => undefined);
+    const answer = await Promise.race([
+      peer.get('peerServer').handle(text),
+      timedOut,
+    ]);
+    if (answer === undefined || peer.ending.signal.aborted) {
+      return purify.Left({code: 'unknown', message: 'no answer'});
+    }
+    bytes += answer.length;
+    await clock.sleep(LINK_MS);
+    return purify.Right(answer);
+  };
+  return {
+    transport: {send, close: () => undefined},
+    sentBytes: () => bytes,
+  };
+};
--- a/packages/configuration/src/gateway-settings.ts
+++ b/packages/configuration/src/gateway-settings.ts
@@ -79,6 +79,8 @@
 export interface GatewayLimits {
   readonly memoryMb: number;
   readonly fileDescriptors: number;
+  /** Processor time that it may use, in seconds a second of one core. */
+  readonly cores: number;
 }
 
 /** All settings of one gateway instance. */
--- a/packages/configuration/src/parse-gateway-settings.ts
+++ b/packages/configuration/src/parse-gateway-settings.ts
@@ -69,6 +69,8 @@
   limits: zod.strictObject({
     memory_mb: zod.number().positive(),
     file_descriptors: zod.int().positive(),
+    cores: zod.number().positive().default(1),
+    core_share: zod.number().positive().max(1).default(1),
   }),
   log: zod
     .strictObject({
@@ -134,6 +136,7 @@
   limits: {
     memoryMb: written.limits.memory_mb,
     fileDescriptors: written.limits.file_descriptors,
+    cores: written.limits.cores * written.limits.core_share,
   },
   log: written.log,
 });
--- a/packages/decisions/src/rendezvous.ts
+++ b/packages/decisions/src/rendezvous.ts
@@ -44,3 +44,29 @@
   ranked.sort(compare);
   return ranked.slice(0, count).map(entry => entry.id);
 };
+
+/** An identity with its weight among others, above 0. */
+export interface Weighted {
+  readonly id: string;
+  readonly weight: number;
+}
+
+/** Above the largest 32-bit hash. */
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Ranks identities for `key` like `rankByRendezvous`; one with twice the
+ * weight ranks first for twice as many keys.
+ */
+export const rankByWeight = (
+  key: string,
+  items: readonly Weighted[],
+): readonly string[] => {
+  const keyHash = hashText(key);
+  const ranked = items.map(({id, weight}) => {
+    const share = (mixHashes(keyHash, hashText(id)) + 1) / (HASH_RANGE + 1);
+    return {id, weight: -weight / Math.log(share)};
+  });
+  ranked.sort(compare);
+  return ranked.map(({id}) => id);
+};
--- a/packages/decisions/src/watch-roles.ts
+++ b/packages/decisions/src/watch-roles.ts
@@ -14,6 +14,8 @@
 export interface WatchCandidate {
   readonly id: string;
   readonly zone: string;
+  /** What its machine gives it, in processor cores. */
+  readonly cores: number;
 }
 
 /** What an instance does about one kind of objects now. */
@@ -74,13 +76,18 @@
 
 /**
  * Instances that watch the store, the same on all instances. They lie in as
- * many zones as can be, so that no zone that is lost takes them all.
+ * many zones as can be, so that no zone that is lost takes them all. One with
+ * more cores is chosen as much more often: a watcher works for its followers
+ * beside its own callers.
  */
 export const findWatchers = (
   members: readonly WatchCandidate[],
 ): readonly string[] => {
   const zoneOf = new Map(members.map(({id, zone}) => [id, zone]));
-  const ranked = rendezvous.rankByRendezvous(ROLE_KEY, [...zoneOf.keys()]);
+  const ranked = rendezvous.rankByWeight(
+    ROLE_KEY,
+    members.map(({id, cores}) => ({id, weight: cores})),
+  );
   const count = Math.max(
     LEAST_WATCHERS,
     Math.ceil(ranked.length / INSTANCES_PER_WATCHER),
@@ -104,7 +111,7 @@
  * own zone, then of others. Instances spread over them.
  */
 export const rankSources = (
-  self: WatchCandidate,
+  self: Pick<WatchCandidate, 'id' | 'zone'>,
   members: readonly WatchCandidate[],
 ): readonly string[] => {
   const zoneOf = new Map(members.map(({id, zone}) => [id, zone]));
--- a/packages/decisions/tests/rendezvous.test.ts
+++ b/packages/decisions/tests/rendezvous.test.ts
@@ -35,6 +35,20 @@
       .deep.equal(ranked.filter(id => id !== ranked[7]));
   });
 
+  it('ranks one with twice the weight first twice as often', () => {
+    const items = [
+      {id: 'large', weight: 2},
+      {id: 'a', weight: 1},
+      {id: 'b', weight: 1},
+    ];
+    let large = 0;
+    for (let key = 0; key < 10_000; key++) {
+      large +=
+        decisions.rankByWeight(`key-${key}`, items)[0] === 'large' ? 1 : 0;
+    }
+    chai.expect(large).within(4_800, 5_200);
+  });
+
   it('spreads first places evenly', () => {
     const ids = createIds(10);
     const firsts = new Map<string, number>();
--- a/packages/decisions/tests/watch-roles.test.ts
+++ b/packages/decisions/tests/watch-roles.test.ts
@@ -5,7 +5,11 @@
   counts: Readonly<Record<string, number>>,
 ): readonly decisions.WatchCandidate[] =>
   Object.entries(counts).flatMap(([zone, count]) =>
-    Array.from({length: count}, (_, i) => ({id: `${zone}-${i}`, zone})),
+    Array.from({length: count}, (_, i) => ({
+      id: `${zone}-${i}`,
+      zone,
+      cores: 1,
+    })),
   );
 
 describe('who watches the store', () => {
@@ -45,6 +49,19 @@
     chai.expect(new Set(zones).size).equal(zones.length);
   });
 
+  it('are mostly the larger instances', () => {
+    // A watcher on the least of machines had two thirds of its core used up,
+    // and its own callers waited.
+    const members = createMembers({a: 96, b: 96}).map((member, index) => ({
+      ...member,
+      cores: index % 8 === 0 ? 1.35 : 0.3,
+    }));
+    const large = members.filter(({cores}) => cores > 1).map(({id}) => id);
+    const found = decisions.findWatchers(members);
+    const foundLarge = found.filter(id => large.includes(id));
+    chai.expect(foundLarge.length).above(found.length / 8);
+  });
+
   it('asks its own zone first, and never itself', () => {
     const members = createMembers({a: 30, b: 30});
     for (const self of members) {
--- a/packages/fleet/src/member-table.ts
+++ b/packages/fleet/src/member-table.ts
@@ -1,20 +1,27 @@
 /**
- * Which gateway instances there are and live, as one of them sees it. Each
- * counts its own beat up and passes on the beats it has heard of; a beat that
- * stands still is that of an instance which is gone. Pure: time is an
- * argument.
+ * Which gateway instances there are and live, as one of them sees it. An
+ * instance lives if it is on the line itself, if a group that is kept up has
+ * it, or if a watcher says so. Pure: time is an argument.
  */
 import type * as protocol from '@amaranthknot/protocol';
-import * as murmurhash from 'murmurhash';
+import * as memberGroups from './member-groups.js';
+import * as memberList from './member-list.js';
 
 /**
- * Time without a new beat after which an instance counts as gone, in ms. News
- * reaches seven instances in about three rounds of exchanges, a second; callers
- * must not be sent to a dead instance for longer than the time that a machine
- * needs to count as calm again, three seconds at the least.
+ * Time without a sign of life after which an instance counts as gone, in ms.
+ * Watchers hear of each other's groups in a second; callers must not be sent
+ * to a dead instance for longer than the time that a machine needs to count as
+ * calm again, three seconds at the least.
  */
 export const SILENT_MS = 2_500;
 
+/**
+ * Time after its last call for which an instance counts as on the line, in ms:
+ * four of the calls that one makes which is told of the fleet, and less than
+ * it may be silent, so that others hear of a loss in the same time.
+ */
+const ON_LINE_MS = 2_000;
+
 /**
  * Time for which a silent instance still counts where shares are worked out,
  * in ms. It may be cut off and still send: forgotten at once, the others would
@@ -33,26 +40,23 @@
 
 /**
  * Time for which an instance that did not answer counts as unreachable, unless
- * a beat of it is heard, in ms: by then others have heard whether it is gone.
+ * a new start of it is heard of, in ms: by then others have heard whether it
+ * is gone.
  */
 const UNREACHABLE_MS = 3_000;
 
 interface Row {
   member: protocol.Member;
-  /** When its beat last rose here. */
+  /** When it last showed a sign of life here. */
   heardAtMs: number;
+  /** When it last called this instance. */
+  calledAtMs: number;
   /** Until then it counts as unreachable: it did not answer. */
   unreachableUntilMs: number;
 }
 
 const isNewer = (a: protocol.Member, b: protocol.Member): boolean =>
-  a.start > b.start || (a.start === b.start && a.beat > b.beat);
-
-/** A list of the instances that live, and what names this state of it. */
-export interface MemberList {
-  readonly version: string;
-  readonly members: readonly protocol.Member[];
-}
+  a.start > b.start || (a.start === b.start && a.revision > b.revision);
 
 /** The list that one instance was told last, and by whom. */
 interface ToldList {
@@ -67,40 +71,55 @@
 /** All instances as one of them sees them. */
 export class MemberTable {
   private readonly rows = new Map<string, Row>();
+  private readonly groups = new memberGroups.MemberGroups({
+    silentMs: SILENT_MS,
+    forgottenMs: FORGOTTEN_MS,
+  });
+  private readonly list: memberList.MemberList;
   private told: ToldList | undefined;
   /** When a watcher last told who lives. */
   private toldAtMs = -Infinity;
+  private beatCount = 0;
+  private ownRevision = 0;
+  private ownMembers: readonly protocol.Member[] = [];
 
-  constructor(private selfRow: protocol.Member) {}
+  constructor(private selfRow: protocol.Member) {
+    this.list = new memberList.MemberList(`${selfRow.id}.${selfRow.start}`);
+  }
 
   /** This instance. */
   get self(): protocol.Member {
     return this.selfRow;
   }
 
-  /** Counts this instance's beat up. */
+  /** Counts the beat of this instance's group up. */
   beat(): void {
-    this.selfRow = {...this.selfRow, beat: this.selfRow.beat + 1};
+    this.beatCount++;
   }
 
   /** Changes what this instance says of itself. */
   setPhase(phase: protocol.Member['phase']): void {
-    this.selfRow = {...this.selfRow, phase, beat: this.selfRow.beat + 1};
+    this.change({phase});
   }
 
   /** Changes what this instance says of its way to the store. */
   setStore(store: protocol.Member['store']): void {
     if (store !== this.selfRow.store) {
-      this.selfRow = {...this.selfRow, store, beat: this.selfRow.beat + 1};
+      this.change({store});
     }
   }
 
+  private change(changed: Partial<protocol.Member>): void {
+    const revision = this.selfRow.revision + 1;
+    this.selfRow = {...this.selfRow, ...changed, revision};
+  }
+
   /**
    * Takes in rows that a peer passed on.
    *
-   * While a watcher tells who lives, beats tell nothing: peers that are told
-   * as well pass on beats of any age, and one that is a little newer than this
-   * instance's would bring back an instance that is gone.
+   * While a watcher tells who lives, only a new start is news: peers pass on
+   * rows of any age, and one that is a little newer than this instance's would
+   * bring back an instance that is gone.
    */
   merge(members: readonly protocol.Member[], nowMs: number): void {
     const isTold = this.isTold(nowMs);
@@ -115,14 +134,71 @@
     }
   }
 
-  /** Takes in the row of an instance that is on the line itself. */
-  mergeCaller(member: protocol.Member, nowMs: number): void {
+  /** Takes in the row of an instance that keeps a group itself: it lives. */
+  noteKeeper(member: protocol.Member, nowMs: number): void {
+    this.set(member, nowMs);
+  }
+
+  /** Takes in the row of an instance that calls: it is on the line. */
+  noteCaller(member: protocol.Member, nowMs: number): void {
+    this.set(member, nowMs);
     const row = this.rows.get(member.id);
-    if (!row || isNewer(member, row.member)) {
-      this.set(member, nowMs);
+    if (row && member.start >= row.member.start) {
+      row.calledAtMs = nowMs;
     }
   }
 
+  /** Takes in what a peer tells of groups. */
+  takeGroups(
+    states: readonly protocol.GroupState[],
+    contents: readonly protocol.GroupMembers[],
+    nowMs: number,
+  ): void {
+    const {id} = this.selfRow;
+    const {alive, dropped} = this.groups.take(
+      states.filter(({keeper}) => keeper !== id),
+      contents,
+      nowMs,
+    );
+    alive.forEach(member => {
+      this.set(member, nowMs);
+    });
+    this.drop(dropped, nowMs);
+  }
+
+  /** How far groups have come; this instance's own is the first. */
+  groupStates(nowMs: number): readonly protocol.GroupState[] {
+    this.refreshOwnGroup(nowMs);
+    const {id, start} = this.selfRow;
+    const own = {
+      keeper: id,
+      start,
+      beat: this.beatCount,
+      revision: this.ownRevision,
+    };
+    return [own, ...this.groups.states(nowMs)];
+  }
+
+  /** Members of the groups that a peer with these states lacks. */
+  groupMembersBeyond(
+    states: readonly protocol.GroupState[],
+    nowMs: number,
+  ): readonly protocol.GroupMembers[] {
+    this.refreshOwnGroup(nowMs);
+    const {id, start} = this.selfRow;
+    const known = states.find(({keeper}) => keeper === id);
+    const isKnown =
+      known?.start === start && known.revision >= this.ownRevision;
+    const own = {
+      keeper: id,
+      start,
+      revision: this.ownRevision,
+      members: [...this.ownMembers],
+    };
+    const others = this.groups.membersBeyond(states, nowMs);
+    return isKnown ? others : [own, ...others];
+  }
+
   /** Whether a watcher tells this instance who lives. */
   isTold(nowMs: number): boolean {
     return nowMs - this.toldAtMs <= TOLD_MS;
@@ -133,23 +209,28 @@
     return this.told?.by === by ? this.told.version : NO_VERSION;
   }
 
-  /** Takes in a watcher's word on who lives; without members: as before. */
+  /** Takes in a watcher's word on who lives; without a step: as before. */
   takeTold(
     by: string,
     version: string,
-    members: readonly protocol.Member[] | undefined,
+    step: protocol.MemberStep | undefined,
     nowMs: number,
   ): void {
-    if (members) {
-      const ids = new Set(members.map(({id}) => id));
-      this.dropUntold(ids, nowMs);
-      this.told = {by, version, ids};
-      members.forEach(member => {
-        const row = this.rows.get(member.id);
-        const isOlder = row && isNewer(row.member, member);
-        this.set(isOlder ? row.member : member, nowMs);
+    if (step) {
+      const before = this.told?.by === by ? this.told.ids : new Set<string>();
+      const ids = new Set(step.isWhole ? [] : before);
+      step.gone.forEach(id => ids.delete(id));
+      step.changed.forEach(member => {
+        ids.add(member.id);
+        this.set(member, nowMs);
       });
-    } else if (this.told?.version === version) {
+      this.silence(
+        [...(this.told?.ids ?? [])].filter(id => !ids.has(id)),
+        nowMs,
+      );
+      this.told = {by, version, ids};
+    }
+    if (this.told?.version === version) {
       for (const id of this.told.ids) {
         this.touch(id, nowMs);
       }
@@ -157,29 +238,37 @@
     this.toldAtMs = nowMs;
   }
 
-  /** The instances that live, for one that is told by this one. */
-  list(nowMs: number): MemberList {
-    const members = this.report(nowMs);
-    const names = members
-      .map(({id, start, phase, store}) => `${id}.${start}.${phase}.${store}`)
-      .sort();
-    const {id, start} = this.selfRow;
-    const digest = murmurhash.default.v3(names.join()).toString(36);
-    return {version: `${id}.${start}.${digest}`, members};
+  /** Version of the list of live instances that this one tells others. */
+  listVersion(nowMs: number): string {
+    this.list.update(this.report(nowMs));
+    return this.list.version;
   }
 
+  /** What one that has `version` of that list lacks, if anything. */
+  listStep(version: string): protocol.MemberStep | undefined {
+    return this.list.stepFrom(version);
+  }
+
+  /** Notes that an instance lives, with what it says of itself if that is news. */
   private set(member: protocol.Member, nowMs: number): void {
     if (member.id === this.selfRow.id) {
       return;
     }
     const known = this.rows.get(member.id);
-    const isSame = known?.member.start === member.start;
-    this.rows.set(member.id, {
-      member,
-      heardAtMs: nowMs,
-      unreachableUntilMs:
-        isSame && this.isTold(nowMs) ? known.unreachableUntilMs : -Infinity,
-    });
+    if (known && member.start < known.member.start) {
+      return;
+    }
+    if (!known || isNewer(member, known.member)) {
+      const isSame = known?.member.start === member.start;
+      this.rows.set(member.id, {
+        member,
+        heardAtMs: nowMs,
+        calledAtMs: isSame ? known.calledAtMs : -Infinity,
+        unreachableUntilMs: isSame ? known.unreachableUntilMs : -Infinity,
+      });
+      return;
+    }
+    known.heardAtMs = nowMs;
   }
 
   private touch(id: string, nowMs: number): void {
@@ -189,16 +278,44 @@
     }
   }
 
-  /** Instances that the watcher no longer names are gone. */
-  private dropUntold(ids: ReadonlySet<string>, nowMs: number): void {
-    for (const [id, row] of this.rows) {
-      const wasTold = this.told?.ids.has(id) ?? false;
-      if (wasTold && !ids.has(id)) {
+  /** Instances that no group has any more are gone. */
+  private drop(ids: readonly string[], nowMs: number): void {
+    this.silence(
+      ids.filter(id => {
+        const row = this.rows.get(id);
+        const isHere = row && isOnLine(row, nowMs);
+        return !isHere && !this.groups.hasMember(id, nowMs);
+      }),
+      nowMs,
+    );
+  }
+
+  private silence(ids: readonly string[], nowMs: number): void {
+    for (const id of ids) {
+      const row = this.rows.get(id);
+      if (row) {
         row.heardAtMs = Math.min(row.heardAtMs, nowMs - SILENT_MS - 1);
       }
     }
   }
 
+  private refreshOwnGroup(nowMs: number): void {
+    const callers = [...this.rows.values()]
+      .filter(row => isOnLine(row, nowMs))
+      .map(row => row.member);
+    const members = [this.selfRow, ...callers];
+    const before = this.ownMembers;
+    const isSame =
+      members.length === before.length &&
+      members.every((member, index) => member === before[index]);
+    if (isSame) {
+      return;
+    }
+    this.ownMembers = members;
+    this.ownRevision++;
+    this.drop(memberGroups.findDropped(before, members), nowMs);
+  }
+
   /** Notes that an instance did not answer. */
   noteUnreachable(id: string, nowMs: number): void {
     const row = this.rows.get(id);
@@ -207,7 +324,7 @@
     }
   }
 
-  /** Rows to pass on: instances that live as far as is known, this one too. */
+  /** Instances that live as far as is known, this one too. */
   report(nowMs: number): readonly protocol.Member[] {
     return [this.selfRow, ...this.others(nowMs, SILENT_MS)];
   }
@@ -245,6 +362,7 @@
 
   /** Forgets what has been silent for long. */
   tick(nowMs: number): void {
+    this.groups.tick(nowMs);
     for (const [id, row] of this.rows) {
       if (nowMs - row.heardAtMs > FORGOTTEN_MS) {
         this.rows.delete(id);
@@ -258,3 +376,6 @@
       .map(row => row.member);
   }
 }
+
+const isOnLine = ({calledAtMs}: Row, nowMs: number): boolean =>
+  nowMs - calledAtMs <= ON_LINE_MS;
--- a/packages/fleet/src/report-exchange.ts
+++ b/packages/fleet/src/report-exchange.ts
@@ -1,9 +1,10 @@
 /**
  * Exchanges reports with peers, one at a time.
  *
- * Instances that watch the store exchange with each other, and those that a
- * watcher tells of the fleet leave it at a call in a while: where all tell each
- * other all they know, that costs more than callers' requests.
+ * Instances that watch the store exchange with each other, one that has just
+ * started with any that it knows. Those that a watcher tells of the fleet do
+ * not: where all tell each other all they know, that costs more than callers'
+ * requests.
  */
 import type * as ports from '@amaranthknot/ports';
 import * as protocol from '@amaranthknot/protocol';
@@ -21,8 +22,8 @@
   readonly findWatchers: () => readonly protocol.Member[];
   /** `host:port` of peers that the settings name. */
   readonly seeds: () => readonly string[];
-  /** What this instance tells. */
-  readonly createReport: () => protocol.FleetReport;
+  /** What this instance tells the peer at `address`. */
+  readonly createReport: (address: string) => protocol.FleetReport;
   /** Takes in what the peer at `address`, asked at that time, answered. */
   readonly onAnswer: (
     address: string,
@@ -32,18 +33,12 @@
 }
 
 /**
- * Time between two exchanges, in milliseconds. Seven instances all hear of a
- * change after about three rounds; what must be known everywhere within two
+ * Time between two exchanges, in milliseconds. Nine watchers all hear of a
+ * change after about four rounds; what must be known everywhere within two
  * seconds then is, also when one exchange in two fails.
  */
 export const ROUND_MS = 250;
 
-/**
- * The same for an instance that a watcher tells of the fleet, in milliseconds.
- * What it learns this way matters only where watchers have lost each other.
- */
-const TOLD_ROUND_MS = 2_000;
-
 /** Longest wait for a peer, in milliseconds: some round trips and a pause. */
 const PEER_TIMEOUT_MS = 700;
 
@@ -61,14 +56,15 @@
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, random, members} = this.options;
+    const {clock, random, members, isTold} = this.options;
     while (!signal.aborted) {
       members.beat();
       members.tick(clock.now());
       this.round++;
-      void this.exchangeOnce();
-      const roundMs = this.options.isTold() ? TOLD_ROUND_MS : ROUND_MS;
-      await clock.sleep(roundMs * (0.8 + 0.4 * random()), signal);
+      if (!isTold()) {
+        void this.exchangeOnce();
+      }
+      await clock.sleep(ROUND_MS * (0.8 + 0.4 * random()), signal);
     }
   }
 
@@ -99,17 +95,28 @@
     if (mustSearch && searched.length > 0) {
       return this.draw(searched);
     }
-    const watchers = this.otherWatchers();
-    return this.draw(watchers.length > 0 ? watchers : live);
+    return this.nextWatcher() ?? this.draw(live);
   }
 
-  /** Addresses of the other watchers, if this instance is one; else none. */
-  private otherWatchers(): readonly string[] {
+  /**
+   * The watcher whose turn it is, if this instance is one; any, if it is not.
+   * Distances double from round to round, so that what one knows has reached
+   * all others after as many rounds as their count has binary digits, where
+   * draws would now and then leave one out for seconds.
+   */
+  private nextWatcher(): string | undefined {
     const {id} = this.options.members.self;
-    const watchers = this.options.findWatchers();
-    return watchers.some(watcher => watcher.id === id)
-      ? watchers.filter(watcher => watcher.id !== id).map(({peers}) => peers)
-      : [];
+    const watchers = [...this.options.findWatchers()].sort((a, b) =>
+      a.id < b.id ? -1 : 1,
+    );
+    const place = watchers.findIndex(watcher => watcher.id === id);
+    if (place < 0) {
+      return this.draw(watchers.map(({peers}) => peers));
+    }
+    const count = watchers.length;
+    const turns = Math.max(1, Math.ceil(Math.log2(count)));
+    const distance = 2 ** (this.round % turns);
+    return count < 2 ? undefined : watchers[(place + distance) % count]?.peers;
   }
 
   private draw(addresses: readonly string[]): string | undefined {
@@ -123,7 +130,7 @@
       transport,
       address,
       'exchange_reports',
-      createReport(),
+      createReport(address),
       PEER_TIMEOUT_MS,
     );
     answer.caseOf({
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -45,9 +45,10 @@
     callers: address,
     peers: address,
     start: 1,
-    beat: 1,
+    revision: 1,
     phase: 'serving',
     store: 'reached',
+    cores: 1,
   };
   return {view, relay, member};
 };
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -5,11 +5,7 @@
 import * as zod from 'zod';
 import * as shapes from './shapes.js';
 
-/**
- * One gateway instance as the others know it. Each instance counts its own
- * `beat` up; a row whose beat stands still belongs to an instance that is
- * gone, or that nobody hears.
- */
+/** One gateway instance as the others know it. */
 export const member = zod.object({
   id: shapes.name,
   zone: shapes.name,
@@ -19,10 +15,42 @@
   peers: shapes.name,
   /** Wall time of its start in milliseconds; the higher start wins. */
   start: shapes.count,
-  beat: shapes.count,
+  /** Rises with each change of what it says of itself. */
+  revision: shapes.count,
   phase: zod.enum(['starting', 'serving', 'leaving']),
   /** Whether its calls to the store are answered, as far as it knows. */
   store: zod.enum(['reached', 'lost']).default('reached'),
+  /** What its machine gives it, in processor cores. */
+  cores: zod.number().positive().default(1),
+});
+
+/**
+ * How far a group has come: the instances that one instance, mostly a watcher,
+ * has on the line. The members of a group live as long as its `beat` rises.
+ */
+export const groupState = zod.object({
+  /** The instance that keeps the group. */
+  keeper: shapes.name,
+  /** Start of the keeper; the higher start wins. */
+  start: shapes.count,
+  /** The keeper counts it up all the time. */
+  beat: shapes.count,
+  /** Rises with each change of its members; 0: they are not known. */
+  revision: shapes.count,
+});
+
+/** All members of a group, its keeper among them. */
+export const groupMembers = groupState.omit({beat: true}).extend({
+  members: zod.array(member).max(shapes.MAX_ITEMS),
+});
+
+/** The step from one state of the list of live instances to a later one. */
+export const memberStep = zod.object({
+  /** Whether `changed` holds all there are. */
+  isWhole: zod.boolean(),
+  changed: zod.array(member).max(shapes.MAX_ITEMS),
+  /** Instances that live no more. */
+  gone: zod.array(shapes.name).max(shapes.MAX_ITEMS),
 });
 
 /** What an instance knows of one kind of objects in the store. */
@@ -106,8 +134,8 @@
 /** What a watcher knows of the fleet, put together for one instance. */
 export const fleetSummary = zod.object({
   membersVersion: shapes.name,
-  /** Instances that live; absent where the asker has this version. */
-  members: zod.array(member).max(shapes.MAX_ITEMS).optional(),
+  /** What has changed in it; absent where the asker has this version. */
+  members: memberStep.optional(),
   /** Sums over all instances but the asker. */
   upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
   /** Sums over all instances. */
@@ -120,7 +148,11 @@
 /** What a gateway instance tells its peers, and they answer. */
 export const fleetReport = zod.object({
   from: member,
-  members: zod.array(member).max(shapes.MAX_ITEMS),
+  /** Instances that watch the store, for one that knows nobody yet. */
+  watchers: zod.array(member).max(shapes.MAX_ITEMS),
+  groups: zod.array(groupState).max(shapes.MAX_ITEMS),
+  /** Members of groups that the receiver does not have as they are. */
+  groupMembers: zod.array(groupMembers).max(shapes.MAX_ITEMS),
   views: zod.array(viewState).max(shapes.MAX_ENVIRONMENTS),
   upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
@@ -130,6 +162,15 @@
 /** One gateway instance as the others know it. */
 export type Member = Readonly<zod.infer<typeof member>>;
 
+/** How far a group has come. */
+export type GroupState = Readonly<zod.infer<typeof groupState>>;
+
+/** All members of a group. */
+export type GroupMembers = Readonly<zod.infer<typeof groupMembers>>;
+
+/** The step from one state of the list of live instances to a later one. */
+export type MemberStep = Readonly<zod.infer<typeof memberStep>>;
+
 /** What an instance knows of one kind of objects in the store. */
 export type ViewState = Readonly<zod.infer<typeof viewState>>;
 
