Name callers the instances of their own zone, the same in each answer

Cause: the directory named the first 64 instances in the order in which the asked one had heard of them: of 195 the busiest 64 took 65 in 100 of all requests, and lists differed from answer to answer, at which callers drop connections. An instance that had just started named itself alone.

Change: a decision of its own.

Tests play 7, 73, 195 and 1,000 instances: each gets between 0.4 and 2 times its part.

--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -1,4 +1,6 @@
 /** One running gateway instance: its servers, its loops, its planned stop. */
+import * as decisions from '@amaranthknot/decisions';
+import type * as sideServers from '@amaranthknot/gateway/side-server';
 import * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
 import type * as hapi from '@hapi/hapi';
@@ -86,7 +88,7 @@
       sideServer.createDirectoryServer(
         listen.directory,
         platform.INSTANCE_PATHS.directory,
-        () => this.answerDirectory(),
+        question => this.answerDirectory(question),
       ),
       sideServer.createPeerServer(listen.peers, protocol.INNER_PATH, text =>
         get('peerServer').handle(text),
@@ -176,17 +178,35 @@
     return !this.stopping && this.get('state').isKnowing();
   }
 
-  private answerDirectory(): unknown {
+  /**
+   * Where a caller is to connect. An instance that has not heard of the fleet
+   * yet gives no answer: its own address alone would bring it the callers of
+   * all others, who would drop their connections to these.
+   */
+  private answerDirectory({
+    zone,
+    region,
+    callerHost,
+  }: sideServers.DirectoryQuestion): unknown {
     const {settings, clock} = this.options;
-    const addresses = this.get('members')
-      .serving(clock.now())
-      .slice(0, platform.MAX_DIRECTORY_ADDRESSES)
+    const members = this.get('members');
+    const now = clock.now();
+    if (!members.isTold(now) && this.get('watching').isSettling()) {
+      return undefined;
+    }
+    const {zones, bounds} = settings.current;
+    const candidates = members
+      .serving(now)
+      .map(member => ({...member, region: zones.get(member.zone)}));
+    const addresses = decisions
+      .chooseAddresses(
+        candidates,
+        {zone, region, key: callerHost},
+        platform.MAX_DIRECTORY_ADDRESSES,
+      )
       .map(({callers}) => callers);
     return addresses.length === 0
       ? undefined
-      : platform.formatDirectoryAnswer(
-          addresses,
-          settings.current.bounds.addressMaxAgeMs,
-        );
+      : platform.formatDirectoryAnswer(addresses, bounds.addressMaxAgeMs);
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -8,6 +8,7 @@
 export * from './admission-outcome.js';
 export * from './admission.js';
 export * from './demand-meter.js';
+export * from './directory-choice.js';
 export * from './expiry-queue.js';
 export * from './fair-share.js';
 export * from './hash-ring.js';
--- /dev/null
+++ b/packages/decisions/tests/directory-choice.test.ts
@@ -0,0 +1,130 @@
+import * as chai from 'chai';
+import * as decisions from '@amaranthknot/decisions';
+import * as fakes from '@amaranthknot/fakes';
+
+/** Addresses that one answer can name. */
+const LIMIT = 64;
+
+interface FleetCase {
+  readonly name: string;
+  /** Instances of each zone. */
+  readonly zones: readonly number[];
+}
+
+const createFleet = (
+  zones: readonly number[],
+): readonly decisions.DirectoryCandidate[] =>
+  zones.flatMap((count, zone) =>
+    Array.from({length: count}, (_, i) => ({
+      id: `instance-${zone}-${i}`,
+      zone: `zone-${zone}`,
+      region: 'north',
+      cores: i % 10 === 0 ? 1.35 : 0.3,
+    })),
+  );
+
+const createCaller = (zone: number, index = 0): decisions.DirectoryCaller => ({
+  zone: `zone-${zone}`,
+  region: 'north',
+  key: `10.9.${zone}.${index}`,
+});
+
+/** Requests by instance, of callers that draw one of what they are named. */
+const play = (
+  fleet: readonly decisions.DirectoryCandidate[],
+  zones: number,
+): ReadonlyMap<string, number> => {
+  const random = fakes.createRandom(7);
+  const counts = new Map(fleet.map(({id}) => [id, 0]));
+  for (let zone = 0; zone < zones; zone++) {
+    for (let index = 0; index < 500; index++) {
+      const caller = createCaller(zone, index);
+      const named = decisions.chooseAddresses(fleet, caller, LIMIT);
+      for (let draw = 0; draw < 20; draw++) {
+        const {id = ''} = named[Math.floor(random() * named.length)] ?? {};
+        counts.set(id, (counts.get(id) ?? 0) + 1);
+      }
+    }
+  }
+  return counts;
+};
+
+describe('addresses for a caller', () => {
+  const fleets: readonly FleetCase[] = [
+    {name: '7 in three zones', zones: [3, 2, 2]},
+    {name: '73 in three zones', zones: [25, 24, 24]},
+    {name: '195 in six zones', zones: [34, 34, 36, 32, 29, 30]},
+    {name: '1,000 in nine zones', zones: Array(9).fill(111) as number[]},
+  ];
+  for (const {name, zones} of fleets) {
+    it(`bring each of ${name} its part`, () => {
+      // The same 64 instances were named to all, and took two thirds of all
+      // requests of 195.
+      const counts = [...play(createFleet(zones), zones.length).values()];
+      const mean =
+        counts.reduce((sum, count) => sum + count, 0) / counts.length;
+      chai.expect(Math.max(...counts)).below(2 * mean);
+      chai.expect(Math.min(...counts)).above(0.4 * mean);
+    });
+  }
+
+  it('are those of its own zone where that has enough', () => {
+    const fleet = createFleet([30, 30, 30]);
+    const named = decisions.chooseAddresses(fleet, createCaller(1), LIMIT);
+    chai.expect(named.map(({zone}) => zone)).eql(Array(30).fill('zone-1'));
+  });
+
+  it('are the same at each instance, in whatever order it knows them', () => {
+    // A caller drops its connections to instances that a new answer leaves
+    // out.
+    const fleet = createFleet([100, 100]);
+    const caller = createCaller(0, 3);
+    const idsOf = (known: readonly decisions.DirectoryCandidate[]) =>
+      decisions
+        .chooseAddresses(known, caller, LIMIT)
+        .map(({id}) => id)
+        .sort();
+    chai.expect(idsOf([...fleet].reverse())).eql(idsOf(fleet));
+  });
+
+  it('change by one where one instance is lost', () => {
+    const fleet = createFleet([100, 100]);
+    const caller = createCaller(0, 3);
+    const before = decisions.chooseAddresses(fleet, caller, LIMIT);
+    const [lost] = before;
+    const left = fleet.filter(({id}) => id !== lost?.id);
+    const after = decisions.chooseAddresses(left, caller, LIMIT);
+    const kept = after.filter(found => before.includes(found));
+    chai.expect(kept).length(LIMIT - 1);
+  });
+
+  it('are of other zones too where a zone has lost most of its own', () => {
+    // All callers of a zone were sent to the two instances that it had left.
+    const fleet = createFleet([30, 30, 30]);
+    const left = fleet.filter(
+      ({id, zone}) => zone !== 'zone-0' || /-[12]$/.test(id),
+    );
+    const counts = play(left, 3);
+    const mean = (3 * 500 * 20) / left.length;
+    chai.expect(Math.max(...counts.values())).below(2.5 * mean);
+  });
+
+  it('are of the whole fleet where that is small', () => {
+    const fleet = createFleet([2, 2, 1, 1]);
+    const named = decisions.chooseAddresses(fleet, createCaller(3), LIMIT);
+    chai.expect(named).length(6);
+  });
+
+  it('are of its region as long as that has any', () => {
+    const fleet = createFleet([3, 40]).map(found => ({
+      ...found,
+      region: found.zone === 'zone-0' ? 'north' : 'south',
+    }));
+    const named = decisions.chooseAddresses(fleet, createCaller(0), LIMIT);
+    chai.expect(named.map(({region}) => region)).eql(Array(3).fill('north'));
+    const south = fleet.filter(({region}) => region === 'south');
+    chai
+      .expect(decisions.chooseAddresses(south, createCaller(0), LIMIT))
+      .length(40);
+  });
+});
--- a/packages/gateway/src/side-server.ts
+++ b/packages/gateway/src/side-server.ts
@@ -9,6 +9,8 @@
 export interface DirectoryQuestion {
   readonly zone: string | undefined;
   readonly region: string | undefined;
+  /** Address that the caller asks from. */
+  readonly callerHost: string;
 }
 
 /** Creates a server that takes messages of other instances. */
@@ -57,7 +59,8 @@
     path,
     handler: (request, h) => {
       const {zone, region} = request.query as Record<string, string>;
-      const found = answer({zone, region});
+      const callerHost = request.info.remoteAddress;
+      const found = answer({zone, region, callerHost});
       return found === undefined
         ? h.response('').code(503)
         : h.response(found as object);
