Ask a peer for what it knows of the store at the start

Change: one seed is asked for its views once, for 120 ms at most; what it does not have is listed as before. A watcher that knows a view from a peer watches from there. A fleet that starts at once finds no peer that knows anything and asks the store as before, at the price of a refused connection.

--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -59,7 +59,7 @@
     const {signal} = this.ending;
     // The store is asked before this instance listens: its answers are on
     // their way meanwhile.
-    this.loops.followStore(signal);
+    void this.loops.followStore(signal);
     await get('callerServer').start();
     await Promise.race([
       get('state').whenKnowing(),
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -1,4 +1,5 @@
 /** What an instance does all the time, beside answering others. */
+import * as configuration from '@amaranthknot/configuration';
 import type * as gatewayTokens from './gateway-tokens.js';
 import * as wiring from './gateway-wiring.js';
 
@@ -31,13 +32,27 @@
     private readonly duties: InstanceDuties,
   ) {}
 
-  /** Follows the store. */
-  followStore(signal: AbortSignal): void {
+  /** Asks a peer for what it knows of the store, then follows the store. */
+  async followStore(signal: AbortSignal): Promise<void> {
+    const seed = this.drawSeed();
+    if (seed !== undefined) {
+      await this.get('subscription').askFirst(seed);
+    }
     for (const follower of Object.values(this.get('followers'))) {
       void follower.run(signal);
     }
   }
 
+  /** Address of another instance that the settings name. */
+  private drawSeed(): string | undefined {
+    const {settings, random} = this.get('options');
+    const own = this.get('members').self.peers;
+    const others = settings.current.seeds
+      .map(configuration.formatAddress)
+      .filter(address => address !== own);
+    return others[Math.floor(random() * others.length)];
+  }
+
   /** Tells peers what this instance knows, and is told by them. */
   talkToPeers(signal: AbortSignal): void {
     void this.get('exchange').run(signal);
--- a/packages/amaranthknot/tests/gateway/fleet-life.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-life.test.ts
@@ -35,6 +35,9 @@
   return fleet;
 };
 
+const countCalls = ({store}: virtualFleet.VirtualFleet): number =>
+  store.calls.list + store.calls.watch;
+
 /** Instances that take `id` for one that serves. */
 const countBelievers = (
   {clock, live}: virtualFleet.VirtualFleet,
@@ -91,3 +94,22 @@
     chai.expect(await countFalseLosses(fleet, 1_000)).equal(0);
   });
 });
+
+describe('what a fleet asks of the store', () => {
+  it('does not grow with restarts, one after the other', async () => {
+    // Each of hundreds listed all that there is at its start, though its
+    // peers knew it: most of the calls of a day were these.
+    const fleet = await startFleet(73);
+    const before = countCalls(fleet);
+    await fleet.clock.advance(4_000);
+    const calm = countCalls(fleet) - before;
+    for (let index = 0; index < 20; index++) {
+      const id = `instance-${10 + index}`;
+      fleet.kill(id);
+      fleet.restart(id);
+      await fleet.clock.advance(200);
+    }
+    const restarting = countCalls(fleet) - before - calm;
+    chai.expect(restarting).below(1.5 * calm);
+  });
+});
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -118,7 +118,7 @@
       isReady: () => get('state').isKnowing(),
       reload: () => undefined,
     });
-    loops.followStore(ending.signal);
+    void loops.followStore(ending.signal);
     loops.talkToPeers(ending.signal);
     void loops.tick(ending.signal);
   };
--- a/packages/fleet/src/kind-follower.ts
+++ b/packages/fleet/src/kind-follower.ts
@@ -55,7 +55,8 @@
 /** Follows one kind until it is told to stop. */
 export class KindFollower {
   private failures = 0;
-  private mustList = true;
+  /** Whether the store has forgotten the changes since the view. */
+  private hasLostTrack = false;
 
   constructor(private readonly options: KindFollowerOptions) {}
 
@@ -76,7 +77,8 @@
     need: 'watch' | 'ask',
     signal: AbortSignal,
   ): Promise<void> {
-    const mustList = this.mustList || need === 'ask';
+    const isUnknown = this.options.view.version === undefined;
+    const mustList = this.hasLostTrack || isUnknown || need === 'ask';
     const {error, changes} = mustList ? await this.list() : await this.watch();
     this.options.onCall(this.options.view.kind, error);
     if (!error) {
@@ -92,7 +94,7 @@
     }
     this.failures++;
     // Changes that the store has forgotten can only be found by listing.
-    this.mustList ||= error.code === 'history_gone';
+    this.hasLostTrack ||= error.code === 'history_gone';
     if (error.code !== 'history_gone') {
       await this.options.clock.sleep(this.pauseMs(need), signal);
     }
@@ -106,7 +108,7 @@
       Left: error => ({error, changes: 0}),
       Right: listing => {
         view.replaceAll(listing, startedAt);
-        this.mustList = false;
+        this.hasLostTrack = false;
         return NO_CHANGES;
       },
     });
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -37,6 +37,12 @@
  */
 const ANSWER_MS = 500;
 
+/**
+ * Longest wait for a peer's views at the start, in milliseconds. The store
+ * would answer in some ten; callers wait meanwhile.
+ */
+const FIRST_ANSWER_MS = 120;
+
 /** Pause while there is no source, in milliseconds. */
 const IDLE_MS = 100;
 
@@ -70,6 +76,29 @@
     }
   }
 
+  /**
+   * Asks one peer for all its views, once; those that it does not have, or
+   * that do not come in time, are left to the store.
+   *
+   * Guards against a store that is asked for everything at each start, while
+   * all peers know it: where a fleet of hundreds is restarted in turn, that is
+   * most of its calls.
+   */
+  async askFirst(address: string): Promise<void> {
+    const {clock, transport} = this.options;
+    const askedAtMs = clock.now();
+    const answer = await protocol.callPeer(
+      transport,
+      address,
+      'await_views',
+      {known: [], waitMs: 0},
+      FIRST_ANSWER_MS,
+    );
+    answer.ifRight(({heldMs, views}) => {
+      this.takeViews(views, askedAtMs + heldMs);
+    });
+  }
+
   /**
    * The best source that is not passed over. Where all are, as in an outage of
    * the store for all, the best one: it still knows the fleet.
@@ -136,16 +165,19 @@
     if (summary) {
       onSummary(source, summary);
     }
-    const readAtMs = askedAtMs + heldMs;
-    for (const state of views) {
-      this.takeView(state, readAtMs - state.ageMs);
-    }
+    this.takeViews(views, askedAtMs + heldMs);
     if (views.some(({kind, ageMs}) => ageMs > freshMs(kind))) {
       // It has lost the store itself; another one may not have.
       this.avoid(source);
     }
   }
 
+  private takeViews(views: Answer['views'], readAtMs: number): void {
+    for (const state of views) {
+      this.takeView(state, readAtMs - state.ageMs);
+    }
+  }
+
   private takeView(state: Answer['views'][number], asOfMs: number): void {
     const {views, onUpdate} = this.options;
     const {kind, version, digest, step} = state;
