Let two or three watchers watch the store, and tell the others

Cause: each of nine watchers of 195 instances had a watch open for each of four kinds, and each change ended all of them: the store's calls grew with the fleet.

Change: the first two watchers (three from six on) watch the store; the other watchers are told by these and tell their followers. Such a watcher asks every 150 ms, for what it knows grows older on the way, and takes no summary of the fleet: it hears of it from its peers.

--- a/packages/amaranthknot/src/gateway/fleet-report.ts
+++ b/packages/amaranthknot/src/gateway/fleet-report.ts
@@ -92,10 +92,12 @@
     const told = this.sessionsToldTo(name);
     this.toldSessions = told;
     this.reportedCounts = get('rollouts').pinnedCounts();
+    const isWatcher = get('watching').isWatcher();
     return {
       from: get('members').self,
+      isWatcher,
       // Watchers hear of each other's signs when they exchange all.
-      upstreams: get('watching').isWatcher() ? [] : [...get('picker').report()],
+      upstreams: isWatcher ? [] : [...get('picker').report()],
       evidence: [...get('rollouts').evidence('own')],
       rollouts: [...get('rollouts').progress(told.sent)],
       membersVersion: get('members').toldVersion(name),
@@ -106,7 +108,12 @@
   /** Takes in what an instance reported that is told by this one. */
   takeFromFollower(report: protocol.FollowerReport): void {
     const {get} = this;
-    get('members').noteCaller(report.from, get('options').clock.now());
+    const now = get('options').clock.now();
+    if (report.isWatcher) {
+      get('members').noteKeeper(report.from, now);
+      return;
+    }
+    get('members').noteCaller(report.from, now);
     get('picker').hear(report.from.id, report.upstreams, 'itself');
     get('rollouts').merge(report.rollouts, report.evidence);
   }
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -159,6 +159,7 @@
     findSources: () => get('watching').findSources(),
     freshMs: kind => get('watching').freshMs(kind),
     onUpdate: get('takeView'),
+    isWatcher: () => get('watching').isWatcher(),
     createReport: source => get('reports').createForWatcher(source),
     onSummary: (source, summary) => {
       get('reports').takeSummary(source, summary);
@@ -190,6 +191,9 @@
   }
   get('reports').takeFromFollower(report);
   const answer = await get('relay').awaitViews(call);
+  if (report.isWatcher) {
+    return answer;
+  }
   return {...answer, summary: get('reports').summarize(report)};
 };
 
--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -1,4 +1,4 @@
-/** Which part one instance has in watching the store. */
+/** Which part one instance has in watching the store and telling others. */
 import type * as configuration from '@amaranthknot/configuration';
 import * as decisions from '@amaranthknot/decisions';
 import type * as fleet from '@amaranthknot/fleet';
@@ -48,7 +48,10 @@
   readonly atMs: number;
   /** Instances that could watch then. */
   readonly able: readonly protocol.Member[];
+  /** Instances that tell others. */
   readonly watchers: readonly protocol.Member[];
+  /** Of these, by id, those that watch the store. */
+  readonly storeWatchers: readonly string[];
   /** Watchers that this instance may be told by, best first. */
   readonly sources: readonly protocol.Member[];
 }
@@ -101,7 +104,7 @@
     }
     const ageMs = this.options.now() - view.confirmedAtMs;
     return decisions.findWatchNeed(
-      this.isWatcher(),
+      this.watchesStore(),
       ageMs,
       this.boundMs(view.kind),
     );
@@ -138,14 +141,15 @@
   }
 
   /**
-   * Instances to be told of changes by. A watcher needs none, unless it has
-   * lost the store itself.
+   * Instances to be told of changes by. One that watches the store needs none,
+   * unless it has lost the store.
    */
   findSources(): readonly protocol.Member[] {
-    return this.isWatcher() && this.isFresh() ? [] : this.findRoles().sources;
+    const needsNone = this.watchesStore() && this.isFresh();
+    return needsNone ? [] : this.findRoles().sources;
   }
 
-  /** Instances that watch the store. */
+  /** Instances that tell others of changes and of the fleet. */
   findWatchers(): readonly protocol.Member[] {
     return this.findRoles().watchers;
   }
@@ -167,12 +171,14 @@
     if (this.roles && isSameList(this.roles.able, able)) {
       return {...this.roles, atMs};
     }
+    const watchers = decisions.findWatchers(able);
     const byId = new Map(able.map(member => [member.id, member]));
     const find = (id: string) => byId.get(id) ?? [];
     return {
       atMs,
       able,
-      watchers: decisions.findWatchers(able).flatMap(find),
+      watchers: watchers.flatMap(find),
+      storeWatchers: decisions.findStoreWatchers(watchers),
       sources: decisions.rankSources(members.self, able).flatMap(find),
     };
   }
@@ -183,7 +189,13 @@
     return hasSeeds && now() - this.startedAtMs < SETTLING_MS;
   }
 
-  /** Whether this instance watches the store. */
+  /** Whether this instance watches the store itself. */
+  watchesStore(): boolean {
+    const {id} = this.options.members.self;
+    return this.isWatcher() && this.findRoles().storeWatchers.includes(id);
+  }
+
+  /** Whether this instance tells others. */
   isWatcher(): boolean {
     const {id} = this.options.members.self;
     return (
--- a/packages/decisions/src/watch-roles.ts
+++ b/packages/decisions/src/watch-roles.ts
@@ -1,6 +1,7 @@
 /**
- * Decides which instances watch the platform's store, and when one that
- * leaves it to others asks the store itself.
+ * Decides which instances keep the others up to date, which of these watch the
+ * platform's store themselves, and when one that leaves it to others asks the
+ * store itself.
  *
  * Load: up to a thousand instances that must all know of each change within
  * seconds, and a store that counts every waiting watch. Harm prevented: calls
@@ -36,6 +37,17 @@
 /** Least watchers of a fleet: the others go on when one is lost. */
 const LEAST_WATCHERS = 2;
 
+/**
+ * Watchers that watch the store itself; the others are told by these. However
+ * large the fleet is, the store has so many watches open for each kind: two,
+ * and a third where the loss of both would send hundreds to the store at once.
+ */
+const STORE_WATCHERS = 2;
+const STORE_WATCHERS_OF_MANY = 3;
+
+/** Watchers from which on a fleet has three that watch the store. */
+const MANY_WATCHERS = 6;
+
 /**
  * Part of the time within which a change must be in force that one watch
  * waits. Changes come at once, however long it waits; its end only shows that
@@ -75,8 +87,8 @@
 const ROLE_KEY = 'watch';
 
 /**
- * Instances that watch the store, the same on all instances. They lie in as
- * many zones as can be, so that no zone that is lost takes them all. One with
+ * Instances that keep the others up to date, the same on all instances, the
+ * first for the store itself first. They lie in as many zones as can be, so that no zone that is lost takes them all. One with
  * more cores is chosen as much more often: a watcher works for its followers
  * beside its own callers.
  */
@@ -106,17 +118,32 @@
   return spread.slice(0, count);
 };
 
+/** Of all watchers, in their order, those that watch the store. */
+export const findStoreWatchers = (
+  watchers: readonly string[],
+): readonly string[] =>
+  watchers.slice(
+    0,
+    watchers.length < MANY_WATCHERS ? STORE_WATCHERS : STORE_WATCHERS_OF_MANY,
+  );
+
 /**
  * Instances that one may be told of changes by, best first: watchers of its
- * own zone, then of others. Instances spread over them.
+ * own zone, then of others. Instances spread over them; a watcher is told by
+ * those alone that watch the store, for two watchers that told each other
+ * would both know nothing new.
  */
 export const rankSources = (
   self: Pick<WatchCandidate, 'id' | 'zone'>,
   members: readonly WatchCandidate[],
 ): readonly string[] => {
   const zoneOf = new Map(members.map(({id, zone}) => [id, zone]));
-  const watchers = findWatchers(members).filter(id => id !== self.id);
-  const ranked = rendezvous.rankByRendezvous(self.id, watchers);
+  const watchers = findWatchers(members);
+  const tellers = watchers.includes(self.id)
+    ? findStoreWatchers(watchers)
+    : watchers;
+  const others = tellers.filter(id => id !== self.id);
+  const ranked = rendezvous.rankByRendezvous(self.id, others);
   const isNear = (id: string) => zoneOf.get(id) === self.zone;
   return [...ranked.filter(isNear), ...ranked.filter(id => !isNear(id))];
 };
@@ -149,14 +176,15 @@
 /**
  * What to do about a kind whose changes must be in force within `boundMs`.
  *
+ * @param watchesStore whether the instance is one of those that watch it.
  * @param ageMs time since what is known was known to be complete.
  */
 export const findWatchNeed = (
-  isWatcher: boolean,
+  watchesStore: boolean,
   ageMs: number,
   boundMs: number,
 ): WatchNeed => {
-  if (isWatcher) {
+  if (watchesStore) {
     return 'watch';
   }
   return ageMs > findAskMs(boundMs) ? 'ask' : 'none';
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -14,6 +14,8 @@
   readonly freshMs: (kind: string) => number;
   /** Called after a view was confirmed or replaced. */
   readonly onUpdate: (view: kindView.KindView) => void;
+  /** Whether this instance tells others what it is told. */
+  readonly isWatcher: () => boolean;
   /** What this instance tells the source of itself. */
   readonly createReport: (source: protocol.Member) => protocol.FollowerReport;
   /** Called with what a source told of the fleet. */
@@ -27,9 +29,10 @@
 
 /**
  * How long a source holds a call without news, in milliseconds. Each answer
- * tells how fresh the source is; much less than a change may take.
+ * tells how fresh the source is; much less than a change may take. One that
+ * tells others itself asks more often: what it knows grows older on the way.
  */
-const HOLD_MS = 400;
+const HOLD_MS = {follower: 400, watcher: 150} as const;
 
 /**
  * Longest wait for an answer beyond that, in milliseconds: a pause of the
@@ -129,16 +132,13 @@
         ? []
         : [{kind, version, digest}],
     );
+    const waitMs = HOLD_MS[this.options.isWatcher() ? 'watcher' : 'follower'];
     const answer = await protocol.callPeer(
       transport,
       source.peers,
       'await_views',
-      {
-        known,
-        waitMs: HOLD_MS,
-        report: this.options.createReport(source),
-      },
-      HOLD_MS + ANSWER_MS,
+      {known, waitMs, report: this.options.createReport(source)},
+      waitMs + ANSWER_MS,
     );
     if (answer.isLeft()) {
       this.avoid(source);
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -57,6 +57,7 @@
   from: protocol.Member,
 ): protocol.FollowerReport => ({
   from,
+  isWatcher: false,
   upstreams: [],
   evidence: [],
   rollouts: [],
@@ -89,6 +90,7 @@
     findSources: () => sources.map(({member}) => member),
     freshMs: () => FRESH_MS,
     onUpdate: () => undefined,
+    isWatcher: () => false,
     createReport: createFollowerReport,
     onSummary: () => undefined,
     onSource: () => undefined,
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -122,6 +122,8 @@
  */
 export const followerReport = zod.object({
   from: member,
+  /** Whether it tells others itself: it hears of the fleet from its peers. */
+  isWatcher: zod.boolean().default(false),
   upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
