Price an engine's batch as it fills up

Cause, read from the cost: a request in progress costs 250 tokens wherever it runs, and an engine of the other tier 5,000. Of engines with 16 places those set apart for cheap models were filled to the last before any other was taken; waiting short prompts then push out long answers, which are read again.

Change: from six tenths of a batch on, what it holds costs more, up to 12,000 tokens for a full one.

Test: ten engines of eight places took 12 at one of them before, 7 at the most after.

--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -104,6 +104,19 @@
  */
 const OTHER_TIER_TOKENS = 5_000;
 
+/**
+ * Cost of an engine whose batch is full, in prompt tokens: a prompt waits there
+ * until an answer of others has ended, or takes the place of one in progress,
+ * which is read again later. It is more than an engine of the other tier.
+ */
+const FULL_BATCH_TOKENS = 12_000;
+
+/**
+ * Part of an engine's batch from which on it counts as filling up. What others
+ * have sent there in the last half second is not known yet.
+ */
+const FILLING_PART = 0.6;
+
 /** Differences below this many tokens are chance; among them the draw decides. */
 const NOISE_TOKENS = 150;
 
@@ -260,6 +273,7 @@
     const load = isGeneration
       ? signs.waitingTokens +
         inFlight * REQUEST_TOKENS +
+        fullnessTokens(inFlight, candidate.slots) +
         standstillTokens(work, inFlight, tokensPerS)
       : (inFlight / candidate.slots) * FULL_TOKENS;
     const unread =
@@ -356,6 +370,16 @@
       HELD_UP_PART * promptTokens * inFlight,
   );
 
+/**
+ * Cost of a batch that fills up, in prompt tokens. Engines that are set apart
+ * for a tier spill over before their batches are full: those of 16 places had
+ * answers in progress pushed out while others stood half empty.
+ */
+const fullnessTokens = (inFlight: number, slots: number): number => {
+  const filled = (inFlight / slots - FILLING_PART) / (1 - FILLING_PART);
+  return FULL_BATCH_TOKENS * Math.max(0, filled);
+};
+
 /** Names the ranking that sets engines apart; any fixed text does. */
 const TIER_KEY = 'tier';
 
--- a/packages/decisions/tests/upstream-picker.test.ts
+++ b/packages/decisions/tests/upstream-picker.test.ts
@@ -117,6 +117,23 @@
     chai.expect(new Set(picked).size).equal(1);
   });
 
+  it('fills no batch while another engine has room', () => {
+    // Engines set apart for cheap models took 16 answers of 16 while the
+    // others were half empty; short prompts pushed long answers out, which
+    // were read again.
+    const setup = setUp(10);
+    const work = {...PLAIN, promptTokens: 1_500, answerTokens: 250};
+    for (let i = 0; i < 60; i++) {
+      const tier = i % 3 === 0 ? 'capable' : 'cheap';
+      const ticket = setup.picker.start(pickId(setup, {...work, tier}), work);
+      ticket.begun();
+    }
+    const loads = setup.candidates.map(
+      ({id}) => setup.picker.describe(id).inFlight,
+    );
+    chai.expect(Math.max(...loads)).at.most(7);
+  });
+
   it('leaves an upstream alone after failures in a row', () => {
     // Its health is good, yet every request sent to it hangs or breaks.
     const setup = setUp(3);
