Serve peers, directory, readiness and metrics with the runtime's own server

Cause: hundreds of instances start at once after a loss of power, on a third of a core each; loading the framework was a third of a start's processor time, and its way of a request costs more than what most messages of peers say.

Change: side servers of one path each on node:http; start and stop of servers stand once.

--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -1,9 +1,8 @@
 /** One running gateway instance: its servers, its loops, its planned stop. */
 import * as decisions from '@amaranthknot/decisions';
-import type * as sideServers from '@amaranthknot/gateway/side-server';
+import * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
 import * as protocol from '@amaranthknot/protocol';
-import type * as hapi from '@hapi/hapi';
 import type * as gatewayTokens from './gateway-tokens.js';
 import * as wiring from './gateway-wiring.js';
 import * as instanceLoops from './instance-loops.js';
@@ -38,7 +37,7 @@
 export class GatewayInstance {
   private readonly get: gatewayTokens.ResolveGateway;
   private readonly ending = new AbortController();
-  private sideServers: readonly hapi.Server[] = [];
+  private sideServers: readonly gateway.SideServer[] = [];
   private stopping = false;
   private readonly loops: instanceLoops.InstanceLoops;
 
@@ -70,32 +69,27 @@
     void this.loops.tick(signal);
   }
 
-  /**
-   * Starts what others ask this instance. The library that these servers are
-   * built with is loaded here, after callers are taken: loading it holds the
-   * process for longer than all that comes before.
-   */
+  /** Starts what others ask this instance, after callers are taken. */
   private async startSideServers(): Promise<void> {
     const {get} = this;
     const {listen} = this.options.settings.current;
-    const sideServer = await import('@amaranthknot/gateway/side-server');
     this.sideServers = [
-      sideServer.createReadinessServer(
+      gateway.createReadinessServer(
         listen.readiness,
         platform.INSTANCE_PATHS.readiness,
         () => this.isReady(),
       ),
-      sideServer.createDirectoryServer(
+      gateway.createDirectoryServer(
         listen.directory,
         platform.INSTANCE_PATHS.directory,
         question => this.answerDirectory(question),
       ),
-      sideServer.createPeerServer(listen.peers, protocol.INNER_PATH, text =>
+      gateway.createPeerServer(listen.peers, protocol.INNER_PATH, text =>
         get('peerServer').handle(text),
       ),
       ...(listen.metrics
         ? [
-            sideServer.createMetricsServer(listen.metrics, () =>
+            gateway.createMetricsServer(listen.metrics, () =>
               get('metrics').format(),
             ),
           ]
@@ -160,7 +154,7 @@
     this.get('transport').close();
     await Promise.all([
       this.get('callerServer').stop(0),
-      ...this.sideServers.map(server => server.stop({timeout: 0})),
+      ...this.sideServers.map(server => server.stop()),
     ]);
   }
 
@@ -187,7 +181,7 @@
     zone,
     region,
     callerHost,
-  }: sideServers.DirectoryQuestion): unknown {
+  }: gateway.DirectoryQuestion): unknown {
     const {settings, clock} = this.options;
     const members = this.get('members');
     const now = clock.now();
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import type * as configuration from '@amaranthknot/configuration';
 import type * as routing from '@amaranthknot/routing';
+import * as httpListener from './http-listener.js';
 
 /** Handles one request. */
 export type HandleRequest = (
@@ -60,31 +61,15 @@
 
   /** Listens; rejects where the address can't be had. */
   start(): Promise<void> {
-    const {host, port} = this.address;
-    return new Promise((resolve, reject) => {
-      this.listener.once('error', reject);
-      this.listener.listen({host, port}, () => {
-        this.listener.off('error', reject);
-        resolve();
-      });
-    });
+    return httpListener.listen(this.listener, this.address);
   }
 
   /**
    * Stops listening and closes what is idle; what is still in progress after
    * `timeoutMs` is cut.
    */
-  async stop(timeoutMs: number): Promise<void> {
-    const closed = new Promise<void>(resolve => {
-      this.listener.close(() => {
-        resolve();
-      });
-    });
-    const cutting = setTimeout(() => {
-      this.listener.closeAllConnections();
-    }, timeoutMs);
-    await closed;
-    clearTimeout(cutting);
+  stop(timeoutMs: number): Promise<void> {
+    return httpListener.stopListening(this.listener, timeoutMs);
   }
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export * from './raw-headers.js';
 export * from './refusal.js';
 export * from './rollout-desk.js';
+export * from './side-server.js';
 export * from './stream-run.js';
 export * from './try-upstream.js';
 export * from './upstream-call.js';
--- a/packages/gateway/src/side-server.ts
+++ b/packages/gateway/src/side-server.ts
@@ -1,10 +1,27 @@
-/** Answers readiness checks, callers' address questions, peers, collectors. */
-import * as hapi from '@hapi/hapi';
+/**
+ * Answers readiness checks, callers' address questions, peers, collectors.
+ *
+ * The runtime's own server for a path each: loading a framework is a third of
+ * the processor time of a start, which hundreds of instances take at once
+ * after a loss of power, and its way of a request costs more than what most
+ * messages of peers say.
+ */
+import * as http from 'node:http';
+import * as zlib from 'node:zlib';
 import type * as configuration from '@amaranthknot/configuration';
+import * as httpListener from './http-listener.js';
 
-/** Largest message of another instance, in bytes. */
+/** Largest message of another instance, in bytes, as it is sent and unpacked. */
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
+/** Answer from which a message to a peer is compressed, in bytes. */
+const COMPRESSED_BYTES = 1_024;
+
+/** Path at which metrics are collected. */
+const METRICS_PATH = '/metrics';
+
+const JSON_TYPE = 'application/json';
+
 /** A question of a caller: where to connect. */
 export interface DirectoryQuestion {
   readonly zone: string | undefined;
@@ -13,76 +30,180 @@
   readonly callerHost: string;
 }
 
+/** A running server. */
+export interface SideServer {
+  /** Rejects where the address can't be had. */
+  start(): Promise<void>;
+  /** Ends requests in progress at once. */
+  stop(): Promise<void>;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly type?: string;
+  readonly body?: string;
+}
+
+interface Endpoint {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly answer: (
+    request: http.IncomingMessage,
+    url: URL,
+  ) => Answer | Promise<Answer>;
+}
+
+const NOT_FOUND: Answer = {status: 404};
+
 /** Creates a server that takes messages of other instances. */
 export const createPeerServer = (
   address: configuration.Address,
   path: string,
   handle: (text: string) => Promise<string>,
-): hapi.Server => {
-  const server = hapi.server({...address, debug: false});
-  server.route({
+): SideServer =>
+  createServer(address, {
     method: 'POST',
     path,
-    options: {payload: {parse: 'gunzip', maxBytes: MAX_MESSAGE_BYTES}},
-    handler: async (request, h) => {
-      const answer = await handle((request.payload as Buffer).toString());
-      return h.response(answer).type('application/json');
+    answer: async request => {
+      const text = await readText(request);
+      return text === undefined
+        ? {status: 400}
+        : {status: 200, type: JSON_TYPE, body: await handle(text)};
     },
   });
-  return server;
-};
 
 /** Creates a server that says whether this instance takes requests. */
 export const createReadinessServer = (
   address: configuration.Address,
   path: string,
   isReady: () => boolean,
-): hapi.Server => {
-  const server = hapi.server({...address, debug: false});
-  server.route({
+): SideServer =>
+  createServer(address, {
     method: 'GET',
     path,
-    handler: (_request, h) => h.response('').code(isReady() ? 200 : 503),
+    answer: () => ({status: isReady() ? 200 : 503}),
   });
-  return server;
-};
 
 /** Creates a server that says where callers may connect. */
 export const createDirectoryServer = (
   address: configuration.Address,
   path: string,
   answer: (question: DirectoryQuestion) => unknown,
-): hapi.Server => {
-  const server = hapi.server({...address, debug: false});
-  server.route({
+): SideServer =>
+  createServer(address, {
     method: 'GET',
     path,
-    handler: (request, h) => {
-      const {zone, region} = request.query as Record<string, string>;
-      const callerHost = request.info.remoteAddress;
-      const found = answer({zone, region, callerHost});
+    answer: ({socket}, {searchParams}) => {
+      const found = answer({
+        zone: searchParams.get('zone') ?? undefined,
+        region: searchParams.get('region') ?? undefined,
+        callerHost: socket.remoteAddress ?? '',
+      });
       return found === undefined
-        ? h.response('').code(503)
-        : h.response(found as object);
+        ? {status: 503}
+        : {status: 200, type: JSON_TYPE, body: JSON.stringify(found)};
     },
   });
-  return server;
-};
-
-/** Path at which metrics are collected. */
-const METRICS_PATH = '/metrics';
 
 /** Creates a server that gives metrics as text. */
 export const createMetricsServer = (
   address: configuration.Address,
   format: () => Promise<string>,
-): hapi.Server => {
-  const server = hapi.server({...address, debug: false});
-  server.route({
+): SideServer =>
+  createServer(address, {
     method: 'GET',
     path: METRICS_PATH,
-    handler: async (_request, h) =>
-      h.response(await format()).type('text/plain'),
+    answer: async () => ({
+      status: 200,
+      type: 'text/plain; charset=utf-8',
+      body: await format(),
+    }),
+  });
+
+const createServer = (
+  address: configuration.Address,
+  endpoint: Endpoint,
+): SideServer => {
+  const server = http.createServer((request, response) => {
+    void findAnswer(endpoint, request).then(answer => {
+      send(request, response, answer);
+    });
   });
-  return server;
+  return {
+    start: () => httpListener.listen(server, address),
+    stop: () => httpListener.stopListening(server, 0),
+  };
+};
+
+const findAnswer = async (
+  {method, path, answer}: Endpoint,
+  request: http.IncomingMessage,
+): Promise<Answer> => {
+  const target = `http://side${request.url ?? '/'}`;
+  if (request.method !== method || !URL.canParse(target)) {
+    return NOT_FOUND;
+  }
+  const url = new URL(target);
+  return url.pathname === path ? answer(request, url) : NOT_FOUND;
 };
+
+const send = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  {status, type, body = ''}: Answer,
+): void => {
+  const takesGzip = /\bgzip\b/.test(request.headers['accept-encoding'] ?? '');
+  const isPacked = takesGzip && body.length >= COMPRESSED_BYTES;
+  const bytes = isPacked
+    ? zlib.gzipSync(body, {level: zlib.constants.Z_BEST_SPEED})
+    : Buffer.from(body);
+  response.writeHead(status, {
+    'Content-Length': bytes.length,
+    ...(type === undefined ? {} : {'Content-Type': type}),
+    ...(isPacked ? {'Content-Encoding': 'gzip'} : {}),
+  });
+  response.end(bytes);
+};
+
+/** A message's text; undefined where it is cut off, too long or not readable. */
+const readText = async (
+  request: http.IncomingMessage,
+): Promise<string | undefined> => {
+  const bytes = await readBytes(request);
+  if (!bytes || request.headers['content-encoding'] !== 'gzip') {
+    return bytes?.toString();
+  }
+  try {
+    const options = {maxOutputLength: MAX_MESSAGE_BYTES};
+    return zlib.gunzipSync(bytes, options).toString();
+  } catch {
+    // The sender is told by the status.
+    return undefined;
+  }
+};
+
+const readBytes = (
+  request: http.IncomingMessage,
+): Promise<Buffer | undefined> =>
+  new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAX_MESSAGE_BYTES) {
+        request.pause();
+        resolve(undefined);
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.once('end', () => {
+      resolve(Buffer.concat(chunks, size));
+    });
+    request.once('close', () => {
+      resolve(undefined);
+    });
+    request.once('error', () => {
+      resolve(undefined);
+    });
+  });
--- /dev/null
+++ b/packages/gateway/tests/side-server.test.ts
@@ -0,0 +1,148 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as zlib from 'node:zlib';
+import * as chai from 'chai';
+import * as gateway from '@amaranthknot/gateway';
+
+const HOST = '127.0.0.1';
+const PATH = '/inner/rpc';
+
+const findFreePort = async (): Promise<number> => {
+  const server = net.createServer();
+  await new Promise<void>(resolve => {
+    server.listen(0, HOST, resolve);
+  });
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+};
+
+interface Sent {
+  readonly path?: string;
+  readonly method?: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: Buffer;
+}
+
+interface Got {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+const send = (port: number, sent: Sent): Promise<Got> =>
+  new Promise((resolve, reject) => {
+    const request = http.request({
+      host: HOST,
+      port,
+      path: sent.path ?? PATH,
+      method: sent.method ?? 'POST',
+      headers: sent.headers ?? {},
+    });
+    request.once('error', reject);
+    request.once('response', response => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.once('end', () => {
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks),
+        });
+      });
+    });
+    request.end(sent.body);
+  });
+
+/** Runs `play` before a peer server that answers each message twice over. */
+const withPeerServer = async (
+  play: (port: number) => Promise<void>,
+): Promise<void> => {
+  const port = await findFreePort();
+  const server = gateway.createPeerServer({host: HOST, port}, PATH, text =>
+    Promise.resolve(text + text),
+  );
+  await server.start();
+  try {
+    await play(port);
+  } finally {
+    await server.stop();
+  }
+};
+
+describe('servers beside the callers', () => {
+  it('take a message of a peer as it is', () =>
+    withPeerServer(async port => {
+      const {status, body} = await send(port, {body: Buffer.from('abc')});
+      chai.expect(status).equal(200);
+      chai.expect(String(body)).equal('abcabc');
+    }));
+
+  it('take and give long messages packed', () =>
+    withPeerServer(async port => {
+      const text = 'name '.repeat(1_000);
+      const {headers, body} = await send(port, {
+        headers: {'content-encoding': 'gzip', 'accept-encoding': 'gzip'},
+        body: zlib.gzipSync(text),
+      });
+      chai.expect(headers['content-encoding']).equal('gzip');
+      chai.expect(String(zlib.gunzipSync(body))).equal(text + text);
+    }));
+
+  const refused: readonly (Sent & {
+    readonly name: string;
+    readonly status: number;
+  })[] = [
+    {name: 'another path', path: '/other', status: 404},
+    {name: 'another method', method: 'PUT', status: 404},
+    {
+      name: 'bytes that can not be unpacked',
+      headers: {'content-encoding': 'gzip'},
+      body: Buffer.from('no gzip'),
+      status: 400,
+    },
+    {
+      name: 'a message that unpacks to more than it may',
+      headers: {'content-encoding': 'gzip'},
+      body: zlib.gzipSync(Buffer.alloc(5 * 1024 * 1024)),
+      status: 400,
+    },
+    {
+      name: 'a message that is too long',
+      body: Buffer.alloc(4 * 1024 * 1024 + 1),
+      status: 400,
+    },
+  ];
+  for (const {name, status, ...sent} of refused) {
+    it(`refuse ${name}`, () =>
+      withPeerServer(async port => {
+        chai.expect((await send(port, sent)).status).equal(status);
+        const after = await send(port, {body: Buffer.from('abc')});
+        chai.expect(after.status).equal(200);
+      }));
+  }
+
+  it('tell a caller where to connect, or that it is not known yet', async () => {
+    const port = await findFreePort();
+    const asked: gateway.DirectoryQuestion[] = [];
+    const server = gateway.createDirectoryServer(
+      {host: HOST, port},
+      PATH,
+      question => {
+        asked.push(question);
+        return question.zone === 'a' ? {addresses: ['x:1']} : undefined;
+      },
+    );
+    await server.start();
+    const ask = (zone: string) =>
+      send(port, {method: 'GET', path: `${PATH}?zone=${zone}&region=r`});
+    const known = await ask('a');
+    const unknown = await ask('b');
+    await server.stop();
+    chai.expect(JSON.parse(String(known.body))).eql({addresses: ['x:1']});
+    chai.expect(unknown.status).equal(503);
+    chai
+      .expect(asked[0])
+      .eql({zone: 'a', region: 'r', callerHost: '127.0.0.1'});
+  });
+});
