Leave asking the store to the watchers while it does not answer

Cause: in an outage what every instance knows grows too old, and each asked for all four kinds again and again, though the watchers try all the time and tell the others at once.

Change: an instance that a watcher answers and the store has not leaves it to the watchers; cut off from these it asks as before.

--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -103,11 +103,24 @@
       return 'ask';
     }
     const ageMs = this.options.now() - view.confirmedAtMs;
-    return decisions.findWatchNeed(
+    const need = decisions.findWatchNeed(
       this.watchesStore(),
       ageMs,
       this.boundMs(view.kind),
     );
+    return need === 'ask' && this.isLeftToWatchers() ? 'none' : need;
+  }
+
+  /**
+   * Whether asking the store is left to the watchers: one of them answers this
+   * instance, and the store has not.
+   *
+   * Guards against an outage in which hundreds ask again and again for what
+   * the watchers, who try all the time, would tell them at once.
+   */
+  private isLeftToWatchers(): boolean {
+    const {members, now} = this.options;
+    return this.failingSinceMs !== undefined && members.isTold(now());
   }
 
   /**
--- a/packages/amaranthknot/tests/gateway/fleet-life.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-life.test.ts
@@ -112,4 +112,20 @@
     const restarting = countCalls(fleet) - before - calm;
     chai.expect(restarting).below(1.5 * calm);
   });
+
+  it('is little while the store answers nobody', async () => {
+    // Every instance found what it knew too old, and asked for all of it again
+    // and again, though its watchers did so for all.
+    const fleet = await startFleet(73);
+    const before = countCalls(fleet);
+    fleet.setStoreFault('down');
+    await fleet.clock.advance(8_000);
+    chai.expect(countCalls(fleet) - before).below(10 * 73);
+    fleet.setStoreFault('none');
+    await fleet.clock.advance(1_500);
+    const ages = fleet
+      .live()
+      .map(({get}) => get('state').inForce()?.ageMs ?? Infinity);
+    chai.expect(Math.max(...ages)).below(1_500);
+  });
 });
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -40,6 +40,8 @@
   readonly kill: (id: string) => void;
   /** Starts the process of an instance again. */
   readonly restart: (id: string) => void;
+  /** What goes wrong with each call to the store from now on. */
+  readonly setStoreFault: (fault: fakes.StoreFault) => void;
   /** Bytes of messages that instances have sent to each other. */
   readonly sentBytes: () => number;
 }
@@ -95,7 +97,12 @@
 ): Promise<VirtualFleet> => {
   const clock = new fakes.VirtualClock();
   const random = fakes.createRandom(options.seed ?? 1);
-  const store = new fakes.MemoryObjectStore({clock, delayMs: () => STORE_MS});
+  let storeFault: fakes.StoreFault = 'none';
+  const store = new fakes.MemoryObjectStore({
+    clock,
+    delayMs: () => STORE_MS,
+    fault: () => storeFault,
+  });
   const running = new Map<string, Running>();
   const network = createNetwork(clock, running);
   const setUp = store.create('config', 'main', fixture.createManifest(1));
@@ -141,6 +148,9 @@
     restart: id => {
       start(indexOf(id));
     },
+    setStoreFault: fault => {
+      storeFault = fault;
+    },
     sentBytes: network.sentBytes,
   };
 };
