Choose the better of two upstreams that are drawn, not the best of all

Change: each try draws one upstream of its zone and one of any, and one of the other tier, beside the home of its beginning; more of them by the part of all work that the instance sends itself, for that it knows at once; where the best is filling up, all are looked at. Roles in watching the store go to instances that take no callers yet as well: before the first configuration none does, all asked the store a second time, and took turns as watchers when it came.

--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -177,10 +177,12 @@
 
   private workOutRoles(atMs: number): Roles {
     const {members} = this.options;
-    const serving = members.serving(atMs);
-    const reaching = serving.filter(({store}) => store === 'reached');
+    // Also those that take no callers yet: before the first configuration no
+    // instance does, and each would ask the store for itself.
+    const staying = members.staying(atMs);
+    const reaching = staying.filter(({store}) => store === 'reached');
     // In an outage for all the roles stay as they are.
-    const able = reaching.length > 0 ? reaching : serving;
+    const able = reaching.length > 0 ? reaching : staying;
     if (this.roles && isSameList(this.roles.able, able)) {
       return {...this.roles, atMs};
     }
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -4,10 +4,12 @@
  * Load: long prompts beside short ones, prompts that share their beginnings,
  * and upstreams of which some fail, hang or are slow while their health is
  * good. Harm prevented: queues behind a long prompt while others are idle,
- * shared beginnings read again everywhere, and every instance finding out by
- * its own callers' loss that an upstream fails.
+ * shared beginnings read again everywhere, every instance finding out by its
+ * own callers' loss that an upstream fails, and hundreds of instances that all
+ * choose the upstream which looked idle when they heard of it last.
  */
 import * as rendezvous from './rendezvous.js';
+import * as sample from './sample.js';
 import * as upstreamSigns from './upstream-signs.js';
 
 /** An upstream that may be picked. */
@@ -126,6 +128,23 @@
  */
 const FULL_TOKENS = 6_000;
 
+/**
+ * Least upstreams among which the best is chosen, drawn anew for each try; half
+ * of them lie in the instance's own zone. What others have sent in the last
+ * half second is not known: the best of all would be the same one for every
+ * instance in that time, the better of two is another one for each.
+ */
+const LEAST_DRAWN = 2;
+
+/** Upstreams of the other tier that are drawn beside them. */
+const DRAWN_OTHER_TIER = 1;
+
+/**
+ * Time for which an instance's part in the work of all is kept, in
+ * milliseconds; it changes as instances come and go.
+ */
+const PART_MS = 1_000;
+
 /** Failures in a row after which an upstream is left alone for a while. */
 const ROW_LIMIT = 3;
 
@@ -153,6 +172,8 @@
 /** Picks upstreams for one instance. */
 export class UpstreamPicker {
   private readonly rows = new Map<string, Row>();
+  /** This instance's part in the work of all, and as of when. */
+  private part = {atMs: -Infinity, value: 0};
 
   constructor(private readonly options: UpstreamPickerOptions) {}
 
@@ -165,7 +186,10 @@
     }
   }
 
-  /** The candidate with the least cost; undefined where there is none. */
+  /**
+   * Of a few candidates that are drawn, and the home of the prompt's beginning,
+   * the one with the least cost; undefined where there is none.
+   */
   pick(
     candidates: readonly PickCandidate[],
     work: PickWork,
@@ -173,20 +197,87 @@
     const now = this.options.now();
     const rested = candidates.filter(({id}) => this.row(id).restUntilMs <= now);
     const usable = rested.length > 0 ? rested : candidates;
-    const own = work.tier ? findTier(usable, work.tier) : usable;
-    const home = findHome(own, work.sharedKey);
-    let best: PickCandidate | undefined;
-    let bestCost = Infinity;
-    for (const candidate of usable) {
-      const isOther = own !== usable && !own.includes(candidate);
-      const apart = isOther ? OTHER_TIER_TOKENS : 0;
-      const cost = this.costOf(candidate, work, home, now) + apart;
-      if (cost < bestCost) {
-        best = candidate;
-        bestCost = cost;
-      }
+    const tiers = splitByTier(usable, work.tier);
+    const home = findHome(tiers.own, work.sharedKey);
+    const drawn = this.draw(tiers, home, now);
+    const best = this.findBest(drawn, work, home, now);
+    if (!best || !this.isFillingUp(best, now)) {
+      return best;
+    }
+    // Few have room left: most draws would miss them.
+    return this.findBest(tiers, work, home, now);
+  }
+
+  private isFillingUp({id, slots}: PickCandidate, now: number): boolean {
+    return this.row(id).signs.total(now).inFlight >= FILLING_PART * slots;
+  }
+
+  /** The cheapest of candidates of the own tier and of the other one. */
+  private findBest(
+    {own, other}: Tiers,
+    work: PickWork,
+    home: string | undefined,
+    now: number,
+  ): PickCandidate | undefined {
+    const costs = [
+      ...own.map(candidate => ({candidate, apart: 0})),
+      ...other.map(candidate => ({candidate, apart: OTHER_TIER_TOKENS})),
+    ].map(({candidate, apart}) => ({
+      candidate,
+      cost: this.costOf(candidate, work, home, now) + apart,
+    }));
+    const [first, ...rest] = costs;
+    const best =
+      first && rest.reduce((a, b) => (b.cost < a.cost ? b : a), first);
+    return best?.candidate;
+  }
+
+  private draw(
+    {own, other}: Tiers,
+    home: string | undefined,
+    now: number,
+  ): Tiers {
+    const {random} = this.options;
+    return {
+      own: this.drawOwn(own, home, now),
+      other: sample.drawSome(other, DRAWN_OTHER_TIER, random),
+    };
+  }
+
+  /**
+   * Some candidates, of the own zone first, and the home. An instance that
+   * sends most of all that is sent knows the rest well enough to look at most.
+   */
+  private drawOwn(
+    candidates: readonly PickCandidate[],
+    home: string | undefined,
+    now: number,
+  ): readonly PickCandidate[] {
+    const {zone, random} = this.options;
+    const part = this.partOfWork(now);
+    const count = Math.max(LEAST_DRAWN, Math.ceil(part * candidates.length));
+    const near = candidates.filter(candidate => candidate.zone === zone);
+    const drawn = sample.drawSome(near, Math.ceil(count / 2), random);
+    const others = candidates.filter(candidate => !drawn.includes(candidate));
+    const rest = sample.drawSome(others, count - drawn.length, random);
+    const some = [...drawn, ...rest];
+    const atHome = candidates.find(({id}) => id === home);
+    return !atHome || some.includes(atHome) ? some : [...some, atHome];
+  }
+
+  /** Part of all instances' requests that this one sends, 0 to 1. */
+  private partOfWork(now: number): number {
+    if (now - this.part.atMs < PART_MS) {
+      return this.part.value;
     }
-    return best;
+    let own = 0;
+    let all = 0;
+    for (const {signs} of this.rows.values()) {
+      own += countRequests(signs.own(now));
+      all += countRequests(signs.total(now));
+    }
+    this.part = {atMs: now, value: all === 0 ? 0 : own / all};
+    return this.part.value;
   }
 
   /** Notes that a try begins. */
@@ -348,6 +439,9 @@
   }
 }
 
+const countRequests = (signs: upstreamSigns.HeardSigns): number =>
+  signs.inFlight + signs.answered + signs.failed;
+
 /** How long a full upstream is passed over, in milliseconds. */
 const REFUSED_REST_MS = 40;
 
@@ -383,14 +477,20 @@
 /** Names the ranking that sets engines apart; any fixed text does. */
 const TIER_KEY = 'tier';
 
+/** Engines by whether they are set apart for the tier of a try. */
+interface Tiers {
+  readonly own: readonly PickCandidate[];
+  readonly other: readonly PickCandidate[];
+}
+
 /** Engines that are set apart for a tier, the same on all instances. */
-const findTier = (
+const splitByTier = (
   candidates: readonly PickCandidate[],
-  tier: 'cheap' | 'capable',
-): readonly PickCandidate[] => {
+  tier: PickWork['tier'],
+): Tiers => {
   const {length} = candidates;
-  if (length < 2) {
-    return candidates;
+  if (length < 2 || tier === undefined) {
+    return {own: candidates, other: []};
   }
   const count = Math.max(1, Math.round(CHEAP_PART * length));
   const cheap = rendezvous.rankByRendezvous(
@@ -398,7 +498,12 @@
     candidates.map(({id}) => id),
     count,
   );
-  return candidates.filter(({id}) => cheap.includes(id) === (tier === 'cheap'));
+  const isOwn = ({id}: PickCandidate) =>
+    cheap.includes(id) === (tier === 'cheap');
+  return {
+    own: candidates.filter(isOwn),
+    other: candidates.filter(candidate => !isOwn(candidate)),
+  };
 };
 
 /** The upstream to which all instances send a shared beginning. */
--- a/packages/fleet/src/member-table.ts
+++ b/packages/fleet/src/member-table.ts
@@ -343,15 +343,12 @@
 
   /** Instances that take callers now, this one included if it does. */
   serving(nowMs: number): readonly protocol.Member[] {
-    const reachable = [...this.rows.values()]
-      .filter(
-        ({heardAtMs, unreachableUntilMs}) =>
-          nowMs - heardAtMs <= SILENT_MS && nowMs >= unreachableUntilMs,
-      )
-      .map(row => row.member);
-    return [this.selfRow, ...reachable].filter(
-      ({phase}) => phase === 'serving',
-    );
+    return this.reachable(nowMs).filter(({phase}) => phase === 'serving');
+  }
+
+  /** Instances that stay, whether they take callers yet or not. */
+  staying(nowMs: number): readonly protocol.Member[] {
+    return this.reachable(nowMs).filter(({phase}) => phase !== 'leaving');
   }
 
   /** Instances among which shares are divided, silent ones included. */
@@ -370,6 +367,16 @@
     }
   }
 
+  private reachable(nowMs: number): readonly protocol.Member[] {
+    const others = [...this.rows.values()]
+      .filter(
+        ({heardAtMs, unreachableUntilMs}) =>
+          nowMs - heardAtMs <= SILENT_MS && nowMs >= unreachableUntilMs,
+      )
+      .map(row => row.member);
+    return [this.selfRow, ...others];
+  }
+
   private others(nowMs: number, withinMs: number): readonly protocol.Member[] {
     return [...this.rows.values()]
       .filter(row => nowMs - row.heardAtMs <= withinMs)
