--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -24,6 +24,7 @@
 export * from './model-choice.js';
 export * from './moving-estimate.js';
 export * from './placement-pool.js';
+export * from './pick-work.js';
 export * from './placement.js';
 export * from './quality-price.js';
 export * from './reading-backlog.js';
--- /dev/null
+++ b/packages/decisions/src/upstream-cost.ts
@@ -0,0 +1,140 @@
+/**
+ * What a try costs at an upstream, in prompt tokens: what it waits for there,
+ * what it holds up, and what it risks. Pure.
+ */
+import type * as pickWork from './pick-work.js';
+import type * as upstreamSigns from './upstream-signs.js';
+
+/**
+ * Cost of one request in progress, in prompt tokens. An engine's step takes a
+ * few percent longer for each request of its batch; thirty of them delay a
+ * first token about as much as one long prompt.
+ */
+const REQUEST_TOKENS = 250;
+
+/**
+ * Time that making an answer's token counts for, in seconds, against the
+ * prompts that come in it: a fifth of what a capable model takes, for an answer
+ * that is held up is still on time if it began in time.
+ */
+const ANSWER_TOKEN_S = 0.002;
+
+/**
+ * Part of a prompt's cost that it brings to each request in progress, which
+ * mostly can wait.
+ */
+const HELD_UP_PART = 0.02;
+
+/**
+ * Most that standing still counts for, in prompt tokens: less than an engine
+ * that is set apart for the other tier, which reads little by this measure.
+ */
+const MOST_STANDSTILL_TOKENS = 4_000;
+
+/**
+ * Cost of another zone, in prompt tokens: two ms of round trip and the price
+ * of the bytes, less than reading a short shared beginning again.
+ */
+const ZONE_TOKENS = 300;
+
+/**
+ * Cost of an engine that is set apart for the other tier, in prompt tokens:
+ * as much as a long prompt, so that a tier spills over when its own are full.
+ */
+export const OTHER_TIER_TOKENS = 5_000;
+
+/**
+ * Cost of an engine whose batch is full, in prompt tokens: a prompt waits there
+ * until an answer of others has ended, or takes the place of one in progress,
+ * which is read again later. It is more than an engine of the other tier.
+ */
+const FULL_BATCH_TOKENS = 12_000;
+
+/**
+ * Part of an engine's batch from which on it counts as filling up. What others
+ * have sent there in the last half second is not known yet.
+ */
+const FILLING_PART = 0.6;
+
+/** Differences below this many tokens are chance; among them the draw decides. */
+const NOISE_TOKENS = 150;
+
+/**
+ * Cost of a whole batch, in prompt tokens, for plain services: a request that
+ * has to wait for a slot waits for as long as one takes.
+ */
+const FULL_TOKENS = 6_000;
+
+/** Cost of the failure rate, in tokens: what a failed try wastes. */
+const FAILURE_TOKENS = 12_000;
+
+/** An upstream as a try would find it. */
+export interface UpstreamOutlook {
+  readonly candidate: pickWork.PickCandidate;
+  /** Signs of all instances. */
+  readonly signs: upstreamSigns.HeardSigns;
+  /** Weighted tokens of this instance's own prompts that wait there. */
+  readonly ownWaitingTokens: number;
+  /** Whether it keeps the beginning that the prompt shares. */
+  readonly isHome: boolean;
+  /** Whether it lies in the instance's zone. */
+  readonly isNear: boolean;
+}
+
+/**
+ * Cost of a try, in prompt tokens.
+ *
+ * @param random uniform random numbers in [0, 1).
+ */
+export const findCost = (
+  work: pickWork.PickWork,
+  {candidate, signs, ownWaitingTokens, isHome, isNear}: UpstreamOutlook,
+  random: () => number,
+): number => {
+  const {inFlight, tokensPerS, answered, failed} = signs;
+  const isGeneration = work.promptTokens > 0;
+  const load = isGeneration
+    ? ownWaitingTokens +
+      inFlight * REQUEST_TOKENS +
+      fullnessTokens(inFlight, candidate.slots) +
+      standstillTokens(work, inFlight, tokensPerS)
+    : (inFlight / candidate.slots) * FULL_TOKENS;
+  const unread = work.promptTokens - (isHome ? work.sharedTokens : 0);
+  const far = isNear ? 0 : ZONE_TOKENS;
+  const rate = failed / (answered + failed + 1);
+  const noise = random() * NOISE_TOKENS;
+  return load + unread + far + rate * FAILURE_TOKENS + noise;
+};
+
+/** Whether so many requests in progress nearly fill an upstream's batch. */
+export const isFillingUp = (inFlight: number, slots: number): boolean =>
+  inFlight >= FILLING_PART * slots;
+
+/**
+ * Cost of standing still, in prompt tokens. An engine makes no answer's token
+ * while it reads a piece of a prompt: a long answer is held up by the prompts
+ * that come meanwhile, and a long prompt holds up the answers in progress.
+ * Counted, long answers and long prompts find their way to different engines;
+ * side by side, answers of a few seconds took twenty, and were cut by their
+ * time limit or by the end of a process.
+ */
+const standstillTokens = (
+  {promptTokens, answerTokens}: pickWork.PickWork,
+  inFlight: number,
+  tokensPerS: number,
+): number =>
+  Math.min(
+    MOST_STANDSTILL_TOKENS,
+    ANSWER_TOKEN_S * answerTokens * tokensPerS +
+      HELD_UP_PART * promptTokens * inFlight,
+  );
+
+/**
+ * Cost of a batch that fills up, in prompt tokens. Engines that are set apart
+ * for a tier spill over before their batches are full: those of 16 places had
+ * answers in progress pushed out while others stood half empty.
+ */
+const fullnessTokens = (inFlight: number, slots: number): number => {
+  const filled = (inFlight / slots - FILLING_PART) / (1 - FILLING_PART);
+  return FULL_BATCH_TOKENS * Math.max(0, filled);
+};
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -8,31 +8,12 @@
  * own callers' loss that an upstream fails, and hundreds of instances that all
  * choose the upstream which looked idle when they heard of it last.
  */
-import * as rendezvous from './rendezvous.js';
+import * as engineTiers from './engine-tiers.js';
+import type * as pickWork from './pick-work.js';
 import * as sample from './sample.js';
+import * as upstreamCost from './upstream-cost.js';
 import * as upstreamSigns from './upstream-signs.js';
 
-/** An upstream that may be picked. */
-export interface PickCandidate {
-  readonly id: string;
-  readonly zone: string;
-  readonly slots: number;
-}
-
-/** What one try brings to an upstream. */
-export interface PickWork {
-  /** Tokens to read, weighted by what the model takes for each; 0 for none. */
-  readonly promptTokens: number;
-  /** Tokens of the answer to expect, weighted alike; 0 for none. */
-  readonly answerTokens: number;
-  /** Of the prompt, tokens of a beginning that other requests share. */
-  readonly sharedTokens: number;
-  /** Names that beginning; undefined where nothing is shared. */
-  readonly sharedKey: string | undefined;
-  /** Whether a cheap or a capable model runs; absent where there is one. */
-  readonly tier?: 'cheap' | 'capable';
-}
-
 /** Signs of one upstream. */
 export type NamedSigns = upstreamSigns.HeardSigns & {readonly id: string};
 
@@ -61,73 +42,6 @@
   readonly random: () => number;
 }
 
-/**
- * Cost of one request in progress, in prompt tokens. An engine's step takes a
- * few percent longer for each request of its batch; thirty of them delay a
- * first token about as much as one long prompt.
- */
-const REQUEST_TOKENS = 250;
-
-/**
- * Time that making an answer's token counts for, in seconds, against the
- * prompts that come in it: a fifth of what a capable model takes, for an answer
- * that is held up is still on time if it began in time.
- */
-const ANSWER_TOKEN_S = 0.002;
-
-/**
- * Part of a prompt's cost that it brings to each request in progress, which
- * mostly can wait.
- */
-const HELD_UP_PART = 0.02;
-
-/**
- * Most that standing still counts for, in prompt tokens: less than an engine
- * that is set apart for the other tier, which reads little by this measure.
- */
-const MOST_STANDSTILL_TOKENS = 4_000;
-
-/**
- * Cost of another zone, in prompt tokens: two ms of round trip and the price
- * of the bytes, less than reading a short shared beginning again.
- */
-const ZONE_TOKENS = 300;
-
-/**
- * Part of the engines that is set apart for cheap models. They read all
- * prompts first, at a tenth of the capable model's time for each token, and
- * make tokens up to twice as slowly where a capable model reads beside them.
- */
-const CHEAP_PART = 0.3;
-
-/**
- * Cost of an engine that is set apart for the other tier, in prompt tokens:
- * as much as a long prompt, so that a tier spills over when its own are full.
- */
-const OTHER_TIER_TOKENS = 5_000;
-
-/**
- * Cost of an engine whose batch is full, in prompt tokens: a prompt waits there
- * until an answer of others has ended, or takes the place of one in progress,
- * which is read again later. It is more than an engine of the other tier.
- */
-const FULL_BATCH_TOKENS = 12_000;
-
-/**
- * Part of an engine's batch from which on it counts as filling up. What others
- * have sent there in the last half second is not known yet.
- */
-const FILLING_PART = 0.6;
-
-/** Differences below this many tokens are chance; among them the draw decides. */
-const NOISE_TOKENS = 150;
-
-/**
- * Cost of a whole batch, in prompt tokens, for plain services: a request that
- * has to wait for a slot waits for as long as one takes.
- */
-const FULL_TOKENS = 6_000;
-
 /**
  * Least upstreams among which the best is chosen, drawn anew for each try; half
  * of them lie in the instance's own zone. What others have sent in the last
@@ -154,9 +68,6 @@
 /** Failure rate above the others' from which an upstream is left alone. */
 const RATE_EXCESS = 0.25;
 
-/** Cost of the failure rate, in tokens: what a failed try wastes. */
-const FAILURE_TOKENS = 12_000;
-
 /** How long an upstream is left alone, in milliseconds; doubles each time. */
 const REST_MS = 700;
 const LONGEST_REST_MS = 5_000;
@@ -191,14 +102,14 @@
    * the one with the least cost; undefined where there is none.
    */
   pick(
-    candidates: readonly PickCandidate[],
-    work: PickWork,
-  ): PickCandidate | undefined {
+    candidates: readonly pickWork.PickCandidate[],
+    work: pickWork.PickWork,
+  ): pickWork.PickCandidate | undefined {
     const now = this.options.now();
     const rested = candidates.filter(({id}) => this.row(id).restUntilMs <= now);
     const usable = rested.length > 0 ? rested : candidates;
-    const tiers = splitByTier(usable, work.tier);
-    const home = findHome(tiers.own, work.sharedKey);
+    const tiers = engineTiers.splitByTier(usable, work.tier);
+    const home = engineTiers.findHome(tiers.own, work.sharedKey);
     const drawn = this.draw(tiers, home, now);
     const best = this.findBest(drawn, work, home, now);
     if (!best || !this.isFillingUp(best, now)) {
@@ -208,20 +119,45 @@
     return this.findBest(tiers, work, home, now);
   }
 
-  private isFillingUp({id, slots}: PickCandidate, now: number): boolean {
-    return this.row(id).signs.total(now).inFlight >= FILLING_PART * slots;
+  private isFillingUp(
+    {id, slots}: pickWork.PickCandidate,
+    now: number,
+  ): boolean {
+    const {inFlight} = this.row(id).signs.total(now);
+    return upstreamCost.isFillingUp(inFlight, slots);
+  }
+
+  private costOf(
+    candidate: pickWork.PickCandidate,
+    work: pickWork.PickWork,
+    home: string | undefined,
+    now: number,
+  ): number {
+    const {zone, random} = this.options;
+    const {signs} = this.row(candidate.id);
+    const outlook = {
+      candidate,
+      signs: signs.total(now),
+      ownWaitingTokens: signs.waitingTokens,
+      isHome: candidate.id === home,
+      isNear: candidate.zone === zone,
+    };
+    return upstreamCost.findCost(work, outlook, random);
   }
 
   /** The cheapest of candidates of the own tier and of the other one. */
   private findBest(
-    {own, other}: Tiers,
-    work: PickWork,
+    {own, other}: engineTiers.EngineTiers,
+    work: pickWork.PickWork,
     home: string | undefined,
     now: number,
-  ): PickCandidate | undefined {
+  ): pickWork.PickCandidate | undefined {
     const costs = [
       ...own.map(candidate => ({candidate, apart: 0})),
-      ...other.map(candidate => ({candidate, apart: OTHER_TIER_TOKENS})),
+      ...other.map(candidate => ({
+        candidate,
+        apart: upstreamCost.OTHER_TIER_TOKENS,
+      })),
     ].map(({candidate, apart}) => ({
       candidate,
       cost: this.costOf(candidate, work, home, now) + apart,
@@ -233,10 +169,10 @@
   }
 
   private draw(
-    {own, other}: Tiers,
+    {own, other}: engineTiers.EngineTiers,
     home: string | undefined,
     now: number,
-  ): Tiers {
+  ): engineTiers.EngineTiers {
     const {random} = this.options;
     return {
       own: this.drawOwn(own, home, now),
@@ -249,10 +185,10 @@
    * sends most of all that is sent knows the rest well enough to look at most.
    */
   private drawOwn(
-    candidates: readonly PickCandidate[],
+    candidates: readonly pickWork.PickCandidate[],
     home: string | undefined,
     now: number,
-  ): readonly PickCandidate[] {
+  ): readonly pickWork.PickCandidate[] {
     const {zone, random} = this.options;
     const part = this.partOfWork(now);
     const count = Math.max(LEAST_DRAWN, Math.ceil(part * candidates.length));
@@ -281,7 +217,7 @@
   }
 
   /** Notes that a try begins. */
-  start(id: string, work: PickWork): PickTicket {
+  start(id: string, work: pickWork.PickWork): PickTicket {
     const row = this.row(id);
     const {signs} = row;
     signs.inFlight++;
@@ -352,29 +288,6 @@
     }
   }
 
-  private costOf(
-    candidate: PickCandidate,
-    work: PickWork,
-    home: string | undefined,
-    now: number,
-  ): number {
-    const {signs} = this.row(candidate.id);
-    const {inFlight, tokensPerS, answered, failed} = signs.total(now);
-    const isGeneration = work.promptTokens > 0;
-    const load = isGeneration
-      ? signs.waitingTokens +
-        inFlight * REQUEST_TOKENS +
-        fullnessTokens(inFlight, candidate.slots) +
-        standstillTokens(work, inFlight, tokensPerS)
-      : (inFlight / candidate.slots) * FULL_TOKENS;
-    const unread =
-      work.promptTokens - (candidate.id === home ? work.sharedTokens : 0);
-    const far = candidate.zone === this.options.zone ? 0 : ZONE_TOKENS;
-    const rate = failed / (answered + failed + 1);
-    const noise = this.options.random() * NOISE_TOKENS;
-    return load + unread + far + rate * FAILURE_TOKENS + noise;
-  }
-
   private noteEnd(row: Row, outcome: PickOutcome): void {
     const now = this.options.now();
     switch (outcome) {
@@ -444,77 +357,3 @@
 
 /** How long a full upstream is passed over, in milliseconds. */
 const REFUSED_REST_MS = 40;
-
-/**
- * Cost of standing still, in prompt tokens. An engine makes no answer's token
- * while it reads a piece of a prompt: a long answer is held up by the prompts
- * that come meanwhile, and a long prompt holds up the answers in progress.
- * Counted, long answers and long prompts find their way to different engines;
- * side by side, answers of a few seconds took twenty, and were cut by their
- * time limit or by the end of a process.
- */
-const standstillTokens = (
-  {promptTokens, answerTokens}: PickWork,
-  inFlight: number,
-  tokensPerS: number,
-): number =>
-  Math.min(
-    MOST_STANDSTILL_TOKENS,
-    ANSWER_TOKEN_S * answerTokens * tokensPerS +
-      HELD_UP_PART * promptTokens * inFlight,
-  );
-
-/**
- * Cost of a batch that fills up, in prompt tokens. Engines that are set apart
- * for a tier spill over before their batches are full: those of 16 places had
- * answers in progress pushed out while others stood half empty.
- */
-const fullnessTokens = (inFlight: number, slots: number): number => {
-  const filled = (inFlight / slots - FILLING_PART) / (1 - FILLING_PART);
-  return FULL_BATCH_TOKENS * Math.max(0, filled);
-};
-
-/** Names the ranking that sets engines apart; any fixed text does. */
-const TIER_KEY = 'tier';
-
-/** Engines by whether they are set apart for the tier of a try. */
-interface Tiers {
-  readonly own: readonly PickCandidate[];
-  readonly other: readonly PickCandidate[];
-}
-
-/** Engines that are set apart for a tier, the same on all instances. */
-const splitByTier = (
-  candidates: readonly PickCandidate[],
-  tier: PickWork['tier'],
-): Tiers => {
-  const {length} = candidates;
-  if (length < 2 || tier === undefined) {
-    return {own: candidates, other: []};
-  }
-  const count = Math.max(1, Math.round(CHEAP_PART * length));
-  const cheap = rendezvous.rankByRendezvous(
-    TIER_KEY,
-    candidates.map(({id}) => id),
-    count,
-  );
-  const isOwn = ({id}: PickCandidate) =>
-    cheap.includes(id) === (tier === 'cheap');
-  return {
-    own: candidates.filter(isOwn),
-    other: candidates.filter(candidate => !isOwn(candidate)),
-  };
-};
-
-/** The upstream to which all instances send a shared beginning. */
-const findHome = (
-  candidates: readonly PickCandidate[],
-  sharedKey: string | undefined,
-): string | undefined =>
-  sharedKey === undefined
-    ? undefined
-    : rendezvous.rankByRendezvous(
-        sharedKey,
-        candidates.map(({id}) => id),
-        1,
-      )[0];
