--- a/packages/fleet/src/report-exchange.ts
+++ b/packages/fleet/src/report-exchange.ts
@@ -16,7 +16,7 @@
   readonly random: () => number;
   readonly transport: protocol.PeerTransport;
   readonly members: memberTable.MemberTable;
-  /** Whether a watcher tells this instance of the fleet. */
+  /** Whether a watcher tells this instance of the fleet, and it is none. */
   readonly isTold: () => boolean;
   /** The instances that watch, this one among them if it does. */
   readonly findWatchers: () => readonly protocol.Member[];
