--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -36,13 +36,25 @@
   async followStore(signal: AbortSignal): Promise<void> {
     const seed = this.drawSeed();
     if (seed !== undefined) {
-      await this.get('subscription').askFirst(seed);
+      await this.askFirst(seed);
     }
     for (const follower of Object.values(this.get('followers'))) {
       void follower.run(signal);
     }
   }
 
+  private async askFirst(seed: string): Promise<void> {
+    const {get} = this;
+    const {clock} = get('options');
+    const startedAtMs = clock.now();
+    await get('subscription').askFirst(seed);
+    get('log').belief('seed_asked', {
+      seed,
+      tookMs: Math.round(clock.now() - startedAtMs),
+      isKnowing: get('state').isKnowing(),
+    });
+  }
+
   /** Address of another instance that the settings name. */
   private drawSeed(): string | undefined {
     const {settings, random} = this.get('options');
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -34,6 +34,8 @@
 /** What changes what the instance believes, and its life. */
 export type BeliefEvent =
   | 'instance_started'
+  /** A peer was asked at the start for what it knows of the store. */
+  | 'seed_asked'
   | 'instance_serving'
   | 'instance_stopping'
   | 'instance_stopped'
