Tell peers whole numbers of tokens, and log messages that are refused

Cause: prompts are weighted by fractions, and what is left of a sum once all is taken away again came out a little below 0 (-1e-13).

Change: weighted tokens are summed as whole numbers; a message that a peer refuses, or an answer that is none, is a line (peer_message_refused).

Test: 200 prompts with fractions, ended in reverse: -1.4e-13 before.

--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -128,6 +128,24 @@
   return `${id}.${start}`;
 };
 
+/** Longest part of a peer's reason that is logged. */
+const REASON_LENGTH = 200;
+
+/**
+ * Logs messages that did not pass for what they say. A peer that can't be
+ * reached is seen by who is lost and who is asked instead.
+ */
+const logPeerFailure = (
+  get: gatewayTokens.ResolveGateway,
+  peer: string,
+  {code, message}: protocol.PeerError,
+): void => {
+  if (code !== 'not_sent' && code !== 'unknown') {
+    const reason = message.slice(0, REASON_LENGTH);
+    get('log').trouble('peer_message_refused', {peer, code, reason});
+  }
+};
+
 const createExchange = (
   get: gatewayTokens.ResolveGateway,
 ): fleet.ReportExchange => {
@@ -142,6 +160,9 @@
       get('members').isTold(clock.now()) && !get('watching').isWatcher(),
     findWatchers: () => get('watching').findWatchers(),
     createReport: address => get('reports').create(address),
+    onFailure: (peer, error) => {
+      logPeerFailure(get, peer, error);
+    },
     onAnswer: (address, report, askedAtMs) => {
       get('relay').take(address, report.views, askedAtMs);
       get('reports').take(report);
@@ -160,6 +181,9 @@
     freshMs: kind => get('watching').freshMs(kind),
     onUpdate: get('takeView'),
     isWatcher: () => get('watching').isWatcher(),
+    onFailure: (peer, error) => {
+      logPeerFailure(get, peer, error);
+    },
     createReport: source => get('reports').createForWatcher(source),
     onSummary: (source, summary) => {
       get('reports').takeSummary(source, summary);
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -220,15 +220,18 @@
   start(id: string, work: pickWork.PickWork): PickTicket {
     const row = this.row(id);
     const {signs} = row;
+    // Whole numbers: sums of fractions come out a little below 0 once all is
+    // taken away, and a peer refuses the whole message for that.
+    const promptTokens = Math.round(work.promptTokens);
     signs.inFlight++;
-    signs.waitingTokens += work.promptTokens;
-    signs.notePrompt(work.promptTokens, this.options.now());
+    signs.waitingTokens += promptTokens;
+    signs.notePrompt(promptTokens, this.options.now());
     let isWaiting = true;
     let isOpen = true;
     const begun = () => {
       if (isWaiting) {
         isWaiting = false;
-        signs.waitingTokens -= work.promptTokens;
+        signs.waitingTokens -= promptTokens;
       }
     };
     return {
--- a/packages/decisions/tests/upstream-picker.test.ts
+++ b/packages/decisions/tests/upstream-picker.test.ts
@@ -134,6 +134,20 @@
     chai.expect(Math.max(...loads)).at.most(7);
   });
 
+  it('tells peers of no less than nothing', () => {
+    // Weights are fractions: what was left of their sums was -1e-13 tokens,
+    // peers refused the whole report, and the instance was taken for dead.
+    const setup = setUp(1);
+    const tickets = Array.from({length: 200}, (_, i) =>
+      setup.picker.start('u-0', {...PLAIN, promptTokens: 0.1 + i * 0.37}),
+    );
+    tickets.reverse().forEach(ticket => {
+      ticket.begun();
+      const [row] = setup.picker.report();
+      chai.expect(row?.waitingTokens).at.least(0);
+    });
+  });
+
   it('leaves an upstream alone after failures in a row', () => {
     // Its health is good, yet every request sent to it hangs or breaks.
     const setup = setUp(3);
--- a/packages/fleet/src/report-exchange.ts
+++ b/packages/fleet/src/report-exchange.ts
@@ -24,6 +24,8 @@
   readonly seeds: () => readonly string[];
   /** What this instance tells the peer at `address`. */
   readonly createReport: (address: string) => protocol.FleetReport;
+  /** Called when a peer gave no answer that is of use. */
+  readonly onFailure: (address: string, error: protocol.PeerError) => void;
   /** Takes in what the peer at `address`, asked at that time, answered. */
   readonly onAnswer: (
     address: string,
@@ -134,7 +136,8 @@
       PEER_TIMEOUT_MS,
     );
     answer.caseOf({
-      Left: () => {
+      Left: error => {
+        this.options.onFailure(address, error);
         const peer = this.findByAddress(address);
         if (peer) {
           members.noteUnreachable(peer.id, clock.now());
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -23,6 +23,8 @@
     source: protocol.Member,
     summary: protocol.FleetSummary,
   ) => void;
+  /** Called when a source gave no answer that is of use. */
+  readonly onFailure: (address: string, error: protocol.PeerError) => void;
   /** Called when another source is asked, or none any more. */
   readonly onSource: (id: string | undefined) => void;
 }
@@ -141,6 +143,7 @@
       waitMs + ANSWER_MS,
     );
     if (answer.isLeft()) {
+      this.options.onFailure(source.peers, answer.extract());
       this.avoid(source);
       await clock.sleep(IDLE_MS, signal);
       return;
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -94,6 +94,7 @@
     createReport: createFollowerReport,
     onSummary: () => undefined,
     onSource: () => undefined,
+    onFailure: () => undefined,
   });
   void subscription.run(new AbortController().signal);
   return {clock, sources, follower, silent, asked};
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -59,6 +59,8 @@
   | 'rollout_reported'
   | 'peer_heard'
   | 'peer_lost'
+  /** A peer did not take a message, or gave an answer that is none. */
+  | 'peer_message_refused'
   | 'store_lost'
   | 'store_regained'
   | 'log_lines_dropped'
