--- a/packages/decisions/src/upstream-cost.ts
+++ b/packages/decisions/src/upstream-cost.ts
@@ -131,8 +131,8 @@
 
 /**
  * Cost of a batch that fills up, in prompt tokens. Engines that are set apart
- * for a tier spill over before their batches are full: those of 16 places had
- * answers in progress pushed out while others stood half empty.
+ * for a tier spill over before their batches are full; short prompts would else
+ * push out long answers there while other engines have room.
  */
 const fullnessTokens = (inFlight: number, slots: number): number => {
   const filled = (inFlight / slots - FILLING_PART) / (1 - FILLING_PART);
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -220,8 +220,8 @@
   start(id: string, work: pickWork.PickWork): PickTicket {
     const row = this.row(id);
     const {signs} = row;
-    // Whole numbers: sums of fractions come out a little below 0 once all is
-    // taken away, and a peer refuses the whole message for that.
+    // A sum of fractions can end below 0 once all of them are taken away, and
+    // peers refuse a report of less than nothing.
     const promptTokens = Math.round(work.promptTokens);
     signs.inFlight++;
     signs.waitingTokens += promptTokens;
--- a/packages/gateway/src/side-server.ts
+++ b/packages/gateway/src/side-server.ts
@@ -1,10 +1,9 @@
 /**
  * Answers readiness checks, callers' address questions, peers, collectors.
  *
- * The runtime's own server for a path each: loading a framework is a third of
- * the processor time of a start, which hundreds of instances take at once
- * after a loss of power, and its way of a request costs more than what most
- * messages of peers say.
+ * The runtime's own server for a path each: hundreds of instances start at once
+ * after a loss of power and would all load a framework first, whose handling of
+ * a request costs more than reading most messages of peers.
  */
 import * as http from 'node:http';
 import * as zlib from 'node:zlib';
