--- a/packages/amaranthknot/tests/gateway/fleet-life.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-life.test.ts
@@ -8,6 +8,9 @@
 const CALM_MS = 10_000;
 const LOOK_MS = 100;
 
+/** Most bytes that control may send, a second and instance. */
+const CONTROL_BYTES = 4_096;
+
 /** Time by which all know that an instance is gone, in ms. */
 const LOSS_KNOWN_MS = 4_000;
 
@@ -95,6 +98,16 @@
   });
 });
 
+describe('what instances tell each other at rest', () => {
+  it('stays within the bytes for control', async () => {
+    const fleet = await startFleet(73);
+    const before = fleet.sentBytes();
+    await fleet.clock.advance(CALM_MS);
+    const perSecond = (fleet.sentBytes() - before) / (CALM_MS / 1_000);
+    chai.expect(perSecond / 73).below(CONTROL_BYTES);
+  });
+});
+
 describe('what a fleet asks of the store', () => {
   it('does not grow with restarts, one after the other', async () => {
     // Each of hundreds listed all that there is at its start, though its
