--- a/packages/decisions/src/rollout-schedule.ts
+++ b/packages/decisions/src/rollout-schedule.ts
@@ -76,24 +76,22 @@
 const REPORT_LEAST_MS = 600;
 
 /**
- * Odds against a version, as a log, at which it is stopped: a version as good
- * as the old one gets there in less than one order out of twenty, and a bad
- * one within some four bad answers.
+ * Odds against a version, as a log, at which it is stopped. By the sequential
+ * test a version as good as the old one gets there in one order out of as many
+ * at the most.
  */
 const BAD_BOUND = Math.log(20);
 
 /**
- * Odds ratios of slow answers that a version is suspected of. New upstreams
- * are two to three times as often slow under high load, while their caches
- * fill; a version with a slow half is ten times as often.
+ * Odds ratios of slow answers that a version is suspected of. Upstreams whose
+ * caches still fill are more often slow than the old ones, too; the least ratio
+ * leaves room for that.
  */
 const SLOW_ODDS = [4, 8, 20] as const;
 
 /**
- * The same by slow answers. A new version's upstreams begin with empty caches
- * and are fewer, so that chance and load make more of its answers slow; a
- * version that really is slow shows it by half of its answers and is stopped
- * after a few more.
+ * The same by slow answers: higher, for a new version's upstreams begin with
+ * empty caches and are fewer, so that load makes more of its answers slow.
  */
 const SLOW_BOUND = Math.log(50);
 
