Take the answers to peers and the log of refused messages out of the wiring

Cause: the wiring module also decided what a watcher answers a follower, and which failed messages are logged; neither could be tested apart.

No change of behaviour.

--- a/packages/amaranthknot/src/gateway/fleet-watch.ts
+++ b/packages/amaranthknot/src/gateway/fleet-watch.ts
@@ -1,5 +1,6 @@
 /** Notes in the log how what an instance believes of the fleet changes. */
 import type * as fleet from '@amaranthknot/fleet';
+import type * as protocol from '@amaranthknot/protocol';
 import type * as telemetry from '@amaranthknot/telemetry';
 import type * as storeWatching from './store-watching.js';
 
@@ -14,6 +15,9 @@
 /** Names in one line; a zone that is lost takes hundreds. */
 const MAX_NAMES = 20;
 
+/** Longest part of a peer's reason in one line, in characters. */
+const MAX_REASON = 200;
+
 /** One instance's beliefs of the fleet, as they were noted last. */
 export class FleetWatch {
   private serving: ReadonlySet<string> = new Set();
@@ -27,6 +31,17 @@
     this.lookAtRole();
   }
 
+  /**
+   * Notes a message that did not pass for what it says. A peer that can't be
+   * reached is seen by who is lost and who is asked instead.
+   */
+  noteFailure(peer: string, {code, message}: protocol.PeerError): void {
+    if (code !== 'not_sent' && code !== 'unknown') {
+      const reason = message.slice(0, MAX_REASON);
+      this.options.log.trouble('peer_message_refused', {peer, code, reason});
+    }
+  }
+
   private lookAtPeers(): void {
     const {members, now} = this.options;
     const serving = new Set(members.serving(now()).map(({id}) => id));
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -16,6 +16,7 @@
 import * as fleetWatch from './fleet-watch.js';
 import * as gatewayState from './gateway-state.js';
 import type * as gatewayTokens from './gateway-tokens.js';
+import * as peerMessages from './peer-messages.js';
 import * as storeWatching from './store-watching.js';
 
 type Factories = {
@@ -128,24 +129,6 @@
   return `${id}.${start}`;
 };
 
-/** Longest part of a peer's reason that is logged. */
-const REASON_LENGTH = 200;
-
-/**
- * Logs messages that did not pass for what they say. A peer that can't be
- * reached is seen by who is lost and who is asked instead.
- */
-const logPeerFailure = (
-  get: gatewayTokens.ResolveGateway,
-  peer: string,
-  {code, message}: protocol.PeerError,
-): void => {
-  if (code !== 'not_sent' && code !== 'unknown') {
-    const reason = message.slice(0, REASON_LENGTH);
-    get('log').trouble('peer_message_refused', {peer, code, reason});
-  }
-};
-
 const createExchange = (
   get: gatewayTokens.ResolveGateway,
 ): fleet.ReportExchange => {
@@ -161,7 +144,7 @@
     findWatchers: () => get('watching').findWatchers(),
     createReport: address => get('reports').create(address),
     onFailure: (peer, error) => {
-      logPeerFailure(get, peer, error);
+      get('fleetWatch').noteFailure(peer, error);
     },
     onAnswer: (address, report, askedAtMs) => {
       get('relay').take(address, report.views, askedAtMs);
@@ -182,7 +165,7 @@
     onUpdate: get('takeView'),
     isWatcher: () => get('watching').isWatcher(),
     onFailure: (peer, error) => {
-      logPeerFailure(get, peer, error);
+      get('fleetWatch').noteFailure(peer, error);
     },
     createReport: source => get('reports').createForWatcher(source),
     onSummary: (source, summary) => {
@@ -193,34 +176,6 @@
     },
   });
 
-const createPeerServer = (
-  get: gatewayTokens.ResolveGateway,
-): protocol.PeerServer =>
-  protocol.createPeerServer({
-    exchange_reports: report => {
-      get('reports').take(report);
-      return get('reports').create(report.from.peers);
-    },
-    fetch_view: ({kind}) => get('relay').answer(kind),
-    await_views: call => answerFollower(get, call),
-  });
-
-const answerFollower = async (
-  get: gatewayTokens.ResolveGateway,
-  call: protocol.Params<'await_views'>,
-): Promise<protocol.Result<'await_views'>> => {
-  const {report} = call;
-  if (!report) {
-    return get('relay').awaitViews(call);
-  }
-  get('reports').takeFromFollower(report);
-  const answer = await get('relay').awaitViews(call);
-  if (report.isWatcher) {
-    return answer;
-  }
-  return {...answer, summary: get('reports').summarize(report)};
-};
-
 const createRollouts = (
   get: gatewayTokens.ResolveGateway,
 ): gateway.RolloutDesk => {
@@ -404,7 +359,11 @@
   subscription: createSubscription,
   reports: get => new fleetReport.FleetReports(get),
   exchange: createExchange,
-  peerServer: createPeerServer,
+  peerServer: get =>
+    peerMessages.createPeerServer({
+      relay: get('relay'),
+      reports: get('reports'),
+    }),
   catalog: get =>
     new gateway.UpstreamCatalog({
       onChange: (change, known) => {
--- /dev/null
+++ b/packages/amaranthknot/src/gateway/peer-messages.ts
@@ -0,0 +1,41 @@
+/** Answers what other instances ask and tell. */
+import type * as fleet from '@amaranthknot/fleet';
+import * as protocol from '@amaranthknot/protocol';
+import type * as fleetReport from './fleet-report.js';
+
+/** Parts that the answers come from. */
+export interface PeerMessagesOptions {
+  readonly relay: fleet.ViewRelay;
+  readonly reports: fleetReport.FleetReports;
+}
+
+/** Creates the server of one instance's peers. */
+export const createPeerServer = (
+  options: PeerMessagesOptions,
+): protocol.PeerServer => {
+  const {relay, reports} = options;
+  return protocol.createPeerServer({
+    exchange_reports: report => {
+      reports.take(report);
+      return reports.create(report.from.peers);
+    },
+    fetch_view: ({kind}) => relay.answer(kind),
+    await_views: call => answerFollower(options, call),
+  });
+};
+
+/** A watcher that follows hears of the fleet from its peers. */
+const answerFollower = async (
+  {relay, reports}: PeerMessagesOptions,
+  call: protocol.Params<'await_views'>,
+): Promise<protocol.Result<'await_views'>> => {
+  const {report} = call;
+  if (!report) {
+    return relay.awaitViews(call);
+  }
+  reports.takeFromFollower(report);
+  const answer = await relay.awaitViews(call);
+  return report.isWatcher
+    ? answer
+    : {...answer, summary: reports.summarize(report)};
+};
--- a/packages/amaranthknot/tests/gateway/fleet-watch.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-watch.test.ts
@@ -15,10 +15,14 @@
   readonly role: {isWatcher: boolean};
   readonly lines: readonly Line[];
   readonly lookAt: (nowMs: number) => void;
+  readonly watch: fleetWatch.FleetWatch;
 }
 
 const setUp = (): Setup => {
   const lines: Line[] = [];
+  const note = (event: string, details: telemetry.Details) => {
+    lines.push({event, details});
+  };
   const role = {isWatcher: false};
   const members = new fleet.MemberTable(fixture.createMember('self'));
   let nowMs = 0;
@@ -30,15 +34,15 @@
       findWatchers: () => [members.self],
     } as unknown as storeWatching.StoreWatching,
     log: {
-      belief: (event: string, details: telemetry.Details) => {
-        lines.push({event, details});
-      },
+      belief: note,
+      trouble: note,
     } as unknown as telemetry.DecisionLog,
   });
   return {
     members,
     role,
     lines,
+    watch,
     lookAt: at => {
       nowMs = at;
       watch.look();
@@ -90,4 +94,15 @@
       .expect(roles.map(({details}) => details['isWatcher']))
       .eql([true, false]);
   });
+
+  it('is a message that a peer refuses, and not one that did not arrive', () => {
+    // Refused reports left no line: who was lost could be seen, but not why.
+    const {lines, watch} = setUp();
+    const long = 'x'.repeat(1_000);
+    watch.noteFailure('p:1', {code: 'unknown', message: 'no answer'});
+    watch.noteFailure('p:1', {code: 'not_sent', message: 'refused'});
+    watch.noteFailure('p:1', {code: 'refused', message: long});
+    chai.expect(namesOf(lines)).eql(['peer_message_refused']);
+    chai.expect(lines[0]?.details['reason']).length(200);
+  });
 });
