Log as of when upstreams are known, and what is kept though its entry is gone

A quarter of the lines that were collected were one for each of some 50 upstreams that changed at once; they are one line for all now, which also leaves room for the others. No decision changes.

--- a/packages/amaranthknot/src/gateway/gateway-state.ts
+++ b/packages/amaranthknot/src/gateway/gateway-state.ts
@@ -83,6 +83,14 @@
     );
   }
 
+  /** Time since the upstreams were known to be complete, in milliseconds. */
+  upstreamsAgeMs(): number | undefined {
+    const {confirmedAtMs} = this.options.views.upstreams;
+    return Number.isFinite(confirmedAtMs)
+      ? this.options.now() - confirmedAtMs
+      : undefined;
+  }
+
   /** Whether operators have taken a zone out. */
   isZoneOut(zone: string): boolean {
     return this.zonesOut.has(zone);
@@ -165,6 +173,10 @@
     const gapMs = confirmedAtMs - (this.upstreamsAsOfMs ?? confirmedAtMs);
     if (gapMs > LAPSE_GAP_MS) {
       this.gapEndedAtMs = this.options.now();
+      this.options.log.belief('lapse_suspected', {
+        gapMs: Math.round(gapMs),
+        keptForMs: LAPSE_GRACE_MS,
+      });
     }
     this.upstreamsAsOfMs = confirmedAtMs;
   }
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -18,6 +18,7 @@
 import type * as gatewayTokens from './gateway-tokens.js';
 import * as peerMessages from './peer-messages.js';
 import * as storeWatching from './store-watching.js';
+import * as upstreamChanges from './upstream-changes.js';
 
 type Factories = {
   readonly [K in keyof gatewayTokens.GatewayWiring]: (
@@ -75,6 +76,12 @@
     ),
     findNeed: () => get('watching').findNeed(view),
     onUpdate: get('takeView'),
+    onAsk: asked => {
+      get('log').belief('store_asked', {
+        kind: asked.kind,
+        ageMs: Math.round(clock.now() - asked.confirmedAtMs),
+      });
+    },
     onCall: (called, error) => {
       get('metrics').noteStoreCall(called, error?.code ?? 'done');
       get('state').noteStoreCall(error);
@@ -214,6 +221,7 @@
     repeats: get('repeats'),
     rollouts: get('rollouts'),
     now: () => clock.now(),
+    upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
     isZoneOut: zone => get('state').isZoneOut(zone),
     regionOf: zone => settings.current.zones.get(zone),
     coldShare: (upstream, service) =>
@@ -254,23 +262,6 @@
   });
 };
 
-const logUpstream = (
-  get: gatewayTokens.ResolveGateway,
-  change: gateway.CatalogChange,
-  {upstream, coldUntilMs}: gateway.KnownUpstream,
-): void => {
-  const {id, service, version, zone, state} = upstream;
-  const coldMs = Math.max(0, coldUntilMs - get('options').clock.now());
-  get('log').belief(`upstream_${change}`, {
-    upstream: id,
-    service,
-    version,
-    zone,
-    state,
-    coldMs: Math.round(coldMs),
-  });
-};
-
 const createStore = (
   options: gatewayTokens.GatewayOptions,
 ): ports.StatusStore => {
@@ -300,6 +291,7 @@
       inProgress: get('gateway').inProgress,
       configurationAgeMs: get('state').inForce()?.ageMs,
       upstreams: get('catalog').all().length,
+      upstreamsAgeMs: get('state').upstreamsAgeMs(),
       servingInstances: get('members').serving(options.clock.now()).length,
     })),
   latencies: () => new decisions.LatencyBook(),
@@ -366,8 +358,14 @@
     }),
   catalog: get =>
     new gateway.UpstreamCatalog({
-      onChange: (change, known) => {
-        logUpstream(get, change, known);
+      onChanges: changes => {
+        get('log').belief(
+          'upstreams_changed',
+          upstreamChanges.describeChanges(changes, {
+            ageMs: get('state').upstreamsAgeMs(),
+            revision: get('views').upstreams.version,
+          }),
+        );
       },
       decode: platform.decodeUpstream,
       lapseGraceMs: gatewayState.LAPSE_GRACE_MS,
--- a/packages/amaranthknot/tests/gateway/store-outage.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-outage.test.ts
@@ -23,7 +23,7 @@
   const views = fixture.createViews();
   const log = new telemetry.DecisionLog({instance: 'a', level: 'error', now});
   const catalog = new gateway.UpstreamCatalog({
-    onChange: () => undefined,
+    onChanges: () => undefined,
     decode: platform.decodeUpstream,
     lapseGraceMs: gatewayState.LAPSE_GRACE_MS,
   });
--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/upstream-changes.test.ts
@@ -0,0 +1,58 @@
+import * as chai from 'chai';
+import type * as gateway from '@amaranthknot/gateway';
+import * as upstreamChanges from '../../src/gateway/upstream-changes.js';
+
+const createChange = (
+  kind: gateway.CatalogChangeKind,
+  id: string,
+): gateway.CatalogChange => ({
+  kind,
+  known: {
+    upstream: {
+      id,
+      startedAtMs: 1,
+      service: 'svc',
+      address: {host: '192.0.2.1', port: 1},
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 1,
+      state: 'ready',
+      coldForMs: 0,
+    },
+    coldUntilMs: 0,
+    knownSinceMs: 0,
+  },
+});
+
+describe('the line on changed upstreams', () => {
+  it('names them by what became of them, with the age of what is known', () => {
+    const changes = [
+      createChange('leaving', 'a'),
+      createChange('gone', 'b'),
+      createChange('leaving', 'c'),
+    ];
+    chai
+      .expect(
+        upstreamChanges.describeChanges(changes, {ageMs: 12.4, revision: 7}),
+      )
+      .eql({
+        leaving: ['a', 'c'],
+        gone: ['b'],
+        count: 3,
+        ageMs: 12,
+        revision: 7,
+      });
+  });
+
+  it('is bounded where thousands come at once', () => {
+    const changes = Array.from({length: 12_000}, (_, index) =>
+      createChange('added', `i-${index}`),
+    );
+    const details = upstreamChanges.describeChanges(changes, {
+      ageMs: undefined,
+      revision: undefined,
+    });
+    chai.expect(details['count']).equal(12_000);
+    chai.expect(JSON.stringify(details).length).below(1_000);
+  });
+});
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -51,6 +51,7 @@
   readonly instances: number;
   readonly zones: number;
   readonly seed?: number;
+  readonly bounds?: configuration.GatewayBounds;
 }
 
 const hostOf = (index: number): string =>
@@ -58,7 +59,7 @@
 
 const createSettings = (
   index: number,
-  {zones}: VirtualFleetOptions,
+  {zones, bounds = fixture.BOUNDS}: VirtualFleetOptions,
 ): configuration.GatewaySettings => {
   const address = {host: hostOf(index), port: PORT};
   return {
@@ -81,7 +82,7 @@
       port: PORT,
     })),
     store: {address, writesPerSecond: 3_200, readsPerSecond: 16_000},
-    bounds: fixture.BOUNDS,
+    bounds,
     limits: {memoryMb: 300, fileDescriptors: 4_000, cores: 1},
     log: {level: 'error'},
   };
--- a/packages/fleet/src/kind-follower.ts
+++ b/packages/fleet/src/kind-follower.ts
@@ -25,6 +25,8 @@
   readonly findNeed: () => WatchNeed;
   /** Called after each change and each confirmation. */
   readonly onUpdate: (view: kindView.KindView) => void;
+  /** Called before a call that is made since what is known is too old. */
+  readonly onAsk: (view: kindView.KindView) => void;
   /** Called with the outcome of each call. */
   readonly onCall: (kind: string, error: ports.StoreError | undefined) => void;
 }
@@ -79,6 +81,9 @@
   ): Promise<void> {
     const isUnknown = this.options.view.version === undefined;
     const mustList = this.hasLostTrack || isUnknown || need === 'ask';
+    if (need === 'ask' && !isUnknown) {
+      this.options.onAsk(this.options.view);
+    }
     const {error, changes} = mustList ? await this.list() : await this.watch();
     this.options.onCall(this.options.view.kind, error);
     if (!error) {
--- a/packages/fleet/tests/kind-follower.test.ts
+++ b/packages/fleet/tests/kind-follower.test.ts
@@ -28,6 +28,7 @@
     pauseAfterChangesMs: PAUSE_MS,
     findNeed: () => 'watch',
     onUpdate: () => undefined,
+    onAsk: () => undefined,
     onCall: () => {
       calls++;
     },
--- a/packages/gateway/src/upstream-catalog.ts
+++ b/packages/gateway/src/upstream-catalog.ts
@@ -19,11 +19,25 @@
 }
 
 /** How the catalog changed for one upstream. */
-export type CatalogChange = 'added' | 'changed' | 'gone';
+export type CatalogChangeKind =
+  | 'added'
+  | 'changed'
+  /** It says that it is leaving. */
+  | 'leaving'
+  /** Its entry is missing, and it is kept for now. */
+  | 'kept'
+  | 'gone';
+
+/** A change for one upstream. */
+export interface CatalogChange {
+  readonly kind: CatalogChangeKind;
+  readonly known: KnownUpstream;
+}
 
 /** Settings of a catalog. */
 export interface UpstreamCatalogOptions {
-  readonly onChange: (change: CatalogChange, known: KnownUpstream) => void;
+  /** Called once for all changes that came together. */
+  readonly onChanges: (changes: readonly CatalogChange[]) => void;
   readonly decode: DecodeUpstream;
   /**
    * How long an upstream whose entry vanished around an outage of the store
@@ -45,6 +59,8 @@
 /** All upstreams by id. */
 export class UpstreamCatalog {
   private readonly rows = new Map<string, Row>();
+  /** Changes that were not told yet. */
+  private changes: CatalogChange[] = [];
 
   constructor(private readonly options: UpstreamCatalogOptions) {}
 
@@ -66,6 +82,9 @@
       if (objects.has(id)) {
         continue;
       }
+      if (row.lapsedAtMs === undefined && !isStoreCalm) {
+        this.changes.push({kind: 'kept', known: row.known});
+      }
       row.lapsedAtMs ??= nowMs;
     }
     this.tick(nowMs, isStoreCalm);
@@ -76,9 +95,10 @@
     for (const [id, {lapsedAtMs}] of this.rows) {
       const isMissing = lapsedAtMs !== undefined;
       if (isMissing && (isStoreCalm || this.isOverdue(lapsedAtMs, nowMs))) {
-        this.drop(id);
+        this.remove(id);
       }
     }
+    this.tellChanges();
   }
 
   /** All upstreams that are there, leaving ones included. */
@@ -93,11 +113,8 @@
 
   /** Forgets an upstream, as when another answered at its address. */
   drop(id: string): void {
-    const row = this.rows.get(id);
-    if (row) {
-      this.rows.delete(id);
-      this.options.onChange('gone', row.known);
-    }
+    this.remove(id);
+    this.tellChanges();
   }
 
   /** Notes that an upstream says that it is cold for so long. */
@@ -109,6 +126,22 @@
     }
   }
 
+  private remove(id: string): void {
+    const row = this.rows.get(id);
+    if (row) {
+      this.rows.delete(id);
+      this.changes.push({kind: 'gone', known: row.known});
+    }
+  }
+
+  private tellChanges(): void {
+    const {changes} = this;
+    if (changes.length > 0) {
+      this.changes = [];
+      this.options.onChanges(changes);
+    }
+  }
+
   private isOverdue(lapsedAtMs: number, nowMs: number): boolean {
     return nowMs - lapsedAtMs >= this.options.lapseGraceMs;
   }
@@ -121,7 +154,7 @@
     }
     const upstream = this.options.decode(object);
     if (!upstream) {
-      this.drop(object.name);
+      this.remove(object.name);
       return;
     }
     const isSame = before?.known.upstream.startedAtMs === upstream.startedAtMs;
@@ -134,6 +167,18 @@
       knownSinceMs: isSame ? before.known.knownSinceMs : nowMs,
     };
     this.rows.set(object.name, {version: object.version, known});
-    this.options.onChange(before ? 'changed' : 'added', known);
+    this.changes.push({kind: kindOfChange(before?.known, known), known});
   }
 }
+
+const kindOfChange = (
+  before: KnownUpstream | undefined,
+  {upstream}: KnownUpstream,
+): CatalogChangeKind => {
+  if (!before) {
+    return 'added';
+  }
+  const isNewlyLeaving =
+    upstream.state === 'leaving' && before.upstream.state !== 'leaving';
+  return isNewlyLeaving ? 'leaving' : 'changed';
+};
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -15,6 +15,8 @@
   readonly repeats: decisions.RepeatBudget;
   readonly rollouts: rolloutDesk.RolloutDesk;
   readonly now: () => number;
+  /** Time since the upstreams were known to be complete, in milliseconds. */
+  readonly upstreamsAgeMs: () => number | undefined;
   /** Whether operators have taken a zone out. */
   readonly isZoneOut: (zone: string) => boolean;
   readonly regionOf: (zone: string) => string | undefined;
@@ -73,6 +75,7 @@
       candidates,
       isRepeat,
       isCold: this.options.now() < coldUntilMs,
+      upstreamsAgeMs: Math.round(this.options.upstreamsAgeMs() ?? -1),
       ...this.options.picker.describe(upstream.id),
     };
   }
--- a/packages/gateway/tests/upstream-catalog.test.ts
+++ b/packages/gateway/tests/upstream-catalog.test.ts
@@ -28,7 +28,7 @@
   new gateway.UpstreamCatalog({
     decode,
     lapseGraceMs: GRACE_MS,
-    onChange: () => undefined,
+    onChanges: () => undefined,
   });
 
 const entriesOf = (
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -49,9 +49,12 @@
   | 'configuration_refused'
   | 'configuration_unconfirmed'
   | 'configuration_confirmed'
-  | 'upstream_added'
-  | 'upstream_changed'
-  | 'upstream_gone'
+  /** Upstreams came, changed, leave or are gone. */
+  | 'upstreams_changed'
+  /** Entries that vanish are kept for a while: they may have lapsed. */
+  | 'lapse_suspected'
+  /** The store is asked, since what is known is too old. */
+  | 'store_asked'
   | 'upstream_rested'
   | 'zones_out'
   | 'rollout_followed'
--- a/packages/telemetry/src/explain-request.ts
+++ b/packages/telemetry/src/explain-request.ts
@@ -34,6 +34,9 @@
   'zones_out',
   'store_lost',
   'store_regained',
+  'store_asked',
+  'watch_source_changed',
+  'lapse_suspected',
   'rollout_judged',
   'instance_serving',
   'instance_stopping',
@@ -41,9 +44,7 @@
 
 /** Beliefs that are told where they concern an upstream that was tried. */
 const UPSTREAM_BELIEFS: ReadonlySet<string> = new Set([
-  'upstream_added',
-  'upstream_changed',
-  'upstream_gone',
+  'upstreams_changed',
   'upstream_rested',
 ]);
 
@@ -102,22 +103,32 @@
 ): readonly HeldBelief[] => {
   const own = lines.filter(line => line.instance === instance);
   const fromMs = own[0]?.atMs ?? 0;
-  const tried = new Set(own.map(({details}) => details['upstream']));
+  const tried = [...new Set(own.map(({details}) => details['upstream']))];
   const latest = new Map<string, LogLine>();
   for (const line of ordered) {
     if (line.instance !== instance || line.atMs > fromMs) {
       continue;
     }
-    const {upstream} = line.details;
     if (GENERAL_BELIEFS.has(line.event)) {
       latest.set(line.event, line);
-    } else if (UPSTREAM_BELIEFS.has(line.event) && tried.has(upstream)) {
-      latest.set(`${line.event} ${String(upstream)}`, line);
+    } else if (UPSTREAM_BELIEFS.has(line.event)) {
+      const named = tried.filter(upstream => names(line, upstream));
+      named.forEach(upstream => {
+        latest.set(`${line.event} ${String(upstream)}`, line);
+      });
     }
   }
-  return [...latest.values()].map(line => ({line, ageMs: fromMs - line.atMs}));
+  const found = [...new Set(latest.values())];
+  return found.map(line => ({line, ageMs: fromMs - line.atMs}));
 };
 
+/** Whether a line is about an upstream, alone or among others. */
+const names = ({details}: LogLine, upstream: unknown): boolean =>
+  Object.values(details).some(
+    value =>
+      value === upstream || (Array.isArray(value) && value.includes(upstream)),
+  );
+
 const formatDetails = (details: Readonly<Record<string, unknown>>): string =>
   Object.entries(details)
     .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -26,10 +26,15 @@
   /** Time since the configuration was confirmed, in milliseconds. */
   readonly configurationAgeMs: number | undefined;
   readonly upstreams: number;
+  /** Time since the list of upstreams was confirmed, in milliseconds. */
+  readonly upstreamsAgeMs: number | undefined;
   /** Instances that take callers, this one included. */
   readonly servingInstances: number;
 }
 
+const toSeconds = (ageMs: number | undefined): number =>
+  ageMs === undefined ? -1 : ageMs / MS_PER_S;
+
 /** The metrics of one instance. */
 export class GatewayMetrics {
   private readonly registry = new client.Registry();
@@ -72,12 +77,14 @@
     this.addGauge(
       'configuration_age_seconds',
       'Seconds since the configuration was confirmed; -1 before any.',
-      () => {
-        const {configurationAgeMs: ageMs} = read();
-        return ageMs === undefined ? -1 : ageMs / MS_PER_S;
-      },
+      () => toSeconds(read().configurationAgeMs),
     );
     this.addGauge('upstreams', 'Upstreams known.', () => read().upstreams);
+    this.addGauge(
+      'upstreams_age_seconds',
+      'Seconds since the list of upstreams was confirmed; -1 before any.',
+      () => toSeconds(read().upstreamsAgeMs),
+    );
     this.addGauge(
       'serving_instances',
       'Instances that take callers, as this one knows them.',
--- a/packages/telemetry/tests/explain-request.test.ts
+++ b/packages/telemetry/tests/explain-request.test.ts
@@ -32,6 +32,8 @@
         lineOf(1_000, 'a', 'request_placed', {request: 'r', upstream: 'u'}),
         lineOf(400, 'a', 'upstream_rested', {upstream: 'u'}),
         lineOf(500, 'a', 'upstream_rested', {upstream: 'other'}),
+        lineOf(600, 'a', 'upstreams_changed', {leaving: ['u', 'other']}),
+        lineOf(700, 'a', 'upstreams_changed', {leaving: ['another']}),
         lineOf(300, 'a', 'zones_out', {zones: ['z']}),
         lineOf(200, 'a', 'zones_out', {zones: []}),
         lineOf(2_000, 'a', 'store_lost', {code: 'unavailable'}),
@@ -47,6 +49,7 @@
     chai.expect(beliefs).eql([
       ['zones_out', 700],
       ['upstream_rested', 600],
+      ['upstreams_changed', 400],
     ]);
     chai.expect(story && telemetry.formatStory(story)).contain('zones=["z"]');
   });
--- a/packages/telemetry/tests/gateway-metrics.test.ts
+++ b/packages/telemetry/tests/gateway-metrics.test.ts
@@ -5,6 +5,7 @@
   inProgress: 3,
   configurationAgeMs: 250,
   upstreams: 12,
+  upstreamsAgeMs: undefined,
   servingInstances: 7,
 };
 
@@ -25,6 +26,7 @@
       'amaranthknot_request_seconds_count{kind="stream"} 2',
       'amaranthknot_requests_in_progress 3',
       'amaranthknot_configuration_age_seconds 0.25',
+      'amaranthknot_upstreams_age_seconds -1',
       'amaranthknot_serving_instances 7',
     ];
     expected.forEach(line => chai.expect(text).contain(line));
