--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/leaving-upstreams.test.ts
@@ -0,0 +1,119 @@
+import * as chai from 'chai';
+import * as fixture from './gateway-fixture.js';
+import * as virtualFleet from './virtual-fleet.js';
+
+/** Time in which a fleet that started at once knows itself, in ms. */
+const SETTLE_MS = 6_000;
+
+/** How often instances are looked at, in ms. */
+const LOOK_MS = 20;
+
+/** Moments of a loss: what watchers know is older or younger at each. */
+const LOST_AFTER_MS = [0, 150, 300, 600, 900, 1_200];
+
+/** Upstreams that are registered, and those of them that leave. */
+const UPSTREAMS = 12;
+const LEAVING = 6;
+
+const KIND = 'servers';
+
+const nameOf = (index: number): string => `upstream-${index}`;
+
+/** Bounds of a deployment that allows so long for a change. */
+const createBounds = (changeMs: number): typeof fixture.BOUNDS => ({
+  ...fixture.BOUNDS,
+  change: {
+    ...fixture.BOUNDS.change,
+    leavingMs: changeMs,
+    configurationMs: changeMs,
+    stabilityMs: changeMs + 1_000,
+  },
+});
+
+const startFleet = async (
+  leavingMs: number,
+): Promise<virtualFleet.VirtualFleet> => {
+  const fleet = await virtualFleet.startVirtualFleet({
+    instances: 24,
+    zones: 3,
+    bounds: createBounds(leavingMs),
+  });
+  const registered = Array.from({length: UPSTREAMS}, (_, index) =>
+    fleet.store.create(
+      KIND,
+      nameOf(index),
+      fixture.createEntry(`192.0.2.${index}:80`),
+    ),
+  );
+  await fleet.clock.advance(SETTLE_MS);
+  await Promise.all(registered);
+  return fleet;
+};
+
+/** Removes the entries of some upstreams, as of those that leave unsaid. */
+const removeEntries = async (
+  {store, clock}: virtualFleet.VirtualFleet,
+  count: number,
+): Promise<void> => {
+  const names = Array.from({length: count}, (_, index) => nameOf(index));
+  const removed = names.map(async name => {
+    const found = await store.get(KIND, name);
+    await store.delete(KIND, name, found.unsafeCoerce().version);
+  });
+  await clock.advance(LOOK_MS);
+  await Promise.all(removed);
+};
+
+/** Time until no instance would use upstreams that left, in milliseconds. */
+const measureUse = async (
+  {clock, live}: virtualFleet.VirtualFleet,
+  limitMs: number,
+): Promise<number> => {
+  const isUsed = (): boolean =>
+    live().some(({get}) =>
+      get('catalog')
+        .all()
+        .some(
+          ({upstream}) =>
+            upstream.state === 'ready' &&
+            Number(upstream.id.split('-').at(-1)) < LEAVING,
+        ),
+    );
+  const startedAtMs = clock.now();
+  while (isUsed() && clock.now() - startedAtMs < limitMs) {
+    await clock.advance(LOOK_MS);
+  }
+  return clock.now() - startedAtMs;
+};
+
+/**
+ * Time for which upstreams that left are used where watchers are lost, so long
+ * after the fleet has settled, in milliseconds.
+ */
+const measureWithoutWatchers = async (
+  leavingMs: number,
+  afterMs: number,
+): Promise<number> => {
+  const fleet = await startFleet(leavingMs);
+  await fleet.clock.advance(afterMs);
+  const watchers = fleet.live().filter(({get}) => get('watching').isWatcher());
+  chai.expect(watchers).not.empty;
+  watchers.forEach(({id}) => {
+    fleet.cutPower(id);
+  });
+  await removeEntries(fleet, LEAVING);
+  return measureUse(fleet, 3 * leavingMs);
+};
+
+describe('upstreams that leave while instances lose their watchers', () => {
+  for (const leavingMs of [2_000, 3_000, 4_000]) {
+    it(`are left within ${leavingMs} ms by all others`, async () => {
+      // Requests reached engines seconds after they had left.
+      const usedMs: number[] = [];
+      for (const afterMs of LOST_AFTER_MS) {
+        usedMs.push(await measureWithoutWatchers(leavingMs, afterMs));
+      }
+      chai.expect(Math.max(...usedMs)).below(leavingMs);
+    });
+  }
+});
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -38,6 +38,8 @@
   readonly live: () => readonly VirtualInstance[];
   /** Ends an instance's process; it answers nobody any more. */
   readonly kill: (id: string) => void;
+  /** Cuts the power of an instance; calls to it get no answer at all. */
+  readonly cutPower: (id: string) => void;
   /** Starts the process of an instance again. */
   readonly restart: (id: string) => void;
   /** What goes wrong with each call to the store from now on. */
@@ -105,7 +107,8 @@
     fault: () => storeFault,
   });
   const running = new Map<string, Running>();
-  const network = createNetwork(clock, running);
+  const dark = new Set<string>();
+  const network = createNetwork(clock, running, dark);
   const setUp = store.create('config', 'main', fixture.createManifest(1));
   await clock.advance(2 * STORE_MS);
   await setUp;
@@ -137,16 +140,22 @@
     });
   }
   const indexOf = (id: string): number => Number(id.split('-').at(-1));
+  const kill = (id: string): void => {
+    const host = hostOf(indexOf(id));
+    running.get(host)?.ending.abort();
+    running.delete(host);
+  };
   return {
     clock,
     store,
     live: () => [...running.values()],
-    kill: id => {
-      const host = hostOf(indexOf(id));
-      running.get(host)?.ending.abort();
-      running.delete(host);
+    kill,
+    cutPower: id => {
+      dark.add(hostOf(indexOf(id)));
+      kill(id);
     },
     restart: id => {
+      dark.delete(hostOf(indexOf(id)));
       start(indexOf(id));
     },
     setStoreFault: fault => {
@@ -160,6 +169,7 @@
 const createNetwork = (
   clock: fakes.VirtualClock,
   running: ReadonlyMap<string, Running>,
+  dark: ReadonlySet<string>,
 ): {
   readonly transport: protocol.HttpTransport;
   readonly sentBytes: () => number;
@@ -168,7 +178,12 @@
   const send: protocol.PeerTransport = async (address, text, timeoutMs) => {
     bytes += text.length;
     await clock.sleep(LINK_MS);
-    const peer = running.get(address.split(':')[0] ?? '');
+    const host = address.split(':')[0] ?? '';
+    const peer = running.get(host);
+    if (!peer && dark.has(host)) {
+      await clock.sleep(timeoutMs);
+      return purify.Left({code: 'unknown', message: 'no answer'});
+    }
     if (!peer) {
       return purify.Left({code: 'not_sent', message: 'no one listens'});
     }
