Ask for upstreams before an instance's own silence looks like an outage

Cause: an instance that was not told for 2.2 s took that for an outage of the store, in which entries of live upstreams lapse, and kept entries that had vanished for 2.2 s more. It asks the store itself at 0.75 of the time that a change may take: 1.5 s where that is 2 s, but 2.25 s and 3 s on the larger deployments, so there each loss of its watchers looked like an outage. Two times were meant to stand in an order; one was fixed, the other grew with the deployment.

News of upstreams now never counts as due later than after 2 s: watchers ask as often as on small deployments, and who is not told asks at 1.5 s. It holds since a gap of 2.2 s now needs a call of its own that fails.

--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -43,6 +43,14 @@
  */
 const PROBE_MS = 5_000;
 
+/**
+ * Longest time that news of upstreams may take, in milliseconds, whatever the
+ * deployment allows: an instance then asks the store before its own silence
+ * is as long as `gatewayState.LAPSE_GAP_MS`, from which on it looks like an
+ * outage, and entries of upstreams that left are kept.
+ */
+const LONGEST_NEWS_MS = 2_000;
+
 /** Roles as worked out last. */
 interface Roles {
   readonly atMs: number;
@@ -77,7 +85,7 @@
     const {configurationMs, leavingMs, evacuationMs} = bounds.change;
     this.boundsByKind = new Map([
       [views.configuration.kind, configurationMs],
-      [views.upstreams.kind, leavingMs],
+      [views.upstreams.kind, Math.min(leavingMs, LONGEST_NEWS_MS)],
       [views.evacuations.kind, evacuationMs],
       [views.rollouts.kind, bounds.exposure.rollbackMs],
     ]);
--- a/packages/amaranthknot/tests/gateway/store-watching.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-watching.test.ts
@@ -2,7 +2,7 @@
 import * as fleet from '@amaranthknot/fleet';
 import type * as ports from '@amaranthknot/ports';
 import * as fixture from './gateway-fixture.js';
-import type * as gatewayState from '../../src/gateway/gateway-state.js';
+import * as gatewayState from '../../src/gateway/gateway-state.js';
 import * as storeWatching from '../../src/gateway/store-watching.js';
 
 const FAILED: ports.StoreError = {code: 'unknown', message: 'no answer'};
@@ -18,7 +18,7 @@
 }
 
 /** Instance `a` of five, settled. */
-const setUp = (): Setup => {
+const setUp = (bounds = fixture.BOUNDS): Setup => {
   let nowMs = 0;
   const members = new fleet.MemberTable(fixture.createMember('a', 'a'));
   const views = fixture.createViews();
@@ -26,7 +26,7 @@
     now: () => nowMs,
     members,
     views,
-    bounds: fixture.BOUNDS,
+    bounds,
     hasSeeds: true,
   });
   nowMs = 2_000;
@@ -102,4 +102,18 @@
     views.configuration.replaceAll({objects: [], version: 2}, 8_300);
     chai.expect(watching.findNeed(views.configuration)).equal('ask');
   });
+
+  for (const leavingMs of [2_000, 4_000, 17_000]) {
+    it(`ask in time for upstreams that may take ${leavingMs} ms to be left`, () => {
+      // Its own silence looked like an outage of the store to an instance.
+      const {change} = fixture.BOUNDS;
+      const {watching, views, wait} = setUp({
+        ...fixture.BOUNDS,
+        change: {...change, leavingMs},
+      });
+      views.upstreams.replaceAll({objects: [], version: 1}, 2_000);
+      wait(0.8 * gatewayState.LAPSE_GAP_MS);
+      chai.expect(watching.findNeed(views.upstreams)).not.equal('none');
+    });
+  }
 });
