Pass over changes of a watch that a view has already

A watch that was answered late wrote its changes over newer contents which a listing or a peer had brought meanwhile: an entry that was leaving, or gone, would be ready again, and as the view counts as complete beyond that change no watch brings it again. Callers' requests would go to an upstream that left. Listings that come late were guarded against this, watches were not.

Puts up to the version to which the view is complete are passed over, and removals of what has changed since. The test failed before; a removal may bear the version of the object's last change, so that one is judged by the object.

--- a/packages/fleet/src/kind-view.ts
+++ b/packages/fleet/src/kind-view.ts
@@ -109,20 +109,33 @@
     return isReached && this.replaceAll({objects: after, version}, asOfMs);
   }
 
-  /** Takes in the changes that a watch brought. */
+  /**
+   * Takes in the changes that a watch brought. Those that the view has already
+   * are passed over: a peer or a listing may have brought newer ones while the
+   * watch was on its way, and the next watch would not bring them again.
+   */
   apply(changes: ports.StoreChanges, asOfMs: number): void {
-    if (changes.events.length > 0) {
+    const {completeTo = -1} = this;
+    for (const event of changes.events) {
+      this.applyEvent(event, completeTo);
+    }
+    this.completeTo = Math.max(completeTo, changes.version);
+    this.confirm(asOfMs);
+  }
+
+  private applyEvent(
+    {type, object}: ports.StoreEvent,
+    completeTo: number,
+  ): void {
+    const known = this.byName.get(object.name);
+    if (type === 'put' && object.version > completeTo) {
+      this.byName.set(object.name, object);
       this.knownDigest = undefined;
     }
-    for (const {type, object} of changes.events) {
-      if (type === 'delete') {
-        this.byName.delete(object.name);
-      } else {
-        this.byName.set(object.name, object);
-      }
+    if (type === 'delete' && known && known.version <= object.version) {
+      this.byName.delete(object.name);
+      this.knownDigest = undefined;
     }
-    this.completeTo = Math.max(this.completeTo ?? 0, changes.version);
-    this.confirm(asOfMs);
   }
 
   private confirm(asOfMs: number): void {
--- a/packages/fleet/tests/kind-view.test.ts
+++ b/packages/fleet/tests/kind-view.test.ts
@@ -50,6 +50,34 @@
     chai.expect(view.confirmedAtMs).equal(50);
   });
 
+  it('keeps what is newer than the changes of a watch answered late', () => {
+    // Guards against an upstream that had left being used again, for good.
+    const view = viewOf([objectOf('a', 3), objectOf('b', 1)], 3);
+    view.replaceAll({objects: [objectOf('a', 7)], version: 8}, 50);
+    view.apply(
+      {
+        version: 5,
+        events: [
+          {type: 'put', object: objectOf('a', 4)},
+          {type: 'put', object: objectOf('b', 5)},
+          {type: 'delete', object: objectOf('a', 5)},
+        ],
+      },
+      60,
+    );
+    chai.expect([...view.objects.values()]).eql([objectOf('a', 7)]);
+    chai.expect(view.version).equal(8);
+  });
+
+  it('takes in a removal that bears the version of the last change', () => {
+    const view = viewOf([objectOf('a', 3)], 8);
+    view.apply(
+      {version: 9, events: [{type: 'delete', object: objectOf('a', 3)}]},
+      60,
+    );
+    chai.expect([...view.objects.keys()]).empty;
+  });
+
   it('believes a peer only about the same contents', () => {
     const view = viewOf([objectOf('a', 1)], 1, 0);
     const same = viewOf([objectOf('a', 1)], 9, 0);
