Let an instance ask the store again some time after a call failed

An instance that had one call to the store fail left asking to its watchers until a call of its own succeeded, and made none while one of them answered it. If these lost the store later, however long after, it relied on what they knew last, and its requests would go to upstreams that had left.

While a watcher answers, the upstreams alone are asked for, 3 s after the last call at the earliest. The test failed before (asked nothing).

--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -51,6 +51,12 @@
  */
 const LONGEST_NEWS_MS = 2_000;
 
+/**
+ * Time between two calls of an instance that is told by a watcher, while the
+ * store does not answer it, in milliseconds.
+ */
+const RETRY_MS = 3_000;
+
 /** Roles as worked out last. */
 interface Roles {
   readonly atMs: number;
@@ -116,7 +122,7 @@
       ageMs,
       this.boundMs(view.kind),
     );
-    return need === 'ask' && this.isLeftToWatchers() ? 'none' : need;
+    return need === 'ask' && this.isLeftToWatchers(view) ? 'none' : need;
   }
 
   /**
@@ -124,11 +130,17 @@
    * instance, and the store has not.
    *
    * Guards against an outage in which hundreds ask again and again for what
-   * the watchers, who try all the time, would tell them at once.
+   * the watchers, who try all the time, would tell them at once. Only the
+   * upstreams are asked for now and then: the watchers may have lost the store
+   * while it answers again here, and one call that failed long ago must not
+   * keep an instance with them.
    */
-  private isLeftToWatchers(): boolean {
-    const {members, now} = this.options;
-    return this.failingSinceMs !== undefined && members.isTold(now());
+  private isLeftToWatchers(view: fleet.KindView): boolean {
+    const {members, views, now} = this.options;
+    const isFailing = this.failingSinceMs !== undefined;
+    const mayRetry =
+      view === views.upstreams && now() - this.lastCallMs >= RETRY_MS;
+    return isFailing && !mayRetry && members.isTold(now());
   }
 
   /**
--- a/packages/amaranthknot/tests/gateway/store-watching.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-watching.test.ts
@@ -116,4 +116,20 @@
       chai.expect(watching.findNeed(views.upstreams)).not.equal('none');
     });
   }
+
+  it('let one whose call failed ask again, though a watcher answers it', () => {
+    // Guards against an instance that never asks again: it relied on watchers
+    // that had lost the store, for one call that had failed long before.
+    const {members, watching, views, wait} = setUp();
+    views.upstreams.replaceAll({objects: [], version: 1}, 2_000);
+    watching.noteStoreCall(FAILED);
+    wait(3_000);
+    IDS.slice(1).forEach(id => {
+      members.noteKeeper(fixture.createMember(id, id), 5_000);
+    });
+    members.takeTold('b.1', '1', undefined, 5_000);
+    chai.expect(watching.findNeed(views.upstreams)).equal('ask');
+    watching.noteStoreCall(FAILED);
+    chai.expect(watching.findNeed(views.upstreams)).equal('none');
+  });
 });
