Take an answer of the store to any instance as a sign that it was there

An instance that was cut off alone for 4 s was told at once on its return that entries were gone, and used these upstreams for 2.4 s more, since in that time they might have lapsed. After resets of connections such an instance counts as in touch again before that is over.

Instances now tell each other since when the store has answered without a silence in which entries can lapse, with the age of each view; spans that overlap are joined. Entries that vanish are kept only where no instance that is heard of was answered all the while. The test failed before (2,400 ms, bound 1,500); a second one shows that an outage for all still keeps them.

What it gives up: the steady clock of an instance that was suspended does not count that time, so its span may cover an outage of just then.

--- a/packages/amaranthknot/src/gateway/gateway-state.ts
+++ b/packages/amaranthknot/src/gateway/gateway-state.ts
@@ -1,5 +1,5 @@
 /** What an instance believes of the configuration, upstreams and orders. */
-import type * as fleet from '@amaranthknot/fleet';
+import * as fleet from '@amaranthknot/fleet';
 import type * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
 import type * as ports from '@amaranthknot/ports';
@@ -26,14 +26,6 @@
  */
 export const LAPSE_GRACE_MS = 2_200;
 
-/**
- * Time without a confirmation of the upstreams after which their entries may
- * have lapsed, in milliseconds. An entry lapses after three of its heartbeats,
- * 3.6 s and more, of which one may have been missed before; an instance that
- * reaches the store, or is told by one that does, is confirmed more often.
- */
-export const LAPSE_GAP_MS = 2_200;
-
 /** Kinds of objects that an instance follows. */
 export type FollowedKind = keyof typeof platform.STORE_KINDS;
 
@@ -59,8 +51,8 @@
   private zonesOut: ReadonlySet<string> = new Set();
   /** As of when the upstreams were last known to be complete. */
   private upstreamsAsOfMs: number | undefined;
-  /** When a gap in which entries may have lapsed was over. */
-  private gapEndedAtMs = -Infinity;
+  /** The last time without news in which entries may have lapsed. */
+  private silence: fleet.TimeSpan | undefined;
   private storeLostAtMs = -Infinity;
   private isStoreThere = true;
   private resolveKnowing: () => void = () => undefined;
@@ -160,25 +152,36 @@
   }
 
   /**
-   * Whether a missing entry means that its upstream is gone. Judged by what
-   * this instance was told, by whomever, and not by calls that fail: a watcher
-   * that is cut off alone would else have all that it tells keep upstreams
-   * that left, for the grace time on top of the time that the news took.
+   * Whether a missing entry means that its upstream is gone: the store has
+   * answered this instance or another all the while. Neither calls that fail
+   * nor a time without news here are an outage: an instance that is cut off
+   * alone, and all that it tells, would keep upstreams that left, for the grace
+   * time on top of the time that the news took.
    */
   private isStoreCalm(): boolean {
-    return this.options.now() - this.gapEndedAtMs > LAPSE_GRACE_MS;
+    const {silence} = this;
+    const {now, views} = this.options;
+    return (
+      silence === undefined ||
+      now() - silence.toMs > LAPSE_GRACE_MS ||
+      views.upstreams.answeredFromMs <=
+        silence.fromMs + fleet.LONGEST_SILENCE_MS
+    );
   }
 
   private noteConfirmation({confirmedAtMs}: fleet.KindView): void {
-    const gapMs = confirmedAtMs - (this.upstreamsAsOfMs ?? confirmedAtMs);
-    if (gapMs > LAPSE_GAP_MS) {
-      this.gapEndedAtMs = this.options.now();
+    const fromMs = this.upstreamsAsOfMs ?? confirmedAtMs;
+    this.upstreamsAsOfMs = confirmedAtMs;
+    if (confirmedAtMs - fromMs <= fleet.LONGEST_SILENCE_MS) {
+      return;
+    }
+    this.silence = {fromMs, toMs: this.options.now()};
+    if (!this.isStoreCalm()) {
       this.options.log.belief('lapse_suspected', {
-        gapMs: Math.round(gapMs),
+        silentMs: Math.round(confirmedAtMs - fromMs),
         keptForMs: LAPSE_GRACE_MS,
       });
     }
-    this.upstreamsAsOfMs = confirmedAtMs;
   }
 
   private takeZones(zones: ReadonlySet<string>): void {
--- a/packages/amaranthknot/src/gateway/store-watching.ts
+++ b/packages/amaranthknot/src/gateway/store-watching.ts
@@ -46,7 +46,7 @@
 /**
  * Longest time that news of upstreams may take, in milliseconds, whatever the
  * deployment allows: an instance then asks the store before its own silence
- * is as long as `gatewayState.LAPSE_GAP_MS`, from which on it looks like an
+ * is as long as `fleet.LONGEST_SILENCE_MS`, from which on it looks like an
  * outage, and entries of upstreams that left are kept.
  */
 const LONGEST_NEWS_MS = 2_000;
--- a/packages/amaranthknot/tests/gateway/leaving-upstreams.test.ts
+++ b/packages/amaranthknot/tests/gateway/leaving-upstreams.test.ts
@@ -11,6 +11,12 @@
 /** Moments of a loss: what watchers know is older or younger at each. */
 const LOST_AFTER_MS = [0, 150, 300, 600, 900, 1_200];
 
+/** Time for which an instance, or all, can't reach the store, in ms. */
+const CUT_MS = 4_000;
+
+/** Time in which an instance that is back is told what it missed, in ms. */
+const TOLD_AGAIN_MS = 1_500;
+
 /** Upstreams that are registered, and those of them that leave. */
 const UPSTREAMS = 12;
 const LEAVING = 6;
@@ -117,3 +123,31 @@
     });
   }
 });
+
+describe('upstreams that leave while one instance is cut off', () => {
+  it('are left by it soon after it is told again', async () => {
+    // It took its own silence for an outage of the store, and went on sending
+    // requests to engines that it had been told were gone.
+    const fleet = await startFleet(3_000);
+    const isFollower = ({get}: virtualFleet.VirtualInstance) =>
+      !get('watching').isWatcher();
+    const alone = fleet.live().find(isFollower);
+    fleet.cutOff(alone?.id ?? '');
+    await removeEntries(fleet, LEAVING);
+    await fleet.clock.advance(CUT_MS);
+    fleet.heal();
+    chai.expect(await measureUse(fleet, 5_000)).below(TOLD_AGAIN_MS);
+  });
+
+  it('are kept for a while where the store answered nobody', async () => {
+    // Guards against a start from nothing after an outage, in which entries of
+    // upstreams that live lapse.
+    const fleet = await startFleet(3_000);
+    fleet.setStoreFault('down');
+    await fleet.clock.advance(CUT_MS);
+    fleet.setStoreFault('none');
+    await removeEntries(fleet, LEAVING);
+    const usedMs = await measureUse(fleet, 5_000);
+    chai.expect(usedMs).above(1_500).and.below(3_000);
+  });
+});
--- a/packages/amaranthknot/tests/gateway/store-outage.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-outage.test.ts
@@ -98,7 +98,7 @@
     // Entries of upstreams that live lapse while the store is away, and all
     // of them would be dropped at its return.
     const setup = createState();
-    setup.wait(gatewayState.LAPSE_GAP_MS + 100);
+    setup.wait(fleet.LONGEST_SILENCE_MS + 100);
     removeEntry(setup);
     chai.expect(setup.catalog.find('i-1')).not.equal(undefined);
     setup.wait(gatewayState.LAPSE_GRACE_MS + 1);
--- a/packages/amaranthknot/tests/gateway/store-watching.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-watching.test.ts
@@ -112,7 +112,7 @@
         change: {...change, leavingMs},
       });
       views.upstreams.replaceAll({objects: [], version: 1}, 2_000);
-      wait(0.8 * gatewayState.LAPSE_GAP_MS);
+      wait(0.8 * fleet.LONGEST_SILENCE_MS);
       chai.expect(watching.findNeed(views.upstreams)).not.equal('none');
     });
   }
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -5,6 +5,7 @@
  */
 import type * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
+import type * as ports from '@amaranthknot/ports';
 import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import type * as gatewayTokens from '../../src/gateway/gateway-tokens.js';
@@ -18,6 +19,9 @@
 /** Delay of each call to the store, in milliseconds. */
 const STORE_MS = 4;
 
+/** Time after which a call to the store that is not answered fails, in ms. */
+const STORE_TIMEOUT_MS = 1_000;
+
 /** Instances that all settings name as seeds. */
 const SEEDS = 3;
 
@@ -40,6 +44,10 @@
   readonly kill: (id: string) => void;
   /** Cuts the power of an instance; calls to it get no answer at all. */
   readonly cutPower: (id: string) => void;
+  /** Cuts an instance off from all others and the store; it runs on. */
+  readonly cutOff: (id: string) => void;
+  /** Ends all cuts. */
+  readonly heal: () => void;
   /** Starts the process of an instance again. */
   readonly restart: (id: string) => void;
   /** What goes wrong with each call to the store from now on. */
@@ -108,7 +116,10 @@
   });
   const running = new Map<string, Running>();
   const dark = new Set<string>();
-  const network = createNetwork(clock, running, dark);
+  const apart = new Set<string>();
+  const network = createNetwork(clock, running, host =>
+    dark.has(host) || apart.has(host) ? 'silent' : 'reached',
+  );
   const setUp = store.create('config', 'main', fixture.createManifest(1));
   await clock.advance(2 * STORE_MS);
   await setUp;
@@ -116,15 +127,21 @@
   const start = (index: number): void => {
     const settings = createSettings(index, options);
     const ending = new AbortController();
+    const host = hostOf(index);
     const get = gatewayWiring.wireGateway({
       settings: fixture.createSource(settings),
       clock,
       random: fakes.createRandom(Math.floor(random() * 2 ** 31)),
-      store,
-      transport: network.transport,
+      store: withCut(store, async () => {
+        if (apart.has(host)) {
+          await clock.sleep(STORE_TIMEOUT_MS);
+        }
+        return apart.has(host);
+      }),
+      transport: network.transportOf(host),
     });
     const {id, zone} = settings.instance;
-    running.set(hostOf(index), {id, zone, get, ending});
+    running.set(host, {id, zone, get, ending});
     const loops = new instanceLoops.InstanceLoops(get, {
       isReady: () => get('state').isKnowing(),
       reload: () => undefined,
@@ -154,6 +171,12 @@
       dark.add(hostOf(indexOf(id)));
       kill(id);
     },
+    cutOff: id => {
+      apart.add(hostOf(indexOf(id)));
+    },
+    heal: () => {
+      apart.clear();
+    },
     restart: id => {
       dark.delete(hostOf(indexOf(id)));
       start(indexOf(id));
@@ -165,22 +188,49 @@
   };
 };
 
+/** The store as one instance reaches it; calls across a cut fail. */
+const withCut = (
+  store: ports.StatusStore,
+  isCut: () => Promise<boolean>,
+): ports.StatusStore => {
+  const call = async <T>(
+    reach: () => Promise<ports.StoreResult<T>>,
+  ): Promise<ports.StoreResult<T>> =>
+    (await isCut())
+      ? purify.Left({code: 'unknown', message: 'no answer'})
+      : reach();
+  return {
+    get: (...args) => call(() => store.get(...args)),
+    list: (...args) => call(() => store.list(...args)),
+    watch: (...args) => call(() => store.watch(...args)),
+    create: (...args) => call(() => store.create(...args)),
+    update: (...args) => call(() => store.update(...args)),
+    updateStatus: (...args) => call(() => store.updateStatus(...args)),
+    delete: (...args) => call(() => store.delete(...args)),
+  };
+};
+
 /** Carries messages between running instances, each way in `LINK_MS`. */
 const createNetwork = (
   clock: fakes.VirtualClock,
   running: ReadonlyMap<string, Running>,
-  dark: ReadonlySet<string>,
+  findWay: (host: string) => 'reached' | 'silent',
 ): {
-  readonly transport: protocol.HttpTransport;
+  readonly transportOf: (host: string) => protocol.HttpTransport;
   readonly sentBytes: () => number;
 } => {
   let bytes = 0;
-  const send: protocol.PeerTransport = async (address, text, timeoutMs) => {
+  const send = async (
+    from: string,
+    address: string,
+    text: string,
+    timeoutMs: number,
+  ): ReturnType<protocol.PeerTransport> => {
     bytes += text.length;
     await clock.sleep(LINK_MS);
     const host = address.split(':')[0] ?? '';
     const peer = running.get(host);
-    if (!peer && dark.has(host)) {
+    if (findWay(from) === 'silent' || findWay(host) === 'silent') {
       await clock.sleep(timeoutMs);
       return purify.Left({code: 'unknown', message: 'no answer'});
     }
@@ -200,7 +250,10 @@
     return purify.Right(answer);
   };
   return {
-    transport: {send, close: () => undefined},
+    transportOf: from => ({
+      send: (...message) => send(from, ...message),
+      close: () => undefined,
+    }),
     sentBytes: () => bytes,
   };
 };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 /** What one instance knows of the store and of the other instances. */
+export * from './answered-span.js';
 export * from './kind-follower.js';
 export * from './kind-view.js';
 export * from './member-table.js';
--- a/packages/fleet/src/kind-view.ts
+++ b/packages/fleet/src/kind-view.ts
@@ -4,6 +4,7 @@
  */
 import type * as ports from '@amaranthknot/ports';
 import * as murmurhash from 'murmurhash';
+import * as answeredSpan from './answered-span.js';
 
 /** Objects of one kind by name. */
 export type ObjectsByName = ReadonlyMap<string, ports.StoredObject>;
@@ -28,6 +29,7 @@
   private completeTo: number | undefined;
   private confirmedAt = -Infinity;
   private knownDigest: string | undefined;
+  private readonly answered = new answeredSpan.AnsweredSpan();
 
   constructor(readonly kind: string) {}
 
@@ -46,6 +48,16 @@
     return this.confirmedAt;
   }
 
+  /** Since when the store has answered someone; see `AnsweredSpan`. */
+  get answeredFromMs(): number {
+    return this.answered.fromMs;
+  }
+
+  /** Takes in a span in which the store answered a peer. */
+  noteAnswered(span: answeredSpan.TimeSpan): void {
+    this.answered.note(span);
+  }
+
   /** Equal in views with the same contents. */
   get digest(): string {
     this.knownDigest ??= digestOf([...this.byName.values()]);
@@ -140,6 +152,7 @@
 
   private confirm(asOfMs: number): void {
     this.confirmedAt = Math.max(this.confirmedAt, asOfMs);
+    this.answered.note({fromMs: asOfMs, toMs: asOfMs});
   }
 }
 
--- a/packages/fleet/src/view-relay.ts
+++ b/packages/fleet/src/view-relay.ts
@@ -58,6 +58,10 @@
               version: view.version,
               digest: view.digest,
               ageMs: Math.max(0, now - view.confirmedAtMs),
+              answeredForMs: Math.max(
+                0,
+                view.confirmedAtMs - view.answeredFromMs,
+              ),
             },
           ],
     );
@@ -81,6 +85,7 @@
         continue;
       }
       const asOfMs = askedAtMs - state.ageMs;
+      view.noteAnswered({fromMs: asOfMs - state.answeredForMs, toMs: asOfMs});
       if (asOfMs <= view.confirmedAtMs) {
         continue;
       }
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -183,11 +183,12 @@
 
   private takeView(state: Answer['views'][number], asOfMs: number): void {
     const {views, onUpdate} = this.options;
-    const {kind, version, digest, step} = state;
+    const {kind, version, digest, step, answeredForMs} = state;
     const view = views.find(found => found.kind === kind);
     if (!view) {
       return;
     }
+    view.noteAnswered({fromMs: asOfMs - answeredForMs, toMs: asOfMs});
     const isTaken = step
       ? view.applyStep(
           {
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -62,6 +62,8 @@
   digest: shapes.name,
   /** Time since it was last known to be complete. */
   ageMs: shapes.milliseconds,
+  /** How long the store had answered instances then, without a long silence. */
+  answeredForMs: shapes.milliseconds.default(0),
 });
 
 /** One object of the store. */
