Say that an entry instance is ready only once it knows its upstreams

Traced: /readyz asked for a configuration alone, which is known before the platform's list of upstreams has come and their loads were read; in that time an instance that says it is ready refuses everything with no_upstream. On a busy machine the time is long enough for a first request to fall into it.

An instance is ready after the list has come; where the platform does not answer it at the start, at the first time that it does. A list that fails is logged; it was swallowed. The new test failed before (503 after ready).

--- a/packages/amaranthknot/src/entry-instance.ts
+++ b/packages/amaranthknot/src/entry-instance.ts
@@ -52,15 +52,18 @@
     get('events').record('instance_started');
     await get('server').start();
     await get('follower').start();
-    await this.refreshUpstreams();
+    const isListed = await this.refreshUpstreams();
     const reports = loadPoller.createLoadReader(REPORT_TIMEOUT_MS);
     // Before the first request: an upstream in cold start is not known as one
     // until it has reported.
     await loadPoller.pollLoad(get('directory'), get('warmUp'), reports);
+    if (isListed) {
+      get('server').open();
+    }
     const {signal} = this.stopping;
     this.loops = Promise.all([
       get('bills').run(signal),
-      this.repeat(LIST_INTERVAL_MS, () => this.refreshUpstreams()),
+      this.repeat(LIST_INTERVAL_MS, () => this.refreshAndOpen()),
       this.repeat(loadPoller.REPORT_INTERVAL_MS, () =>
         loadPoller.pollLoad(get('directory'), get('warmUp'), reports),
       ),
@@ -121,9 +124,25 @@
     await this.get('ratingDesk')?.exchange();
   }
 
-  private async refreshUpstreams(): Promise<void> {
+  /** Lists the upstreams; an instance that knew none is ready then. */
+  private async refreshAndOpen(): Promise<void> {
+    if (await this.refreshUpstreams()) {
+      this.get('server').open();
+    }
+  }
+
+  /** Says whether the platform has answered. */
+  private async refreshUpstreams(): Promise<boolean> {
     const listed = await this.get('instanceList').list();
-    listed.ifRight(instances => this.get('directory').applyList(instances));
+    listed.caseOf({
+      Left: ({code, message}) => {
+        this.get('logger').warn('upstreams not listed', {code, message});
+      },
+      Right: instances => {
+        this.get('directory').applyList(instances);
+      },
+    });
+    return listed.isRight();
   }
 
   private async repeat(
--- a/packages/amaranthknot/tests/processes.test.ts
+++ b/packages/amaranthknot/tests/processes.test.ts
@@ -39,6 +39,24 @@
     chai.expect(bills.duplicates).equal(0);
   });
 
+  it('says that it is ready only once it knows its upstreams', async () => {
+    // Guards against refusals by an instance that has just said it is ready.
+    const [instance] = deployment.instances;
+    const {platform} = deployment.standIns;
+    platform.isListDown = true;
+    instance!.signal('SIGKILL');
+    await instance!.waitForExit();
+    const started = instance!.start();
+    await processes.waitUntil('it has a configuration', async () => {
+      const state = await instance!.readState().catch(() => undefined);
+      return Number(state?.['generation']) > 0;
+    });
+    chai.expect(await instance!.isReady()).equal(false);
+    platform.isListDown = false;
+    await started;
+    chai.expect((await fixtures.chat(addressOf(0), 'a')).status).equal(200);
+  });
+
   // A booking's service is slow to be reached; the instance that claimed it is
   // killed. A retry elsewhere can not know whether it ran: it says `unknown`,
   // and never sends it a second time.
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -16,6 +16,7 @@
   private readonly chat: chatRoutes.ChatRoutes;
   private readonly services: serviceRoutes.ServiceRoutes;
   private leaving = false;
+  private isOpen = false;
   private active = 0;
 
   constructor(private readonly parts: entryParts.EntryParts) {
@@ -58,6 +59,14 @@
     await this.server.start();
   }
 
+  /**
+   * Says that this instance is ready: it knows its upstreams. Peers are answered
+   * before.
+   */
+  open(): void {
+    this.isOpen = true;
+  }
+
   /** Says that this instance leaves; it goes on serving. */
   leave(): void {
     this.leaving = true;
@@ -114,6 +123,10 @@
     ]);
   }
 
+  private isReady(): boolean {
+    return this.isOpen && !this.leaving && this.parts.inForce() !== undefined;
+  }
+
   private addOperatorRoutes(): void {
     this.server.route([
       {method: 'GET', path: '/healthz', handler: () => ({status: 'ok'})},
@@ -121,7 +134,7 @@
         method: 'GET',
         path: '/readyz',
         handler: (_request, h) => {
-          const ready = !this.leaving && this.parts.inForce() !== undefined;
+          const ready = this.isReady();
           return h
             .response({ready, leaving: this.leaving})
             .code(ready ? 200 : 503);
--- a/packages/fakes/src/platform-server.ts
+++ b/packages/fakes/src/platform-server.ts
@@ -43,6 +43,8 @@
   private readonly ratings = new Map<string, ports.Rating[]>();
   /** What happens to calls from now on. */
   mode: PlatformMode = 'up';
+  /** Whether the list of instances alone is not answered. */
+  isListDown = false;
 
   constructor(options: PlatformServerOptions) {
     this.instances = options.instances ?? [];
@@ -153,7 +155,7 @@
         method: 'GET',
         path: '/instances',
         handler: (_request, h) =>
-          this.mode === 'down'
+          this.mode === 'down' || this.isListDown
             ? h.response({error: 'down'}).code(503)
             : {instances: this.instances},
       },
