Read and log the limit that an upstream names

It is read from each answer now, logged when it is named, changes by much or is lifted, and stands with each placement. No decision changes.

--- a/packages/amaranthknot/src/gateway/gateway-tokens.ts
+++ b/packages/amaranthknot/src/gateway/gateway-tokens.ts
@@ -55,6 +55,7 @@
   readonly catalog: gateway.UpstreamCatalog;
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
+  readonly limits: decisions.RateLimits;
   readonly rollouts: gateway.RolloutDesk;
   readonly pool: gateway.ConnectionPool;
   readonly placement: gateway.UpstreamPlacement;
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -110,6 +110,7 @@
       );
       get('pool').keepOnly(ids);
       get('picker').keepOnly(ids);
+      get('limits').keepOnly(ids);
     },
   });
 
@@ -219,6 +220,7 @@
     catalog: get('catalog'),
     picker: get('picker'),
     repeats: get('repeats'),
+    limits: get('limits'),
     rollouts: get('rollouts'),
     now: () => clock.now(),
     upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
@@ -249,7 +251,13 @@
       Promise.race([get('state').whenKnowing(), clock.sleep(HOLD_AT_START_MS)]),
     dialect: DIALECT,
     place: wish => get('placement').place(wish),
-    openCall: gateway.createOpenCall(get('pool'), DIALECT.headers),
+    openCall: gateway.createOpenCall(
+      get('pool'),
+      DIALECT.headers,
+      (upstream, perSecond) => {
+        get('limits').note(upstream, perSecond);
+      },
+    ),
     refreshTable: () => get('refresh').run(),
     inForce: () => get('state').inForce(),
     onEnd: sample => {
@@ -388,6 +396,13 @@
       now: () => options.clock.now(),
     });
   },
+  limits: get =>
+    new decisions.RateLimits({
+      now: () => options.clock.now(),
+      onChange: (upstream, perSecond) => {
+        get('log').belief('upstream_limited', {upstream, perSecond});
+      },
+    }),
   rollouts: createRollouts,
   pool: () => new gateway.ConnectionPool(),
   placement: createPlacement,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export * from './pick-work.js';
 export * from './placement.js';
 export * from './quality-price.js';
+export * from './rate-limits.js';
 export * from './reading-backlog.js';
 export * from './reading-order.js';
 export * from './rendezvous.js';
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -14,6 +14,8 @@
   readonly receipt: string;
   /** `running,waiting,slots` of the upstream that answers. */
   readonly load: string;
+  /** Requests a second that the upstream takes from all senders together. */
+  readonly rateLimit: string;
   /** Set in an answer that says that the request did not run. */
   readonly notRun: string;
   readonly upstreamId: string;
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -75,6 +75,12 @@
   signal: AbortSignal,
 ) => Promise<purify.Either<CallFailure, UpstreamAnswer>>;
 
+/** Takes in the limit that an upstream's answer names; undefined: none. */
+export type NoteLimit = (
+  upstreamId: string,
+  perSecond: number | undefined,
+) => void;
+
 /** Statuses by which an upstream may say that a request has not run. */
 const MISDIRECTED = 421;
 
@@ -90,16 +96,24 @@
   return text === undefined || !Number.isFinite(value) ? undefined : value;
 };
 
+/** A limit that can't be read, or is below nothing, is none. */
+const readRate = (text: string | undefined): number | undefined => {
+  const rate = readNumber(text);
+  return rate === undefined || rate < 0 ? undefined : rate;
+};
+
 /** Creates the function that opens exchanges. */
 export const createOpenCall = (
   pool: connectionPool.ConnectionPool,
   names: headerNames.HeaderNames,
+  noteLimit: NoteLimit,
 ): OpenCall => {
   const lower = {
     requestId: names.requestId.toLowerCase(),
     notRun: names.notRun.toLowerCase(),
     load: names.load.toLowerCase(),
     confidence: names.confidence.toLowerCase(),
+    rateLimit: names.rateLimit.toLowerCase(),
   };
 
   const judge = (
@@ -117,6 +131,10 @@
       return purify.Left({ran: 'unknown', reason: 'foreign_answer'});
     }
     const isOther = status === MISDIRECTED;
+    if (!isOther) {
+      const limit = rawHeaders.findHeader(headers, lower.rateLimit);
+      noteLimit(request.upstream.id, readRate(limit));
+    }
     if (isOther || rawHeaders.findHeader(headers, lower.notRun) !== undefined) {
       response.resume();
       return purify.Left({
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -13,6 +13,7 @@
   readonly catalog: upstreamCatalog.UpstreamCatalog;
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
+  readonly limits: decisions.RateLimits;
   readonly rollouts: rolloutDesk.RolloutDesk;
   readonly now: () => number;
   /** Time since the upstreams were known to be complete, in milliseconds. */
@@ -76,6 +77,7 @@
       isRepeat,
       isCold: this.options.now() < coldUntilMs,
       upstreamsAgeMs: Math.round(this.options.upstreamsAgeMs() ?? -1),
+      limitPerS: this.options.limits.find(upstream.id),
       ...this.options.picker.describe(upstream.id),
     };
   }
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -56,6 +56,8 @@
   /** The store is asked, since what is known is too old. */
   | 'store_asked'
   | 'upstream_rested'
+  /** An upstream names how much it takes from all instances, or no longer. */
+  | 'upstream_limited'
   | 'zones_out'
   | 'rollout_followed'
   | 'rollout_judged'
--- a/packages/telemetry/src/explain-request.ts
+++ b/packages/telemetry/src/explain-request.ts
@@ -46,6 +46,7 @@
 const UPSTREAM_BELIEFS: ReadonlySet<string> = new Set([
   'upstreams_changed',
   'upstream_rested',
+  'upstream_limited',
 ]);
 
 const readText = (value: unknown): string | undefined =>
