Show that an upstream's limit is not kept (red)

A virtual fleet under load, with the placement that instances use: an upstream that names a limit gets its full part of the load.

--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/named-limits.test.ts
@@ -0,0 +1,176 @@
+import * as chai from 'chai';
+import * as fakes from '@amaranthknot/fakes';
+import type * as gateway from '@amaranthknot/gateway';
+import * as fixture from './gateway-fixture.js';
+import * as virtualFleet from './virtual-fleet.js';
+
+/** Time in which a fleet that started at once knows itself, in ms. */
+const SETTLE_MS = 6_000;
+
+/** Time after the first naming from which a limit must be kept, in ms. */
+const STABILITY_MS = 3_000;
+
+/** Time for which the load goes on after that, in milliseconds. */
+const LOAD_MS = 12_000;
+
+/** Step of the load, and time until an upstream answers, in milliseconds. */
+const STEP_MS = 10;
+const ANSWER_MS = 50;
+
+/** Window of the rule, in seconds, and what it lets pass in one. */
+const WINDOW_S = 4;
+const findAllowed = (perSecond: number): number =>
+  1.5 * WINDOW_S * perSecond + 5;
+
+const LIMITED = 'limited';
+const UPSTREAMS = [LIMITED, 'free-1', 'free-2', 'free-3'];
+
+/** A fleet, and what an upstream of it says of its limit. */
+interface LimitedFleet extends virtualFleet.VirtualFleet {
+  /** Requests a second that the upstream names; undefined: none. */
+  limit: number | undefined;
+  /** When requests arrived at the limited upstream, in milliseconds. */
+  readonly arrivals: number[];
+  /** Requests that no upstream took. */
+  readonly unplaced: () => number;
+  /** Sends so many requests a second, each to any instance. */
+  readonly load: (perSecond: number, forMs: number) => Promise<void>;
+}
+
+const createWish = (
+  {get}: virtualFleet.VirtualInstance,
+  id: string,
+): gateway.PlacementWish => {
+  const table = get('state').inForce()?.table;
+  const route = table?.routes.find(({name}) => name === 'read');
+  const service = table?.services.get('svc');
+  if (!route || !service) {
+    throw new Error('an instance knows no route');
+  }
+  const now = get('options').clock.now();
+  return {
+    request: {
+      caller: {
+        id,
+        method: 'GET',
+        target: '/read/1',
+        host: fixture.HOST,
+        headers: [],
+        body: Buffer.alloc(0),
+        apiKey: undefined,
+        deadlineMs: now + 3_000,
+        receivedAtMs: now,
+        session: undefined,
+        lastEventId: undefined,
+        generation: undefined,
+      },
+      route,
+      service,
+      workspace: undefined,
+      deadlineMs: now + 3_000,
+    },
+    model: undefined,
+    excluded: new Set(),
+    isRepeat: false,
+  };
+};
+
+const startFleet = async (instances: number): Promise<LimitedFleet> => {
+  const fleet = await virtualFleet.startVirtualFleet({instances, zones: 3});
+  const {clock, store, live} = fleet;
+  const registered = UPSTREAMS.map((name, index) =>
+    store.create('servers', name, fixture.createEntry(`192.0.2.${index}:80`)),
+  );
+  await clock.advance(SETTLE_MS);
+  await Promise.all(registered);
+  const random = fakes.createRandom(instances);
+  const arrivals: number[] = [];
+  let sent = 0;
+  let unplaced = 0;
+
+  const answer = async (
+    {get}: virtualFleet.VirtualInstance,
+    placed: gateway.PlacedTry,
+  ): Promise<void> => {
+    await clock.sleep(ANSWER_MS);
+    const {id} = placed.upstream;
+    get('limits').note(id, id === LIMITED ? limited.limit : undefined);
+    placed.settle('answered');
+  };
+  const sendOne = (): void => {
+    const running = live();
+    const instance = running[Math.floor(random() * running.length)];
+    if (!instance) {
+      return;
+    }
+    sent++;
+    instance
+      .get('placement')
+      .place(createWish(instance, `request-${sent}`))
+      .caseOf({
+        Left: () => {
+          unplaced++;
+        },
+        Right: placed => {
+          if (placed.upstream.id === LIMITED) {
+            arrivals.push(clock.now());
+          }
+          void answer(instance, placed);
+        },
+      });
+  };
+  const limited: LimitedFleet = {
+    ...fleet,
+    limit: undefined,
+    arrivals,
+    unplaced: () => unplaced,
+    load: async (perSecond, forMs) => {
+      for (let passedMs = 0; passedMs < forMs; passedMs += STEP_MS) {
+        const due = (perSecond * STEP_MS) / 1_000;
+        const count = Math.floor(due) + (random() < due % 1 ? 1 : 0);
+        Array.from({length: count}, sendOne);
+        await clock.advance(STEP_MS);
+      }
+    },
+  };
+  return limited;
+};
+
+/** Most arrivals in any window of the rule, from a moment on. */
+const findMost = (arrivals: readonly number[], fromMs: number): number =>
+  Math.max(
+    0,
+    ...arrivals.map(
+      (endMs, index) =>
+        arrivals
+          .slice(0, index + 1)
+          .filter(atMs => atMs >= fromMs && atMs > endMs - WINDOW_S * 1_000)
+          .length,
+    ),
+  );
+
+describe('an upstream that names a limit', () => {
+  const cases: readonly {
+    readonly instances: number;
+    readonly limit: number;
+    readonly perSecond: number;
+  }[] = [
+    {instances: 6, limit: 1.1, perSecond: 40},
+    {instances: 6, limit: 0.2, perSecond: 40},
+    {instances: 6, limit: 15, perSecond: 200},
+    {instances: 73, limit: 1.1, perSecond: 150},
+  ];
+
+  cases.forEach(({instances, limit, perSecond}) => {
+    it(`gets no more than ${limit} a second from ${instances} instances`, async () => {
+      // Requests went on to an engine in need as if it had said nothing.
+      const fleet = await startFleet(instances);
+      fleet.limit = limit;
+      await fleet.load(perSecond, STABILITY_MS);
+      const fromMs = fleet.clock.now();
+      await fleet.load(perSecond, LOAD_MS);
+      chai.expect(findMost(fleet.arrivals, fromMs)).most(findAllowed(limit));
+      chai.expect(fleet.unplaced()).equal(0);
+    });
+  });
+});
