Share an upstream's named limit out among all instances

Cause: nobody read the limit, and each instance chooses its upstreams by itself; a limit that each kept alone would be broken as many times over as there are instances.

Each instance may send its share of the rate in any four seconds; where that is less than one request, those that rank first for the upstream get one each, and a rate below one in four seconds is one instance's. First sends and repeats count alike, at placement. What an upstream said last goes to all with its age, so that those keep it that were not told, and all know when it is lifted; one request passes every ten seconds at the least, since only an answer lifts it. Shares of cold upstreams and these are worked out by one function.

--- a/packages/amaranthknot/src/gateway/fleet-report.ts
+++ b/packages/amaranthknot/src/gateway/fleet-report.ts
@@ -49,6 +49,7 @@
       views: [...get('relay').report()],
       // An instance that is told by a watcher reports these to it alone.
       upstreams: isLed ? [] : [...this.signsOfReporters()],
+      limits: [...get('limits').report()],
       evidence: isLed ? [] : [...get('rollouts').evidence()],
       rollouts: isLed ? [] : [...get('rollouts').progress()],
     };
@@ -59,6 +60,7 @@
     const {get} = this;
     const now = get('options').clock.now();
     this.takeMembers(report, now);
+    get('limits').hear(report.limits);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isLed()) {
       // A watcher's sums count the same requests; with both, engines look
@@ -98,6 +100,7 @@
       isWatcher,
       // Watchers hear of each other's signs when they exchange all.
       upstreams: isWatcher ? [] : [...get('picker').report()],
+      limits: [...get('limits').report()],
       evidence: [...get('rollouts').evidence('own')],
       rollouts: [...get('rollouts').progress(told.sent)],
       membersVersion: get('members').toldVersion(name),
@@ -109,6 +112,7 @@
   takeFromFollower(report: protocol.FollowerReport): void {
     const {get} = this;
     const now = get('options').clock.now();
+    get('limits').hear(report.limits);
     if (report.isWatcher) {
       get('members').noteKeeper(report.from, now);
       return;
@@ -131,6 +135,7 @@
       upstreams: [
         ...get('picker').report(name => name !== id && name !== WATCHER),
       ],
+      limits: [...get('limits').report()],
       evidence: [...get('rollouts').evidenceSums()],
       rollouts: [...get('rollouts').progress(report.pinnedKnown)],
       pinnedCounts: {...get('rollouts').pinnedCounts()},
@@ -143,11 +148,13 @@
     if (get('watching').isWatcher()) {
       return;
     }
-    const {membersVersion, members, upstreams, evidence, rollouts} = summary;
+    const {membersVersion, members, upstreams, limits, evidence, rollouts} =
+      summary;
     const now = get('options').clock.now();
     const name = nameStart(watcher);
     get('members').takeTold(name, membersVersion, members, now);
     get('picker').hear(WATCHER, upstreams, 'others');
+    get('limits').hear(limits);
     get('rollouts').takeSums(rollouts, evidence);
     this.toldSessions = {
       watcher: name,
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -399,6 +399,11 @@
   limits: get =>
     new decisions.RateLimits({
       now: () => options.clock.now(),
+      self: options.settings.current.instance.id,
+      findInstances: () =>
+        get('members')
+          .report(options.clock.now())
+          .map(({id}) => id),
       onChange: (upstream, perSecond) => {
         get('log').belief('upstream_limited', {upstream, perSecond});
       },
--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -36,6 +36,12 @@
     now,
     random: fakes.createRandom(1),
   });
+  const limits = new decisions.RateLimits({
+    now,
+    self: id,
+    findInstances: () => [id],
+    onChange: () => undefined,
+  });
   const rollouts = new gateway.RolloutDesk({
     clock,
     incarnation: `${id}.1`,
@@ -59,6 +65,7 @@
     options: {clock},
     members,
     picker,
+    limits,
     rollouts,
     relay: {report: () => []},
     watching: {isWatcher: () => isWatcher, findWatchers: () => []},
--- a/packages/amaranthknot/tests/gateway/named-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/named-limits.test.ts
@@ -17,6 +17,9 @@
 const STEP_MS = 10;
 const ANSWER_MS = 50;
 
+/** Time by which all instances know that a limit is lifted, in ms. */
+const LIFTED_KNOWN_MS = 6_000;
+
 /** Window of the rule, in seconds, and what it lets pass in one. */
 const WINDOW_S = 4;
 const findAllowed = (perSecond: number): number =>
@@ -173,4 +176,26 @@
       chai.expect(fleet.unplaced()).equal(0);
     });
   });
+
+  it('is used as far as it takes requests', async () => {
+    const fleet = await startFleet(6);
+    fleet.limit = 15;
+    await fleet.load(200, STABILITY_MS);
+    const before = fleet.arrivals.length;
+    await fleet.load(200, LOAD_MS);
+    const perSecond = (fleet.arrivals.length - before) / (LOAD_MS / 1_000);
+    chai.expect(perSecond).within(0.7 * 15, 15);
+  });
+
+  it('gets its part again soon after the limit is lifted', async () => {
+    // An instance whose share is nothing hears of it from those that ask.
+    const fleet = await startFleet(24);
+    fleet.limit = 1.1;
+    await fleet.load(100, 6_000);
+    fleet.limit = undefined;
+    await fleet.load(100, LIFTED_KNOWN_MS);
+    const before = fleet.arrivals.length;
+    await fleet.load(100, 4_000);
+    chai.expect(fleet.arrivals.length - before).above(0.5 * 4 * (100 / 4));
+  });
 });
--- a/packages/decisions/src/cold-share.ts
+++ b/packages/decisions/src/cold-share.ts
@@ -6,9 +6,9 @@
  * with requests waiting for them. Harm prevented: each instance sends the
  * little that one may, and together they make the upstream fall over. Shares
  * need no message, so they hold also between instances that are cut off from
- * each other; what they give up is the share of an instance that has no work.
+ * each other.
  */
-import * as rendezvous from './rendezvous.js';
+import * as shareOut from './share-out.js';
 
 /** What a cold upstream bears, in requests a second from all instances. */
 export interface ColdLimit {
@@ -54,15 +54,6 @@
   uptimeMs: number,
 ): number => {
   const total = (limit.perSecond * limit.overrun + limit.slack) * SHARED_PART;
-  const share = Math.floor(total / Math.max(1, instances.length));
-  if (share >= 1) {
-    return uptimeMs < NEWCOMER_MS ? NEWCOMER_SHARE : share;
-  }
-  // More instances than requests: those that rank first get one each.
-  const holders = rendezvous.rankByRendezvous(
-    upstream,
-    instances,
-    Math.floor(total),
-  );
-  return holders.includes(self) ? 1 : 0;
+  const share = shareOut.shareOut(total, upstream, self, instances);
+  return uptimeMs < NEWCOMER_MS ? Math.min(share, NEWCOMER_SHARE) : share;
 };
--- a/packages/decisions/src/rate-limits.ts
+++ b/packages/decisions/src/rate-limits.ts
@@ -1,44 +1,163 @@
 /**
- * What upstreams say of how many requests a second they take from all
- * instances together. Pure: time is an argument.
+ * Keeps the sum of all instances' requests to an upstream within the rate that
+ * it names.
+ *
+ * Load: an upstream in need that still answers, among others that take more.
+ * Harm prevented: each instance knows little of what the others send, keeps
+ * the rate by itself, and together they send as many times the rate as there
+ * are instances. Shares need no message; what was named last goes from
+ * instance to instance with its age, so that those keep it that the upstream
+ * has not told, and all know when it is lifted. Pure: time is an argument.
  */
+import * as shareOut from './share-out.js';
+import * as slidingCount from './sliding-count.js';
 
 /** Settings of the limits. */
 export interface RateLimitsOptions {
   readonly now: () => number;
+  /** Name of this instance. */
+  readonly self: string;
+  /** Names of all instances that live, this one included. */
+  readonly findInstances: () => readonly string[];
   /** Called when an upstream names a limit, another one, or none any more. */
   readonly onChange: (id: string, perSecond: number | undefined) => void;
 }
 
+/** What an instance tells others of an upstream's limit. */
+export interface ToldLimit {
+  readonly id: string;
+  /** Requests a second; absent where it is lifted. */
+  readonly perSecond?: number | undefined;
+  /** Time since the upstream said so, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** What an upstream said last. */
 interface Row {
-  /** Requests a second; undefined where it names no limit any more. */
+  /** Requests a second; undefined where it is lifted. */
   readonly perSecond: number | undefined;
   readonly atMs: number;
   /** The limit of which the last change was told. */
   readonly toldPerSecond: number | undefined;
 }
 
+/** This instance's share of a limit, as worked out last. */
+interface Share {
+  readonly atMs: number;
+  readonly perSecond: number;
+  readonly requests: number;
+}
+
 /** Part of a limit by which it changes before that is told as news. */
 const NEWS_PART = 0.25;
 
+/** Time over which the requests to an upstream are counted, in milliseconds. */
+const WINDOW_MS = 4_000;
+
+const MS_PER_S = 1_000;
+
+/**
+ * Longest time between two requests to an upstream however low its limit is,
+ * in milliseconds: only an answer says that the limit is lifted.
+ */
+const LONGEST_PAUSE_MS = 10_000;
+
+/** Time for which a share is kept, in milliseconds. */
+const SHARE_MS = 1_000;
+
+/** Time for which others are told what an upstream said, in milliseconds. */
+const TOLD_FOR_MS = 10_000;
+
+/**
+ * Time by which word from another instance must be newer, in milliseconds: its
+ * way here is not part of its age, and word that comes back would look newer.
+ */
+const LEAST_NEWER_MS = 100;
+
 /** Limits of all upstreams that named one. */
 export class RateLimits {
   private readonly rows = new Map<string, Row>();
+  private readonly sends = new Map<string, slidingCount.SlidingCount>();
+  private readonly lastSendMs = new Map<string, number>();
+  private readonly shares = new Map<string, Share>();
 
   constructor(private readonly options: RateLimitsOptions) {}
 
   /** Notes what an answer of an upstream says; undefined: no limit. */
   note(id: string, perSecond: number | undefined): void {
-    const before = this.rows.get(id);
-    if (!before && perSecond === undefined) {
-      return;
+    if (perSecond !== undefined || this.rows.has(id)) {
+      this.set(id, perSecond, this.options.now());
+    }
+  }
+
+  /** Takes in what another instance tells. */
+  hear(told: readonly ToldLimit[]): void {
+    const now = this.options.now();
+    for (const {id, perSecond, ageMs} of told) {
+      const atMs = now - ageMs;
+      if (atMs - (this.rows.get(id)?.atMs ?? -Infinity) > LEAST_NEWER_MS) {
+        this.set(id, perSecond, atMs);
+      }
     }
-    const toldPerSecond = before?.toldPerSecond;
+  }
+
+  /** What this instance tells others. */
+  report(): readonly ToldLimit[] {
+    const now = this.options.now();
+    return [...this.rows].flatMap(([id, {perSecond, atMs}]) => {
+      const ageMs = Math.max(0, now - atMs);
+      return ageMs > TOLD_FOR_MS ? [] : [{id, perSecond, ageMs}];
+    });
+  }
+
+  /** Notes that a request is sent to an upstream. */
+  noteSend(id: string): void {
+    const now = this.options.now();
+    const sends =
+      this.sends.get(id) ?? new slidingCount.SlidingCount(WINDOW_MS);
+    this.sends.set(id, sends);
+    sends.add(now);
+    this.lastSendMs.set(id, now);
+  }
+
+  /** Whether this instance may send one more request to an upstream now. */
+  mayTake(id: string): boolean {
+    const perSecond = this.find(id);
+    if (perSecond === undefined) {
+      return true;
+    }
+    const now = this.options.now();
+    const {requests} = this.findShare(id, perSecond, now);
+    const pauseMs = findPauseMs(perSecond);
+    const sent =
+      pauseMs > WINDOW_MS
+        ? Number(now - (this.lastSendMs.get(id) ?? -Infinity) < pauseMs)
+        : (this.sends.get(id)?.count(now) ?? 0);
+    return sent < requests;
+  }
+
+  /** Requests a second that an upstream takes; undefined: it names no limit. */
+  find(id: string): number | undefined {
+    return this.rows.get(id)?.perSecond;
+  }
+
+  /** Forgets upstreams that are no longer there. */
+  keepOnly(ids: ReadonlySet<string>): void {
+    for (const byId of [this.rows, this.sends, this.lastSendMs, this.shares]) {
+      for (const id of byId.keys()) {
+        if (!ids.has(id)) {
+          byId.delete(id);
+        }
+      }
+    }
+  }
+
+  private set(id: string, perSecond: number | undefined, atMs: number): void {
+    const toldPerSecond = this.rows.get(id)?.toldPerSecond;
     const isChanged = isNews(toldPerSecond, perSecond);
     this.rows.set(id, {
       perSecond,
-      atMs: this.options.now(),
+      atMs,
       toldPerSecond: isChanged ? perSecond : toldPerSecond,
     });
     if (isChanged) {
@@ -46,21 +165,25 @@
     }
   }
 
-  /** Forgets upstreams that are no longer there. */
-  keepOnly(ids: ReadonlySet<string>): void {
-    for (const id of this.rows.keys()) {
-      if (!ids.has(id)) {
-        this.rows.delete(id);
-      }
+  /** Kept for a while: hundreds of instances would be ranked for each request. */
+  private findShare(id: string, perSecond: number, now: number): Share {
+    const known = this.shares.get(id);
+    if (known?.perSecond === perSecond && now - known.atMs < SHARE_MS) {
+      return known;
     }
-  }
-
-  /** Requests a second that an upstream takes; undefined: it names no limit. */
-  find(id: string): number | undefined {
-    return this.rows.get(id)?.perSecond;
+    const {self, findInstances} = this.options;
+    const total = Math.max(1, (perSecond * WINDOW_MS) / MS_PER_S);
+    const requests = shareOut.shareOut(total, id, self, findInstances());
+    const share = {atMs: now, perSecond, requests};
+    this.shares.set(id, share);
+    return share;
   }
 }
 
+/** Time between two requests at a rate, in milliseconds. */
+const findPauseMs = (perSecond: number): number =>
+  Math.min(LONGEST_PAUSE_MS, MS_PER_S / perSecond);
+
 const isNews = (told: number | undefined, now: number | undefined): boolean =>
   told === undefined || now === undefined
     ? told !== now
--- a/packages/decisions/tests/rate-limits.test.ts
+++ b/packages/decisions/tests/rate-limits.test.ts
@@ -1,17 +1,114 @@
 import * as chai from 'chai';
 import * as decisions from '@amaranthknot/decisions';
 
+interface Setup {
+  readonly limits: decisions.RateLimits;
+  readonly wait: (ms: number) => void;
+  /** Limits as they were told to be new. */
+  readonly told: (number | undefined)[];
+}
+
+const setUp = (instances: readonly string[] = ['a']): Setup => {
+  let nowMs = 0;
+  const told: (number | undefined)[] = [];
+  const limits = new decisions.RateLimits({
+    now: () => nowMs,
+    self: 'a',
+    findInstances: () => instances,
+    onChange: (_id, perSecond) => told.push(perSecond),
+  });
+  return {
+    limits,
+    told,
+    wait: ms => {
+      nowMs += ms;
+    },
+  };
+};
+
+/** Requests that may be sent at once. */
+const countFree = ({limits}: Setup, id: string): number => {
+  let count = 0;
+  while (limits.mayTake(id) && count < 1_000) {
+    limits.noteSend(id);
+    count++;
+  }
+  return count;
+};
+
 describe('limits that upstreams name', () => {
   it('are told when they are named, change by much, and are lifted', () => {
-    const told: (number | undefined)[] = [];
-    const limits = new decisions.RateLimits({
-      now: () => 0,
-      onChange: (_id, perSecond) => told.push(perSecond),
-    });
+    const {limits, told} = setUp();
     [undefined, 2, 2.1, 4, undefined, undefined].forEach(perSecond => {
-      limits.note('a', perSecond);
+      limits.note('u', perSecond);
     });
     chai.expect(told).eql([2, 4, undefined]);
-    chai.expect(limits.find('a')).equal(undefined);
+    chai.expect(limits.find('u')).equal(undefined);
+  });
+
+  it('do not bind upstreams that name none', () => {
+    const setup = setUp();
+    setup.limits.note('u', 1);
+    chai.expect(countFree(setup, 'other')).equal(1_000);
+  });
+
+  it('are shared out among all instances', () => {
+    const setup = setUp(['a', 'b', 'c', 'd']);
+    setup.limits.note('u', 10);
+    chai.expect(countFree(setup, 'u')).equal(10);
+    setup.wait(4_000);
+    chai.expect(countFree(setup, 'u')).equal(10);
+  });
+
+  it('let one request pass now and then however low they are', () => {
+    // Only an answer says that a limit is lifted.
+    const setup = setUp();
+    setup.limits.note('u', 0);
+    chai.expect(countFree(setup, 'u')).equal(1);
+    setup.wait(9_000);
+    chai.expect(countFree(setup, 'u')).equal(0);
+    setup.wait(1_000);
+    chai.expect(countFree(setup, 'u')).equal(1);
+  });
+
+  it('count what was sent before they were named', () => {
+    const setup = setUp();
+    Array.from({length: 3}, () => {
+      setup.limits.noteSend('u');
+    });
+    setup.limits.note('u', 1);
+    chai.expect(countFree(setup, 'u')).equal(1);
+  });
+
+  it('are known from another instance, with the age of its word', () => {
+    const {limits, wait} = setUp();
+    wait(5_000);
+    limits.hear([{id: 'u', perSecond: 3, ageMs: 400}]);
+    chai.expect(limits.report()).eql([{id: 'u', perSecond: 3, ageMs: 400}]);
+  });
+
+  it('stay lifted before word that is older', () => {
+    const {limits, wait} = setUp();
+    limits.note('u', 3);
+    wait(5_000);
+    limits.note('u', undefined);
+    wait(200);
+    limits.hear([{id: 'u', perSecond: 3, ageMs: 300}]);
+    chai.expect(limits.find('u')).equal(undefined);
+  });
+
+  it('are not told any more once they are old', () => {
+    const {limits, wait} = setUp();
+    limits.note('u', 3);
+    wait(20_000);
+    chai.expect(limits.report()).empty;
+    chai.expect(limits.find('u')).equal(3);
+  });
+
+  it('are forgotten with their upstream', () => {
+    const {limits} = setUp();
+    limits.note('u', 3);
+    limits.keepOnly(new Set());
+    chai.expect(limits.find('u')).equal(undefined);
   });
 });
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -59,6 +59,7 @@
   from,
   isWatcher: false,
   upstreams: [],
+  limits: [],
   evidence: [],
   rollouts: [],
   membersVersion: 'none',
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -131,7 +131,8 @@
       !excluded.has(upstream.id) &&
       !isZoneOut(upstream.zone) &&
       this.isAtHome(upstream, request) &&
-      this.mayBearMore(upstream, coldUntilMs, request.service)
+      this.mayBearMore(upstream, coldUntilMs, request.service) &&
+      this.options.limits.mayTake(upstream.id)
     );
   }
 
@@ -169,6 +170,7 @@
     const {rollouts} = this.options;
     const startedAtMs = this.options.now();
     this.noteColdSend(known, startedAtMs);
+    this.options.limits.noteSend(upstream.id);
     const ticket = this.options.picker.start(upstream.id, pickWork);
     const work = {
       service: wish.request.service.name,
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -94,6 +94,15 @@
   failed: shapes.count,
 });
 
+/** What an upstream said last of how much it takes from all instances. */
+export const rateLimit = zod.object({
+  id: shapes.name,
+  /** Requests a second; absent where it names no limit any more. */
+  perSecond: zod.number().nonnegative().optional(),
+  /** Time since it said so. */
+  ageMs: shapes.milliseconds,
+});
+
 /** What one start of an instance counted of a roll-out's versions. */
 export const orderEvidence = zod.object({
   /** Names the order: service and version. */
@@ -127,6 +136,7 @@
   /** Whether it tells others itself: it hears of the fleet from its peers. */
   isWatcher: zod.boolean().default(false),
   upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
+  limits: zod.array(rateLimit).max(shapes.MAX_ITEMS).default([]),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Which list of members the instance has. */
@@ -142,6 +152,7 @@
   members: memberStep.optional(),
   /** Sums over all instances but the asker. */
   upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
+  limits: zod.array(rateLimit).max(shapes.MAX_ITEMS).default([]),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -159,6 +170,7 @@
   groupMembers: zod.array(groupMembers).max(shapes.MAX_ITEMS),
   views: zod.array(viewState).max(shapes.MAX_ENVIRONMENTS),
   upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
+  limits: zod.array(rateLimit).max(shapes.MAX_ITEMS).default([]),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
