Keep a weak answer where no upstream takes the capable model

Where none could take it, or no repeat was left by then, the caller got 502 though an answer was there. The try is placed first now, and the cheap answer is passed on where that fails. The test failed before (502).

--- a/packages/amaranthknot/tests/gateway/stream-wire.test.ts
+++ b/packages/amaranthknot/tests/gateway/stream-wire.test.ts
@@ -314,6 +314,30 @@
     chai.expect(all()).length(2);
   });
 
+  it('keeps a weak answer where no upstream takes the capable model', async () => {
+    // The caller got a failure, though an answer had been made for it.
+    const {store, instances} = gateway;
+    const entry = (await store.get('servers', 'i-2')).unsafeCoerce();
+    await store.delete('servers', 'i-2', entry.version);
+    await fixture.waitUntil(() =>
+      instances.every(instance => !instance.knowsUpstream('i-2')),
+    );
+    first.script = ({request, socket}) => {
+      const headers = {'X-Confidence': '10', 'Server-Limit': '0.1'};
+      const head = fakes.formatStreamHead(request, {headers});
+      socket.write(head + restOfStream(request));
+    };
+    const answer = await gateway.call({
+      path: fixture.PATHS.model,
+      method: 'POST',
+      headers: GENERATION,
+      body: 'prompt',
+    });
+    chai.expect(answer.status).equal(200);
+    chai.expect(answer.body).equal(expectedBody());
+    chai.expect(all()).length(1);
+  });
+
   it('tells engines the rank of a prompt, and no caller does', async () => {
     // A caller that puts itself first would push all others back; engines are
     // told only what instances work out from the prompt's length.
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -118,13 +118,22 @@
     const {request} = this.context;
     const judged = this.parts.capable.judge(request, capable, confidence);
     this.context.log.step('model_judged', {...judged, model: capable});
-    if (!judged.runs) {
+    if (!judged.runs || !this.reserve(capable)) {
       return open;
     }
     this.giveUp(open);
     return this.openModel(capable);
   }
 
+  /** Places a try ahead, before what is in progress is given up for it. */
+  private reserve(
+    model: string | undefined,
+    excluded: ReadonlySet<string> = this.excluded,
+  ): boolean {
+    this.reserved ??= this.place(model, excluded);
+    return this.reserved !== undefined;
+  }
+
   private giveUp(open: OpenStream): void {
     open.ending.abort('not_needed' satisfies gatewayParts.RunEnd);
     open.placed.settle('answered');
@@ -193,8 +202,7 @@
     end: gatewayParts.RunEnd,
   ): boolean {
     const excluded = new Set([...this.excluded, upstream.id]);
-    this.reserved ??= this.place(model, excluded);
-    if (!this.reserved) {
+    if (!this.reserve(model, excluded)) {
       return false;
     }
     ending.abort(end);
