Spend less on a fleet at rest

Parts are kept once resolved, a wait ends with a reason, the fleet is looked through once a second, the list at most ten times, and upstreams are taken in only where they changed.

Two methods of the catalog that nothing called are gone.

--- a/packages/amaranthknot/src/gateway/gateway-state.ts
+++ b/packages/amaranthknot/src/gateway/gateway-state.ts
@@ -40,7 +40,6 @@
   readonly rollouts: gateway.RolloutDesk;
   readonly log: telemetry.DecisionLog;
   readonly onTable: (table: routing.RoutingTable) => void;
-  readonly onUpstreams: () => void;
 }
 
 /** Beliefs of one instance. */
@@ -49,6 +48,8 @@
   /** Store version of the object that the table was read from. */
   private tableObjectVersion = -1;
   private zonesOut: ReadonlySet<string> = new Set();
+  /** Digest of the upstreams as they were taken in last. */
+  private upstreamsDigest: string | undefined;
   /** As of when the upstreams were last known to be complete. */
   private upstreamsAsOfMs: number | undefined;
   /** The last time without news in which entries may have lapsed. */
@@ -193,11 +194,16 @@
     }
   }
 
+  /** Most confirmations bring nothing new, and there may be thousands. */
   private takeUpstreams(view: fleet.KindView): void {
-    const {catalog, now, onUpstreams} = this.options;
+    const {catalog, now} = this.options;
     this.noteConfirmation(view);
+    if (view.digest === this.upstreamsDigest) {
+      this.tick();
+      return;
+    }
+    this.upstreamsDigest = view.digest;
     catalog.update(view.objects, now(), this.isStoreCalm());
-    onUpstreams();
   }
 
   /**
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -102,18 +102,23 @@
     onTable: table => {
       get('callerServer').applyLimits(table.limits);
     },
-    onUpstreams: () => {
-      const ids = new Set(
-        get('catalog')
-          .all()
-          .map(({upstream}) => upstream.id),
-      );
-      get('pool').keepOnly(ids);
-      get('picker').keepOnly(ids);
-      get('limits').keepOnly(ids);
-    },
   });
 
+/** Forgets all that was known of upstreams that are gone. */
+const forgetGone = (
+  get: gatewayTokens.ResolveGateway,
+  changes: readonly gateway.CatalogChange[],
+): void => {
+  if (!changes.some(({kind}) => kind === 'gone')) {
+    return;
+  }
+  const known = get('catalog').all();
+  const ids = new Set(known.map(({upstream}) => upstream.id));
+  get('pool').keepOnly(ids);
+  get('picker').keepOnly(ids);
+  get('limits').keepOnly(ids);
+};
+
 const createMembers = (
   get: gatewayTokens.ResolveGateway,
 ): fleet.MemberTable => {
@@ -367,6 +372,7 @@
   catalog: get =>
     new gateway.UpstreamCatalog({
       onChanges: changes => {
+        forgetGone(get, changes);
         get('log').belief(
           'upstreams_changed',
           upstreamChanges.describeChanges(changes, {
@@ -424,7 +430,14 @@
   options: gatewayTokens.GatewayOptions,
 ): gatewayTokens.ResolveGateway => {
   const container = tsyringe.container.createChildContainer();
-  const get: gatewayTokens.ResolveGateway = token => container.resolve(token);
+  // Parts are asked for on each message; the container takes far longer.
+  const parts: Partial<Record<keyof gatewayTokens.GatewayWiring, unknown>> = {};
+  const get = <K extends keyof gatewayTokens.GatewayWiring>(
+    token: K,
+  ): gatewayTokens.GatewayWiring[K] => {
+    parts[token] ??= container.resolve(token);
+    return parts[token] as gatewayTokens.GatewayWiring[K];
+  };
   const register = <K extends keyof gatewayTokens.GatewayWiring>(
     token: K,
     factory: Factories[K],
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -6,6 +6,12 @@
 /** How often lapsed upstreams and roll-outs are looked at, in ms. */
 const TICK_MS = 200;
 
+/**
+ * How often the fleet is gone through, in ms: what is noted of it is for the
+ * log, and there may be hundreds of instances.
+ */
+const LOOK_MS = 1_000;
+
 /**
  * How often the settings file is looked at, in ms: bounds in it count in
  * seconds, and reading it takes a tenth of a millisecond.
@@ -26,6 +32,7 @@
 /** The loops of one instance; each runs until its signal aborts. */
 export class InstanceLoops {
   private reloadedAtMs = 0;
+  private lookedAtMs = -Infinity;
 
   constructor(
     private readonly get: gatewayTokens.ResolveGateway,
@@ -78,15 +85,22 @@
     while (!signal.aborted) {
       this.updatePhase();
       get('state').tick();
-      get('fleetWatch').look();
       get('rollouts').step();
-      wiring.updateRepeatSlack(get);
+      this.lookSometimes(clock.now());
       get('log').tick();
       this.reloadSometimes(clock.now());
       await clock.sleep(TICK_MS, signal);
     }
   }
 
+  private lookSometimes(nowMs: number): void {
+    if (nowMs - this.lookedAtMs >= LOOK_MS) {
+      this.lookedAtMs = nowMs;
+      this.get('fleetWatch').look();
+      wiring.updateRepeatSlack(this.get);
+    }
+  }
+
   /** Settings may change without a signal. */
   private reloadSometimes(nowMs: number): void {
     if (nowMs - this.reloadedAtMs >= RELOAD_MS) {
--- a/packages/amaranthknot/tests/gateway/store-outage.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-outage.test.ts
@@ -42,7 +42,6 @@
     }),
     log,
     onTable: () => undefined,
-    onUpstreams: () => undefined,
   });
   const view = views.upstreams;
   const entry = {
--- a/packages/fleet/src/member-table.ts
+++ b/packages/fleet/src/member-table.ts
@@ -65,6 +65,12 @@
   readonly ids: ReadonlySet<string>;
 }
 
+/**
+ * Time for which the list that a watcher tells is kept, in ms: it is asked for
+ * by each of its followers several times a second.
+ */
+const LIST_MS = 100;
+
 /** Version of a list where none was told. */
 const NO_VERSION = 'none';
 
@@ -79,6 +85,8 @@
   private told: ToldList | undefined;
   /** When a watcher last told who lives. */
   private toldAtMs = -Infinity;
+  /** When the list that this instance tells others was brought up to date. */
+  private listedAtMs = -Infinity;
   private beatCount = 0;
   private ownRevision = 0;
   private ownMembers: readonly protocol.Member[] = [];
@@ -240,7 +248,10 @@
 
   /** Version of the list of live instances that this one tells others. */
   listVersion(nowMs: number): string {
-    this.list.update(this.report(nowMs));
+    if (nowMs - this.listedAtMs >= LIST_MS) {
+      this.listedAtMs = nowMs;
+      this.list.update(this.report(nowMs));
+    }
     return this.list.version;
   }
 
--- a/packages/fleet/src/view-relay.ts
+++ b/packages/fleet/src/view-relay.ts
@@ -24,6 +24,9 @@
 /** Longest time for which a peer's call is held, in milliseconds. */
 const LONGEST_HOLD_MS = 2_000;
 
+/** Reason for which a wait ends; without one, an error is made for each. */
+const WOKEN = 'woken';
+
 type KnownView = protocol.Params<'await_views'>['known'][number];
 
 const toMessage = ({
@@ -174,7 +177,7 @@
     });
     const slept = this.options.clock.sleep(waitMs, ending.signal);
     await Promise.race([woken, slept]);
-    ending.abort();
+    ending.abort(WOKEN);
   }
 
   private async fetch(address: string, view: kindView.KindView): Promise<void> {
--- a/packages/gateway/src/upstream-catalog.ts
+++ b/packages/gateway/src/upstream-catalog.ts
@@ -111,21 +111,6 @@
     return this.rows.get(id)?.known;
   }
 
-  /** Forgets an upstream, as when another answered at its address. */
-  drop(id: string): void {
-    this.remove(id);
-    this.tellChanges();
-  }
-
-  /** Notes that an upstream says that it is cold for so long. */
-  noteCold(id: string, coldForMs: number, nowMs: number): void {
-    const row = this.rows.get(id);
-    if (row) {
-      const coldUntilMs = Math.max(row.known.coldUntilMs, nowMs + coldForMs);
-      row.known = {...row.known, coldUntilMs};
-    }
-  }
-
   private remove(id: string): void {
     const row = this.rows.get(id);
     if (row) {
