--- a/packages/amaranthknot/src/gateway/gateway-state.ts
+++ b/packages/amaranthknot/src/gateway/gateway-state.ts
@@ -37,7 +37,7 @@
   readonly now: () => number;
   readonly views: Views;
   readonly catalog: gateway.UpstreamCatalog;
-  readonly rollouts: gateway.RolloutDesk;
+  readonly rollouts: gateway.RolloutTracker;
   readonly log: telemetry.DecisionLog;
   readonly onTable: (table: routing.RoutingTable) => void;
 }
--- a/packages/amaranthknot/src/gateway/gateway-tokens.ts
+++ b/packages/amaranthknot/src/gateway/gateway-tokens.ts
@@ -56,7 +56,7 @@
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
   readonly limits: decisions.RateLimits;
-  readonly rollouts: gateway.RolloutDesk;
+  readonly rollouts: gateway.RolloutTracker;
   readonly pool: gateway.ConnectionPool;
   readonly placement: gateway.UpstreamPlacement;
   readonly gateway: gateway.Gateway;
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -191,9 +191,9 @@
 
 const createRollouts = (
   get: gatewayTokens.ResolveGateway,
-): gateway.RolloutDesk => {
+): gateway.RolloutTracker => {
   const {clock, settings} = get('options');
-  return new gateway.RolloutDesk({
+  return new gateway.RolloutTracker({
     clock,
     incarnation: nameIncarnation(get),
     sessionMs: settings.current.bounds.sessionMs,
@@ -255,7 +255,7 @@
     whenKnowing: () =>
       Promise.race([get('state').whenKnowing(), clock.sleep(HOLD_AT_START_MS)]),
     dialect: DIALECT,
-    place: wish => get('placement').place(wish),
+    place: toPlace => get('placement').place(toPlace),
     openCall: gateway.createOpenCall(
       get('pool'),
       DIALECT.headers,
--- a/packages/amaranthknot/tests/gateway/fleet-report.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-report.test.ts
@@ -17,7 +17,7 @@
 interface Instance {
   readonly members: fleet.MemberTable;
   readonly picker: decisions.UpstreamPicker;
-  readonly rollouts: gateway.RolloutDesk;
+  readonly rollouts: gateway.RolloutTracker;
   readonly reports: fleetReport.FleetReports;
   readonly isWatcher: boolean;
 }
@@ -42,7 +42,7 @@
     findInstances: () => [id],
     onChange: () => undefined,
   });
-  const rollouts = new gateway.RolloutDesk({
+  const rollouts = new gateway.RolloutTracker({
     clock,
     incarnation: `${id}.1`,
     sessionMs: 5_000,
--- a/packages/amaranthknot/tests/gateway/named-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/named-limits.test.ts
@@ -40,10 +40,10 @@
   readonly load: (perSecond: number, forMs: number) => Promise<void>;
 }
 
-const createWish = (
+const createPlacementRequest = (
   {get}: virtualFleet.VirtualInstance,
   id: string,
-): gateway.PlacementWish => {
+): gateway.PlacementRequest => {
   const table = get('state').inForce()?.table;
   const route = table?.routes.find(({name}) => name === 'read');
   const service = table?.services.get('svc');
@@ -109,7 +109,7 @@
     sent++;
     instance
       .get('placement')
-      .place(createWish(instance, `request-${sent}`))
+      .place(createPlacementRequest(instance, `request-${sent}`))
       .caseOf({
         Left: () => {
           unplaced++;
--- a/packages/amaranthknot/tests/gateway/store-outage.test.ts
+++ b/packages/amaranthknot/tests/gateway/store-outage.test.ts
@@ -31,7 +31,7 @@
     now,
     views,
     catalog,
-    rollouts: new gateway.RolloutDesk({
+    rollouts: new gateway.RolloutTracker({
       clock: ports.systemClock,
       incarnation: 'a.1',
       sessionMs: 5_000,
--- a/packages/gateway/src/gateway-parts.ts
+++ b/packages/gateway/src/gateway-parts.ts
@@ -49,7 +49,7 @@
 }
 
 /** What to place. */
-export interface PlacementWish {
+export interface PlacementRequest {
   readonly request: AcceptedRequest;
   readonly model: string | undefined;
   /** Upstreams that have been tried in vain. */
@@ -68,7 +68,7 @@
 
 /** Chooses an upstream. */
 export type PlaceTry = (
-  wish: PlacementWish,
+  toPlace: PlacementRequest,
 ) => purify.Either<PlacementRefusal, PlacedTry>;
 
 /** Parts that runs of requests work with. */
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -5,7 +5,8 @@
 import type * as telemetry from '@amaranthknot/telemetry';
 import * as callerRequest from './caller-request.js';
 import type * as gatewayParts from './gateway-parts.js';
-import type * as rolloutDesk from './rollout-desk.js';
+import type * as followedOrder from './followed-order.js';
+import type * as rolloutTracker from './rollout-tracker.js';
 import type * as upstreamCatalog from './upstream-catalog.js';
 
 /** Parts that placement works with. */
@@ -14,7 +15,7 @@
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
   readonly limits: decisions.RateLimits;
-  readonly rollouts: rolloutDesk.RolloutDesk;
+  readonly rollouts: rolloutTracker.RolloutTracker;
   readonly now: () => number;
   /** Time since the upstreams were known to be complete, in milliseconds. */
   readonly upstreamsAgeMs: () => number | undefined;
@@ -47,28 +48,28 @@
    * the budget of all instances does not allow.
    */
   place(
-    wish: gatewayParts.PlacementWish,
+    toPlace: gatewayParts.PlacementRequest,
   ): purify.Either<gatewayParts.PlacementRefusal, gatewayParts.PlacedTry> {
     const {picker} = this.options;
-    const work = describeWork(wish);
-    const candidates = this.findCandidates(wish);
+    const work = describeWork(toPlace);
+    const candidates = this.findCandidates(toPlace);
     const picked = picker.pick(candidates, work);
     const known = picked && this.options.catalog.find(picked.id);
     if (!known) {
       return purify.Left('no_upstream');
     }
-    if (!this.payForRepeat(wish)) {
+    if (!this.payForRepeat(toPlace)) {
       return purify.Left('no_budget');
     }
-    const tried = this.begin(known, wish, work);
-    const inputs = this.describeChoice(known, candidates.length, wish);
+    const tried = this.begin(known, toPlace, work);
+    const inputs = this.describeChoice(known, candidates.length, toPlace);
     return purify.Right({...tried, inputs});
   }
 
   private describeChoice(
     {upstream, coldUntilMs}: Known,
     candidates: number,
-    {isRepeat}: gatewayParts.PlacementWish,
+    {isRepeat}: gatewayParts.PlacementRequest,
   ): telemetry.Details {
     return {
       zone: upstream.zone,
@@ -82,7 +83,7 @@
     };
   }
 
-  private payForRepeat({request, isRepeat}: gatewayParts.PlacementWish) {
+  private payForRepeat({request, isRepeat}: gatewayParts.PlacementRequest) {
     const {repeats} = this.options;
     const {name} = request.service;
     if (isRepeat) {
@@ -93,12 +94,12 @@
   }
 
   private findCandidates(
-    wish: gatewayParts.PlacementWish,
+    toPlace: gatewayParts.PlacementRequest,
   ): readonly routing.Upstream[] {
     const usable = this.options.catalog
       .all()
-      .filter(known => this.mayTake(known, wish));
-    const {caller, service} = wish.request;
+      .filter(known => this.mayTake(known, toPlace));
+    const {caller, service} = toPlace.request;
     const version = this.options.rollouts.chooseVersion(
       service.name,
       caller.session ?? caller.id,
@@ -122,7 +123,7 @@
 
   private mayTake(
     {upstream, coldUntilMs}: Known,
-    {request, excluded}: gatewayParts.PlacementWish,
+    {request, excluded}: gatewayParts.PlacementRequest,
   ): boolean {
     const {isZoneOut} = this.options;
     return (
@@ -163,7 +164,7 @@
 
   private begin(
     known: Known,
-    wish: gatewayParts.PlacementWish,
+    toPlace: gatewayParts.PlacementRequest,
     pickWork: decisions.PickWork,
   ): Omit<gatewayParts.PlacedTry, 'inputs'> {
     const {upstream} = known;
@@ -173,11 +174,11 @@
     this.options.limits.noteSend(upstream.id);
     const ticket = this.options.picker.start(upstream.id, pickWork);
     const work = {
-      service: wish.request.service.name,
+      service: toPlace.request.service.name,
       version: upstream.version,
-      route: wish.request.route.name,
-      isStream: wish.request.route.kind === 'stream',
-      model: wish.model,
+      route: toPlace.request.route.name,
+      isStream: toPlace.request.route.kind === 'stream',
+      model: toPlace.model,
     };
     const pace = new decisions.StreamPace();
     const notePace = (paceMs: number | undefined) => {
@@ -222,7 +223,7 @@
 
 const concentrate = (
   upstreams: readonly routing.Upstream[],
-  {key, part}: rolloutDesk.VersionConcentration,
+  {key, part}: followedOrder.VersionConcentration,
 ): readonly routing.Upstream[] => {
   const ids = upstreams.map(({id}) => id);
   const count = Math.max(1, Math.ceil(part * ids.length));
@@ -241,8 +242,10 @@
   return own === undefined || dearest === 0 ? 1 : own / dearest;
 };
 
-const describeWork = (wish: gatewayParts.PlacementWish): decisions.PickWork => {
-  const {caller, service} = wish.request;
+const describeWork = (
+  toPlace: gatewayParts.PlacementRequest,
+): decisions.PickWork => {
+  const {caller, service} = toPlace.request;
   const {generation} = caller;
   if (!generation) {
     return {
@@ -252,16 +255,16 @@
       sharedKey: undefined,
     };
   }
-  const weight = weightOf(wish.model, service.engine);
+  const weight = weightOf(toPlace.model, service.engine);
   // The last part belongs to the request or its session.
   const shared = generation.parts.slice(0, -1);
   const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
   const sharedKey =
     shared.length === 0
       ? undefined
-      : `${wish.model ?? ''}/${shared.map(({id}) => id).join('/')}`;
-  const {models} = wish.request.route;
-  const isCapable = wish.model === models.at(-1);
+      : `${toPlace.model ?? ''}/${shared.map(({id}) => id).join('/')}`;
+  const {models} = toPlace.request.route;
+  const isCapable = toPlace.model === models.at(-1);
   return {
     promptTokens: generation.promptTokens * weight,
     answerTokens: callerRequest.expectAnswerTokens(generation) * weight,
--- a/packages/gateway/tests/rollout-desk.test.ts
+++ b/packages/gateway/tests/rollout-tracker.test.ts
@@ -1,7 +1,7 @@
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
 import * as telemetry from '@amaranthknot/telemetry';
-import * as rolloutDesk from '../src/rollout-desk.js';
+import * as rolloutTracker from '../src/rollout-tracker.js';
 
 const SESSION_MS = 5_000;
 const DURATION_MS = 24_000;
@@ -14,7 +14,7 @@
 };
 
 interface Setup {
-  readonly desk: rolloutDesk.RolloutDesk;
+  readonly tracker: rolloutTracker.RolloutTracker;
   /** Notes a good answer of a version after so many milliseconds. */
   readonly answer: (version: string, firstByteMs: number) => void;
   /** Notes the pace of a stream of a version, in ms between its events. */
@@ -23,14 +23,14 @@
   readonly isExposed: () => boolean;
 }
 
-const createDesk = async (): Promise<Setup> => {
+const createTracker = async (): Promise<Setup> => {
   const clock = new fakes.VirtualClock();
   const log = new telemetry.DecisionLog({
     instance: 'a',
     level: 'error',
     now: () => clock.now(),
   });
-  const desk = new rolloutDesk.RolloutDesk({
+  const tracker = new rolloutTracker.RolloutTracker({
     clock,
     incarnation: 'a.1',
     sessionMs: SESSION_MS,
@@ -39,7 +39,7 @@
     rank: () => 0,
     log,
   });
-  desk.takeOrders([
+  tracker.takeOrders([
     {
       service: 'engines',
       version: 'v2',
@@ -50,9 +50,9 @@
   ]);
   await clock.advance(SESSION_MS + 2_000);
   return {
-    desk,
+    tracker,
     answer: (version, firstByteMs) => {
-      desk.note({
+      tracker.note({
         ...WORK,
         version,
         isBad: false,
@@ -60,23 +60,23 @@
       });
     },
     stream: (version, paceMs) => {
-      desk.notePace({...WORK, version, paceMs});
+      tracker.notePace({...WORK, version, paceMs});
     },
     isExposed: () =>
       Array.from({length: 500}, (_, i) => `session-${i}`).some(session => {
-        const wish = desk.chooseVersion('engines', session);
+        const wish = tracker.chooseVersion('engines', session);
         return wish.kind === 'only' && wish.accepts('v2');
       }),
   };
 };
 
-describe('roll-out desk', () => {
+describe('roll-out tracker', () => {
   it('stops a version that is slow for half of its requests after an outage', async () => {
     // A zone loses power while an order runs; a few answers of the old version
     // take ten seconds. Then a version whose every other answer takes ten
     // times as long is exposed, is taken for good, and gets all traffic.
     // A mean of the old version's first bytes had made slow answers usual.
-    const {answer, isExposed} = await createDesk();
+    const {answer, isExposed} = await createTracker();
     for (let i = 0; i < 20; i++) {
       answer('v1', 180);
     }
@@ -94,7 +94,7 @@
     // All prompts are new to the upstreams of a new version, and come at once:
     // its first answers take four times as long, which is no fault of it. It
     // was rolled back after five of them, and operators missed their date.
-    const {answer, isExposed} = await createDesk();
+    const {answer, isExposed} = await createTracker();
     for (let i = 0; i < 40; i++) {
       answer('v1', 200);
     }
@@ -109,7 +109,7 @@
     // events then take five times as long. Judged by first tokens alone it is
     // completed; the old version's upstreams stop, and callers are left with
     // late streams for good.
-    const {answer, stream, isExposed} = await createDesk();
+    const {answer, stream, isExposed} = await createTracker();
     for (let i = 0; i < 30; i++) {
       answer('v1', 100);
       stream('v1', 40);
