Split the wiring's factories by what they make; keep the repeats' part apart

What this instance may repeat is worked out in a file of its own, so that the loops need not know the wiring. No change of behaviour.

--- a/packages/amaranthknot/src/gateway/gateway-tokens.ts
+++ b/packages/amaranthknot/src/gateway/gateway-tokens.ts
@@ -67,3 +67,8 @@
 export type ResolveGateway = <K extends keyof GatewayWiring>(
   token: K,
 ) => GatewayWiring[K];
+
+/** Factories of some parts, by token. */
+export type PartFactories<K extends keyof GatewayWiring> = {
+  readonly [P in K]: (get: ResolveGateway) => GatewayWiring[P];
+};
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -1,7 +1,7 @@
 /** What an instance does all the time, beside answering others. */
 import * as configuration from '@amaranthknot/configuration';
 import type * as gatewayTokens from './gateway-tokens.js';
-import * as wiring from './gateway-wiring.js';
+import * as repeatSlack from './repeat-slack.js';
 
 /** How often lapsed upstreams and roll-outs are looked at, in ms. */
 const TICK_MS = 200;
@@ -97,7 +97,7 @@
     if (nowMs - this.lookedAtMs >= LOOK_MS) {
       this.lookedAtMs = nowMs;
       this.get('fleetWatch').look();
-      wiring.updateRepeatSlack(this.get);
+      repeatSlack.updateRepeatSlack(this.get);
     }
   }
 
--- /dev/null
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -0,0 +1,209 @@
+/** Factories of what serves callers' requests. */
+import * as decisions from '@amaranthknot/decisions';
+import * as gateway from '@amaranthknot/gateway';
+import * as platform from '@amaranthknot/platform';
+import * as gatewayState from '../gateway-state.js';
+import type * as gatewayTokens from '../gateway-tokens.js';
+import * as repeatSlack from '../repeat-slack.js';
+import * as upstreamChanges from '../upstream-changes.js';
+
+/** Parts that are made here. */
+export type RequestPart =
+  | 'latencies'
+  | 'capable'
+  | 'catalog'
+  | 'picker'
+  | 'repeats'
+  | 'limits'
+  | 'rollouts'
+  | 'pool'
+  | 'placement'
+  | 'gateway'
+  | 'callerServer';
+
+const DIALECT: gateway.Dialect = {
+  headers: platform.HEADER_NAMES,
+  instanceOnlyHeaders: platform.INSTANCE_ONLY_HEADERS,
+};
+
+/**
+ * How long a request is held while an instance that has just started does not
+ * know the configuration yet, in milliseconds. Reading it takes some 30 ms; a
+ * refusal would cost the caller its one retry.
+ */
+const HOLD_AT_START_MS = 400;
+
+/** Forgets all that was known of upstreams that are gone. */
+const forgetGone = (
+  get: gatewayTokens.ResolveGateway,
+  changes: readonly gateway.CatalogChange[],
+): void => {
+  if (!changes.some(({kind}) => kind === 'gone')) {
+    return;
+  }
+  const known = get('catalog').all();
+  const ids = new Set(known.map(({upstream}) => upstream.id));
+  get('pool').keepOnly(ids);
+  get('picker').keepOnly(ids);
+  get('limits').keepOnly(ids);
+};
+
+const nameIncarnation = (get: gatewayTokens.ResolveGateway): string => {
+  const {id, start} = get('members').self;
+  return `${id}.${start}`;
+};
+
+const createRollouts = (
+  get: gatewayTokens.ResolveGateway,
+): gateway.RolloutTracker => {
+  const {clock, settings} = get('options');
+  return new gateway.RolloutTracker({
+    clock,
+    incarnation: nameIncarnation(get),
+    sessionMs: settings.current.bounds.sessionMs,
+    limit: settings.current.bounds.exposure,
+    report: async (order, state) => {
+      const written = await get('store').updateStatus(
+        platform.STORE_KINDS.rollouts,
+        order.service,
+        platform.encodeRolloutStatus(state, order.version),
+        order.revision,
+      );
+      return written.isRight();
+    },
+    rank: () => {
+      const self = get('members').self.id;
+      const serving = get('members').serving(clock.now());
+      return serving.filter(({id}) => id < self).length;
+    },
+    log: get('log'),
+  });
+};
+
+const createPlacement = (
+  get: gatewayTokens.ResolveGateway,
+): gateway.UpstreamPlacement => {
+  const {settings, clock} = get('options');
+  const startedAtMs = clock.now();
+  return new gateway.UpstreamPlacement({
+    catalog: get('catalog'),
+    picker: get('picker'),
+    repeats: get('repeats'),
+    limits: get('limits'),
+    rollouts: get('rollouts'),
+    now: () => clock.now(),
+    upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
+    isZoneOut: zone => get('state').isZoneOut(zone),
+    regionOf: zone => settings.current.zones.get(zone),
+    coldShare: (upstream, service) =>
+      decisions.findColdShare(
+        {perSecond: service.coldPerSecond, ...settings.current.bounds.cold},
+        upstream.id,
+        settings.current.instance.id,
+        get('members').namesForShares(clock.now()),
+        clock.now() - startedAtMs,
+      ),
+  });
+};
+
+const createGateway = (get: gatewayTokens.ResolveGateway): gateway.Gateway => {
+  const {clock, random, settings} = get('options');
+  const {change} = settings.current.bounds;
+  return new gateway.Gateway({
+    clock,
+    random,
+    log: get('log'),
+    latencies: get('latencies'),
+    capable: get('capable'),
+    probe: gateway.createProbe(clock),
+    whenKnowing: () =>
+      Promise.race([get('state').whenKnowing(), clock.sleep(HOLD_AT_START_MS)]),
+    dialect: DIALECT,
+    place: toPlace => get('placement').place(toPlace),
+    openCall: gateway.createOpenCall(
+      get('pool'),
+      DIALECT.headers,
+      (upstream, perSecond) => {
+        get('limits').note(upstream, perSecond);
+      },
+    ),
+    refreshTable: () => get('refresh').run(),
+    inForce: () => get('state').inForce(),
+    onEnd: sample => {
+      get('metrics').noteRequest(sample);
+    },
+    tableAges: {
+      forKeys: gatewayState.KEY_AGE_SHARE * change.revocationMs,
+      forDenials: gatewayState.DENIAL_AGE_SHARE * change.configurationMs,
+    },
+  });
+};
+
+/** Creates the factories. */
+export const createRequestFactories = (
+  options: gatewayTokens.GatewayOptions,
+): gatewayTokens.PartFactories<RequestPart> => ({
+  latencies: () => new decisions.LatencyBook(),
+  capable: get =>
+    new gateway.CapableModels({
+      now: () => options.clock.now(),
+      catalog: get('catalog'),
+      picker: get('picker'),
+      repeats: get('repeats'),
+      isZoneOut: zone => get('state').isZoneOut(zone),
+    }),
+  catalog: get =>
+    new gateway.UpstreamCatalog({
+      onChanges: changes => {
+        forgetGone(get, changes);
+        get('log').belief(
+          'upstreams_changed',
+          upstreamChanges.describeChanges(changes, {
+            ageMs: get('state').upstreamsAgeMs(),
+            revision: get('views').upstreams.version,
+          }),
+        );
+      },
+      decode: platform.decodeUpstream,
+      lapseGraceMs: gatewayState.LAPSE_GRACE_MS,
+    }),
+  picker: get =>
+    new decisions.UpstreamPicker({
+      onRest: (upstream, restMs, signs) => {
+        const forMs = Math.round(restMs);
+        get('log').trouble('upstream_rested', {upstream, forMs, ...signs});
+      },
+      zone: options.settings.current.instance.zone,
+      now: () => options.clock.now(),
+      random: options.random,
+    }),
+  repeats: () => {
+    const {ratio, windowMs} = options.settings.current.bounds.retry;
+    return new decisions.RepeatBudget({
+      ratio: repeatSlack.RETRY_PART * ratio,
+      windowMs,
+      now: () => options.clock.now(),
+    });
+  },
+  limits: get =>
+    new decisions.RateLimits({
+      now: () => options.clock.now(),
+      self: options.settings.current.instance.id,
+      findInstances: () =>
+        get('members')
+          .report(options.clock.now())
+          .map(({id}) => id),
+      onChange: (upstream, perSecond) => {
+        get('log').belief('upstream_limited', {upstream, perSecond});
+      },
+    }),
+  rollouts: createRollouts,
+  pool: () => new gateway.ConnectionPool(),
+  placement: createPlacement,
+  gateway: createGateway,
+  callerServer: get =>
+    new gateway.CallerServer(
+      options.settings.current.listen.callers,
+      (...exchange) => get('gateway').handle(...exchange),
+    ),
+});
--- /dev/null
+++ b/packages/amaranthknot/src/gateway/wiring/store-factories.ts
@@ -0,0 +1,160 @@
+/** Factories of what brings and keeps what the store holds. */
+import * as configuration from '@amaranthknot/configuration';
+import * as decisions from '@amaranthknot/decisions';
+import * as fleet from '@amaranthknot/fleet';
+import * as platform from '@amaranthknot/platform';
+import * as ports from '@amaranthknot/ports';
+import * as gatewayState from '../gateway-state.js';
+import type * as gatewayTokens from '../gateway-tokens.js';
+import * as storeWatching from '../store-watching.js';
+
+/** Parts that are made here. */
+export type StorePart =
+  | 'store'
+  | 'views'
+  | 'state'
+  | 'followers'
+  | 'refresh'
+  | 'relay'
+  | 'takeView'
+  | 'watching'
+  | 'subscription';
+
+/** Longest wait for an answer of the store, in milliseconds. */
+const STORE_TIMEOUT_MS = 1_000;
+
+const createStore = (
+  options: gatewayTokens.GatewayOptions,
+): ports.StatusStore => {
+  const address = configuration.formatAddress(
+    options.settings.current.store.address,
+  );
+  const client = new ports.HttpClient({
+    url: `http://${address}`,
+    timeoutMs: STORE_TIMEOUT_MS,
+  });
+  return new platform.StoreClient((...call) => client.send(...call));
+};
+
+const createViews = (): gatewayState.Views => {
+  const view = (kind: gatewayState.FollowedKind): fleet.KindView =>
+    new fleet.KindView(platform.STORE_KINDS[kind]);
+  return {
+    configuration: view('configuration'),
+    upstreams: view('upstreams'),
+    rollouts: view('rollouts'),
+    evacuations: view('evacuations'),
+  };
+};
+
+const createFollower = (
+  get: gatewayTokens.ResolveGateway,
+  kind: gatewayState.FollowedKind,
+): fleet.KindFollower => {
+  const {clock, random} = get('options');
+  const view = get('views')[kind];
+  return new fleet.KindFollower({
+    view,
+    store: get('store'),
+    clock,
+    random,
+    findWaitMs: ageMs =>
+      decisions.findWatchMs(get('watching').boundMs(view.kind), ageMs),
+    pauseAfterChangesMs: decisions.findChangePauseMs(
+      get('watching').boundMs(view.kind),
+    ),
+    findNeed: () => get('watching').findNeed(view),
+    onUpdate: get('takeView'),
+    onAsk: asked => {
+      get('log').belief('store_asked', {
+        kind: asked.kind,
+        ageMs: Math.round(clock.now() - asked.confirmedAtMs),
+      });
+    },
+    onCall: (called, error) => {
+      get('metrics').noteStoreCall(called, error?.code ?? 'done');
+      get('state').noteStoreCall(error);
+      get('watching').noteStoreCall(error);
+    },
+  });
+};
+
+const createState = (
+  get: gatewayTokens.ResolveGateway,
+): gatewayState.GatewayState =>
+  new gatewayState.GatewayState({
+    now: () => get('options').clock.now(),
+    views: get('views'),
+    catalog: get('catalog'),
+    rollouts: get('rollouts'),
+    log: get('log'),
+    onTable: table => {
+      get('callerServer').applyLimits(table.limits);
+    },
+  });
+
+const createSubscription = (
+  get: gatewayTokens.ResolveGateway,
+): fleet.ViewSubscription =>
+  new fleet.ViewSubscription({
+    clock: get('options').clock,
+    transport: get('transport').send,
+    views: Object.values(get('views')),
+    findSources: () => get('watching').findSources(),
+    freshMs: kind => get('watching').freshMs(kind),
+    onUpdate: get('takeView'),
+    isWatcher: () => get('watching').isWatcher(),
+    onFailure: (peer, error) => {
+      get('fleetWatch').noteFailure(peer, error);
+    },
+    createReport: source => get('reports').createForWatcher(source),
+    onSummary: (source, summary) => {
+      get('reports').takeSummary(source, summary);
+    },
+    onSource: source => {
+      get('log').belief('watch_source_changed', {source});
+    },
+  });
+
+/** Creates the factories. */
+export const createStoreFactories = (
+  options: gatewayTokens.GatewayOptions,
+): gatewayTokens.PartFactories<StorePart> => ({
+  store: () => options.store ?? createStore(options),
+  views: createViews,
+  state: createState,
+  followers: get => ({
+    configuration: createFollower(get, 'configuration'),
+    upstreams: createFollower(get, 'upstreams'),
+    rollouts: createFollower(get, 'rollouts'),
+    evacuations: createFollower(get, 'evacuations'),
+  }),
+  refresh: get =>
+    new fleet.ViewRefresh({
+      view: get('views').configuration,
+      store: get('store'),
+      clock: options.clock,
+      onUpdate: get('takeView'),
+    }),
+  relay: get =>
+    new fleet.ViewRelay({
+      clock: options.clock,
+      transport: get('transport').send,
+      views: Object.values(get('views')),
+      onUpdate: get('takeView'),
+      freshMs: kind => get('watching').freshMs(kind),
+    }),
+  takeView: get => view => {
+    get('state').take(view);
+    get('relay').noteUpdate();
+  },
+  watching: get =>
+    new storeWatching.StoreWatching({
+      now: () => options.clock.now(),
+      members: get('members'),
+      views: get('views'),
+      bounds: options.settings.current.bounds,
+      hasSeeds: options.settings.current.seeds.length > 0,
+    }),
+  subscription: createSubscription,
+});
