Tell limits of upstreams while they are news, and now and then afterwards

Every message held every limit that was named in the last ten seconds: where 69 engines name one, some 4 KB in each of five messages a second and instance, five times what control may take. A change is told for three seconds, all of them for a second of every twenty; what nobody has heard again for a minute is forgotten.

--- a/packages/decisions/src/rate-limits.ts
+++ b/packages/decisions/src/rate-limits.ts
@@ -37,8 +37,10 @@
   /** Requests a second; undefined where it is lifted. */
   readonly perSecond: number | undefined;
   readonly atMs: number;
-  /** The limit of which the last change was told. */
+  /** The limit as it was when it was news last. */
   readonly toldPerSecond: number | undefined;
+  /** When it was news here. */
+  readonly toldAtMs: number;
 }
 
 /** This instance's share of a limit, as worked out last. */
@@ -65,8 +67,21 @@
 /** Time for which a share is kept, in milliseconds. */
 const SHARE_MS = 1_000;
 
-/** Time for which others are told what an upstream said, in milliseconds. */
-const TOLD_FOR_MS = 10_000;
+/**
+ * Time for which others are told of a change, in milliseconds: some rounds of
+ * messages. Unchanged limits are told again now and then, for instances that
+ * were cut off or have just started; all of them in each message would take
+ * more than what instances may tell each other.
+ */
+const NEWS_MS = 3_000;
+const AGAIN_EVERY_MS = 20_000;
+const AGAIN_MS = 1_000;
+
+/**
+ * Time after which what an upstream said is forgotten, in milliseconds: as
+ * often as it is told again, it was lost on the way.
+ */
+const FORGOTTEN_MS = 60_000;
 
 /**
  * Time by which word from another instance must be newer, in milliseconds: its
@@ -95,7 +110,9 @@
     const now = this.options.now();
     for (const {id, perSecond, ageMs} of told) {
       const atMs = now - ageMs;
-      if (atMs - (this.rows.get(id)?.atMs ?? -Infinity) > LEAST_NEWER_MS) {
+      const known = this.rows.get(id);
+      const isNewer = !known || atMs - known.atMs > LEAST_NEWER_MS;
+      if (isNewer && (known || perSecond !== undefined)) {
         this.set(id, perSecond, atMs);
       }
     }
@@ -104,9 +121,11 @@
   /** What this instance tells others. */
   report(): readonly ToldLimit[] {
     const now = this.options.now();
-    return [...this.rows].flatMap(([id, {perSecond, atMs}]) => {
+    const isAgain = now % AGAIN_EVERY_MS < AGAIN_MS;
+    return [...this.rows].flatMap(([id, {perSecond, atMs, toldAtMs}]) => {
+      const isNew = now - toldAtMs <= NEWS_MS;
       const ageMs = Math.max(0, now - atMs);
-      return ageMs > TOLD_FOR_MS ? [] : [{id, perSecond, ageMs}];
+      return isNew || isAgain ? [{id, perSecond, ageMs}] : [];
     });
   }
 
@@ -138,7 +157,9 @@
 
   /** Requests a second that an upstream takes; undefined: it names no limit. */
   find(id: string): number | undefined {
-    return this.rows.get(id)?.perSecond;
+    const row = this.rows.get(id);
+    const isKnown = row && this.options.now() - row.atMs <= FORGOTTEN_MS;
+    return isKnown ? row.perSecond : undefined;
   }
 
   /** Forgets upstreams that are no longer there. */
@@ -153,16 +174,14 @@
   }
 
   private set(id: string, perSecond: number | undefined, atMs: number): void {
-    const toldPerSecond = this.rows.get(id)?.toldPerSecond;
-    const isChanged = isNews(toldPerSecond, perSecond);
-    this.rows.set(id, {
-      perSecond,
-      atMs,
-      toldPerSecond: isChanged ? perSecond : toldPerSecond,
-    });
-    if (isChanged) {
-      this.options.onChange(id, perSecond);
+    const before = this.rows.get(id);
+    if (before && !isNews(before.toldPerSecond, perSecond)) {
+      this.rows.set(id, {...before, perSecond, atMs});
+      return;
     }
+    const toldAtMs = this.options.now();
+    this.rows.set(id, {perSecond, atMs, toldPerSecond: perSecond, toldAtMs});
+    this.options.onChange(id, perSecond);
   }
 
   /** Kept for a while: hundreds of instances would be ranked for each request. */
