--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -135,8 +135,8 @@
   from: member,
   /** Whether it tells others itself: it hears of the fleet from its peers. */
   isWatcher: zod.boolean().default(false),
-  upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
-  limits: zod.array(rateLimit).max(shapes.MAX_ITEMS).default([]),
+  upstreams: zod.array(upstreamSigns).max(shapes.MAX_OBJECTS),
+  limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Which list of members the instance has. */
@@ -151,8 +151,8 @@
   /** What has changed in it; absent where the asker has this version. */
   members: memberStep.optional(),
   /** Sums over all instances but the asker. */
-  upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
-  limits: zod.array(rateLimit).max(shapes.MAX_ITEMS).default([]),
+  upstreams: zod.array(upstreamSigns).max(shapes.MAX_OBJECTS),
+  limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -169,8 +169,8 @@
   /** Members of groups that the receiver does not have as they are. */
   groupMembers: zod.array(groupMembers).max(shapes.MAX_ITEMS),
   views: zod.array(viewState).max(shapes.MAX_ENVIRONMENTS),
-  upstreams: zod.array(upstreamSigns).max(shapes.MAX_ITEMS),
-  limits: zod.array(rateLimit).max(shapes.MAX_ITEMS).default([]),
+  upstreams: zod.array(upstreamSigns).max(shapes.MAX_OBJECTS),
+  limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
--- a/packages/protocol/tests/peer-messages.test.ts
+++ b/packages/protocol/tests/peer-messages.test.ts
@@ -40,6 +40,38 @@
     chai.expect(result.extract()).eql({accepted: 2});
   });
 
+  it('takes what is known of as many upstreams as there are to be', async () => {
+    // Guards against reports that are refused whole for one long list.
+    const upstreams = Array.from({length: 12_000}, (_, index) => ({
+      id: `upstream-${index}`,
+      inFlight: 1,
+      waitingTokens: 0,
+      tokensPerS: 0,
+      answered: 0,
+      failed: 0,
+    }));
+    const limits = upstreams.map(({id}) => ({id, perSecond: 1, ageMs: 0}));
+    const summary = {
+      membersVersion: 'one#1',
+      upstreams,
+      limits,
+      evidence: [],
+      rollouts: [],
+      pinnedCounts: {},
+    };
+    const server = protocol.createPeerServer({
+      await_views: () => ({heldMs: 0, views: [], summary}),
+    });
+    const result = await protocol.callPeer(
+      connect(server),
+      'a:1',
+      'await_views',
+      {known: [], waitMs: 0},
+      100,
+    );
+    chai.expect(codeOf(result)).equal('ok');
+  });
+
   const answerEmpty = () => ({});
   const fail = () => {
     throw new Error('broken');
