Split running a stream from opening one

370 lines held both: which upstreams are tried and when a silent one is left, and which model runs, what is passed on and when a broken stream goes on. No change of behaviour; the tests of streams over real connections pass unchanged.

--- /dev/null
+++ b/packages/gateway/src/stream-opener.ts
@@ -0,0 +1,273 @@
+/**
+ * Opens the streams of one request: which upstreams are tried, when a silent
+ * one is left for another, and how many runs the route allows.
+ */
+import * as decisions from '@amaranthknot/decisions';
+import type * as routing from '@amaranthknot/routing';
+import type * as eventRelay from './event-relay.js';
+import * as gatewayParts from './gateway-parts.js';
+import type * as refusals from './refusal.js';
+import * as silenceWatch from './silence-watch.js';
+import * as tryUpstream from './try-upstream.js';
+
+/** As for plain requests; a prompt is worth a longer wait. */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** Sends of one request that may be refused without running. */
+const MAX_REFUSED_SENDS = 4;
+
+/** When to come back after a refusal for want of an upstream, in ms. */
+const RETRY_AFTER_MS = 250;
+
+/** An answer whose head has come, and the try it belongs to. */
+export interface OpenStream extends eventRelay.RelayedStream {
+  readonly model: string | undefined;
+}
+
+/** Whether a stream was opened, and not refused. */
+export const isOpen = (
+  found: OpenStream | refusals.Refusal,
+): found is OpenStream => 'answer' in found;
+
+/** Opens streams for one request. */
+export class StreamOpener {
+  private readonly excluded = new Set<string>();
+  private runCount = 0;
+  private sends = 0;
+  /** A try that was placed before the one in progress was left. */
+  private reserved: gatewayParts.PlacedTry | undefined;
+
+  /**
+   * @param findLastEventId number of the last event that the caller has.
+   */
+  constructor(
+    private readonly parts: gatewayParts.RunParts,
+    private readonly context: gatewayParts.RunContext,
+    private readonly findLastEventId: () => string | undefined,
+  ) {}
+
+  /** Runs so far; one that certainly did not run is none. */
+  get runs(): number {
+    return this.runCount;
+  }
+
+  /** Whether the route allows no further run. */
+  isSpent(): boolean {
+    return this.runCount >= this.context.request.route.maxAttempts;
+  }
+
+  /** Tries upstreams until one begins a stream. */
+  async open(
+    model: string | undefined,
+  ): Promise<OpenStream | refusals.Refusal> {
+    const {request, signal} = this.context;
+    const {maxAttempts, isResumable} = request.route;
+    const maxSends = this.sends + maxAttempts + MAX_REFUSED_SENDS;
+    let maySend = true;
+    while (maySend && !signal.aborted && this.sends < maxSends) {
+      const found = this.takeReserved() ?? this.place(model, this.excluded);
+      if (!found) {
+        break;
+      }
+      const result = await this.tryOnce(found, model);
+      if (typeof result === 'object') {
+        return result;
+      }
+      this.excluded.add(found.upstream.id);
+      maySend = result === 'not_run' || (isResumable && !this.isSpent());
+    }
+    return this.explainFailure();
+  }
+
+  /** Places a try ahead, before what is in progress is given up for it. */
+  reserve(
+    model: string | undefined,
+    excluded: ReadonlySet<string> = this.excluded,
+  ): boolean {
+    this.reserved ??= this.place(model, excluded);
+    return this.reserved !== undefined;
+  }
+
+  /** Gives up a try that was placed ahead and not used. */
+  release(): void {
+    this.takeReserved()?.settle('cancelled');
+  }
+
+  /**
+   * Leaves an upstream that has been silent for so long that the caller would
+   * count the stream as late, or earlier where it can no longer be reached.
+   */
+  watchForStall({
+    placed,
+    model,
+    ending,
+  }: OpenStream): silenceWatch.SilenceWatch {
+    const {pauseTargetMs} = this.context.request.route;
+    if (pauseTargetMs === undefined) {
+      return silenceWatch.NO_WATCH;
+    }
+    return this.watch(placed.upstream, model, ending, {
+      probeAfterMs: decisions.findProbeMs(pauseTargetMs),
+      stallAfterMs: decisions.findStallMs(pauseTargetMs),
+    });
+  }
+
+  private place(
+    model: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): gatewayParts.PlacedTry | undefined {
+    const {request, log} = this.context;
+    const isRepeat = this.sends > 0;
+    return this.parts.place({request, model, excluded, isRepeat}).caseOf({
+      Left: reason => {
+        log.step('try_not_placed', {reason, sends: this.sends});
+        return undefined;
+      },
+      Right: placed => placed,
+    });
+  }
+
+  private takeReserved(): gatewayParts.PlacedTry | undefined {
+    const {reserved} = this;
+    this.reserved = undefined;
+    return reserved;
+  }
+
+  /**
+   * Leaves a silent upstream for another one, if one takes the request.
+   *
+   * Guards against answers lost to impatience: an engine that reads a long
+   * prompt of another request is silent to all its streams at once; left
+   * together, they want more repeats than there are, and those that get none
+   * end broken though their engine would have gone on.
+   */
+  private leave(
+    upstream: routing.Upstream,
+    model: string | undefined,
+    ending: AbortController,
+    end: gatewayParts.RunEnd,
+  ): boolean {
+    const excluded = new Set([...this.excluded, upstream.id]);
+    if (!this.reserve(model, excluded)) {
+      return false;
+    }
+    ending.abort(end);
+    return true;
+  }
+
+  private explainFailure(): refusals.Refusal {
+    if (this.runCount > 0) {
+      const isTimeUp = this.context.signal.aborted;
+      return {reason: isTimeUp ? 'timeout' : 'failed'};
+    }
+    return {reason: 'no_upstream', retryAfterMs: RETRY_AFTER_MS};
+  }
+
+  private async tryOnce(
+    placed: gatewayParts.PlacedTry,
+    model: string | undefined,
+  ): Promise<OpenStream | 'not_run' | 'unknown'> {
+    const {parts, context} = this;
+    const {request} = context;
+    this.sends++;
+    this.runCount++;
+    const startedAtMs = parts.clock.now();
+    const ending = new AbortController();
+    const watch = this.watchForHead(placed.upstream, model, ending);
+    const opened = await tryUpstream.tryUpstream(parts, context, {
+      placed,
+      model,
+      lastEventId: this.findLastEventId(),
+      connection: request.route.isResumable ? 'kept' : 'fresh',
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      headTimeoutMs: request.deadlineMs - startedAtMs,
+      signal: AbortSignal.any([context.signal, ending.signal]),
+    });
+    watch.stop();
+    const tookMs = parts.clock.now() - startedAtMs;
+    if (opened.isLeft()) {
+      const {ran} = opened.extract();
+      if (gatewayParts.endOf(ending.signal) === 'upstream_silent') {
+        // All may be slow: a wait that ended in vain is a wait as well.
+        this.noteWait(model, tookMs, true);
+      }
+      this.runCount -= ran === 'not_run' ? 1 : 0;
+      return ran;
+    }
+    const answer = opened.unsafeCoerce();
+    if (answer.status >= 300) {
+      ending.abort('not_needed' satisfies gatewayParts.RunEnd);
+      placed.settle('failed');
+      context.log.failure('try_failed', {
+        upstream: placed.upstream.id,
+        ran: 'unknown',
+        reason: 'status',
+        status: answer.status,
+      });
+      return 'unknown';
+    }
+    this.noteWait(model, tookMs, false);
+    return {placed, answer, model, ending};
+  }
+
+  private noteWait(
+    model: string | undefined,
+    waitMs: number,
+    wasInVain: boolean,
+  ): void {
+    const {latencies, capable} = this.parts;
+    latencies.note(this.kindOf(model), waitMs);
+    capable.noteWait(this.context.request, model, waitMs, wasInVain);
+  }
+
+  private kindOf(model: string | undefined): string {
+    const {service, route} = this.context.request;
+    return `${service.name}/${route.name}/${model ?? ''}`;
+  }
+
+  /**
+   * Leaves an upstream that is too slow with its first event, or that can no
+   * longer be reached. The last try that is allowed waits as long as its
+   * caller does.
+   */
+  private watchForHead(
+    upstream: routing.Upstream,
+    model: string | undefined,
+    ending: AbortController,
+  ): silenceWatch.SilenceWatch {
+    const {latencyTargetMs} = this.context.request.route;
+    return this.watch(upstream, model, ending, {
+      probeAfterMs: decisions.findProbeMs(latencyTargetMs),
+      stallAfterMs: this.parts.latencies.firstTokenMs(
+        this.kindOf(model),
+        latencyTargetMs,
+      ),
+    });
+  }
+
+  private watch(
+    upstream: routing.Upstream,
+    model: string | undefined,
+    ending: AbortController,
+    times: {readonly probeAfterMs: number; readonly stallAfterMs: number},
+  ): silenceWatch.SilenceWatch {
+    if (!this.context.request.route.isResumable || this.isSpent()) {
+      return silenceWatch.NO_WATCH;
+    }
+    let isReachable = true;
+    return silenceWatch.watchSilence({
+      ...times,
+      isReachable: async () => {
+        isReachable = await this.parts.probe(upstream);
+        return isReachable;
+      },
+      leave: () =>
+        this.leave(
+          upstream,
+          model,
+          ending,
+          isReachable ? 'upstream_silent' : 'upstream_lost',
+        ),
+    });
+  }
+}
