--- a/packages/telemetry/src/explain-request.ts
+++ b/packages/telemetry/src/explain-request.ts
@@ -115,12 +115,23 @@
     } else if (UPSTREAM_BELIEFS.has(line.event)) {
       const named = tried.filter(upstream => names(line, upstream));
       named.forEach(upstream => {
-        latest.set(`${line.event} ${String(upstream)}`, line);
+        const about = `${line.event} ${String(upstream)}`;
+        latest.set(about, keepNamed(line, upstream));
       });
     }
   }
-  const found = [...new Set(latest.values())];
-  return found.map(line => ({line, ageMs: fromMs - line.atMs}));
+  return [...latest.values()].map(line => ({line, ageMs: fromMs - line.atMs}));
+};
+
+/** Of lists in a line, what concerns an upstream; there may be dozens in one. */
+const keepNamed = (line: LogLine, upstream: unknown): LogLine => {
+  const details = Object.entries(line.details).flatMap(([name, value]) => {
+    if (!Array.isArray(value)) {
+      return [[name, value] as const];
+    }
+    return value.includes(upstream) ? [[name, [upstream]] as const] : [];
+  });
+  return {...line, details: Object.fromEntries(details)};
 };
 
 /** Whether a line is about an upstream, alone or among others. */
--- a/packages/telemetry/tests/explain-request.test.ts
+++ b/packages/telemetry/tests/explain-request.test.ts
@@ -51,7 +51,8 @@
       ['upstream_rested', 600],
       ['upstreams_changed', 400],
     ]);
-    chai.expect(story && telemetry.formatStory(story)).contain('zones=["z"]');
+    const text = story && telemetry.formatStory(story);
+    chai.expect(text).contain('zones=["z"]').and.contain('leaving=["u"]');
   });
 
   it('is missing for a request that no line names', () => {
