--- a/packages/amaranthknot/tests/gateway/named-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/named-limits.test.ts
@@ -2,6 +2,7 @@
 import * as fakes from '@amaranthknot/fakes';
 import type * as gateway from '@amaranthknot/gateway';
 import * as fixture from './gateway-fixture.js';
+import * as placementFixture from './placement-fixture.js';
 import * as virtualFleet from './virtual-fleet.js';
 
 /** Time in which a fleet that started at once knows itself, in ms. */
@@ -40,44 +41,6 @@
   readonly load: (perSecond: number, forMs: number) => Promise<void>;
 }
 
-const createPlacementRequest = (
-  {get}: virtualFleet.VirtualInstance,
-  id: string,
-): gateway.PlacementRequest => {
-  const table = get('state').inForce()?.table;
-  const route = table?.routes.find(({name}) => name === 'read');
-  const service = table?.services.get('svc');
-  if (!route || !service) {
-    throw new Error('an instance knows no route');
-  }
-  const now = get('options').clock.now();
-  return {
-    request: {
-      caller: {
-        id,
-        method: 'GET',
-        target: '/read/1',
-        host: fixture.HOST,
-        headers: [],
-        body: Buffer.alloc(0),
-        apiKey: undefined,
-        deadlineMs: now + 3_000,
-        receivedAtMs: now,
-        session: undefined,
-        lastEventId: undefined,
-        generation: undefined,
-      },
-      route,
-      service,
-      workspace: undefined,
-      deadlineMs: now + 3_000,
-    },
-    model: undefined,
-    excluded: new Set(),
-    isRepeat: false,
-  };
-};
-
 const startFleet = async (instances: number): Promise<LimitedFleet> => {
   const fleet = await virtualFleet.startVirtualFleet({instances, zones: 3});
   const {clock, store, live} = fleet;
@@ -109,7 +72,9 @@
     sent++;
     instance
       .get('placement')
-      .place(createPlacementRequest(instance, `request-${sent}`))
+      .place(
+        placementFixture.createPlacementRequest(instance, `request-${sent}`),
+      )
       .caseOf({
         Left: () => {
           unplaced++;
--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/placement-fixture.ts
@@ -0,0 +1,45 @@
+/** Requests to place, as instances of a virtual fleet would. */
+import type * as gateway from '@amaranthknot/gateway';
+import type * as routing from '@amaranthknot/routing';
+import * as fixture from './gateway-fixture.js';
+import type * as virtualFleet from './virtual-fleet.js';
+
+/** A request for the route `read` that an instance has to place. */
+export const createPlacementRequest = (
+  {get}: virtualFleet.VirtualInstance,
+  id: string,
+  routeOverrides: Partial<routing.Route> = {},
+): gateway.PlacementRequest => {
+  const table = get('state').inForce()?.table;
+  const route = table?.routes.find(({name}) => name === 'read');
+  const service = table?.services.get('svc');
+  if (!route || !service) {
+    throw new Error('an instance knows no route');
+  }
+  const now = get('options').clock.now();
+  return {
+    request: {
+      caller: {
+        id,
+        method: 'GET',
+        target: '/read/1',
+        host: fixture.HOST,
+        headers: [],
+        body: Buffer.alloc(0),
+        apiKey: undefined,
+        deadlineMs: now + 3_000,
+        receivedAtMs: now,
+        session: undefined,
+        lastEventId: undefined,
+        generation: undefined,
+      },
+      route: {...route, ...routeOverrides},
+      service,
+      workspace: undefined,
+      deadlineMs: now + 3_000,
+    },
+    model: undefined,
+    excluded: new Set(),
+    isRepeat: false,
+  };
+};
--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/zones-and-homes.test.ts
@@ -0,0 +1,78 @@
+import * as chai from 'chai';
+import * as fixture from './gateway-fixture.js';
+import * as placementFixture from './placement-fixture.js';
+import * as virtualFleet from './virtual-fleet.js';
+
+/** Time in which a fleet that started at once knows itself, in ms. */
+const SETTLE_MS = 6_000;
+
+/** Upstreams in each of two zones. */
+const UPSTREAMS = [
+  ['near-1', 'zone-0'],
+  ['near-2', 'zone-0'],
+  ['far-1', 'zone-1'],
+  ['far-2', 'zone-1'],
+] as const;
+
+/** Requests that each instance places. */
+const REQUESTS = 20;
+
+const startFleet = async (): Promise<virtualFleet.VirtualFleet> => {
+  const fleet = await virtualFleet.startVirtualFleet({instances: 24, zones: 2});
+  const registered = UPSTREAMS.map(([name, zone], index) =>
+    fleet.store.create(
+      'servers',
+      name,
+      fixture.createEntry(`192.0.2.${index}:80`, {zone}),
+    ),
+  );
+  await fleet.clock.advance(SETTLE_MS);
+  await Promise.all(registered);
+  return fleet;
+};
+
+/** Upstreams on which all instances place requests. */
+const placeEverywhere = (
+  {live}: virtualFleet.VirtualFleet,
+  homeRegions: readonly string[] = [],
+): ReadonlySet<string> => {
+  const used = live().flatMap(instance =>
+    Array.from({length: REQUESTS}, (_, index) => {
+      const request = placementFixture.createPlacementRequest(
+        instance,
+        `${instance.id}-${index}`,
+        {homeRegions},
+      );
+      const placed = instance.get('placement').place(request);
+      placed.ifRight(({settle}) => {
+        settle('answered');
+      });
+      return placed.map(({upstream}) => upstream.id).orDefault('none');
+    }),
+  );
+  return new Set(used);
+};
+
+describe('a zone that operators take out', () => {
+  it('gets no new work within its bound, and again when it is back', async () => {
+    // Guards against requests that go on to upstreams which are to be emptied.
+    const fleet = await startFleet();
+    chai.expect(placeEverywhere(fleet).size).equal(UPSTREAMS.length);
+    const created = fleet.store.create('evacuations', 'zone-0', {});
+    await fleet.clock.advance(fixture.BOUNDS.change.evacuationMs);
+    const out = (await created).unsafeCoerce();
+    chai.expect([...placeEverywhere(fleet)].sort()).eql(['far-1', 'far-2']);
+    const removed = fleet.store.delete('evacuations', 'zone-0', out.version);
+    await fleet.clock.advance(fixture.BOUNDS.change.evacuationMs);
+    await removed;
+    chai.expect(placeEverywhere(fleet).size).equal(UPSTREAMS.length);
+  });
+});
+
+describe('a route with homes', () => {
+  it('is placed in its home regions alone', async () => {
+    const fleet = await startFleet();
+    chai.expect(placeEverywhere(fleet, ['north']).has('none')).equal(false);
+    chai.expect([...placeEverywhere(fleet, ['south'])]).eql(['none']);
+  });
+});
