Take the platform's names in stand-ins, the soak and new tests from the adapter

Paths, headers and kinds stood once more in the stand-ins of the store and of upstreams and in the soak; a name that changes would have had to be changed in four places. No change of behaviour.

--- a/packages/amaranthknot/tests/gateway/leaving-upstreams.test.ts
+++ b/packages/amaranthknot/tests/gateway/leaving-upstreams.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai';
+import * as platform from '@amaranthknot/platform';
 import * as fixture from './gateway-fixture.js';
 import * as virtualFleet from './virtual-fleet.js';
 
@@ -21,7 +22,7 @@
 const UPSTREAMS = 12;
 const LEAVING = 6;
 
-const KIND = 'servers';
+const KIND = platform.STORE_KINDS.upstreams;
 
 const nameOf = (index: number): string => `upstream-${index}`;
 
--- a/packages/amaranthknot/tests/gateway/named-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/named-limits.test.ts
@@ -1,6 +1,7 @@
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
 import type * as gateway from '@amaranthknot/gateway';
+import * as platform from '@amaranthknot/platform';
 import * as fixture from './gateway-fixture.js';
 import * as placementFixture from './placement-fixture.js';
 import * as virtualFleet from './virtual-fleet.js';
@@ -45,7 +46,11 @@
   const fleet = await virtualFleet.startVirtualFleet({instances, zones: 3});
   const {clock, store, live} = fleet;
   const registered = UPSTREAMS.map((name, index) =>
-    store.create('servers', name, fixture.createEntry(`192.0.2.${index}:80`)),
+    store.create(
+      platform.STORE_KINDS.upstreams,
+      name,
+      fixture.createEntry(`192.0.2.${index}:80`),
+    ),
   );
   await clock.advance(SETTLE_MS);
   await Promise.all(registered);
--- a/packages/amaranthknot/tests/gateway/zones-and-homes.test.ts
+++ b/packages/amaranthknot/tests/gateway/zones-and-homes.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai';
+import * as platform from '@amaranthknot/platform';
 import * as fixture from './gateway-fixture.js';
 import * as placementFixture from './placement-fixture.js';
 import * as virtualFleet from './virtual-fleet.js';
@@ -14,6 +15,8 @@
   ['far-2', 'zone-1'],
 ] as const;
 
+const EVACUATIONS = platform.STORE_KINDS.evacuations;
+
 /** Requests that each instance places. */
 const REQUESTS = 20;
 
@@ -21,7 +24,7 @@
   const fleet = await virtualFleet.startVirtualFleet({instances: 24, zones: 2});
   const registered = UPSTREAMS.map(([name, zone], index) =>
     fleet.store.create(
-      'servers',
+      platform.STORE_KINDS.upstreams,
       name,
       fixture.createEntry(`192.0.2.${index}:80`, {zone}),
     ),
@@ -58,11 +61,11 @@
     // Guards against requests that go on to upstreams which are to be emptied.
     const fleet = await startFleet();
     chai.expect(placeEverywhere(fleet).size).equal(UPSTREAMS.length);
-    const created = fleet.store.create('evacuations', 'zone-0', {});
+    const created = fleet.store.create(EVACUATIONS, 'zone-0', {});
     await fleet.clock.advance(fixture.BOUNDS.change.evacuationMs);
     const out = (await created).unsafeCoerce();
     chai.expect([...placeEverywhere(fleet)].sort()).eql(['far-1', 'far-2']);
-    const removed = fleet.store.delete('evacuations', 'zone-0', out.version);
+    const removed = fleet.store.delete(EVACUATIONS, 'zone-0', out.version);
     await fleet.clock.advance(fixture.BOUNDS.change.evacuationMs);
     await removed;
     chai.expect(placeEverywhere(fleet).size).equal(UPSTREAMS.length);
--- a/packages/fakes/src/gateway/object-api-server.ts
+++ b/packages/fakes/src/gateway/object-api-server.ts
@@ -4,9 +4,13 @@
  * answered.
  */
 import * as hapi from '@hapi/hapi';
+import * as platform from '@amaranthknot/platform';
 import type * as ports from '@amaranthknot/ports';
 import * as memoryObjectStore from '../memory-object-store.js';
 
+const KIND_PATH = `${platform.OBJECTS_PATH}/{kind}`;
+const OBJECT_PATH = `${KIND_PATH}/{name}`;
+
 const STATUS_BY_CODE: Readonly<Record<ports.StoreErrorCode, number>> = {
   conflict: 409,
   not_found: 404,
@@ -73,7 +77,7 @@
     this.server.route([
       {
         method: 'GET',
-        path: '/amaranthknot/objects/{kind}',
+        path: KIND_PATH,
         handler: (request, h) =>
           queryOf(request)['watch'] === undefined
             ? this.list(request, h)
@@ -81,7 +85,7 @@
       },
       {
         method: 'GET',
-        path: '/amaranthknot/objects/{kind}/{name}',
+        path: OBJECT_PATH,
         handler: (request, h) => {
           const {kind, name} = paramsOf(request);
           return this.reply(h, this.store.get(kind, name));
@@ -91,11 +95,10 @@
   }
 
   private addWrites(): void {
-    const path = '/amaranthknot/objects/{kind}/{name}';
     this.server.route([
       {
         method: 'POST',
-        path: '/amaranthknot/objects/{kind}',
+        path: KIND_PATH,
         handler: (request, h) => {
           const {kind} = paramsOf(request);
           const {metadata, specification} = request.payload as WireObject;
@@ -105,7 +108,7 @@
       },
       {
         method: 'PUT',
-        path,
+        path: OBJECT_PATH,
         handler: (request, h) => {
           const {kind, name} = paramsOf(request);
           const {metadata, specification} = request.payload as WireObject;
@@ -117,7 +120,7 @@
       },
       {
         method: 'PUT',
-        path: `${path}/status`,
+        path: `${OBJECT_PATH}/status`,
         handler: (request, h) => {
           const {kind, name} = paramsOf(request);
           const {metadata, status} = request.payload as WireObject;
@@ -129,7 +132,7 @@
       },
       {
         method: 'DELETE',
-        path,
+        path: OBJECT_PATH,
         handler: async (request, h) => {
           const {kind, name} = paramsOf(request);
           const revision = Number(queryOf(request)['revision']);
--- a/packages/fakes/src/gateway/upstream-answers.ts
+++ b/packages/fakes/src/gateway/upstream-answers.ts
@@ -1,4 +1,5 @@
 /** Answers of scripted upstreams, as bytes. */
+import * as platform from '@amaranthknot/platform';
 import type * as requestReader from './request-reader.js';
 
 /** What an answer says beyond its body. */
@@ -9,7 +10,9 @@
   readonly requestId?: string;
 }
 
-const REQUEST_ID = 'x-attempt-id';
+const NAMES = platform.HEADER_NAMES;
+
+const REQUEST_ID = NAMES.requestId.toLowerCase();
 
 const formatHead = (
   request: requestReader.ReadRequest,
@@ -17,8 +20,8 @@
   framing: Readonly<Record<string, string>>,
 ): string => {
   const headers = {
-    'X-Attempt-Id': options.requestId ?? request.headers[REQUEST_ID] ?? '',
-    'X-Server-Seal': 'seal',
+    [NAMES.requestId]: options.requestId ?? request.headers[REQUEST_ID] ?? '',
+    [NAMES.receipt]: 'seal',
     ...options.headers,
     ...framing,
   };
@@ -68,4 +71,4 @@
   request: requestReader.ReadRequest,
   status = 503,
 ): string =>
-  formatAnswer(request, '', {status, headers: {'X-Not-Executed': '1'}});
+  formatAnswer(request, '', {status, headers: {[NAMES.notRun]: '1'}});
--- a/packages/soak/src/caller-load.ts
+++ b/packages/soak/src/caller-load.ts
@@ -101,7 +101,7 @@
           Host: 'svc.example',
           [platform.HEADER_NAMES.requestId]: id,
           [platform.HEADER_NAMES.timeLeft]: String(PATIENCE_MS),
-          'Api-Key': key,
+          [platform.HEADER_NAMES.apiKey]: key,
           'Content-Length': '0',
         },
       });
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -4,6 +4,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as fakes from '@amaranthknot/fakes';
+import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
 import * as callerLoad from './caller-load.js';
 import * as faultPlan from './fault-plan.js';
@@ -42,6 +43,9 @@
 /** Time of load that is checked for recovery, in milliseconds. */
 const CALM_MS = 2_000;
 
+const {configuration: CONFIGURATION, upstreams: UPSTREAMS} =
+  platform.STORE_KINDS;
+
 const KEYS: readonly string[] = ['key-1', 'key-2', 'key-3', 'key-4'];
 
 /**
@@ -155,8 +159,8 @@
   private async start(): Promise<void> {
     await this.storeServer.start();
     await this.storeServer.store.create(
-      'config',
-      'main',
+      CONFIGURATION,
+      platform.CONFIGURATION_NAME,
       documents.createManifest(this.version, this.keys),
     );
     for (let i = 0; i < this.options.upstreams; i++) {
@@ -192,7 +196,7 @@
 
   private async register({name, proxy}: Upstream): Promise<void> {
     const entry = documents.createEntry(proxy.address, 'ready');
-    await this.storeServer.store.create('servers', name.id, entry);
+    await this.storeServer.store.create(UPSTREAMS, name.id, entry);
   }
 
   private async startInstances(): Promise<readonly string[]> {
@@ -325,11 +329,11 @@
   ): Promise<void> {
     const {store} = this.storeServer;
     const {name} = upstream;
-    const found = await store.get('servers', name.id);
+    const found = await store.get(UPSTREAMS, name.id);
     if (found.isLeft()) {
       return;
     }
-    await store.delete('servers', name.id, found.unsafeCoerce().version);
+    await store.delete(UPSTREAMS, name.id, found.unsafeCoerce().version);
     await this.clock.sleep(forMs);
     name.starts++;
     name.id = `${name.id.split('.')[0] ?? ''}.${name.starts}`;
@@ -338,12 +342,12 @@
 
   private async changeConfiguration(keys: readonly string[]): Promise<void> {
     const {store} = this.storeServer;
-    const found = await store.get('config', 'main');
+    const found = await store.get(CONFIGURATION, platform.CONFIGURATION_NAME);
     this.keys = keys;
     this.version += 3;
     await store.update(
-      'config',
-      'main',
+      CONFIGURATION,
+      platform.CONFIGURATION_NAME,
       documents.createManifest(this.version, keys),
       found.unsafeCoerce().version,
     );
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -3,7 +3,11 @@
 import * as platform from '@amaranthknot/platform';
 import * as promises from './promises.js';
 
-const REQUEST_ID = platform.HEADER_NAMES.requestId.toLowerCase();
+const NAMES = platform.HEADER_NAMES;
+
+const REQUEST_ID = NAMES.requestId.toLowerCase();
+const EXPECTED_UPSTREAM = NAMES.expectedUpstream.toLowerCase();
+const LAST_EVENT_ID = NAMES.lastEventId.toLowerCase();
 
 /** Shares of requests that end badly; small, so that most days go on. */
 const NOT_RUN_SHARE = 0.04;
@@ -27,7 +31,7 @@
   ({request, socket}) => {
     const {headers} = request;
     const id = findId();
-    if (headers['x-expect-instance'] !== id) {
+    if (headers[EXPECTED_UPSTREAM] !== id) {
       socket.write(fakes.formatNotRun(request, 421));
       return;
     }
@@ -36,7 +40,7 @@
       return;
     }
     const requestId = headers[REQUEST_ID] ?? '';
-    const lastEventId = Number(headers['last-event-id'] ?? 0);
+    const lastEventId = Number(headers[LAST_EVENT_ID] ?? 0);
     note({id: requestId, upstream: id, atMs: now(), lastEventId});
     const workMs = WORK_MS.least + random() * (WORK_MS.most - WORK_MS.least);
     const isLost = random() < ANSWER_LOST_SHARE;
