Add an experiment: policies on deployments drawn from seeds, in virtual time

A change of policy could be judged on known sites alone, one noisy run of minutes at a time. Whole gateway instances, wired as they run, now place requests on emulated engines in virtual time; policies replace parts of the wiring, and are compared on the same requests, with the interval of their difference.

The virtual fleet of the tests moves here; wireGateway takes parts that stand in for its own, and is as it was without.

--- a/packages/amaranthknot/src/gateway/gateway-tokens.ts
+++ b/packages/amaranthknot/src/gateway/gateway-tokens.ts
@@ -68,6 +68,9 @@
   token: K,
 ) => GatewayWiring[K];
 
+/** Factories that stand in for an instance's own, as in an experiment. */
+export type PartOverrides = Partial<PartFactories<keyof GatewayWiring>>;
+
 /** Factories of some parts, by token. */
 export type PartFactories<K extends keyof GatewayWiring> = {
   readonly [P in K]: (get: ResolveGateway) => GatewayWiring[P];
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -39,6 +39,7 @@
 /** Registers all parts; returns how to get one. */
 export const wireGateway = (
   options: gatewayTokens.GatewayOptions,
+  overrides: gatewayTokens.PartOverrides = {},
 ): gatewayTokens.ResolveGateway => {
   const container = tsyringe.container.createChildContainer();
   // Parts are asked for on each message; the container takes far longer.
@@ -57,7 +58,7 @@
       useFactory: tsyringe.instanceCachingFactory(() => factory(get)),
     });
   };
-  const factories = createFactories(options);
+  const factories = {...createFactories(options), ...overrides};
   for (const token of Object.keys(
     factories,
   ) as (keyof gatewayTokens.GatewayWiring)[]) {
--- /dev/null
+++ b/packages/experiment/src/draw-deployment.ts
@@ -0,0 +1,142 @@
+/** Draws a deployment from a seed, wide enough that known ones are ordinary. */
+import * as fakes from '@amaranthknot/fakes';
+import type * as deployments from './deployment.js';
+
+/** Seeds from here on are for judging a policy, never for shaping one. */
+export const FIRST_HELD_OUT_SEED = 10_000;
+
+/** Range from which a number is drawn, even in its logarithm. */
+type Range = readonly [least: number, most: number];
+
+const RANGES = {
+  instances: [3, 24],
+  engines: [4, 24],
+  slots: [16, 128],
+  stepMs: [2, 6],
+  stepMsPerRequest: [0.03, 0.15],
+  readTokensPerMs: [40, 150],
+  cacheTokens: [100_000, 700_000],
+  eventTokens: [5, 9],
+  opinionDeviation: [4, 16],
+  /** Part of what all engines can read and generate that the load takes. */
+  utilization: [0.15, 0.9],
+  burstFactor: [1, 2],
+  worth: [0.3, 5],
+  lateShare: [0.1, 0.5],
+  sharedTokens: [150, 6_000],
+  ownTokens: [300, 5_000],
+  answerTokens: [20, 450],
+  spread: [0.3, 1.2],
+  subjects: [10, 600],
+  latencyTargetMs: [1_500, 4_000],
+  cheapCost: [0.01, 0.05],
+  capableCost: [0.2, 0.6],
+  cheapPace: [0.25, 0.6],
+  capablePace: [1, 3],
+} as const satisfies Record<string, Range>;
+
+const CLASSES = 3;
+const LENGTH_MS = 20_000;
+const BURST = {atMs: 8_000, forMs: 4_000};
+
+/** Part of engines that are slower, and by how much at the most. */
+const SLOW_PART = 0.15;
+const MOST_SLOWNESS = 3;
+
+/** Quality of the cheap model; the capable one answers all well. */
+const CHEAP_QUALITY: Range = [0.45, 0.8];
+
+/** Engine time, in ms, of one request on average. */
+const findRequestMs = (
+  shape: deployments.EngineShape,
+  model: deployments.EmulatedModel,
+  request: deployments.RequestClass,
+): number => {
+  const {sharedTokens, ownTokens, answerTokens} = request;
+  const batch = shape.slots / 2;
+  const stepMs = shape.stepMs + batch * shape.stepMsPerRequest;
+  const readMs = (sharedTokens / 2 + ownTokens) / shape.readTokensPerMs;
+  return model.pace * (readMs + (answerTokens * stepMs) / batch);
+};
+
+/** Draws the deployment of a seed. */
+export const drawDeployment = (seed: number): deployments.Deployment => {
+  const random = fakes.createRandom(seed);
+  const draw = ([least, most]: Range): number =>
+    least * (most / least) ** random();
+  const whole = (range: Range): number => Math.round(draw(range));
+
+  const shape: deployments.EngineShape = {
+    slots: whole(RANGES.slots),
+    stepMs: draw(RANGES.stepMs),
+    stepMsPerRequest: draw(RANGES.stepMsPerRequest),
+    readTokensPerMs: draw(RANGES.readTokensPerMs),
+    cacheTokens: whole(RANGES.cacheTokens),
+    eventTokens: whole(RANGES.eventTokens),
+  };
+  const models: readonly deployments.EmulatedModel[] = [
+    {
+      name: 'cheap',
+      cost: draw(RANGES.cheapCost),
+      pace: draw(RANGES.cheapPace),
+      quality: draw(CHEAP_QUALITY),
+    },
+    {
+      name: 'capable',
+      cost: draw(RANGES.capableCost),
+      pace: draw(RANGES.capablePace),
+      quality: 1,
+    },
+  ];
+  const engines = whole(RANGES.engines);
+  const drawClass = (index: number): deployments.RequestClass => {
+    const worth = draw(RANGES.worth);
+    const latencyTargetMs = draw(RANGES.latencyTargetMs);
+    return {
+      name: `class-${index}`,
+      perSecond: 0.3 + random(),
+      sharedTokens: whole(RANGES.sharedTokens),
+      ownTokens: whole(RANGES.ownTokens),
+      answerTokens: whole(RANGES.answerTokens),
+      spread: draw(RANGES.spread),
+      subjects: whole(RANGES.subjects),
+      latencyTargetMs,
+      patienceMs: (2 + 4 * random()) * latencyTargetMs,
+      worth,
+      lateWorth: worth * draw(RANGES.lateShare),
+    };
+  };
+  const drawn = Array.from({length: CLASSES}, (_, index) => drawClass(index));
+  const [cheap, capable] = models as readonly [
+    deployments.EmulatedModel,
+    deployments.EmulatedModel,
+  ];
+  // As if the capable model ran for what the cheap one answers badly.
+  const engineMs = drawn.reduce(
+    (sum, request) =>
+      sum +
+      request.perSecond *
+        (findRequestMs(shape, cheap, request) +
+          (1 - cheap.quality) * findRequestMs(shape, capable, request)),
+    0,
+  );
+  const scale = (draw(RANGES.utilization) * engines * 1_000) / engineMs;
+  return {
+    seed,
+    instances: whole(RANGES.instances),
+    zones: 1 + Math.floor(3 * random()),
+    engines,
+    slowness: Array.from({length: engines}, () =>
+      random() < SLOW_PART ? draw([1, MOST_SLOWNESS]) : 1,
+    ),
+    shape,
+    models,
+    opinionDeviation: draw(RANGES.opinionDeviation),
+    classes: drawn.map(request => ({
+      ...request,
+      perSecond: request.perSecond * scale,
+    })),
+    burst: {...BURST, factor: draw(RANGES.burstFactor)},
+    lengthMs: LENGTH_MS,
+  };
+};
--- /dev/null
+++ b/packages/experiment/src/index.ts
@@ -0,0 +1,8 @@
+/** Plays the gateway's decisions on deployments drawn from seeds. */
+export * from './compare-policies.js';
+export * from './deployment.js';
+export * from './draw-deployment.js';
+export * from './emulated-engine.js';
+export * from './play-day.js';
+export * from './policy.js';
+export * from './virtual-fleet.js';
--- /dev/null
+++ b/packages/experiment/src/policy.ts
@@ -0,0 +1,94 @@
+/** Policies that are played against each other: parts of an instance. */
+import type * as amaranthknot from '@amaranthknot/amaranthknot';
+import * as decisions from '@amaranthknot/decisions';
+import * as gateway from '@amaranthknot/gateway';
+
+/**
+ * A policy by name.
+ *
+ * - `full`: the gateway's own decisions.
+ * - `random`: any upstream that may take a request.
+ * - `least_requests`: the upstream with the fewest requests of this instance.
+ * - `cheap_only`, `capable_only`: the cascade always takes that model.
+ */
+export type PolicyName =
+  'full' | 'random' | 'least_requests' | 'cheap_only' | 'capable_only';
+
+/** All policies; the first is what the others are compared with. */
+export const POLICY_NAMES: readonly PolicyName[] = [
+  'full',
+  'random',
+  'least_requests',
+  'cheap_only',
+  'capable_only',
+];
+
+type Pick = decisions.UpstreamPicker['pick'];
+
+const createPicker = (
+  get: amaranthknot.ResolveGateway,
+  choosePick: (picker: decisions.UpstreamPicker) => Pick,
+): decisions.UpstreamPicker => {
+  const {clock, random, settings} = get('options');
+  const picker = new decisions.UpstreamPicker({
+    onRest: () => undefined,
+    zone: settings.current.instance.zone,
+    now: () => clock.now(),
+    random,
+  });
+  picker.pick = choosePick(picker);
+  return picker;
+};
+
+const pickAny =
+  (random: () => number): Pick =>
+  candidates =>
+    candidates[Math.floor(random() * candidates.length)];
+
+const pickLeast =
+  (picker: decisions.UpstreamPicker): Pick =>
+  candidates =>
+    [...candidates].sort(
+      (a, b) => picker.describe(a.id).inFlight - picker.describe(b.id).inFlight,
+    )[0];
+
+const createJudge = (
+  get: amaranthknot.ResolveGateway,
+  runs: boolean,
+): gateway.CapableModels => {
+  const {clock} = get('options');
+  const models = new gateway.CapableModels({
+    now: () => clock.now(),
+    catalog: get('catalog'),
+    picker: get('picker'),
+    repeats: get('repeats'),
+    isZoneOut: zone => get('state').isZoneOut(zone),
+  });
+  models.judge = (_request, _capable, confidence) => ({
+    confidence,
+    scarcity: 1,
+    hasBudget: true,
+    runs,
+  });
+  return models;
+};
+
+/** Parts that an instance has under a policy in place of its own. */
+export const findOverrides = (
+  policy: PolicyName,
+): amaranthknot.PartOverrides => {
+  switch (policy) {
+    case 'full':
+      return {};
+    case 'random':
+      return {
+        picker: get => createPicker(get, () => pickAny(get('options').random)),
+      };
+    case 'least_requests':
+      return {picker: get => createPicker(get, pickLeast)};
+    case 'cheap_only':
+      return {capable: get => createJudge(get, false)};
+    case 'capable_only':
+      return {capable: get => createJudge(get, true)};
+  }
+};
