Space the store calls of all kinds together while they fail

Cause: each of the four reflectors of an instance had a backoff of its own.

Change: one backoff that an instance's reflectors share (StoreBackoff). While calls fail, one at a time is made, and a watch then asks for no hold, so that its answer frees the other kinds at once.

--- a/packages/amaranthknot/src/gateway/wiring/store-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/store-factories.ts
@@ -49,15 +49,16 @@
 
 const createReflector = (
   get: gatewayComponents.GatewayResolver,
+  backoff: fleet.StoreBackoff,
   kind: gatewayState.FollowedKind,
 ): fleet.KindReflector => {
-  const {clock, random} = get('options');
+  const {clock} = get('options');
   const view = get('views')[kind];
   return new fleet.KindReflector({
     view,
     store: get('store'),
     clock,
-    random,
+    backoff,
     findWatchTimeoutMs: ageMs =>
       decisions.findWatchDurationMs(get('watchRole').boundMs(view.kind), ageMs),
     pauseAfterChangesMs: decisions.findChangePauseMs(
@@ -79,6 +80,18 @@
   });
 };
 
+const createReflectors = (
+  get: gatewayComponents.GatewayResolver,
+): gatewayComponents.Reflectors => {
+  const backoff = new fleet.StoreBackoff(get('options').random);
+  return {
+    configuration: createReflector(get, backoff, 'configuration'),
+    upstreams: createReflector(get, backoff, 'upstreams'),
+    rollouts: createReflector(get, backoff, 'rollouts'),
+    evacuations: createReflector(get, backoff, 'evacuations'),
+  };
+};
+
 const createState = (
   get: gatewayComponents.GatewayResolver,
 ): gatewayState.GatewayState =>
@@ -123,12 +136,7 @@
   store: () => options.store ?? createStore(options),
   views: createViews,
   state: createState,
-  reflectors: get => ({
-    configuration: createReflector(get, 'configuration'),
-    upstreams: createReflector(get, 'upstreams'),
-    rollouts: createReflector(get, 'rollouts'),
-    evacuations: createReflector(get, 'evacuations'),
-  }),
+  reflectors: createReflectors,
   viewRefresher: get =>
     new fleet.ViewRefresher({
       view: get('views').configuration,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * The state that one instance keeps of the store and of the other instances.
  */
+export * from './store-backoff.js';
 export * from './store-uptime.js';
 export * from './kind-reflector.js';
 export * from './kind-view.js';
--- a/packages/fleet/src/kind-reflector.ts
+++ b/packages/fleet/src/kind-reflector.ts
@@ -1,14 +1,15 @@
 /** Lists and watches the store to keep the view of one kind up to date. */
 import type * as ports from '@amaranthknot/ports';
 import type * as kindView from './kind-view.js';
+import type * as storeBackoff from './store-backoff.js';
 
 /** Dependencies and settings of a `KindReflector`. */
 export interface KindReflectorOptions {
   readonly view: kindView.KindView;
   readonly store: ports.ObjectStore;
   readonly clock: ports.Clock;
-  /** Uniform random numbers in [0, 1). */
-  readonly random: () => number;
+  /** Shared by the reflectors of an instance. */
+  readonly backoff: storeBackoff.StoreBackoff;
   /**
    * Longest wait of one watch, in milliseconds, for a view of the given age. An
    * answer without changes confirms the view as of the end of that wait, any
@@ -42,14 +43,18 @@
 export type SyncMode = 'watch' | 'ask' | 'none';
 
 /**
- * Bounds of the backoff after failed calls, in milliseconds. The store counts
- * refused calls too, and in an outage all instances fail at the same moment;
- * the many instances in mode `ask` therefore back off for longer than the few
- * that watch for all.
+ * Maximum backoff after failed calls, in milliseconds. In an outage all
+ * instances fail at the same moment; the many in mode `ask` therefore back off
+ * for longer than the few that watch for all.
  */
-const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = {watch: 400, ask: 2_000} as const;
 
+/**
+ * Interval at which an instance whose calls fail checks whether it may make the
+ * next one, in milliseconds.
+ */
+const TURN_INTERVAL_MS = 25;
+
 /**
  * Interval at which an instance in mode `none` checks its mode again, in ms.
  */
@@ -66,7 +71,6 @@
 
 /** Keeps the view of one kind in sync until it is aborted. */
 export class KindReflector {
-  private failures = 0;
   /** Whether the store has dropped changes that are newer than the view. */
   private isHistoryGone = false;
 
@@ -75,43 +79,49 @@
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const mode = this.options.getSyncMode();
+      const {getSyncMode, clock, backoff} = this.options;
+      const mode = getSyncMode();
       if (mode === 'none') {
-        await this.options.clock.sleep(IDLE_INTERVAL_MS, signal);
+        await clock.sleep(IDLE_INTERVAL_MS, signal);
+      } else if (!backoff.mayCall(clock.now())) {
+        await clock.sleep(TURN_INTERVAL_MS, signal);
       } else {
         await this.callStore(mode, signal);
       }
     }
   }
 
-  /** Makes one call to the store, and pauses after a failed one. */
+  /** Makes one call to the store. */
   private async callStore(
     mode: 'watch' | 'ask',
     signal: AbortSignal,
   ): Promise<void> {
-    const isUnknown = this.options.view.version === undefined;
+    const {view, clock, backoff, onRelist, onCall, onUpdate} = this.options;
+    const isUnknown = view.version === undefined;
     const mustList = this.isHistoryGone || isUnknown || mode === 'ask';
     if (mode === 'ask' && !isUnknown) {
-      this.options.onRelist(this.options.view);
+      onRelist(view);
     }
-    const {error, changes} = mustList ? await this.list() : await this.watch();
-    this.options.onCall(this.options.view.kind, error);
-    if (!error) {
-      this.failures = 0;
-      this.options.onUpdate(this.options.view);
-      if (changes > 0) {
-        await this.options.clock.sleep(
-          this.options.pauseAfterChangesMs,
-          signal,
-        );
-      }
+    const startedAtMs = clock.now();
+    const mayHold = !backoff.isFailing;
+    backoff.recordStart(startedAtMs);
+    const {error, changes} = mustList
+      ? await this.list()
+      : await this.watch(mayHold);
+    onCall(view.kind, error);
+    if (!error || error.code === 'history_gone') {
+      backoff.recordAnswer();
+    } else {
+      backoff.recordFailure(startedAtMs, clock.now(), MAX_BACKOFF_MS[mode]);
       return;
     }
-    this.failures++;
     // Only a list finds changes that are no longer in the store's history.
-    this.isHistoryGone ||= error.code === 'history_gone';
-    if (error.code !== 'history_gone') {
-      await this.options.clock.sleep(this.backoffMs(mode), signal);
+    this.isHistoryGone ||= error !== undefined;
+    if (!error) {
+      onUpdate(view);
+    }
+    if (changes > 0) {
+      await clock.sleep(this.options.pauseAfterChangesMs, signal);
     }
   }
 
@@ -129,10 +139,16 @@
     });
   }
 
-  private async watch(): Promise<CallOutcome> {
+  /**
+   * @param mayHold false while calls fail: an answer at once shows the other
+   *     reflectors that the store answers again.
+   */
+  private async watch(mayHold: boolean): Promise<CallOutcome> {
     const {store, view, clock, findWatchTimeoutMs} = this.options;
     const startedAtMs = clock.now();
-    const waitMs = findWatchTimeoutMs(startedAtMs - view.confirmedAtMs);
+    const waitMs = mayHold
+      ? findWatchTimeoutMs(startedAtMs - view.confirmedAtMs)
+      : 0;
     const changes = await store.watch(view.kind, view.version ?? 0, waitMs);
     return changes.caseOf<CallOutcome>({
       Left: error => ({error, changes: 0}),
@@ -145,10 +161,4 @@
       },
     });
   }
-
-  private backoffMs(mode: 'watch' | 'ask'): number {
-    const grown = MIN_BACKOFF_MS * 2 ** Math.min(this.failures, 10);
-    const bounded = Math.min(MAX_BACKOFF_MS[mode], grown);
-    return bounded * (0.5 + this.options.random() / 2);
-  }
 }
--- a/packages/fleet/tests/kind-reflector.test.ts
+++ b/packages/fleet/tests/kind-reflector.test.ts
@@ -23,7 +23,7 @@
     view,
     store,
     clock,
-    random: () => 0.5,
+    backoff: new fleet.StoreBackoff(() => 0.5),
     findWatchTimeoutMs: () => 1_000,
     pauseAfterChangesMs: PAUSE_MS,
     getSyncMode: () => 'watch',
