Let a deployment that starts for the first time list the store at its seeds

Cause: all instances start within 0.3 s of each other.

Change: with the setting bootstrap, which the platform gives, an instance that is no seed asks its seeds for up to 2 s, five times a second, before it lists the store. Callers come many seconds later. A restart later on lists at once, as before.

--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -22,6 +22,14 @@
  */
 const RELOAD_INTERVAL_MS = 2_000;
 
+/**
+ * Time for which an instance of a deployment that starts for the first time
+ * waits for its seeds to know the store, in milliseconds, and the pause between
+ * two calls. No caller waits meanwhile.
+ */
+const BOOTSTRAP_WAIT_MS = 2_000;
+const BOOTSTRAP_PAUSE_MS = 200;
+
 /** Time since the process started, in milliseconds. */
 export const uptimeMs = (): number => Math.round(process.uptime() * 1_000);
 
@@ -48,12 +56,46 @@
     const seed = this.pickSeed();
     if (seed !== undefined) {
       await this.askSeed(seed);
+      await this.awaitSeeds(signal);
     }
     for (const reflector of Object.values(this.get('reflectors'))) {
       void reflector.run(signal);
     }
   }
 
+  /**
+   * Asks the seeds until they know the store, if the deployment starts for the
+   * first time.
+   *
+   * Guards against hundreds of instances that start together and all list the
+   * store, because their seeds know no more than they do.
+   */
+  private async awaitSeeds(signal: AbortSignal): Promise<void> {
+    const {clock, settings} = this.get('options');
+    const {isBootstrap} = settings.current;
+    const endMs = clock.now() + BOOTSTRAP_WAIT_MS;
+    const mayWait = () =>
+      isBootstrap &&
+      !this.isSeed() &&
+      !this.get('state').isSynced() &&
+      clock.now() < endMs;
+    while (mayWait() && !signal.aborted) {
+      await clock.sleep(BOOTSTRAP_PAUSE_MS, signal);
+      const seed = this.pickSeed();
+      if (seed !== undefined) {
+        await this.askSeed(seed);
+      }
+    }
+  }
+
+  private isSeed(): boolean {
+    const {settings} = this.get('options');
+    const own = this.get('members').self.peers;
+    return settings.current.seeds
+      .map(configuration.formatAddress)
+      .includes(own);
+  }
+
   private async askSeed(seed: string): Promise<void> {
     const {get} = this;
     const {clock} = get('options');
--- a/packages/amaranthknot/tests/gateway/fleet-membership.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-membership.test.ts
@@ -67,6 +67,21 @@
     });
   }
 
+  it('starts for the first time with few calls to the store', async () => {
+    // Guards against hundreds of instances that all list every kind of objects
+    // at the store, because their seeds start at the same moment.
+    const fleet = await virtualFleet.startVirtualFleet({
+      instances: 73,
+      zones: 6,
+      isBootstrap: true,
+    });
+    await fleet.clock.advance(2_000);
+    chai.expect(fleet.store.calls.list).below(40);
+    const isSynced = ({get}: virtualFleet.VirtualInstance) =>
+      get('state').isSynced();
+    chai.expect(fleet.live().every(isSynced)).equal(true);
+  });
+
   it('converges soon after one instance is gone, watcher or not', async () => {
     const fleet = await startFleet(73);
     const isWatcher = ({get}: virtualFleet.VirtualInstance) =>
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -185,6 +185,7 @@
       peers: await local(),
     },
     seeds,
+    isBootstrap: false,
     store: {
       address: {host, port: Number(port)},
       writesPerSecond: 400,
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -10,6 +10,7 @@
 export interface TestFleetOptions {
   readonly instances: number;
   readonly zones: number;
+  readonly isBootstrap?: boolean;
   readonly bounds?: configuration.GatewayBounds;
 }
 
--- a/packages/configuration/src/gateway-settings.ts
+++ b/packages/configuration/src/gateway-settings.ts
@@ -97,6 +97,8 @@
   readonly listen: GatewayListen;
   /** Peers to contact at the start; they may no longer exist. */
   readonly seeds: readonly settings.Address[];
+  /** Whether the whole deployment starts for the first time. */
+  readonly isBootstrap: boolean;
   readonly store: GatewayStore;
   readonly bounds: GatewayBounds;
   readonly limits: GatewayLimits;
--- a/packages/configuration/src/parse-gateway-settings.ts
+++ b/packages/configuration/src/parse-gateway-settings.ts
@@ -37,6 +37,7 @@
     metrics: addresses.addressSchema.optional(),
   }),
   seeds: zod.array(addresses.addressSchema).default([]),
+  bootstrap: zod.boolean().default(false),
   store: zod.strictObject({
     address: addresses.addressSchema,
     writes_per_second: rate,
@@ -127,6 +128,7 @@
   zones: new Map(Object.entries(written.zones)),
   listen: createListen(written.listen),
   seeds: written.seeds.map(readAddress),
+  isBootstrap: written.bootstrap,
   store: {
     address: readAddress(written.store.address),
     writesPerSecond: written.store.writes_per_second,
--- a/packages/experiment/src/virtual-fleet.ts
+++ b/packages/experiment/src/virtual-fleet.ts
@@ -58,6 +58,8 @@
 export interface VirtualFleetOptions {
   readonly instances: number;
   readonly zones: number;
+  /** Whether the fleet starts for the first time; false by default. */
+  readonly isBootstrap?: boolean;
   readonly seed?: number;
   readonly bounds: configuration.GatewayBounds;
   /** The operators' configuration, as stored. */
@@ -71,7 +73,7 @@
 
 const createSettings = (
   index: number,
-  {zones, bounds}: VirtualFleetOptions,
+  {zones, bounds, isBootstrap = false}: VirtualFleetOptions,
 ): configuration.GatewaySettings => {
   const address = {host: hostOf(index), port: PORT};
   return {
@@ -93,6 +95,7 @@
       host: hostOf(seed),
       port: PORT,
     })),
+    isBootstrap,
     store: {address, writesPerSecond: 3_200, readsPerSecond: 16_000},
     bounds,
     limits: {memoryMb: 300, fileDescriptors: 4_000, cores: 1},
