Listen for callers before the program is loaded, and load less

Cause: a started process refuses connections until its program is loaded, which takes 285 ms of processor time, 0.9 s on 0.324 of a core. After a loss of power all instances do so at once: a caller's one retry goes to another that refuses too. The bundle evaluated every settings and document schema, because a module that is imported dynamically shared them, and it loaded TLS and a debug logger that a gateway never uses.

Change: the launcher opens the callers' address (AMARANTHKNOT_CALLERS, from the deploy file) and then loads the program, which takes the listener over. Connections wait meanwhile. What they may have waited counts as used up: no upstream is given more time than the caller still waits, and a request that has none left is refused as not run (expired, Retry-After 0), where it was sent on before. Dynamic imports are a bundle of their own; https and @dabh/diagnostics are replaced by stubs in the gateway's bundle.

--- a/packages/amaranthknot/src/commands/gateway.ts
+++ b/packages/amaranthknot/src/commands/gateway.ts
@@ -1,5 +1,6 @@
 /** `amaranthknot gateway`: runs one gateway instance until it is stopped. */
 import * as configuration from '@amaranthknot/configuration';
+import type * as gatewayPackage from '@amaranthknot/gateway';
 import * as ports from '@amaranthknot/ports';
 import type * as command from '../command.js';
 import * as purify from 'purify-ts';
@@ -71,9 +72,16 @@
   return read.map(({flags}) => flags.settings);
 };
 
-const run = async (
+/**
+ * Runs the command.
+ *
+ * @param callerListener listens for callers already; by default the instance
+ *     opens its address itself.
+ */
+export const runGateway = async (
   args: readonly string[],
   streams: command.CommandStreams,
+  callerListener?: gatewayPackage.OpenedListener,
 ): Promise<command.ExitCode> => {
   const read = await readPath(args);
   if (read.isLeft()) {
@@ -94,6 +102,7 @@
     settings: source.unsafeCoerce(),
     clock: ports.createSuspendAwareClock(ports.systemClock),
     random: Math.random,
+    callerListener,
   });
   const stopped = waitForStop();
   process.on('SIGHUP', () => {
@@ -113,5 +122,5 @@
 export const gateway: command.Command = {
   summary: 'run one gateway instance before the platform',
   help: HELP,
-  run,
+  run: runGateway,
 };
--- a/packages/amaranthknot/src/gateway-main.ts
+++ b/packages/amaranthknot/src/gateway-main.ts
@@ -3,12 +3,21 @@
  * `gateway` command alone, so that a restarted instance loads no more than it
  * needs before it takes callers.
  */
+import type * as gatewayPackage from '@amaranthknot/gateway';
 import * as gateway from './commands/gateway.js';
 import * as processStreams from './process-streams.js';
 
+/**
+ * Listens for callers already; a parameter of the function in which the
+ * launcher runs this bundle.
+ */
+declare const callerListener: gatewayPackage.OpenedListener | undefined;
+
 /** The deploy file passes the command's name first, as to the binary. */
 const args = process.argv.slice(3);
 
-void gateway.gateway.run(args, processStreams.PROCESS_STREAMS).then(code => {
-  process.exitCode = code;
-});
+void gateway
+  .runGateway(args, processStreams.PROCESS_STREAMS, callerListener)
+  .then(code => {
+    process.exitCode = code;
+  });
--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -20,6 +20,8 @@
   readonly random: () => number;
   /** The platform's store; an HTTP client of it by default. */
   readonly store?: ports.StatusStore;
+  /** Listens for callers already; by default the address is opened. */
+  readonly callerListener?: gateway.OpenedListener | undefined;
   /** Sends messages to peers; over HTTP by default. */
   readonly transport?: protocol.HttpTransport;
 }
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -207,5 +207,6 @@
     new gateway.CallerServer(
       options.settings.current.listen.callers,
       (...exchange) => get('gateway').handle(...exchange),
+      options.callerListener,
     ),
 });
--- a/packages/amaranthknot/tests/gateway/plain-requests.test.ts
+++ b/packages/amaranthknot/tests/gateway/plain-requests.test.ts
@@ -53,6 +53,20 @@
     chai.expect(left).within(1, 3_000);
   });
 
+  it('refuses a request without time left, and does not send it', async () => {
+    // Guards against a booking that is sent on although its caller has left,
+    // and is answered in a way that leaves open whether it ran.
+    await gateway.register('i-1', first);
+    const answer = await gateway.call({
+      path: '/book/1',
+      method: 'POST',
+      headers: {'X-Remaining-Milliseconds': '10'},
+    });
+    chai.expect(answer.status).equal(503);
+    chai.expect(answer.headers['retry-after']).equal('0.000');
+    chai.expect(first.requests).length(0);
+  });
+
   it('never returns a late second answer to the next caller', async () => {
     // Guards against a caller that gets the answer of another. The upstream
     // answers a request twice; the second copy arrives while the kept
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,12 +5,25 @@
 import type * as routing from '@amaranthknot/routing';
 import * as httpListener from './http-listener.js';
 
-/** Handles one request. */
+/**
+ * Handles one request.
+ *
+ * @param waitedMs longest time for which the request may have waited before it
+ *     was read, in milliseconds.
+ */
 export type HandleRequest = (
   message: http.IncomingMessage,
   response: http.ServerResponse,
+  waitedMs: number,
 ) => Promise<void>;
 
+/** A server that listens for callers and has accepted no connection yet. */
+export interface OpenedListener {
+  readonly server: net.Server;
+  /** When it began to listen, as `performance.now()`. */
+  readonly openedAtMs: number;
+}
+
 /** Largest request head before a configuration is known, in bytes. */
 const INITIAL_MAX_HEADER_BYTES = 65_536;
 
@@ -24,6 +37,12 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
+/**
+ * Time after the start in which accepted connections count as having waited, in
+ * milliseconds: those that wait are accepted in the first turns of the loop.
+ */
+const BACKLOG_MS = 50;
+
 const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 /**
@@ -34,10 +53,17 @@
  */
 export class CallerServer {
   private readonly listener: http.Server;
+  /** Waiting time of connections whose first request has not been read. */
+  private readonly waits = new WeakMap<net.Socket, number>();
 
+  /**
+   * @param opened listens at `address`; by default the address is opened at the
+   *     start.
+   */
   constructor(
     private readonly address: configuration.Address,
     handle: HandleRequest,
+    private readonly opened?: OpenedListener,
   ) {
     this.listener = http.createServer(
       {
@@ -46,7 +72,8 @@
         requestTimeout: 0,
         keepAliveTimeout: 60_000,
       },
-      (message, response) => void handle(message, response),
+      (message, response) =>
+        void handle(message, response, this.takeWaitMs(message.socket)),
     );
     this.listener.on('clientError', (_error, socket) => {
       refuseMalformed(socket as net.Socket);
@@ -61,7 +88,29 @@
 
   /** Starts to listen; rejects if the address is not available. */
   start(): Promise<void> {
-    return httpListener.listen(this.listener, this.address);
+    if (!this.opened) {
+      return httpListener.listen(this.listener, this.address);
+    }
+    const {server, openedAtMs} = this.opened;
+    this.recordWaits(performance.now() - openedAtMs);
+    return httpListener.takeOver(this.listener, server);
+  }
+
+  /** Records how long the connections of the backlog may have waited. */
+  private recordWaits(waitedMs: number): void {
+    const record = (socket: net.Socket) => {
+      this.waits.set(socket, waitedMs);
+    };
+    this.listener.on('connection', record);
+    setTimeout(() => {
+      this.listener.off('connection', record);
+    }, BACKLOG_MS);
+  }
+
+  private takeWaitMs(socket: net.Socket): number {
+    const waitedMs = this.waits.get(socket) ?? 0;
+    this.waits.delete(socket);
+    return waitedMs;
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,12 +63,18 @@
     this.stop = times;
   }
 
-  /** Handles one request; never rejects. */
+  /**
+   * Handles one request; never rejects.
+   *
+   * @param waitedMs see `HandleRequest`. It counts as used up, so that no
+   *     upstream is given more time than the caller still waits.
+   */
   async handle(
     message: http.IncomingMessage,
     response: http.ServerResponse,
+    waitedMs = 0,
   ): Promise<void> {
-    const receivedAtMs = this.dependencies.clock.now();
+    const receivedAtMs = this.dependencies.clock.now() - waitedMs;
     const times: AnswerTimes = {};
     const answer = new callerAnswer.CallerAnswer(
       response,
@@ -168,12 +174,16 @@
       this.refuse(answer, log, {reason: 'stopping', retryAfterMs: 0});
       return;
     }
+    const leftMs =
+      request.deadlineMs - this.dependencies.clock.now() - ANSWER_MARGIN_MS;
+    if (leftMs <= 0) {
+      this.refuse(answer, log, {reason: 'expired', retryAfterMs: 0});
+      return;
+    }
     const abortController = new AbortController();
     const end = (reason: runContext.AbortReason) => {
       abortController.abort(reason);
     };
-    const leftMs =
-      request.deadlineMs - this.dependencies.clock.now() - ANSWER_MARGIN_MS;
     const timer = setTimeout(() => {
       end('time_up');
     }, leftMs);
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -1,5 +1,6 @@
 /** Starts and stops servers of `node:http`. */
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as configuration from '@amaranthknot/configuration';
 
 /** Starts to listen; rejects if the address is not available. */
@@ -15,6 +16,22 @@
     });
   });
 
+/**
+ * Takes over the address of `opened`, a server that listens and has accepted no
+ * connection yet. Connections that wait there are not refused.
+ */
+export const takeOver = (
+  server: http.Server,
+  opened: net.Server,
+): Promise<void> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(opened, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+
 /**
  * Stops listening and closes idle connections; resolves when all are closed.
  * Connections still in use after `timeoutMs` are cut.
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -8,6 +8,7 @@
  * - `too_large`: the body is larger than the configuration allows.
  * - `malformed`: the request cannot be parsed.
  * - `overloaded`: no capacity becomes free in time.
+ * - `expired`: no time is left before the deadline to send it to an upstream.
  * - `no_upstream`: no upstream may take the request now.
  * - `stopping`: this instance is stopping and accepts no more requests.
  * - `failed`: an upstream may have run it, but no complete answer came.
@@ -20,6 +21,7 @@
   | 'too_large'
   | 'malformed'
   | 'overloaded'
+  | 'expired'
   | 'no_upstream'
   | 'stopping'
   | 'failed'
@@ -43,6 +45,7 @@
   too_large: 413,
   malformed: 400,
   overloaded: 503,
+  expired: 503,
   no_upstream: 503,
   stopping: 503,
   failed: 502,
--- /dev/null
+++ b/packages/gateway/tests/caller-server.test.ts
@@ -0,0 +1,69 @@
+import * as net from 'node:net';
+import * as http from 'node:http';
+import * as chai from 'chai';
+import * as gateway from '@amaranthknot/gateway';
+
+/** Time for which the program loads while callers wait, in milliseconds. */
+const LOAD_MS = 150;
+
+interface OpenedServer {
+  readonly opened: gateway.OpenedListener;
+  readonly address: {readonly host: string; readonly port: number};
+}
+
+/** An opened address whose connections nobody accepts yet. */
+const openAddress = async (): Promise<OpenedServer> => {
+  const server = net.createServer({pauseOnConnect: true});
+  const host = '127.0.0.1';
+  await new Promise<void>(resolve => server.listen(0, host, resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const opened = {server, openedAtMs: performance.now()};
+  return {opened, address: {host, port}};
+};
+
+/** Keeps the loop from accepting connections, as loading a program does. */
+const blockLoop = (forMs: number): void => {
+  const endMs = performance.now() + forMs;
+  while (performance.now() < endMs){;}
+};
+
+/** Sends one request, and returns the body of its answer. */
+const ask = (port: number): Promise<string> =>
+  new Promise((resolve, reject) => {
+    http
+      .get({host: '127.0.0.1', port}, response => {
+        let text = '';
+        response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+        response.on('end', () => {
+          resolve(text);
+        });
+      })
+      .on('error', reject);
+  });
+
+describe('CallerServer', () => {
+  it('tells how long a request may have waited while the program loaded', async () => {
+    // Guards against a booking that runs after its caller has left: to the
+    // program, a request that waited for its start looks as if it just came.
+    const {opened, address} = await openAddress();
+    const waits: number[] = [];
+    const server = new gateway.CallerServer(
+      address,
+      (_message, response, waitedMs) => {
+        waits.push(waitedMs);
+        response.end('served');
+        return Promise.resolve();
+      },
+      opened,
+    );
+    const first = ask(address.port);
+    blockLoop(LOAD_MS);
+    await server.start();
+    chai.expect(await first).equal('served');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    chai.expect(await ask(address.port)).equal('served');
+    await server.stop(0);
+    chai.expect(waits[0]).at.least(LOAD_MS);
+    chai.expect(waits[1]).equal(0);
+  });
+});
--- a/tools/build-platform.js
+++ b/tools/build-platform.js
@@ -7,6 +7,7 @@
 import * as esbuild from 'esbuild';
 
 const ROOT = path.dirname(path.dirname(url.fileURLToPath(import.meta.url)));
+const SOURCES = path.join(ROOT, 'packages/amaranthknot/src');
 const TARGET = path.join(ROOT, 'target');
 const START = path.join(TARGET, 'start-cached.cjs');
 
@@ -14,20 +15,54 @@
 // that was created under other flags.
 const FLAGS = ['--no-memory-reducer'];
 
-await esbuild.build({
-  entryPoints: [path.join(ROOT, 'packages/amaranthknot/src/gateway-main.ts')],
-  outfile: path.join(TARGET, 'amaranthknot.cjs'),
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  define: {'import.meta.url': '__importMetaUrl'},
-  banner: {
-    js: "const __importMetaUrl = require('node:url').pathToFileURL(__filename).href;",
+/**
+ * Modules that libraries load at their start and a gateway never uses: TLS, as
+ * it speaks plain HTTP only, and coloured debug output. Loading them takes a
+ * tenth of a start, and an instance that restarts serves nobody meanwhile.
+ */
+const REPLACED_MODULES = {
+  https: path.join(ROOT, 'tools/no-https.cjs'),
+  '@dabh/diagnostics': path.join(ROOT, 'tools/no-diagnostics.cjs'),
+};
+
+/**
+ * Leaves what is imported dynamically to a bundle of its own. In the same
+ * bundle, esbuild keeps every module that both parts import as a whole, and the
+ * gateway would evaluate them all at its start.
+ */
+const separateDynamicImports = {
+  name: 'separate-dynamic-imports',
+  setup: build => {
+    build.onResolve({filter: /^\./}, ({kind, path: imported}) =>
+      kind === 'dynamic-import'
+        ? {path: `./${path.basename(imported, '.js')}.cjs`, external: true}
+        : undefined,
+    );
   },
-  minifyWhitespace: true,
-  logLevel: 'warning',
-});
+};
+
+const bundle = (entry, outfile) =>
+  esbuild.build({
+    entryPoints: [path.join(SOURCES, entry)],
+    outfile: path.join(TARGET, outfile),
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    supported: {'dynamic-import': false},
+    define: {'import.meta.url': '__importMetaUrl'},
+    banner: {
+      js: "const __importMetaUrl = require('node:url').pathToFileURL(__filename).href;",
+    },
+    alias: REPLACED_MODULES,
+    plugins: [separateDynamicImports],
+    minifyWhitespace: true,
+    legalComments: 'none',
+    logLevel: 'warning',
+  });
+
+await bundle('gateway-main.ts', 'amaranthknot.cjs');
+await bundle('read-flags.ts', 'read-flags.cjs');
 fs.copyFileSync(path.join(ROOT, 'tools/start-cached.cjs'), START);
 fs.rmSync(path.join(TARGET, 'amaranthknot.cache'), {force: true});
 childProcess.execFileSync(
--- a/tools/make-start-cache.cjs
+++ b/tools/make-start-cache.cjs
@@ -87,11 +87,11 @@
   fs.writeFileSync(settings, SETTINGS);
   process.env['AMARANTHKNOT_CONFIG'] = settings;
   process.argv = [process.argv[0], START, 'gateway'];
-  const {script, CACHE} = require(START);
+  const launcher = require(START);
   await sleep(START_WAIT_MS);
   findPorts().forEach(sendRequest);
   await sleep(ANSWER_WAIT_MS);
-  fs.writeFileSync(CACHE, script.createCachedData());
+  fs.writeFileSync(launcher.CACHE, launcher.script.createCachedData());
   fs.rmSync(folder, {recursive: true});
   process.exit(0);
 };
--- a/tools/start-cached.cjs
+++ b/tools/start-cached.cjs
@@ -1,8 +1,13 @@
 // Starts the bundle in this folder with the code cache from the build: compiling
-// its two megabytes takes longer than all other steps of a start. V8 ignores a
-// cache that does not match this version of Node.js.
+// its megabyte takes longer than all other steps of a start. V8 ignores a cache
+// that does not match this version of Node.js.
+//
+// Listens for callers before it loads the bundle. Loading takes most of a start:
+// until then each connection would be refused, and after a loss of power all
+// instances start at once, so that callers spend their retries in vain.
 'use strict';
 const fs = require('node:fs');
+const net = require('node:net');
 const path = require('node:path');
 const vm = require('node:vm');
 
@@ -21,12 +26,38 @@
   }
 };
 
-const source = fs.readFileSync(BUNDLE, 'utf8');
-const wrapped = `(function (require, __filename, __dirname) {${source}\n})`;
-const script = new vm.Script(wrapped, {
-  filename: BUNDLE,
-  cachedData: readCache(),
-});
-script.runInThisContext()(require, BUNDLE, __dirname);
+/** Loads and runs the bundle; see `OpenedListener` for `listener`. */
+const load = listener => {
+  const source = fs.readFileSync(BUNDLE, 'utf8');
+  const wrapped = `(function (require, __filename, __dirname, callerListener) {${source}\n})`;
+  const script = new vm.Script(wrapped, {
+    filename: BUNDLE,
+    cachedData: readCache(),
+  });
+  module.exports.script = script;
+  script.runInThisContext()(require, BUNDLE, __dirname, listener);
+};
+
+/**
+ * Listens at `address`, IP:PORT, and then loads the bundle, which takes the
+ * listener over before any connection is accepted.
+ */
+const listenAndLoad = address => {
+  const [host, port] = address.split(':');
+  const listener = net.createServer({pauseOnConnect: true});
+  // The bundle opens the address itself, and reports why it can't.
+  listener.once('error', () => load(undefined));
+  listener.listen({host, port: Number(port)}, () => {
+    listener.removeAllListeners('error');
+    load({server: listener, openedAtMs: performance.now()});
+  });
+};
+
+module.exports = {CACHE};
 
-module.exports = {script, CACHE};
+const callers = process.env['AMARANTHKNOT_CALLERS'];
+if (callers) {
+  listenAndLoad(callers);
+} else {
+  load(undefined);
+}
