--- a/packages/fleet/src/member-table.ts
+++ b/packages/fleet/src/member-table.ts
@@ -6,6 +6,7 @@
 import type * as protocol from '@amaranthknot/protocol';
 import * as memberGroups from './member-groups.js';
 import * as memberList from './member-list.js';
+import * as receivedList from './received-list.js';
 
 /**
  * Time without a sign of life after which an instance counts as gone, in ms.
@@ -57,22 +58,12 @@
 const isNewer = (a: protocol.Member, b: protocol.Member): boolean =>
   a.start > b.start || (a.start === b.start && a.revision > b.revision);
 
-/** The list that this instance last received from a watcher. */
-interface WatcherList {
-  readonly watcherId: string;
-  readonly version: string;
-  readonly ids: ReadonlySet<string>;
-}
-
 /**
  * Time for which a watcher keeps its list before it computes it again, in ms.
  * Each of its followers asks for it several times a second.
  */
 const LIST_REFRESH_MS = 100;
 
-/** Version that stands for no list. */
-const NO_VERSION = 'none';
-
 /** All instances as one of them sees them. */
 export class MemberTable {
   private readonly rows = new Map<string, Row>();
@@ -81,9 +72,9 @@
     retentionMs: RETENTION_MS,
   });
   private readonly list: memberList.MemberList;
-  private watcherList: WatcherList | undefined;
-  /** When a watcher last sent or confirmed its list. */
-  private watcherListAtMs = -Infinity;
+  private readonly received = new receivedList.ReceivedList(
+    WATCHER_LIST_TTL_MS,
+  );
   /** When the list that this instance sends to others was last updated. */
   private listedAtMs = -Infinity;
   private beatCount = 0;
@@ -210,14 +201,12 @@
 
   /** Whether this instance has a valid list from a watcher. */
   hasWatcherList(nowMs: number): boolean {
-    return nowMs - this.watcherListAtMs <= WATCHER_LIST_TTL_MS;
+    return this.received.isValid(nowMs);
   }
 
   /** Version of the list that this instance has from the watcher. */
   watcherListVersion(watcherId: string): string {
-    return this.watcherList?.watcherId === watcherId
-      ? this.watcherList.version
-      : NO_VERSION;
+    return this.received.versionFrom(watcherId);
   }
 
   /**
@@ -230,29 +219,14 @@
     delta: protocol.MemberListDelta | undefined,
     nowMs: number,
   ): void {
-    if (delta) {
-      const before =
-        this.watcherList?.watcherId === watcherId
-          ? this.watcherList.ids
-          : new Set<string>();
-      const ids = new Set(delta.isWhole ? [] : before);
-      delta.gone.forEach(id => ids.delete(id));
-      delta.changed.forEach(member => {
-        ids.add(member.id);
-        this.set(member, nowMs);
-      });
-      this.markSilent(
-        [...(this.watcherList?.ids ?? [])].filter(id => !ids.has(id)),
-        nowMs,
-      );
-      this.watcherList = {watcherId, version, ids};
-    }
-    if (this.watcherList?.version === version) {
-      for (const id of this.watcherList.ids) {
-        this.touch(id, nowMs);
-      }
-    }
-    this.watcherListAtMs = nowMs;
+    const update = this.received.apply(watcherId, version, delta, nowMs);
+    update.changed.forEach(member => {
+      this.set(member, nowMs);
+    });
+    this.markSilent(update.lost, nowMs);
+    update.live.forEach(id => {
+      this.touch(id, nowMs);
+    });
   }
 
   /**
