--- a/packages/gateway/tests/caller-server.test.ts
+++ b/packages/gateway/tests/caller-server.test.ts
@@ -24,7 +24,10 @@
 /** Keeps the loop from accepting connections, as loading a program does. */
 const blockLoop = (forMs: number): void => {
   const endMs = performance.now() + forMs;
-  while (performance.now() < endMs){;}
+  let nowMs = performance.now();
+  while (nowMs < endMs) {
+    nowMs = performance.now();
+  }
 };
 
 /** Sends one request, and returns the body of its answer. */
