--- a/tools/build-platform.js
+++ b/tools/build-platform.js
@@ -57,7 +57,6 @@
     alias: REPLACED_MODULES,
     plugins: [separateDynamicImports],
     minifyWhitespace: true,
-    legalComments: 'none',
     logLevel: 'warning',
   });
 
