--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -155,14 +155,34 @@
   addressMaxAgeMs: 5_000,
 };
 
-const findFreePort = async (): Promise<number> => {
+/**
+ * Range of the ports that are drawn, below the ephemeral ones: between the draw
+ * and its use, an outgoing connection could take an ephemeral port.
+ */
+const PORTS = {first: 15_000, last: 30_000};
+
+const isFree = async (port: number): Promise<boolean> => {
   const server = net.createServer();
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
+  const isListening = await new Promise<boolean>(resolve => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      resolve(true);
+    });
   });
-  const {port} = server.address() as net.AddressInfo;
   await new Promise(resolve => server.close(resolve));
-  return port;
+  return isListening;
+};
+
+const findFreePort = async (): Promise<number> => {
+  for (;;) {
+    const span = PORTS.last - PORTS.first;
+    const port = PORTS.first + Math.floor(Math.random() * span);
+    if (await isFree(port)) {
+      return port;
+    }
+  }
 };
 
 const createSettings = async (
