Log the backoff that an upstream asks for, and why nothing could be placed

Cause: callers were refused after engines had asked instances for rest, and the logs told neither what a refusal said nor what the instance knew of it, so that an unread header, a kind of send that passes by a check, and state that is dropped too early looked alike. Change: the time in a refusal's Retry-After is read, kept by start of the upstream, logged when it begins (upstream_backoff) and in each refusal (try_failed: status, retryAfterMs); request_placed has what is left of it (backoffMs), try_not_placed says why how many upstreams were ruled out, and upstreams_in_backoff counts them. Which upstreams may take a request stands in a module of its own, which the escalation policy uses as well; it had the same filter a second time. An empty Server-Limit no longer reads as a limit of 0. No request is placed otherwise than before.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -58,6 +58,8 @@
   readonly picker: decisions.UpstreamPicker;
   readonly repeatBudget: decisions.RepeatBudget;
   readonly limits: decisions.RateLimits;
+  readonly backoffs: decisions.UpstreamBackoffs;
+  readonly availability: gateway.UpstreamAvailability;
   readonly rollouts: gateway.RolloutTracker;
   readonly pool: gateway.ConnectionPool;
   readonly placement: gateway.UpstreamPlacement;
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -36,6 +36,7 @@
       configurationAgeMs: get('state').activeTable()?.ageMs,
       upstreams: get('catalog').all().length,
       upstreamsAgeMs: get('state').upstreamsAgeMs(),
+      upstreamsInBackoff: get('backoffs').activeCount,
       servingInstances: get('members').serving(options.clock.now()).length,
     })),
 });
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -2,6 +2,7 @@
 import * as decisions from '@amaranthknot/decisions';
 import * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
+import type * as routing from '@amaranthknot/routing';
 import * as gatewayState from '../gateway-state.js';
 import type * as gatewayComponents from '../gateway-components.js';
 import * as repeatSlack from '../repeat-slack.js';
@@ -15,6 +16,8 @@
   | 'picker'
   | 'repeatBudget'
   | 'limits'
+  | 'backoffs'
+  | 'availability'
   | 'rollouts'
   | 'pool'
   | 'placement'
@@ -33,7 +36,7 @@
  */
 const HOLD_AT_START_MS = 400;
 
-/** Drops connections, stats and limits of upstreams that are gone. */
+/** Drops connections, stats and limits of upstreams that are gone, and what has ended. */
 const dropGoneUpstreams = (
   get: gatewayComponents.GatewayResolver,
   changes: readonly gateway.CatalogChange[],
@@ -46,6 +49,7 @@
   get('pool').retain(ids);
   get('picker').retain(ids);
   get('limits').retain(ids);
+  get('backoffs').removeEnded();
 };
 
 const formatIncarnation = (get: gatewayComponents.GatewayResolver): string => {
@@ -80,21 +84,17 @@
   });
 };
 
-const createPlacement = (
+const createAvailability = (
   get: gatewayComponents.GatewayResolver,
-): gateway.UpstreamPlacement => {
+): gateway.UpstreamAvailability => {
   const {settings, clock} = get('options');
   const startedAtMs = clock.now();
-  return new gateway.UpstreamPlacement({
+  return new gateway.UpstreamAvailability({
     catalog: get('catalog'),
-    picker: get('picker'),
-    repeats: get('repeatBudget'),
     limits: get('limits'),
-    rollouts: get('rollouts'),
+    backoffs: get('backoffs'),
     now: () => clock.now(),
-    upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
     isZoneOut: zone => get('state').isZoneOut(zone),
-    regionOf: zone => settings.current.zones.get(zone),
     coldShare: (upstream, service) =>
       decisions.findColdShare(
         {perSecond: service.coldPerSecond, ...settings.current.bounds.cold},
@@ -106,6 +106,34 @@
   });
 };
 
+const createPlacement = (
+  get: gatewayComponents.GatewayResolver,
+): gateway.UpstreamPlacement => {
+  const {settings, clock} = get('options');
+  return new gateway.UpstreamPlacement({
+    catalog: get('catalog'),
+    availability: get('availability'),
+    picker: get('picker'),
+    repeats: get('repeatBudget'),
+    rollouts: get('rollouts'),
+    now: () => clock.now(),
+    upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
+    regionOf: zone => settings.current.zones.get(zone),
+  });
+};
+
+/** Records what an upstream says about itself in an answer. */
+const recordNotices = (
+  get: gatewayComponents.GatewayResolver,
+  upstream: routing.Upstream,
+  {rateLimit, backoffMs}: gateway.UpstreamNotices,
+): void => {
+  get('limits').record(upstream.id, rateLimit);
+  if (backoffMs !== undefined) {
+    get('backoffs').record(upstream, backoffMs);
+  }
+};
+
 const createGateway = (
   get: gatewayComponents.GatewayResolver,
 ): gateway.Gateway => {
@@ -125,8 +153,8 @@
     openCall: gateway.createOpenCall(
       get('pool'),
       HEADER_CONVENTIONS.headers,
-      (upstream, perSecond) => {
-        get('limits').record(upstream, perSecond);
+      (upstream, notices) => {
+        recordNotices(get, upstream, notices);
       },
     ),
     refreshTable: () => get('viewRefresher').refresh(),
@@ -149,10 +177,9 @@
   escalationPolicy: get =>
     new gateway.EscalationPolicy({
       now: () => options.clock.now(),
-      catalog: get('catalog'),
+      availability: get('availability'),
       picker: get('picker'),
       repeats: get('repeatBudget'),
-      isZoneOut: zone => get('state').isZoneOut(zone),
     }),
   catalog: get =>
     new gateway.UpstreamCatalog({
@@ -199,6 +226,17 @@
         get('log').info('upstream_limited', {upstream, perSecond});
       },
     }),
+  backoffs: get =>
+    new decisions.UpstreamBackoffs({
+      now: () => options.clock.now(),
+      onBegin: (upstream, forMs) => {
+        get('log').info('upstream_backoff', {
+          upstream,
+          forMs: Math.round(forMs),
+        });
+      },
+    }),
+  availability: createAvailability,
   rollouts: createRollouts,
   pool: () => new gateway.ConnectionPool(),
   placement: createPlacement,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -47,6 +47,7 @@
 export * from './stage-belief.js';
 export * from './standing-queue.js';
 export * from './stream-pace.js';
+export * from './upstream-backoffs.js';
 export * from './upstream-load.js';
 export * from './upstream-picker.js';
 export * from './upstream-stats.js';
--- a/packages/experiment/src/policy.ts
+++ b/packages/experiment/src/policy.ts
@@ -60,10 +60,9 @@
   const {clock} = get('options');
   const policy = new gateway.EscalationPolicy({
     now: () => clock.now(),
-    catalog: get('catalog'),
+    availability: get('availability'),
     picker: get('picker'),
     repeats: get('repeatBudget'),
-    isZoneOut: zone => get('state').isZoneOut(zone),
   });
   policy.decide = (_request, _capable, confidence) => ({
     confidence,
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -168,8 +168,12 @@
       isRepeat: this.sends > 0,
     });
     return placed.caseOf({
-      Left: reason => {
-        this.context.log.step('try_not_placed', {reason, sends: this.sends});
+      Left: ({reason, inputs}) => {
+        this.context.log.step('try_not_placed', {
+          reason,
+          sends: this.sends,
+          ...inputs,
+        });
         return undefined;
       },
       Right: found => this.runAttempt(found, signal),
--- a/packages/gateway/src/escalation-policy.ts
+++ b/packages/gateway/src/escalation-policy.ts
@@ -8,15 +8,14 @@
 import type * as routing from '@amaranthknot/routing';
 import * as callerRequest from './caller-request.js';
 import type * as runContext from './run-context.js';
-import type * as upstreamCatalog from './upstream-catalog.js';
+import type * as upstreamAvailability from './upstream-availability.js';
 
 /** What the policy needs. */
 export interface EscalationPolicyOptions {
   readonly now: () => number;
-  readonly catalog: upstreamCatalog.UpstreamCatalog;
+  readonly availability: upstreamAvailability.UpstreamAvailability;
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
-  readonly isZoneOut: (zone: string) => boolean;
 }
 
 /**
@@ -97,17 +96,13 @@
     service: routing.Service,
     {latencyTargetMs}: routing.Route,
   ): number {
-    const {now, catalog, picker, isZoneOut} = this.options;
+    const {now, availability, picker} = this.options;
     const {waits, prefill} = this.metersOf(service);
-    const usable = catalog
-      .all()
-      .map(({upstream}) => upstream)
-      .filter(
-        ({service: name, state, zone}) =>
-          name === service.name && state === 'ready' && !isZoneOut(zone),
-      );
-    const waiting = picker.sumWaitingTokens(usable.map(({id}) => id));
-    const backlogMs = prefill.waitMs(waiting, usable.length, now());
+    const ids = availability
+      .findInService(service.name)
+      .map(({upstream}) => upstream.id);
+    const waiting = picker.sumWaitingTokens(ids);
+    const backlogMs = prefill.waitMs(waiting, ids.length, now());
     return Math.max(
       waits.value(now()),
       decisions.scarcityOfBacklog(backlogMs, latencyTargetMs),
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -58,14 +58,17 @@
   readonly isRepeat: boolean;
 }
 
-/**
- * Why an attempt was not placed.
- *
- * - `no_upstream`: no upstream may take the request now.
- * - `no_budget`: it would be a repeat, and the repeat budget that all instances
- *   share is spent.
- */
-export type PlacementRefusal = 'no_upstream' | 'no_budget';
+/** Why an attempt was not placed. */
+export interface PlacementRefusal {
+  /**
+   * - `no_upstream`: no upstream may take the request now.
+   * - `no_budget`: it would be a repeat, and the repeat budget that all
+   *   instances share is spent.
+   */
+  readonly reason: 'no_upstream' | 'no_budget';
+  /** Inputs of the decision, for the log. */
+  readonly inputs: telemetry.Details;
+}
 
 /** Chooses an upstream for an attempt. */
 export type PlaceAttempt = (
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -1,4 +1,5 @@
 /** Sends a request to the chosen upstream and waits for the answer's head. */
+import type * as telemetry from '@amaranthknot/telemetry';
 import type * as purify from 'purify-ts';
 import * as runContext from './run-context.js';
 import type * as upstreamCall from './upstream-call.js';
@@ -54,6 +55,15 @@
   }
 };
 
+const describeFailure = (
+  failure: upstreamCall.CallFailure,
+): telemetry.Details => {
+  const {ran, reason} = failure;
+  return ran === 'not_run'
+    ? {ran, reason, status: failure.status, retryAfterMs: failure.backoffMs}
+    : {ran, reason};
+};
+
 /** Sends a request. A failed attempt is settled here, others by the caller. */
 export const sendAttempt = async (
   dependencies: runContext.RunDependencies,
@@ -90,8 +100,11 @@
   opened.caseOf({
     Left: failure => {
       placed.settle(outcomeOf(failure, signal));
-      const {ran, reason} = failure;
-      log.failure('try_failed', {upstream: upstream.id, ran, reason, tookMs});
+      log.failure('try_failed', {
+        upstream: upstream.id,
+        ...describeFailure(failure),
+        tookMs,
+      });
     },
     Right: () => {
       placed.recordHead();
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -129,8 +129,12 @@
     return this.dependencies
       .place({request, model, excluded, isRepeat})
       .caseOf({
-        Left: reason => {
-          log.step('try_not_placed', {reason, sends: this.sends});
+        Left: ({reason, inputs}) => {
+          log.step('try_not_placed', {
+            reason,
+            sends: this.sends,
+            ...inputs,
+          });
           return undefined;
         },
         Right: placed => placed,
--- /dev/null
+++ b/packages/gateway/src/upstream-availability.ts
@@ -0,0 +1,113 @@
+/**
+ * Which upstreams may take requests of a service, and why others may not for
+ * now: cold start, rate limit.
+ */
+import * as decisions from '@amaranthknot/decisions';
+import type * as routing from '@amaranthknot/routing';
+import type * as upstreamCatalog from './upstream-catalog.js';
+
+/** What availability is decided from. */
+export interface UpstreamAvailabilityOptions {
+  readonly catalog: upstreamCatalog.UpstreamCatalog;
+  readonly limits: decisions.RateLimits;
+  readonly backoffs: decisions.UpstreamBackoffs;
+  readonly now: () => number;
+  /** Whether operators have taken a zone out of use. */
+  readonly isZoneOut: (zone: string) => boolean;
+  /** Requests a second that this instance may send to a cold upstream. */
+  readonly coldShare: (
+    upstream: routing.Upstream,
+    service: routing.Service,
+  ) => number;
+}
+
+/** Why an upstream takes no request for now, although it is in service. */
+export type WaitReason = 'cold' | 'limited';
+
+/**
+ * Window over which requests to a cold upstream are counted, in milliseconds.
+ * Slightly over a second, because requests that were sent more than a second
+ * apart may arrive within one second.
+ */
+const COLD_WINDOW_MS = 1_100;
+
+type Known = upstreamCatalog.KnownUpstream;
+
+/** Availability of the upstreams that one instance knows. */
+export class UpstreamAvailability {
+  private readonly coldSends = new Map<string, decisions.SlidingCount>();
+
+  constructor(private readonly options: UpstreamAvailabilityOptions) {}
+
+  /** Upstreams of a service, without leaving ones and those in zones out. */
+  findInService(service: string): readonly Known[] {
+    const {catalog, isZoneOut} = this.options;
+    return catalog
+      .all()
+      .filter(
+        ({upstream}) =>
+          upstream.service === service &&
+          upstream.state === 'ready' &&
+          !isZoneOut(upstream.zone),
+      );
+  }
+
+  /** Why an upstream takes no request now; undefined if it takes one. */
+  findWaitReason(
+    known: Known,
+    service: routing.Service,
+  ): WaitReason | undefined {
+    if (!this.hasColdCapacity(known, service)) {
+      return 'cold';
+    }
+    return this.options.limits.maySend(known.upstream.id)
+      ? undefined
+      : 'limited';
+  }
+
+  /** Records a request that is sent to an upstream. */
+  recordSend(known: Known): void {
+    this.recordColdSend(known);
+    this.options.limits.recordSend(known.upstream.id);
+  }
+
+  /** What limits the use of an upstream now, for the log. */
+  describe({upstream, coldUntilMs}: Known): {
+    readonly isCold: boolean;
+    readonly limitPerS: number | undefined;
+    readonly backoffMs: number | undefined;
+  } {
+    const {limits, backoffs, now} = this.options;
+    const backoffMs = Math.round(backoffs.findRemainingMs(upstream));
+    return {
+      isCold: now() < coldUntilMs,
+      limitPerS: limits.find(upstream.id),
+      backoffMs: backoffMs > 0 ? backoffMs : undefined,
+    };
+  }
+
+  private hasColdCapacity(
+    {upstream, coldUntilMs}: Known,
+    service: routing.Service,
+  ): boolean {
+    const now = this.options.now();
+    if (now >= coldUntilMs || service.coldPerSecond === 0) {
+      return true;
+    }
+    const sent = this.coldSends.get(upstream.id)?.count(now) ?? 0;
+    return sent < this.options.coldShare(upstream, service);
+  }
+
+  private recordColdSend({upstream, coldUntilMs}: Known): void {
+    const now = this.options.now();
+    if (now >= coldUntilMs) {
+      this.coldSends.delete(upstream.id);
+      return;
+    }
+    const sends =
+      this.coldSends.get(upstream.id) ??
+      new decisions.SlidingCount(COLD_WINDOW_MS);
+    this.coldSends.set(upstream.id, sends);
+    sends.add(now);
+  }
+}
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -13,6 +13,7 @@
 import type * as connectionPool from './connection-pool.js';
 import type * as headerNames from './header-names.js';
 import * as rawHeaders from './raw-headers.js';
+import * as upstreamNotices from './upstream-notices.js';
 
 /** A request to one upstream. */
 export interface UpstreamRequest {
@@ -49,6 +50,10 @@
       readonly ran: 'not_run';
       readonly reason: 'unreachable' | 'refused' | 'other_upstream';
       readonly load?: UpstreamLoad;
+      /** Status of the refusal; undefined if no answer came. */
+      readonly status?: number;
+      /** Time for which the upstream wants no requests, in milliseconds. */
+      readonly backoffMs?: number | undefined;
     }
   | {
       readonly ran: 'unknown';
@@ -76,12 +81,6 @@
   signal: AbortSignal,
 ) => Promise<purify.Either<CallFailure, UpstreamAnswer>>;
 
-/** Records the rate limit that an answer names; undefined if it names none. */
-export type RecordLimit = (
-  upstreamId: string,
-  perSecond: number | undefined,
-) => void;
-
 /** Status by which another upstream than the expected one refuses to run. */
 const MISDIRECTED = 421;
 
@@ -97,24 +96,18 @@
   return text === undefined || !Number.isFinite(value) ? undefined : value;
 };
 
-/** A limit that is malformed or negative counts as none. */
-const parseRate = (text: string | undefined): number | undefined => {
-  const rate = parseNumber(text);
-  return rate === undefined || rate < 0 ? undefined : rate;
-};
-
 /** Creates the function that calls upstreams. */
 export const createOpenCall = (
   pool: connectionPool.ConnectionPool,
   names: headerNames.HeaderNames,
-  recordLimit: RecordLimit,
+  recordNotices: upstreamNotices.RecordNotices,
 ): OpenCall => {
+  const parseNotices = upstreamNotices.createParseNotices(names);
   const lowerNames = {
     requestId: names.requestId.toLowerCase(),
     notRun: names.notRun.toLowerCase(),
     load: names.load.toLowerCase(),
     confidence: names.confidence.toLowerCase(),
-    rateLimit: names.rateLimit.toLowerCase(),
   };
 
   const classify = (
@@ -133,19 +126,20 @@
       response.destroy();
       return purify.Left({ran: 'unknown', reason: 'foreign_answer'});
     }
-    const isMisdirected = status === MISDIRECTED;
-    if (!isMisdirected) {
-      const limit = rawHeaders.findHeader(headers, lowerNames.rateLimit);
-      recordLimit(request.upstream.id, parseRate(limit));
+    if (status === MISDIRECTED) {
+      // Its headers are about the upstream that answered, not the expected one.
+      response.resume();
+      return purify.Left({ran: 'not_run', reason: 'other_upstream', status});
     }
-    if (
-      isMisdirected ||
-      rawHeaders.findHeader(headers, lowerNames.notRun) !== undefined
-    ) {
+    const notices = parseNotices(status, headers);
+    recordNotices(request.upstream, notices);
+    if (rawHeaders.findHeader(headers, lowerNames.notRun) !== undefined) {
       response.resume();
       return purify.Left({
         ran: 'not_run',
-        reason: isMisdirected ? 'other_upstream' : 'refused',
+        reason: 'refused',
+        status,
+        backoffMs: notices.backoffMs,
         ...(load ? {load} : {}),
       });
     }
--- /dev/null
+++ b/packages/gateway/src/upstream-notices.ts
@@ -0,0 +1,59 @@
+/** What an upstream says about itself in the headers of its answers. */
+import type * as routing from '@amaranthknot/routing';
+import type * as headerNames from './header-names.js';
+import * as rawHeaders from './raw-headers.js';
+
+/** Notices in one answer. */
+export interface UpstreamNotices {
+  /**
+   * Requests a second that it accepts from all instances together; undefined
+   * if it names no limit.
+   */
+  readonly rateLimit: number | undefined;
+  /** Time for which it wants no requests from this instance, in ms. */
+  readonly backoffMs: number | undefined;
+}
+
+/** Records the notices in an answer of an upstream. */
+export type RecordNotices = (
+  upstream: routing.Upstream,
+  notices: UpstreamNotices,
+) => void;
+
+/** Statuses of refusals that may say when to come back. */
+const BACKOFF_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
+const RETRY_AFTER = 'retry-after';
+
+const MS_PER_S = 1_000;
+
+/** Parses the notices in the head of an answer. */
+export type ParseNotices = (
+  status: number,
+  headers: rawHeaders.RawHeaders,
+) => UpstreamNotices;
+
+/** Undefined if the header is missing, malformed or negative. */
+const parseAmount = (text: string | undefined): number | undefined => {
+  const value = Number(text);
+  const isValid = Number.isFinite(value) && value >= 0 && text?.trim() !== '';
+  return isValid ? value : undefined;
+};
+
+/** Creates the parser for headers of these names. */
+export const createParseNotices = (
+  names: headerNames.HeaderNames,
+): ParseNotices => {
+  const rateLimitName = names.rateLimit.toLowerCase();
+  return (status, headers) => {
+    const findAmount = (lowerName: string): number | undefined =>
+      parseAmount(rawHeaders.findHeader(headers, lowerName));
+    const backoffS = BACKOFF_STATUSES.has(status)
+      ? findAmount(RETRY_AFTER)
+      : undefined;
+    return {
+      rateLimit: findAmount(rateLimitName),
+      backoffMs: backoffS === undefined ? undefined : backoffS * MS_PER_S,
+    };
+  };
+};
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -1,6 +1,6 @@
 /**
- * Places attempts of requests on upstreams: which ones may take a request, by
- * state, zone, region, rate limit, cold start and rollout, and which is chosen.
+ * Places attempts of requests on upstreams: which of the available ones may
+ * take a request, by region and rollout, and which is chosen.
  */
 import * as decisions from '@amaranthknot/decisions';
 import type * as routing from '@amaranthknot/routing';
@@ -10,41 +10,26 @@
 import type * as runContext from './run-context.js';
 import type * as followedRollout from './followed-rollout.js';
 import type * as rolloutTracker from './rollout-tracker.js';
+import type * as upstreamAvailability from './upstream-availability.js';
 import type * as upstreamCatalog from './upstream-catalog.js';
 
 /** What placement needs. */
 export interface UpstreamPlacementOptions {
   readonly catalog: upstreamCatalog.UpstreamCatalog;
+  readonly availability: upstreamAvailability.UpstreamAvailability;
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
-  readonly limits: decisions.RateLimits;
   readonly rollouts: rolloutTracker.RolloutTracker;
   readonly now: () => number;
   /** Time since the list of upstreams was known to be complete, in ms. */
   readonly upstreamsAgeMs: () => number | undefined;
-  /** Whether operators have taken a zone out of use. */
-  readonly isZoneOut: (zone: string) => boolean;
   readonly regionOf: (zone: string) => string | undefined;
-  /** Requests a second that this instance may send to a cold upstream. */
-  readonly coldShare: (
-    upstream: routing.Upstream,
-    service: routing.Service,
-  ) => number;
 }
 
-/**
- * Window over which requests to a cold upstream are counted, in milliseconds.
- * Slightly over a second, because requests that were sent more than a second
- * apart may arrive within one second.
- */
-const COLD_WINDOW_MS = 1_100;
-
 type Known = upstreamCatalog.KnownUpstream;
 
 /** Places the attempts of one instance. */
 export class UpstreamPlacement {
-  private readonly coldSends = new Map<string, decisions.SlidingCount>();
-
   constructor(private readonly options: UpstreamPlacementOptions) {}
 
   /**
@@ -56,14 +41,17 @@
   ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
     const {picker} = this.options;
     const pickRequest = createPickRequest(toPlace);
-    const candidates = this.findCandidates(toPlace);
+    const inService = this.findInService(toPlace);
+    const candidates = this.findCandidates(inService, toPlace);
     const picked = picker.pick(candidates, pickRequest);
     const known = picked && this.options.catalog.find(picked.id);
+    const refuse = (reason: runContext.PlacementRefusal['reason']) =>
+      purify.Left({reason, inputs: this.describeRefusal(inService, toPlace)});
     if (!known) {
-      return purify.Left('no_upstream');
+      return refuse('no_upstream');
     }
     if (!this.takeRepeat(toPlace)) {
-      return purify.Left('no_budget');
+      return refuse('no_budget');
     }
     const attempt = this.beginAttempt(known, toPlace, pickRequest);
     const inputs = this.describeChoice(known, candidates.length, toPlace);
@@ -71,22 +59,51 @@
   }
 
   private describeChoice(
-    {upstream, coldUntilMs}: Known,
+    known: Known,
     candidates: number,
     {isRepeat}: runContext.PlacementRequest,
   ): telemetry.Details {
+    const {upstream} = known;
+    const {isCold, limitPerS, backoffMs} =
+      this.options.availability.describe(known);
     return {
       zone: upstream.zone,
       version: upstream.version,
       candidates,
       isRepeat,
-      isCold: this.options.now() < coldUntilMs,
-      upstreamsAgeMs: Math.round(this.options.upstreamsAgeMs() ?? -1),
-      limitPerS: this.options.limits.find(upstream.id),
+      isCold,
+      upstreamsAgeMs: this.findUpstreamsAgeMs(),
+      limitPerS,
+      backoffMs,
       ...this.options.picker.describe(upstream.id),
     };
   }
 
+  /** How many upstreams there are, and why how many of them are ruled out. */
+  private describeRefusal(
+    inService: readonly Known[],
+    {request, excluded}: runContext.PlacementRequest,
+  ): telemetry.Details {
+    const {availability} = this.options;
+    const reasons = inService.map(known =>
+      availability.findWaitReason(known, request.service),
+    );
+    const countReason = (reason: upstreamAvailability.WaitReason): number =>
+      reasons.filter(found => found === reason).length;
+    return {
+      inService: inService.length,
+      excluded: inService.filter(({upstream}) => excluded.has(upstream.id))
+        .length,
+      cold: countReason('cold'),
+      limited: countReason('limited'),
+      upstreamsAgeMs: this.findUpstreamsAgeMs(),
+    };
+  }
+
+  private findUpstreamsAgeMs(): number {
+    return Math.round(this.options.upstreamsAgeMs() ?? -1);
+  }
+
   private takeRepeat({request, isRepeat}: runContext.PlacementRequest) {
     const {repeats} = this.options;
     const {name} = request.service;
@@ -97,48 +114,43 @@
     return true;
   }
 
+  /** Upstreams in service in the regions that the request allows. */
+  private findInService({
+    request,
+  }: runContext.PlacementRequest): readonly Known[] {
+    return this.options.availability
+      .findInService(request.service.name)
+      .filter(({upstream}) => this.isRegionAllowed(upstream, request));
+  }
+
   private findCandidates(
-    toPlace: runContext.PlacementRequest,
+    inService: readonly Known[],
+    {request, excluded}: runContext.PlacementRequest,
   ): readonly routing.Upstream[] {
-    const usable = this.options.catalog
-      .all()
-      .filter(known => this.isCandidate(known, toPlace));
-    const {caller, service} = toPlace.request;
-    const version = this.options.rollouts.chooseVersion(
+    const {availability, rollouts} = this.options;
+    const {caller, service} = request;
+    const usable = inService
+      .filter(
+        known =>
+          !excluded.has(known.upstream.id) &&
+          availability.findWaitReason(known, service) === undefined,
+      )
+      .map(({upstream}) => upstream);
+    const version = rollouts.chooseVersion(
       service.name,
       caller.session ?? caller.id,
     );
     if (version.kind === 'any') {
-      return usable.map(({upstream}) => upstream);
+      return usable;
     }
     const {accepts, fallback, subset} = version;
-    const accepted = usable
-      .map(({upstream}) => upstream)
-      .filter(upstream => accepts(upstream.version));
+    const accepted = usable.filter(upstream => accepts(upstream.version));
     if (accepted.length > 0 && subset) {
       return selectSubset(accepted, subset);
     }
     return accepted.length > 0 || !fallback
       ? accepted
-      : usable
-          .map(({upstream}) => upstream)
-          .filter(upstream => fallback(upstream.version));
-  }
-
-  private isCandidate(
-    {upstream, coldUntilMs}: Known,
-    {request, excluded}: runContext.PlacementRequest,
-  ): boolean {
-    const {isZoneOut} = this.options;
-    return (
-      upstream.service === request.service.name &&
-      upstream.state === 'ready' &&
-      !excluded.has(upstream.id) &&
-      !isZoneOut(upstream.zone) &&
-      this.isRegionAllowed(upstream, request) &&
-      this.hasColdCapacity(upstream, coldUntilMs, request.service) &&
-      this.options.limits.maySend(upstream.id)
-    );
+      : usable.filter(upstream => fallback(upstream.version));
   }
 
   private isRegionAllowed(
@@ -153,19 +165,6 @@
     );
   }
 
-  private hasColdCapacity(
-    upstream: routing.Upstream,
-    coldUntilMs: number,
-    service: routing.Service,
-  ): boolean {
-    const now = this.options.now();
-    if (now >= coldUntilMs || service.coldPerSecond === 0) {
-      return true;
-    }
-    const sent = this.coldSends.get(upstream.id)?.count(now) ?? 0;
-    return sent < this.options.coldShare(upstream, service);
-  }
-
   private beginAttempt(
     known: Known,
     toPlace: runContext.PlacementRequest,
@@ -174,8 +173,7 @@
     const {upstream} = known;
     const {rollouts} = this.options;
     const startedAtMs = this.options.now();
-    this.recordColdSend(known, startedAtMs);
-    this.options.limits.recordSend(upstream.id);
+    this.options.availability.recordSend(known);
     const ticket = this.options.picker.start(upstream.id, pickRequest);
     const requestClass = {
       service: toPlace.request.service.name,
@@ -215,18 +213,6 @@
       },
     };
   }
-
-  private recordColdSend({upstream, coldUntilMs}: Known, now: number): void {
-    if (now >= coldUntilMs) {
-      this.coldSends.delete(upstream.id);
-      return;
-    }
-    const sends =
-      this.coldSends.get(upstream.id) ??
-      new decisions.SlidingCount(COLD_WINDOW_MS);
-    this.coldSends.set(upstream.id, sends);
-    sends.add(now);
-  }
 }
 
 const selectSubset = (
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -60,6 +60,8 @@
   | 'upstream_rested'
   /** An upstream announced or lifted its limit for all instances together. */
   | 'upstream_limited'
+  /** An upstream asked this instance to send it nothing for a time. */
+  | 'upstream_backoff'
   | 'zones_out'
   | 'rollout_followed'
   | 'rollout_judged'
--- a/packages/telemetry/src/explain-request.ts
+++ b/packages/telemetry/src/explain-request.ts
@@ -47,6 +47,7 @@
   'upstreams_changed',
   'upstream_rested',
   'upstream_limited',
+  'upstream_backoff',
 ]);
 
 const readText = (value: unknown): string | undefined =>
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -27,6 +27,8 @@
   readonly upstreams: number;
   /** Time since the upstreams were confirmed; undefined before the first. */
   readonly upstreamsAgeMs: number | undefined;
+  /** Upstreams that asked this instance to send them nothing for a time. */
+  readonly upstreamsInBackoff: number;
   /** Instances that accept callers, including this one. */
   readonly servingInstances: number;
 }
@@ -88,6 +90,11 @@
       'Seconds since the list of upstreams was confirmed; -1 before any.',
       () => toSeconds(readGauges().upstreamsAgeMs),
     );
+    this.addGauge(
+      'upstreams_in_backoff',
+      'Upstreams that want no requests from this instance for now.',
+      () => readGauges().upstreamsInBackoff,
+    );
     this.addGauge(
       'serving_instances',
       'Instances that take callers, as this one knows them.',
--- a/packages/telemetry/tests/gateway-metrics.test.ts
+++ b/packages/telemetry/tests/gateway-metrics.test.ts
@@ -6,6 +6,7 @@
   configurationAgeMs: 250,
   upstreams: 12,
   upstreamsAgeMs: undefined,
+  upstreamsInBackoff: 2,
   servingInstances: 7,
 };
 
@@ -27,6 +28,7 @@
       'amaranthknot_requests_in_progress 3',
       'amaranthknot_configuration_age_seconds 0.25',
       'amaranthknot_upstreams_age_seconds -1',
+      'amaranthknot_upstreams_in_backoff 2',
       'amaranthknot_serving_instances 7',
     ];
     expected.forEach(line => chai.expect(text).contain(line));
