--- a/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
@@ -1,13 +1,5 @@
 import * as chai from 'chai';
-import * as fakes from '@amaranthknot/fakes';
-import type * as gateway from '@amaranthknot/gateway';
-import * as platform from '@amaranthknot/platform';
-import * as fixture from './gateway-fixture.js';
-import * as placementFixture from './placement-fixture.js';
-import * as virtualFleet from './virtual-fleet.js';
-
-/** Time in which a fleet whose instances start together converges, in ms. */
-const SETTLE_MS = 6_000;
+import * as placementLoad from './placement-load.js';
 
 /**
  * Time after the limit is first announced from which it must be kept, in ms.
@@ -17,10 +9,7 @@
 /** Duration of the load after that, in milliseconds. */
 const LOAD_MS = 12_000;
 
-/**
- * Step of the load, and time that an upstream takes to answer, in milliseconds.
- */
-const STEP_MS = 10;
+/** Time that an upstream takes to answer, in milliseconds. */
 const ANSWER_MS = 50;
 
 /** Time within which all instances must know that a limit is lifted, in ms. */
@@ -38,81 +27,33 @@
 const UPSTREAMS = [LIMITED, 'free-1', 'free-2', 'free-3'];
 
 /** A fleet with one upstream that announces a rate limit. */
-interface LimitedFleet extends virtualFleet.VirtualFleet {
+interface LimitedFleet extends placementLoad.PlacementLoad {
   /** Requests per second that the upstream announces; undefined: no limit. */
   limit: number | undefined;
   /** Arrival times at the limited upstream, in milliseconds. */
   readonly arrivals: number[];
-  /** Number of requests that could not be placed. */
-  readonly unplaced: () => number;
-  /** Sends requests at a rate for `forMs`, each to a random instance. */
-  readonly load: (perSecond: number, forMs: number) => Promise<void>;
 }
 
 const startFleet = async (instances: number): Promise<LimitedFleet> => {
-  const fleet = await virtualFleet.startVirtualFleet({instances, zones: 3});
-  const {clock, store, live} = fleet;
-  const registered = UPSTREAMS.map((name, index) =>
-    store.create(
-      platform.STORE_KINDS.upstreams,
-      name,
-      fixture.createEntry(`192.0.2.${index}:80`),
-    ),
-  );
-  await clock.advance(SETTLE_MS);
-  await Promise.all(registered);
-  const random = fakes.createRandom(instances);
   const arrivals: number[] = [];
-  let sent = 0;
-  let unplaced = 0;
-
-  const answer = async (
-    {get}: virtualFleet.VirtualInstance,
-    placed: gateway.PlacedAttempt,
-  ): Promise<void> => {
-    await clock.sleep(ANSWER_MS);
+  const answer = async ({
+    instance: {get},
+    placed,
+  }: placementLoad.SentRequest): Promise<void> => {
     const {id} = placed.upstream;
+    if (id === LIMITED) {
+      arrivals.push(limited.clock.now());
+    }
+    await limited.clock.sleep(ANSWER_MS);
     get('limits').record(id, id === LIMITED ? limited.limit : undefined);
     placed.settle('answered');
   };
-  const sendOne = (): void => {
-    const running = live();
-    const instance = running[Math.floor(random() * running.length)];
-    if (!instance) {
-      return;
-    }
-    sent++;
-    instance
-      .get('placement')
-      .place(
-        placementFixture.createPlacementRequest(instance, `request-${sent}`),
-      )
-      .caseOf({
-        Left: () => {
-          unplaced++;
-        },
-        Right: placed => {
-          if (placed.upstream.id === LIMITED) {
-            arrivals.push(clock.now());
-          }
-          void answer(instance, placed);
-        },
-      });
-  };
-  const limited: LimitedFleet = {
-    ...fleet,
-    limit: undefined,
-    arrivals,
-    unplaced: () => unplaced,
-    load: async (perSecond, forMs) => {
-      for (let passedMs = 0; passedMs < forMs; passedMs += STEP_MS) {
-        const due = (perSecond * STEP_MS) / 1_000;
-        const count = Math.floor(due) + (random() < due % 1 ? 1 : 0);
-        Array.from({length: count}, sendOne);
-        await clock.advance(STEP_MS);
-      }
-    },
-  };
+  const fleet = await placementLoad.startPlacementLoad({
+    instances,
+    upstreams: UPSTREAMS,
+    answer: sent => void answer(sent),
+  });
+  const limited: LimitedFleet = {...fleet, limit: undefined, arrivals};
   return limited;
 };
 
@@ -152,7 +93,7 @@
       chai
         .expect(findMaxArrivals(fleet.arrivals, fromMs))
         .most(findAllowedArrivals(limit));
-      chai.expect(fleet.unplaced()).equal(0);
+      chai.expect(fleet.refusals).length(0);
     });
   });
 
