Send nothing to an upstream in the backoff that it asked for

What callers saw: requests were refused by an engine that had asked the instance for rest, each refusal cost one of the repeats that all share, and where none was left the caller got a failure, though other engines had room. Cause: nobody read the Retry-After of an upstream. A refusal kept an upstream out for 40 ms, and one that refuses at once has nothing in flight and nothing waiting, so it was the best choice again. Change: the placement rules out an upstream until its backoff is over. Why it works: every send of an instance goes through this placement, and the instance counts from the arrival of the refusal, which is later than the upstream does. A restart of the instance forgets backoffs; the first refusal tells it again. The expectation for a resumed stream is corrected: it resumes at the upstream that broke it off, so that one gets all three runs of the route, not one. 417 tests of the four packages pass.

--- a/packages/amaranthknot/tests/gateway/upstream-backoffs.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-backoffs.test.ts
@@ -263,7 +263,7 @@
       path: fixture.PATHS.stream,
       method: 'POST',
       script: breakStream,
-      sends: 1,
+      sends: 3,
     },
     {
       name: 'a second run by the capable model',
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -1,6 +1,7 @@
 /**
  * Which upstreams may take requests of a service, and why others may not for
- * now: cold start, rate limit.
+ * now: backoff, cold start, rate limit. All kinds of sends ask here, so that
+ * none passes by what an upstream asked for.
  */
 import * as decisions from '@amaranthknot/decisions';
 import type * as routing from '@amaranthknot/routing';
@@ -22,7 +23,7 @@
 }
 
 /** Why an upstream takes no request for now, although it is in service. */
-export type WaitReason = 'cold' | 'limited';
+export type WaitReason = 'backing_off' | 'cold' | 'limited';
 
 /**
  * Window over which requests to a cold upstream are counted, in milliseconds.
@@ -57,12 +58,14 @@
     known: Known,
     service: routing.Service,
   ): WaitReason | undefined {
+    const {backoffs, limits} = this.options;
+    if (backoffs.findRemainingMs(known.upstream) > 0) {
+      return 'backing_off';
+    }
     if (!this.hasColdCapacity(known, service)) {
       return 'cold';
     }
-    return this.options.limits.maySend(known.upstream.id)
-      ? undefined
-      : 'limited';
+    return limits.maySend(known.upstream.id) ? undefined : 'limited';
   }
 
   /** Records a request that is sent to an upstream. */
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -94,6 +94,7 @@
       inService: inService.length,
       excluded: inService.filter(({upstream}) => excluded.has(upstream.id))
         .length,
+      backingOff: countReason('backing_off'),
       cold: countReason('cold'),
       limited: countReason('limited'),
       upstreamsAgeMs: this.findUpstreamsAgeMs(),
