Tell callers when an upstream takes requests again if all asked for a backoff

What callers saw: while all upstreams of a service wanted no requests for seconds, each caller was told to come back after 0.1 or 0.25 s, was refused again, and had used up its retries before any upstream took requests. Cause: the Retry-After of a refusal was a constant; the placement said only that there was no upstream, not until when. Change: a placement that finds none says how long it is until the first upstream takes the request, where that is known for all of them; the refusal tells callers so at once, and spreads their returns over a quarter of the time after it. The explanation of a refusal and the selection by version are modules of their own.

--- a/packages/amaranthknot/tests/gateway/upstream-backoffs.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-backoffs.test.ts
@@ -2,6 +2,7 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
 import * as fixture from './gateway-fixture.js';
+import * as placementFixture from './placement-fixture.js';
 import * as placementLoad from './placement-load.js';
 
 const SHEDDING = 'shedding';
@@ -146,7 +147,7 @@
 });
 
 /** Longer than any of the tests takes, in seconds. */
-const LONG_BACKOFF_S = '600';
+const LONG_BACKOFF_S = 600;
 
 const shed: fakes.UpstreamScript = ({request, socket}) => {
   socket.write(
@@ -154,7 +155,7 @@
       status: 503,
       headers: {
         [platform.HEADER_NAMES.notRun]: '1',
-        'Retry-After': LONG_BACKOFF_S,
+        'Retry-After': String(LONG_BACKOFF_S),
       },
     }),
   );
@@ -294,4 +295,47 @@
       chai.expect(other.requests).length(sends);
     });
   });
+
+  const routes = [
+    fixture.PATHS.read,
+    fixture.PATHS.book,
+    fixture.PATHS.stream,
+    fixture.PATHS.once,
+  ];
+
+  routes.forEach(path => {
+    it(`is refused with the time that is left, if there is no other: ${path}`, async () => {
+      // Guards against callers that come back while no upstream takes them.
+      const answer = await gateway.call({path});
+      const retryAfterS = Number(answer.headers['retry-after']);
+      chai.expect(answer.status).equal(503);
+      chai
+        .expect(retryAfterS)
+        .within(LONG_BACKOFF_S - 60, 1.25 * LONG_BACKOFF_S);
+    });
+  });
+});
+
+describe('a service of which all upstreams asked for a backoff', () => {
+  it('names the time at which the first is over, and serves from then on', async () => {
+    const fleet = await startFleet(1);
+    const [instance] = fleet.live();
+    if (!instance) {
+      throw new Error('expected one live instance, got none');
+    }
+    const place = () =>
+      instance
+        .get('placement')
+        .place(placementFixture.createPlacementRequest(instance, 'request'));
+    const waitMs = () => place().swap().toMaybe().extract()?.waitMs;
+    const upstreams = instance.get('catalog').all();
+    upstreams.forEach(({upstream}, index) => {
+      instance.get('backoffs').record(upstream, BACKOFF_MS + index * 100);
+    });
+    chai.expect(waitMs()).equal(BACKOFF_MS);
+    await fleet.clock.advance(BACKOFF_MS - 10);
+    chai.expect(waitMs()).equal(10);
+    await fleet.clock.advance(10);
+    chai.expect(place().isRight()).equal(true);
+  });
 });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,6 +35,7 @@
 export * from './prefill-priority.js';
 export * from './rendezvous.js';
 export * from './repeat-budget.js';
+export * from './retry-after.js';
 export * from './retry-budget.js';
 export * from './rollout-evidence.js';
 export * from './rollout-evaluation.js';
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -6,7 +6,7 @@
 import * as runContext from './run-context.js';
 import * as rawHeaders from './raw-headers.js';
 import * as readBody from './read-body.js';
-import type * as refusals from './refusal.js';
+import * as refusals from './refusal.js';
 import * as sendAttempt from './send-attempt.js';
 
 /**
@@ -19,8 +19,8 @@
 /** Sends allowed beyond `maxAttempts`, as some are refused without running. */
 const MAX_REFUSED_SENDS = 4;
 
-/** `Retry-After` when no upstream may take the request, in milliseconds. */
-const RETRY_AFTER_MS = 100;
+/** Minimum `Retry-After` when no upstream takes the request, in ms. */
+const MIN_RETRY_AFTER_MS = 100;
 
 /** An upstream's complete answer. */
 export interface WholeAnswer {
@@ -46,6 +46,8 @@
   private possibleRuns = 0;
   private sends = 0;
   private last: WholeAnswer | undefined;
+  /** Time until an upstream takes the request, where that is known. */
+  private waitMs: number | undefined;
 
   constructor(
     private readonly dependencies: runContext.RunDependencies,
@@ -151,7 +153,11 @@
       const isTimeUp = this.context.signal.aborted;
       return {reason: isTimeUp ? 'timeout' : 'failed'};
     }
-    return {reason: 'no_upstream', retryAfterMs: RETRY_AFTER_MS};
+    return refusals.createNoUpstreamRefusal(
+      this.waitMs,
+      MIN_RETRY_AFTER_MS,
+      this.dependencies.random,
+    );
   }
 
   /** Starts an attempt; undefined if none may be sent or placed. */
@@ -168,7 +174,8 @@
       isRepeat: this.sends > 0,
     });
     return placed.caseOf({
-      Left: ({reason, inputs}) => {
+      Left: ({reason, waitMs, inputs}) => {
+        this.waitMs = waitMs;
         this.context.log.step('try_not_placed', {
           reason,
           sends: this.sends,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,6 @@
 
 /** What the gateway needs. */
 export interface GatewayDependencies extends runContext.RunDependencies {
-  readonly random: () => number;
   readonly log: telemetry.DecisionLog;
   readonly activeTable: () => acceptRequest.ActiveTable | undefined;
   /** Resolves when this instance has synced, or after a time limit. */
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -1,4 +1,5 @@
 /** Refusals: answers that the gateway gives in place of an upstream's. */
+import * as decisions from '@amaranthknot/decisions';
 
 /**
  * Why a request is refused.
@@ -52,6 +53,24 @@
   timeout: 504,
 };
 
+/**
+ * The refusal of a request that no upstream takes.
+ *
+ * @param waitMs time until an upstream takes it; undefined if not known.
+ * @param minRetryAfterMs `Retry-After` at least, in milliseconds.
+ */
+export const createNoUpstreamRefusal = (
+  waitMs: number | undefined,
+  minRetryAfterMs: number,
+  random: () => number,
+): Refusal => {
+  const drawnMs = decisions.drawRetryAfterMs(waitMs ?? 0, random);
+  return {
+    reason: 'no_upstream',
+    retryAfterMs: Math.max(minRetryAfterMs, drawnMs),
+  };
+};
+
 const MS_PER_S = 1_000;
 
 /** A refusal as it is sent. */
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -66,6 +66,11 @@
    *   instances share is spent.
    */
   readonly reason: 'no_upstream' | 'no_budget';
+  /**
+   * Time until an upstream takes the request, in milliseconds; undefined if
+   * that is not known.
+   */
+  readonly waitMs: number | undefined;
   /** Inputs of the decision, for the log. */
   readonly inputs: telemetry.Details;
 }
@@ -78,6 +83,8 @@
 /** What runs of requests need. */
 export interface RunDependencies {
   readonly clock: ports.Clock;
+  /** Uniform random numbers in [0, 1). */
+  readonly random: () => number;
   readonly headerConventions: headerNames.HeaderConventions;
   readonly place: PlaceAttempt;
   readonly openCall: upstreamCall.OpenCall;
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -6,7 +6,7 @@
 import type * as routing from '@amaranthknot/routing';
 import type * as eventRelay from './event-relay.js';
 import * as runContext from './run-context.js';
-import type * as refusals from './refusal.js';
+import * as refusals from './refusal.js';
 import * as stallWatchdog from './stall-watchdog.js';
 import * as sendAttempt from './send-attempt.js';
 
@@ -19,8 +19,8 @@
 /** Sends allowed beyond `maxAttempts`, as some are refused without running. */
 const MAX_REFUSED_SENDS = 4;
 
-/** `Retry-After` when no upstream may take the request, in milliseconds. */
-const RETRY_AFTER_MS = 250;
+/** Minimum `Retry-After` when no upstream takes the request, in ms. */
+const MIN_RETRY_AFTER_MS = 250;
 
 /** An answer whose head has arrived, with its attempt. */
 export interface OpenStream extends eventRelay.RelayedStream {
@@ -37,6 +37,8 @@
   private readonly excluded = new Set<string>();
   private runCount = 0;
   private sends = 0;
+  /** Time until an upstream takes the request, where that is known. */
+  private waitMs: number | undefined;
   /**
    * The next attempt, placed before the one in progress is aborted, which goes
    * on if the next can't be placed.
@@ -129,7 +131,8 @@
     return this.dependencies
       .place({request, model, excluded, isRepeat})
       .caseOf({
-        Left: ({reason, inputs}) => {
+        Left: ({reason, waitMs, inputs}) => {
+          this.waitMs = waitMs;
           log.step('try_not_placed', {
             reason,
             sends: this.sends,
@@ -174,7 +177,11 @@
       const isTimeUp = this.context.signal.aborted;
       return {reason: isTimeUp ? 'timeout' : 'failed'};
     }
-    return {reason: 'no_upstream', retryAfterMs: RETRY_AFTER_MS};
+    return refusals.createNoUpstreamRefusal(
+      this.waitMs,
+      MIN_RETRY_AFTER_MS,
+      this.dependencies.random,
+    );
   }
 
   private async runAttempt(
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -68,6 +68,22 @@
     return limits.maySend(known.upstream.id) ? undefined : 'limited';
   }
 
+  /**
+   * Time until an upstream takes a request, in ms; 0 if it takes one now,
+   * undefined if that is not known.
+   */
+  findWaitMs(known: Known, service: routing.Service): number | undefined {
+    switch (this.findWaitReason(known, service)) {
+      case undefined:
+        return 0;
+      case 'backing_off':
+        return this.options.backoffs.findRemainingMs(known.upstream);
+      case 'cold':
+      case 'limited':
+        return undefined;
+    }
+  }
+
   /** Records a request that is sent to an upstream. */
   recordSend(known: Known): void {
     this.recordColdSend(known);
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -7,11 +7,13 @@
 import * as purify from 'purify-ts';
 import type * as telemetry from '@amaranthknot/telemetry';
 import * as callerRequest from './caller-request.js';
+import * as placementRefusal from './placement-refusal.js';
 import type * as runContext from './run-context.js';
 import type * as followedRollout from './followed-rollout.js';
 import type * as rolloutTracker from './rollout-tracker.js';
 import type * as upstreamAvailability from './upstream-availability.js';
 import type * as upstreamCatalog from './upstream-catalog.js';
+import * as versionSelection from './version-selection.js';
 
 /** What placement needs. */
 export interface UpstreamPlacementOptions {
@@ -41,12 +43,19 @@
   ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
     const {picker} = this.options;
     const pickRequest = createPickRequest(toPlace);
-    const inService = this.findInService(toPlace);
-    const candidates = this.findCandidates(inService, toPlace);
+    const version = this.chooseVersion(toPlace.request);
+    const inService = this.findInService(toPlace, version);
+    const candidates = this.findCandidates(inService, toPlace, version);
+    const refuse = (reason: runContext.PlacementRefusal['reason']) =>
+      purify.Left(
+        placementRefusal.createPlacementRefusal(reason, toPlace, {
+          availability: this.options.availability,
+          inService,
+          upstreamsAgeMs: this.findUpstreamsAgeMs(),
+        }),
+      );
     const picked = picker.pick(candidates, pickRequest);
     const known = picked && this.options.catalog.find(picked.id);
-    const refuse = (reason: runContext.PlacementRefusal['reason']) =>
-      purify.Left({reason, inputs: this.describeRefusal(inService, toPlace)});
     if (!known) {
       return refuse('no_upstream');
     }
@@ -79,28 +88,6 @@
     };
   }
 
-  /** How many upstreams there are, and why how many of them are ruled out. */
-  private describeRefusal(
-    inService: readonly Known[],
-    {request, excluded}: runContext.PlacementRequest,
-  ): telemetry.Details {
-    const {availability} = this.options;
-    const reasons = inService.map(known =>
-      availability.findWaitReason(known, request.service),
-    );
-    const countReason = (reason: upstreamAvailability.WaitReason): number =>
-      reasons.filter(found => found === reason).length;
-    return {
-      inService: inService.length,
-      excluded: inService.filter(({upstream}) => excluded.has(upstream.id))
-        .length,
-      backingOff: countReason('backing_off'),
-      cold: countReason('cold'),
-      limited: countReason('limited'),
-      upstreamsAgeMs: this.findUpstreamsAgeMs(),
-    };
-  }
-
   private findUpstreamsAgeMs(): number {
     return Math.round(this.options.upstreamsAgeMs() ?? -1);
   }
@@ -115,43 +102,44 @@
     return true;
   }
 
-  /** Upstreams in service in the regions that the request allows. */
-  private findInService({
-    request,
-  }: runContext.PlacementRequest): readonly Known[] {
+  private chooseVersion({
+    caller,
+    service,
+  }: runContext.AcceptedRequest): followedRollout.VersionChoice {
+    return this.options.rollouts.chooseVersion(
+      service.name,
+      caller.session ?? caller.id,
+    );
+  }
+
+  /** Upstreams in service, in regions and of versions that are allowed. */
+  private findInService(
+    {request}: runContext.PlacementRequest,
+    version: followedRollout.VersionChoice,
+  ): readonly Known[] {
     return this.options.availability
       .findInService(request.service.name)
-      .filter(({upstream}) => this.isRegionAllowed(upstream, request));
+      .filter(
+        ({upstream}) =>
+          this.isRegionAllowed(upstream, request) &&
+          versionSelection.isVersionAllowed(upstream, version),
+      );
   }
 
   private findCandidates(
     inService: readonly Known[],
     {request, excluded}: runContext.PlacementRequest,
+    version: followedRollout.VersionChoice,
   ): readonly routing.Upstream[] {
-    const {availability, rollouts} = this.options;
-    const {caller, service} = request;
+    const {availability} = this.options;
     const usable = inService
       .filter(
         known =>
           !excluded.has(known.upstream.id) &&
-          availability.findWaitReason(known, service) === undefined,
+          availability.findWaitReason(known, request.service) === undefined,
       )
       .map(({upstream}) => upstream);
-    const version = rollouts.chooseVersion(
-      service.name,
-      caller.session ?? caller.id,
-    );
-    if (version.kind === 'any') {
-      return usable;
-    }
-    const {accepts, fallback, subset} = version;
-    const accepted = usable.filter(upstream => accepts(upstream.version));
-    if (accepted.length > 0 && subset) {
-      return selectSubset(accepted, subset);
-    }
-    return accepted.length > 0 || !fallback
-      ? accepted
-      : usable.filter(upstream => fallback(upstream.version));
+    return versionSelection.selectByVersion(usable, version);
   }
 
   private isRegionAllowed(
@@ -216,16 +204,6 @@
   }
 }
 
-const selectSubset = (
-  upstreams: readonly routing.Upstream[],
-  {key, fraction}: followedRollout.UpstreamSubset,
-): readonly routing.Upstream[] => {
-  const ids = upstreams.map(({id}) => id);
-  const count = Math.max(1, Math.ceil(fraction * ids.length));
-  const first = decisions.rankByRendezvous(key, ids, count);
-  return upstreams.filter(({id}) => first.includes(id));
-};
-
 /** Weight of a model's tokens: its price over that of the dearest model. */
 const promptWeightOf = (
   model: string | undefined,
