Send nothing to an upstream after it said in an answer that it is leaving

What callers saw: requests sent to engines that were about to exit while their entry still said ready, or the store was out of reach; a run that is cut by the exit has to be repeated elsewhere, and a booking can't be. Cause: the header by which an upstream says so in each answer is newer than the code, and nobody read it. The same class as the backoff that was not read: an instance sends on against what an upstream has told it. Change: each answer's notices include it; the first of each start is logged (upstream_leaving) and from then on the upstream is out of service for all kinds of sends. A restart of the instance forgets it; the store's entry or the next answer says it again.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -59,6 +59,7 @@
   readonly repeatBudget: decisions.RepeatBudget;
   readonly limits: decisions.RateLimits;
   readonly backoffs: decisions.UpstreamBackoffs;
+  readonly leavingNotices: decisions.LeavingNotices;
   readonly availability: gateway.UpstreamAvailability;
   readonly rollouts: gateway.RolloutTracker;
   readonly pool: gateway.ConnectionPool;
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -17,6 +17,7 @@
   | 'repeatBudget'
   | 'limits'
   | 'backoffs'
+  | 'leavingNotices'
   | 'availability'
   | 'rollouts'
   | 'pool'
@@ -36,7 +37,7 @@
  */
 const HOLD_AT_START_MS = 400;
 
-/** Drops connections, stats and limits of upstreams that are gone, and what has ended. */
+/** Drops what is kept of upstreams that are gone, and notices that are over. */
 const dropGoneUpstreams = (
   get: gatewayComponents.GatewayResolver,
   changes: readonly gateway.CatalogChange[],
@@ -50,6 +51,7 @@
   get('picker').retain(ids);
   get('limits').retain(ids);
   get('backoffs').removeEnded();
+  get('leavingNotices').retain(ids);
 };
 
 const formatIncarnation = (get: gatewayComponents.GatewayResolver): string => {
@@ -93,6 +95,7 @@
     catalog: get('catalog'),
     limits: get('limits'),
     backoffs: get('backoffs'),
+    leaving: get('leavingNotices'),
     now: () => clock.now(),
     isZoneOut: zone => get('state').isZoneOut(zone),
     coldShare: (upstream, service) =>
@@ -126,12 +129,15 @@
 const recordNotices = (
   get: gatewayComponents.GatewayResolver,
   upstream: routing.Upstream,
-  {rateLimit, backoffMs}: gateway.UpstreamNotices,
+  {rateLimit, backoffMs, isLeaving}: gateway.UpstreamNotices,
 ): void => {
   get('limits').record(upstream.id, rateLimit);
   if (backoffMs !== undefined) {
     get('backoffs').record(upstream, backoffMs);
   }
+  if (isLeaving) {
+    get('leavingNotices').record(upstream);
+  }
 };
 
 const createGateway = (
@@ -236,6 +242,13 @@
         });
       },
     }),
+  leavingNotices: get =>
+    new decisions.LeavingNotices({
+      now: () => options.clock.now(),
+      onFirst: upstream => {
+        get('log').info('upstream_leaving', {upstream});
+      },
+    }),
   availability: createAvailability,
   rollouts: createRollouts,
   pool: () => new gateway.ConnectionPool(),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,6 +23,7 @@
 export * from './hash-ring.js';
 export * from './hot-keys.js';
 export * from './latency-estimates.js';
+export * from './leaving-notices.js';
 export * from './logistic-regression.js';
 export * from './model-choice.js';
 export * from './moving-estimate.js';
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -12,6 +12,7 @@
   readonly catalog: upstreamCatalog.UpstreamCatalog;
   readonly limits: decisions.RateLimits;
   readonly backoffs: decisions.UpstreamBackoffs;
+  readonly leaving: decisions.LeavingNotices;
   readonly now: () => number;
   /** Whether operators have taken a zone out of use. */
   readonly isZoneOut: (zone: string) => boolean;
@@ -40,15 +41,19 @@
 
   constructor(private readonly options: UpstreamAvailabilityOptions) {}
 
-  /** Upstreams of a service, without leaving ones and those in zones out. */
+  /**
+   * Upstreams of a service, without those in zones out and those that are
+   * leaving by their entry or by an answer.
+   */
   findInService(service: string): readonly Known[] {
-    const {catalog, isZoneOut} = this.options;
+    const {catalog, leaving, isZoneOut} = this.options;
     return catalog
       .all()
       .filter(
         ({upstream}) =>
           upstream.service === service &&
           upstream.state === 'ready' &&
+          !leaving.has(upstream) &&
           !isZoneOut(upstream.zone),
       );
   }
--- a/packages/gateway/src/upstream-notices.ts
+++ b/packages/gateway/src/upstream-notices.ts
@@ -12,6 +12,8 @@
   readonly rateLimit: number | undefined;
   /** Time for which it wants no requests from this instance, in ms. */
   readonly backoffMs: number | undefined;
+  /** Whether it is about to exit. */
+  readonly isLeaving: boolean;
 }
 
 /** Records the notices in an answer of an upstream. */
@@ -23,6 +25,9 @@
 /** Statuses of refusals that may say when to come back. */
 const BACKOFF_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
+/** Value of the header by which an upstream says that it is leaving. */
+const LEAVING = '1';
+
 const RETRY_AFTER = 'retry-after';
 
 const MS_PER_S = 1_000;
@@ -45,6 +50,7 @@
   names: headerNames.HeaderNames,
 ): ParseNotices => {
   const rateLimitName = names.rateLimit.toLowerCase();
+  const leavingName = names.leaving.toLowerCase();
   return (status, headers) => {
     const findAmount = (lowerName: string): number | undefined =>
       parseAmount(rawHeaders.findHeader(headers, lowerName));
@@ -54,6 +60,7 @@
     return {
       rateLimit: findAmount(rateLimitName),
       backoffMs: backoffS === undefined ? undefined : backoffS * MS_PER_S,
+      isLeaving: rawHeaders.findHeader(headers, leavingName) === LEAVING,
     };
   };
 };
--- a/packages/gateway/tests/upstream-notices.test.ts
+++ b/packages/gateway/tests/upstream-notices.test.ts
@@ -46,6 +46,17 @@
       headers: [NAMES.rateLimit, '1.5'],
       expected: {rateLimit: 1.5},
     },
+    {
+      name: 'that the upstream is leaving, in an answer of any status',
+      status: 200,
+      headers: [NAMES.leaving, '1'],
+      expected: {isLeaving: true},
+    },
+    {
+      name: 'that the upstream is not leaving',
+      headers: [NAMES.leaving, '0'],
+      expected: {},
+    },
     {name: 'an empty limit', headers: [NAMES.rateLimit, ''], expected: {}},
     {name: 'a negative limit', headers: [NAMES.rateLimit, '-1'], expected: {}},
   ];
@@ -55,6 +66,7 @@
       chai.expect(parse(status, headers)).eql({
         rateLimit: undefined,
         backoffMs: undefined,
+        isLeaving: false,
         ...expected,
       });
     });
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -62,6 +62,8 @@
   | 'upstream_limited'
   /** An upstream asked this instance to send it nothing for a time. */
   | 'upstream_backoff'
+  /** An upstream said in an answer that it is leaving. */
+  | 'upstream_leaving'
   | 'zones_out'
   | 'rollout_followed'
   | 'rollout_judged'
--- a/packages/telemetry/src/explain-request.ts
+++ b/packages/telemetry/src/explain-request.ts
@@ -48,6 +48,7 @@
   'upstream_rested',
   'upstream_limited',
   'upstream_backoff',
+  'upstream_leaving',
 ]);
 
 const readText = (value: unknown): string | undefined =>
