Tell callers when a limited or cold upstream takes requests again

What callers saw: while all upstreams of a service were at the limits that they had named, or cold, a refusal said to come back after 0.1 or 0.25 s, whatever the time until a request may be sent. Cause: as with backoffs, the refusal took a constant, though the instance knows when its share is free. Change: limits and cold starts give the time until the next send; a refusal takes the longest of what holds an upstream, and the shortest of all upstreams. Where another instance has the whole share, the time is not known, and stays short.

--- a/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai';
+import * as placementFixture from './placement-fixture.js';
 import * as placementLoad from './placement-load.js';
 
 /**
@@ -120,3 +121,29 @@
     chai.expect(fleet.arrivals.length - before).above(0.5 * 4 * (100 / 4));
   });
 });
+
+describe('a service whose upstreams have all reached their limits', () => {
+  it('names the time at which the first takes a request again', async () => {
+    // Guards against callers that come back too early and are refused again.
+    const fleet = await startFleet(1);
+    const [instance] = fleet.live();
+    if (!instance) {
+      throw new Error('expected one live instance, got none');
+    }
+    const place = () =>
+      instance
+        .get('placement')
+        .place(placementFixture.createPlacementRequest(instance, 'request'));
+    UPSTREAMS.forEach(id => {
+      instance.get('limits').record(id, 1);
+    });
+    const sends = Array.from({length: WINDOW_S * UPSTREAMS.length}, place);
+    chai.expect(sends.every(placed => placed.isRight())).equal(true);
+    const refused = place().swap().toMaybe().extract();
+    chai.expect(refused?.waitMs).equal(WINDOW_S * 1_000);
+    await fleet.clock.advance(WINDOW_S * 1_000 - 1);
+    chai.expect(place().isLeft()).equal(true);
+    await fleet.clock.advance(1);
+    chai.expect(place().isRight()).equal(true);
+  });
+});
--- a/packages/decisions/src/rate-limits.ts
+++ b/packages/decisions/src/rate-limits.ts
@@ -149,18 +149,29 @@
 
   /** Whether this instance may send another request to an upstream now. */
   maySend(id: string): boolean {
+    return this.findWaitMs(id) === 0;
+  }
+
+  /**
+   * Time until this instance may send another request to an upstream, in ms;
+   * undefined if other instances have all of its limit.
+   */
+  findWaitMs(id: string): number | undefined {
     const perSecond = this.find(id);
     if (perSecond === undefined) {
-      return true;
+      return 0;
     }
     const now = this.options.now();
     const {requests} = this.findShare(id, perSecond, now);
+    if (requests < 1) {
+      return undefined;
+    }
     const intervalMs = findSendIntervalMs(perSecond);
-    const sent =
-      intervalMs > WINDOW_MS
-        ? Number(now - (this.lastSendMs.get(id) ?? -Infinity) < intervalMs)
-        : (this.sends.get(id)?.count(now) ?? 0);
-    return sent < requests;
+    if (intervalMs <= WINDOW_MS) {
+      return this.sends.get(id)?.findWaitMs(now, requests) ?? 0;
+    }
+    const lastMs = this.lastSendMs.get(id) ?? -Infinity;
+    return Math.max(0, lastMs + intervalMs - now);
   }
 
   /** Current limit of an upstream in requests a second, if it has one. */
--- a/packages/decisions/src/sliding-count.ts
+++ b/packages/decisions/src/sliding-count.ts
@@ -28,6 +28,21 @@
     }
     return this.times.length - this.first;
   }
+
+  /**
+   * Returns the time until the window holds fewer than `limit` events, if none
+   * is added, in milliseconds; undefined if `limit` is below 1.
+   */
+  findWaitMs(nowMs: number, limit: number): number | undefined {
+    if (limit < 1) {
+      return undefined;
+    }
+    const excess = this.count(nowMs) - Math.floor(limit);
+    const lastToLeave = this.times[this.first + excess];
+    return excess < 0 || lastToLeave === undefined
+      ? 0
+      : lastToLeave + this.windowMs - nowMs;
+  }
 }
 
 interface Amount {
--- a/packages/decisions/tests/rate-limits.test.ts
+++ b/packages/decisions/tests/rate-limits.test.ts
@@ -71,6 +71,55 @@
     chai.expect(countFree(setup, 'u')).equal(1);
   });
 
+  const waits: readonly {
+    readonly name: string;
+    readonly perSecond: number | undefined;
+    readonly instances: readonly string[];
+    readonly expected: number | undefined;
+  }[] = [
+    {name: 'none', perSecond: undefined, instances: ['a'], expected: 0},
+    {
+      name: 'the first send to leave the window',
+      perSecond: 1,
+      instances: ['a'],
+      expected: 3_900,
+    },
+    {
+      name: 'the interval of a low rate',
+      perSecond: 0.2,
+      instances: ['a'],
+      expected: 4_900,
+    },
+    {
+      name: 'an unknown time, as another instance has the share',
+      perSecond: 0.2,
+      instances: ['a', 'b', 'c', 'd'],
+      expected: undefined,
+    },
+  ];
+
+  waits.forEach(({name, perSecond, instances, expected}) => {
+    it(`waits for ${name} when its share is used up`, () => {
+      const setup = setUp(instances);
+      setup.limits.record('u', perSecond);
+      countFree(setup, 'u');
+      setup.wait(100);
+      chai.expect(setup.limits.findWaitMs('u')).equal(expected);
+    });
+  });
+
+  it('may send exactly when the wait is over', () => {
+    const setup = setUp();
+    setup.limits.record('u', 1.5);
+    countFree(setup, 'u');
+    setup.wait(100);
+    const waitMs = setup.limits.findWaitMs('u') ?? 0;
+    setup.wait(waitMs - 1);
+    chai.expect(setup.limits.maySend('u')).equal(false);
+    setup.wait(1);
+    chai.expect(setup.limits.maySend('u')).equal(true);
+  });
+
   it('counts requests sent before the limit was announced', () => {
     const setup = setUp();
     Array.from({length: 3}, () => {
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -67,26 +67,23 @@
     if (backoffs.findRemainingMs(known.upstream) > 0) {
       return 'backing_off';
     }
-    if (!this.hasColdCapacity(known, service)) {
+    if (this.findColdWaitMs(known, service) !== 0) {
       return 'cold';
     }
     return limits.maySend(known.upstream.id) ? undefined : 'limited';
   }
 
   /**
-   * Time until an upstream takes a request, in ms; 0 if it takes one now,
-   * undefined if that is not known.
+   * Time until an upstream takes a request of this instance, in ms; 0 if it
+   * takes one now, undefined if other instances have all of what it takes.
    */
   findWaitMs(known: Known, service: routing.Service): number | undefined {
-    switch (this.findWaitReason(known, service)) {
-      case undefined:
-        return 0;
-      case 'backing_off':
-        return this.options.backoffs.findRemainingMs(known.upstream);
-      case 'cold':
-      case 'limited':
-        return undefined;
-    }
+    const {backoffs, limits} = this.options;
+    const coldMs = this.findColdWaitMs(known, service);
+    const limitedMs = limits.findWaitMs(known.upstream.id);
+    return coldMs === undefined || limitedMs === undefined
+      ? undefined
+      : Math.max(backoffs.findRemainingMs(known.upstream), coldMs, limitedMs);
   }
 
   /** Records a request that is sent to an upstream. */
@@ -110,16 +107,21 @@
     };
   }
 
-  private hasColdCapacity(
+  /** Undefined if other instances have all of its cold capacity. */
+  private findColdWaitMs(
     {upstream, coldUntilMs}: Known,
     service: routing.Service,
-  ): boolean {
+  ): number | undefined {
     const now = this.options.now();
     if (now >= coldUntilMs || service.coldPerSecond === 0) {
-      return true;
+      return 0;
+    }
+    const share = this.options.coldShare(upstream, service);
+    if (share < 1) {
+      return undefined;
     }
-    const sent = this.coldSends.get(upstream.id)?.count(now) ?? 0;
-    return sent < this.options.coldShare(upstream, service);
+    const waitMs = this.coldSends.get(upstream.id)?.findWaitMs(now, share) ?? 0;
+    return Math.min(waitMs, coldUntilMs - now);
   }
 
   private recordColdSend({upstream, coldUntilMs}: Known): void {
