Keep the rate limit of an upstream whose entry lapses

What callers saw: after an outage of the store in which entries lapsed, an upstream in need got more than the limit that it had named, fell behind, and was slow for all of its callers. Cause: limits were dropped with the entry, and an upstream that registered again counted as one without a limit until its next answer. Change: an upstream without an entry keeps its limit, and what was sent to it, until the limit expires.

--- a/packages/amaranthknot/tests/gateway/placement-load.ts
+++ b/packages/amaranthknot/tests/gateway/placement-load.ts
@@ -37,6 +37,26 @@
   readonly load: (perSecond: number, forMs: number) => Promise<void>;
 }
 
+/** Time for which an entry is gone that lapses and returns, in ms. */
+const LAPSE_MS = 600;
+
+/** Removes the entry of an upstream, and registers it again as it was. */
+export const lapseAndReturn = async (
+  {store, clock}: virtualFleet.VirtualFleet,
+  id: string,
+): Promise<void> => {
+  const kind = platform.STORE_KINDS.upstreams;
+  const lapse = async (): Promise<void> => {
+    const entry = (await store.get(kind, id)).unsafeCoerce();
+    await store.delete(kind, id, entry.version);
+    await clock.sleep(LAPSE_MS);
+    await store.create(kind, id, entry.value);
+  };
+  const returned = lapse();
+  await clock.advance(2 * LAPSE_MS);
+  await returned;
+};
+
 /** Starts a fleet and registers the upstreams. */
 export const startPlacementLoad = async (
   options: PlacementLoadOptions,
--- a/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
@@ -98,6 +98,19 @@
     });
   });
 
+  it('gets no more when its entry lapses and returns', async () => {
+    // Guards against a limit that is forgotten with a lapsed entry.
+    const fleet = await startFleet(6);
+    fleet.limit = 1.1;
+    await fleet.load(100, STABILITY_MS);
+    const fromMs = fleet.clock.now();
+    await placementLoad.lapseAndReturn(fleet, LIMITED);
+    await fleet.load(1_000, 1_000);
+    chai
+      .expect(findMaxArrivals(fleet.arrivals, fromMs))
+      .most(findAllowedArrivals(1.1));
+  });
+
   it('is used up to its limit', async () => {
     const fleet = await startFleet(6);
     fleet.limit = 15;
--- a/packages/decisions/src/rate-limits.ts
+++ b/packages/decisions/src/rate-limits.ts
@@ -181,7 +181,11 @@
     return isKnown ? known.perSecond : undefined;
   }
 
-  /** Drops the state of upstreams that are not in `ids`. */
+  /**
+   * Drops the state of upstreams that are not in `ids` and have no limit. One
+   * with a limit is kept until that expires, because its entry may lapse and
+   * return, and the limit holds meanwhile.
+   */
   retain(ids: ReadonlySet<string>): void {
     for (const byId of [
       this.knownLimits,
@@ -190,7 +194,7 @@
       this.shares,
     ]) {
       for (const id of byId.keys()) {
-        if (!ids.has(id)) {
+        if (!ids.has(id) && this.find(id) === undefined) {
           byId.delete(id);
         }
       }
