Keep the backoff that upstreams ask an entry instance for

What callers saw: on the product's own interface an engine or service that refused with 429 or 503 and said when to come back got the next request at once, and callers were told a second, whatever the upstream had said. Change: both clients read it, the directory rules an upstream out until its time is over, the time line shows it (upstream_backoff), and a caller who finds all upstreams of a target backing off is told when the first is done. One parser of Retry-After serves gateway and entry instances. Why it works: chats, their stages and resumed runs, and calls of services, keyed ones too, are placed by the directory alone.

--- a/packages/amaranthknot/src/instance-wiring.ts
+++ b/packages/amaranthknot/src/instance-wiring.ts
@@ -153,6 +153,12 @@
         tried,
       }),
     placeService: target => get('directory').place({target}),
+    findRetryAfterMs: target => {
+      const waitMs = get('directory').findWaitMs(target);
+      return waitMs === undefined
+        ? undefined
+        : decisions.drawRetryAfterMs(waitMs, get('options').random ?? random);
+    },
     openEngine: upstreams.createEngineClient(),
     callService: upstreams.createServiceClient(),
     recordAttempt: model => get('retryBudget').recordAttempt(model),
--- a/packages/amaranthknot/src/upstream-wiring.ts
+++ b/packages/amaranthknot/src/upstream-wiring.ts
@@ -1,4 +1,5 @@
 /** Wires the upstream directory and the limiter of upstreams in cold start. */
+import * as decisions from '@amaranthknot/decisions';
 import * as entry from '@amaranthknot/entry';
 import * as protocol from '@amaranthknot/protocol';
 import type * as instanceComponents from './instance-components.js';
@@ -20,6 +21,13 @@
   new entry.UpstreamDirectory({
     placement: get('placement'),
     clock: get('options').clock,
+    backoffs: new decisions.UpstreamBackoffs({
+      now: () => get('options').clock.now(),
+      onBegin: (upstream, forMs) => {
+        const detail = `${Math.round(forMs)} ms`;
+        get('events').record('upstream_backoff', {upstream, detail});
+      },
+    }),
     excludedZones: () => instanceState.listExcludedZones(get),
     sampleClosedZones: () => get('zoneRamp').listClosed(Math.random()),
     mayStart: id => get('warmUpLimiter').mayStart(id),
--- a/packages/bench/src/benches/state.ts
+++ b/packages/bench/src/benches/state.ts
@@ -62,6 +62,10 @@
       random: () => 0.5,
     }),
     clock,
+    backoffs: new decisions.UpstreamBackoffs({
+      now: () => 0,
+      onBegin: () => undefined,
+    }),
     sampleClosedZones: () => new Set(),
     excludedZones: () => new Set(),
   });
--- a/packages/entry/src/chat-routes.ts
+++ b/packages/entry/src/chat-routes.ts
@@ -160,6 +160,8 @@
       {
         open: dependencies.openEngine,
         place: tried => dependencies.placeStage(run, tried),
+        findRetryAfterMs: () =>
+          dependencies.findRetryAfterMs(`${run.model}@${run.version}`),
         mayRetry: () => dependencies.mayRetry(run.model),
         notify: event => this.observer.notifyAttempt(run, event),
       },
--- a/packages/entry/src/chat-runner.ts
+++ b/packages/entry/src/chat-runner.ts
@@ -103,6 +103,9 @@
   readonly notify: (event: StageEvent) => void;
 }
 
+/** Minimum `Retry-After` after a failure of upstreams, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1_000;
+
 /** Failures that mean that no upstream could take the request. */
 const CAPACITY_FAILURES: readonly upstreams.EngineFailureCode[] = [
   'unreachable',
@@ -111,10 +114,11 @@
 ];
 
 const toApiError = (failure: upstreams.EngineFailure): apiError.ApiError => {
-  const {ran, message} = failure;
+  const {ran, message, backoffMs = 0} = failure;
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, backoffMs);
   return CAPACITY_FAILURES.includes(failure.code)
-    ? {code: 'no_upstream', ran, message, retryAfterMs: 1000}
-    : {code: 'upstream_failed', ran, message, retryAfterMs: 1000};
+    ? {code: 'no_upstream', ran, message, retryAfterMs}
+    : {code: 'upstream_failed', ran, message, retryAfterMs};
 };
 
 const mergeExecutionStatus = (
@@ -135,7 +139,7 @@
     code: 'no_upstream',
     ran: 'not_run',
     message: 'no version of this model may take the request',
-    retryAfterMs: 1000,
+    retryAfterMs: MIN_RETRY_AFTER_MS,
   };
 
   constructor(
--- a/packages/entry/src/entry-dependencies.ts
+++ b/packages/entry/src/entry-dependencies.ts
@@ -92,6 +92,11 @@
   ) => Promise<string>;
   readonly placeStage: StagePlacer;
   readonly placeService: ServicePlacer;
+  /**
+   * When callers should return for a target, in ms from now, if all its live
+   * upstreams asked for a backoff; undefined otherwise.
+   */
+  readonly findRetryAfterMs: (target: string) => number | undefined;
   readonly openEngine: upstreams.OpenEngineStream;
   readonly callService: upstreams.ServiceClient;
   /** Records a first attempt, which adds to the retry budget. */
--- a/packages/entry/src/service-routes.ts
+++ b/packages/entry/src/service-routes.ts
@@ -272,11 +272,13 @@
     const {dependencies} = this;
     const placement = dependencies.placeService(call.service.name);
     if (!placement) {
+      const retryAfterMs =
+        dependencies.findRetryAfterMs(call.service.name) ?? 0;
       return purify.Left({
         code: 'no_upstream',
         ran: 'not_run',
         message: `no upstream of ${call.service.name} may take the call`,
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: Math.max(RETRY_AFTER_MS, retryAfterMs),
       });
     }
     const {requestId} = call.context;
@@ -304,7 +306,10 @@
       },
       signal,
     );
-    placement.settle(answer.isRight() ? 'finished' : 'failed');
+    placement.settle(
+      answer.isRight() ? 'finished' : 'failed',
+      answer.swap().toMaybe().extract()?.backoffMs,
+    );
     answer.ifLeft(failure =>
       dependencies.events.record('upstream_failed', {
         request: requestId,
--- a/packages/entry/src/upstream-directory.ts
+++ b/packages/entry/src/upstream-directory.ts
@@ -30,6 +30,7 @@
   readonly sampleClosedZones: () => ReadonlySet<string>;
   /** Zones that operators have taken out; no request may use them. */
   readonly excludedZones: () => ReadonlySet<string>;
+  readonly backoffs: decisions.UpstreamBackoffs;
   /** Whether one more request may start on an upstream that may be cold. */
   readonly mayStart?: (upstreamId: string) => boolean;
 }
@@ -44,6 +45,12 @@
   readonly tried?: readonly string[];
 }
 
+/** The platform's list does not say when an upstream started. */
+const startOf = (id: string): decisions.UpstreamStart => ({
+  id,
+  startedAtMs: 0,
+});
+
 const ANSWER_BY_OUTCOME: Record<
   upstreams.AttemptOutcome,
   decisions.UpstreamOutcome
@@ -72,6 +79,7 @@
       return;
     }
     this.listed = new Map(found.map(instance => [instance.id, instance]));
+    this.options.backoffs.removeEnded();
     this.refreshCandidates();
   }
 
@@ -103,7 +111,8 @@
 
   /** Chooses an upstream and records the start of an attempt. */
   place(request: UpstreamRequest): upstreams.Placement | undefined {
-    const {placement, clock, excludedZones, sampleClosedZones} = this.options;
+    const {placement, clock, backoffs, excludedZones, sampleClosedZones} =
+      this.options;
     const started = clock.now();
     // If only zones that are being ramped up can take the request, use them:
     // the ramp protects caches and must not cause a refusal.
@@ -120,14 +129,29 @@
       upstream: id,
       address: this.listed.get(id)?.address ?? '',
       recordFirstToken: () => (firstByteMs ??= clock.now() - started),
-      settle: end => {
+      settle: (end, backoffMs) => {
         const now = clock.now();
+        if (backoffMs !== undefined) {
+          backoffs.record(startOf(id), backoffMs);
+        }
         const latencyMs = firstByteMs ?? now - started;
         placement.finish(id, ANSWER_BY_OUTCOME[end], latencyMs, now);
       },
     };
   }
 
+  /**
+   * Time until the first upstream of a target takes requests again, in ms, if
+   * all that are live asked for a backoff; undefined otherwise.
+   */
+  findWaitMs(target: string): number | undefined {
+    const waits = [...this.listed.values()]
+      .filter(({state, serves}) => state === 'live' && serves.includes(target))
+      .map(({id}) => this.options.backoffs.findRemainingMs(startOf(id)));
+    const firstMs = Math.min(...waits);
+    return waits.length > 0 && firstMs > 0 ? firstMs : undefined;
+  }
+
   private choose(
     request: UpstreamRequest,
     closedZones: ReadonlySet<string>,
@@ -148,7 +172,12 @@
 
   private accepts(id: string): boolean {
     const state = this.listed.get(id)?.state;
-    return state === 'live' && (this.options.mayStart?.(id) ?? true);
+    const {backoffs, mayStart} = this.options;
+    return (
+      state === 'live' &&
+      backoffs.findRemainingMs(startOf(id)) === 0 &&
+      (mayStart?.(id) ?? true)
+    );
   }
 
   private refreshCandidates(): void {
--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -72,6 +72,10 @@
   coldRefusals = 0;
   /** Maximum of requests in flight less capacity; above 0 is an overload. */
   maxOverload = Number.NEGATIVE_INFINITY;
+  /** `Retry-After` of refusals, in seconds; undefined for none. */
+  retryAfterS: number | undefined;
+  /** Requests that arrived, refused ones included. */
+  arrivals = 0;
   /** Number of requests that the fault still applies to. */
   remainingFaults = Number.POSITIVE_INFINITY;
 
@@ -138,6 +142,12 @@
       : this.options.clock.now() - this.coldSince;
   }
 
+  private addRetryAfter(answer: hapi.ResponseObject): hapi.ResponseObject {
+    return this.retryAfterS === undefined
+      ? answer
+      : answer.header('retry-after', String(this.retryAfterS));
+  }
+
   private consumeFault(): EngineFault {
     if (this.fault === 'none' || this.remainingFaults <= 0) {
       return 'none';
@@ -150,12 +160,14 @@
     request: hapi.Request,
     h: hapi.ResponseToolkit,
   ): hapi.ResponseObject | Promise<hapi.ResponseObject> {
+    this.arrivals++;
     const body = request.payload as EngineRequest;
     const overload = this.inFlight + 1 - this.capacity;
     this.maxOverload = Math.max(this.maxOverload, overload);
     const fault = this.consumeFault();
     if (fault === 'refuse' || this.inFlight >= this.slots) {
-      return h.response({error: {code: 'overloaded', ran: false}}).code(429);
+      const answer = h.response({error: {code: 'overloaded', ran: false}});
+      return this.addRetryAfter(answer.code(429));
     }
     if (this.inFlight >= this.capacity) {
       this.coldRefusals++;
--- a/packages/fakes/src/service-server.ts
+++ b/packages/fakes/src/service-server.ts
@@ -24,6 +24,10 @@
   private readonly server: hapi.Server;
   /** Calls that ran, in order. */
   readonly runs: ServiceRun[] = [];
+  /** `Retry-After` of refusals, in seconds; undefined for none. */
+  retryAfterS: number | undefined;
+  /** Calls that arrived, refused ones included. */
+  arrivals = 0;
   /** Fault of the calls from now on. */
   fault: ServiceFault = 'none';
 
@@ -56,8 +60,12 @@
     request: hapi.Request,
     h: hapi.ResponseToolkit,
   ): hapi.ResponseObject | symbol {
+    this.arrivals++;
     if (this.fault === 'refuse') {
-      return h.response({error: {code: 'busy', ran: false}}).code(429);
+      const answer = h.response({error: {code: 'busy', ran: false}}).code(429);
+      return this.retryAfterS === undefined
+        ? answer
+        : answer.header('retry-after', String(this.retryAfterS));
     }
     if (this.fault === 'cut_before') {
       request.raw.req.destroy();
--- a/packages/gateway/src/upstream-notices.ts
+++ b/packages/gateway/src/upstream-notices.ts
@@ -1,4 +1,5 @@
 /** What an upstream says about itself in the headers of its answers. */
+import * as decisions from '@amaranthknot/decisions';
 import type * as routing from '@amaranthknot/routing';
 import type * as headerNames from './header-names.js';
 import * as rawHeaders from './raw-headers.js';
@@ -30,8 +31,6 @@
 
 const RETRY_AFTER = 'retry-after';
 
-const MS_PER_S = 1_000;
-
 /** Parses the notices in the head of an answer. */
 export type ParseNotices = (
   status: number,
@@ -39,7 +38,7 @@
 ) => UpstreamNotices;
 
 /** Undefined if the header is missing, malformed or negative. */
-const parseAmount = (text: string | undefined): number | undefined => {
+const parseRate = (text: string | undefined): number | undefined => {
   const value = Number(text);
   const isValid = Number.isFinite(value) && value >= 0 && text?.trim() !== '';
   return isValid ? value : undefined;
@@ -52,14 +51,12 @@
   const rateLimitName = names.rateLimit.toLowerCase();
   const leavingName = names.leaving.toLowerCase();
   return (status, headers) => {
-    const findAmount = (lowerName: string): number | undefined =>
-      parseAmount(rawHeaders.findHeader(headers, lowerName));
-    const backoffS = BACKOFF_STATUSES.has(status)
-      ? findAmount(RETRY_AFTER)
+    const retryAfter = BACKOFF_STATUSES.has(status)
+      ? rawHeaders.findHeader(headers, RETRY_AFTER)
       : undefined;
     return {
-      rateLimit: findAmount(rateLimitName),
-      backoffMs: backoffS === undefined ? undefined : backoffS * MS_PER_S,
+      rateLimit: parseRate(rawHeaders.findHeader(headers, rateLimitName)),
+      backoffMs: decisions.parseRetryAfterMs(retryAfter),
       isLeaving: rawHeaders.findHeader(headers, leavingName) === LEAVING,
     };
   };
--- a/packages/telemetry/src/draw-timeline.ts
+++ b/packages/telemetry/src/draw-timeline.ts
@@ -35,6 +35,7 @@
   'request_refused',
   'rollout_stopped',
   'upstream_cold',
+  'upstream_backoff',
   'upstream_failed',
 ];
 
--- a/packages/telemetry/src/event-ring.ts
+++ b/packages/telemetry/src/event-ring.ts
@@ -21,6 +21,7 @@
   | 'stream_resumed'
   | 'upstream_failed'
   | 'upstream_cold'
+  | 'upstream_backoff'
   | 'answer_discarded'
   | 'claim_granted'
   | 'claim_repeated'
--- a/packages/upstreams/src/engine-client.ts
+++ b/packages/upstreams/src/engine-client.ts
@@ -3,6 +3,7 @@
  * chunks. It never retries; a failure states whether work may have begun.
  */
 import * as http from 'node:http';
+import * as decisions from '@amaranthknot/decisions';
 import * as eventsourceParser from 'eventsource-parser';
 import type * as answerAssembler from './answer-assembler.js';
 
@@ -38,6 +39,8 @@
   readonly code: EngineFailureCode;
   readonly ran: ExecutionStatus;
   readonly message: string;
+  /** Time for which the engine wants no requests, in milliseconds. */
+  readonly backoffMs?: number | undefined;
 }
 
 /** An event of a stream: chunks, then at most one failure. */
@@ -143,12 +146,25 @@
   return failed(signal.aborted ? 'aborted' : 'broken_stream', 'unknown', code);
 };
 
-const describeStatus = (status: number): EngineEvent => {
+const refused = (
+  code: EngineFailureCode,
+  message: string,
+  backoffMs: number | undefined,
+): EngineEvent => ({
+  kind: 'failed',
+  failure: {code, ran: 'not_run', message, backoffMs},
+});
+
+const describeAnswer = ({
+  statusCode: status = 0,
+  headers,
+}: http.IncomingMessage): EngineEvent => {
+  const backoffMs = decisions.parseRetryAfterMs(headers['retry-after']);
   switch (status) {
     case 503:
-      return failed('cold', 'not_run', 'the engine is in cold start');
+      return refused('cold', 'the engine is in cold start', backoffMs);
     case 429:
-      return failed('overloaded', 'not_run', 'the engine is at its limit');
+      return refused('overloaded', 'the engine is at its limit', backoffMs);
     case 404:
       return failed('not_loaded', 'not_run', 'the engine lacks the version');
     default:
@@ -241,7 +257,7 @@
       const response = await readHead(request);
       if (response.statusCode !== 200) {
         response.resume();
-        yield describeStatus(response.statusCode ?? 0);
+        yield describeAnswer(response);
         return;
       }
       yield* readChunks(response);
--- a/packages/upstreams/src/run-completion.ts
+++ b/packages/upstreams/src/run-completion.ts
@@ -12,8 +12,14 @@
   readonly address: string;
   /** Records the first token; its latency indicates the upstream's load. */
   readonly recordFirstToken?: () => void;
-  /** Records the end of the attempt, for load and latency estimates. */
-  readonly settle: (outcome: AttemptOutcome) => void;
+  /**
+   * Records the end of the attempt, for load and latency estimates, and for how
+   * long the upstream wants no requests, in milliseconds.
+   */
+  readonly settle: (
+    outcome: AttemptOutcome,
+    backoffMs: number | undefined,
+  ) => void;
 }
 
 /** How an attempt on one upstream ended. */
@@ -49,6 +55,8 @@
   readonly open: engineClient.OpenEngineStream;
   /** Picks an upstream, avoiding those tried; undefined if there is none. */
   readonly place: (tried: readonly string[]) => Placement | undefined;
+  /** When to try again, in ms from now; undefined if that is not known. */
+  readonly findRetryAfterMs: () => number | undefined;
   /** Takes one retry from the budget; false if none is left. */
   readonly mayRetry: () => boolean;
   readonly notify: (notice: CompletionNotice) => void;
@@ -186,7 +194,7 @@
         yield event;
       }
     } finally {
-      placement.settle(outcome);
+      placement.settle(outcome, failure?.backoffMs);
     }
     lastFailure = failure ?? {
       code: 'broken_stream',
@@ -204,5 +212,6 @@
       break;
     }
   }
-  yield {kind: 'failed', failure: {...lastFailure, ran}};
+  const backoffMs = dependencies.findRetryAfterMs();
+  yield {kind: 'failed', failure: {...lastFailure, ran, backoffMs}};
 }
--- a/packages/upstreams/src/service-client.ts
+++ b/packages/upstreams/src/service-client.ts
@@ -1,5 +1,6 @@
 /** Client of plain services: one call, one outcome, no retries. */
 import * as http from 'node:http';
+import * as decisions from '@amaranthknot/decisions';
 import * as purify from 'purify-ts';
 import * as wreck from '@hapi/wreck';
 import type * as engineClient from './engine-client.js';
@@ -26,6 +27,8 @@
   readonly code: 'unreachable' | 'overloaded' | 'crossed' | 'broken';
   readonly ran: engineClient.ExecutionStatus;
   readonly message: string;
+  /** Time for which the service wants no requests, in milliseconds. */
+  readonly backoffMs?: number | undefined;
 }
 
 /** Calls a service; a failed call resolves to a Left. */
@@ -68,7 +71,15 @@
   const status = response.statusCode ?? 0;
   if (status === 429 && saysNotRun(body)) {
     const message = 'the service is at its limit';
-    return purify.Left({code: 'overloaded', ran: 'not_run', message});
+    const backoffMs = decisions.parseRetryAfterMs(
+      response.headers['retry-after'],
+    );
+    return purify.Left({
+      code: 'overloaded',
+      ran: 'not_run',
+      message,
+      backoffMs,
+    });
   }
   const answeredId = response.headers['x-request-id'];
   if (answeredId !== undefined && answeredId !== call.requestId) {
