Let the soak's upstreams ask for backoffs and say that they are leaving

Change: two kinds of faults, drawn apart from the others so that a seed keeps its plan; a check that no instance sends more than two requests to an upstream in its backoff, half a second after it was told, and none that a caller sent later than the bound after an answer that says that the upstream is leaving. Restarts, pauses and faults of the upstream's connections excuse.

--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -19,7 +19,9 @@
   | 'upstream_delayed'
   | 'upstream_leaves'
   | 'configuration_change'
-  | 'key_revoked';
+  | 'key_revoked'
+  | 'upstream_sheds'
+  | 'upstream_says_leaving';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -56,6 +58,19 @@
 /** Duration of a fault. */
 const FAULT_DURATION_MS = {min: 200, max: 2_500};
 
+/**
+ * Kinds whose faults are drawn apart from the others, so that a seed keeps the
+ * plan that it had without them.
+ */
+const NOTICE_KINDS: readonly FaultKind[] = [
+  'upstream_sheds',
+  'upstream_says_leaving',
+];
+
+/** Time between two faults of these kinds, and their duration. */
+const NOTICE_INTERVAL_MS = {min: 1_000, max: 3_000};
+const NOTICE_DURATION_MS = {min: 1_500, max: 4_000};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
@@ -65,6 +80,26 @@
   {min, max}: {readonly min: number; readonly max: number},
 ): number => Math.round(min + random() * (max - min));
 
+/** Draws the faults by which upstreams ask for a backoff, or say they leave. */
+export const drawNoticeFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] => {
+  const faults: Fault[] = [];
+  let atMs = drawBetween(random, NOTICE_INTERVAL_MS);
+  while (atMs < durationMs) {
+    const index = Math.floor(random() * NOTICE_KINDS.length);
+    faults.push({
+      kind: NOTICE_KINDS[index] ?? 'upstream_sheds',
+      atMs,
+      forMs: drawBetween(random, NOTICE_DURATION_MS),
+      target: Math.floor(random() * 1_000),
+    });
+    atMs += drawBetween(random, NOTICE_INTERVAL_MS);
+  }
+  return faults;
+};
+
 /** Draws faults for a run of `durationMs`, ordered by start. */
 export const drawFaults = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -3,6 +3,8 @@
  * upstreams recorded.
  */
 
+import * as checkNotices from './check-notices.js';
+
 /** Kinds of request, named after their routes. */
 export type RequestKind = 'read' | 'book' | 'stream' | 'once';
 
@@ -11,6 +13,8 @@
   readonly id: string;
   readonly kind: RequestKind;
   readonly key: string;
+  /** Address of the instance that it was sent to. */
+  readonly instance: string;
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   /** HTTP status; 0 if the connection failed before an answer. */
@@ -40,6 +44,8 @@
 /** Times after which changes must be in effect, in milliseconds. */
 export interface InvariantBounds {
   readonly revocationMs: number;
+  /** After an upstream's notice that it is leaving. */
+  readonly leavingMs: number;
 }
 
 /** All records of one soak run. */
@@ -47,6 +53,7 @@
   readonly callers: readonly CallerRecord[];
   readonly runs: readonly RunRecord[];
   readonly revocations: readonly Revocation[];
+  readonly notices: checkNotices.NoticeRecord;
   /** Time from which requests count for recovery; faults ended before. */
   readonly recoveryFromMs: number;
   readonly bounds: InvariantBounds;
@@ -199,6 +206,11 @@
       checkCaller(caller, runs.get(caller.id) ?? []),
     ),
     ...checkKeys(record, runs),
+    ...checkNotices.findIgnoredNotices(
+      record.notices,
+      record.callers,
+      record.bounds.leavingMs,
+    ),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/load-generator.ts
+++ b/packages/soak/src/load-generator.ts
@@ -70,7 +70,8 @@
     const kind = this.draw(KINDS);
     const key = this.draw(keys);
     const id = `r-${++this.lastId}`;
-    const [host = '', port = ''] = this.draw(addresses).split(':');
+    const instance = this.draw(addresses);
+    const [host = '', port = ''] = instance.split(':');
     const sentAtMs = now();
     const signal = AbortSignal.timeout(REQUEST_TIMEOUT_MS + 500);
     return new Promise(resolve => {
@@ -81,6 +82,7 @@
           id,
           kind,
           key,
+          instance,
           sentAtMs,
           endedAtMs: now(),
           status: answer?.statusCode ?? 0,
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -9,6 +9,7 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
+import type * as checkNotices from './check-notices.js';
 import * as loadGenerator from './load-generator.js';
 import * as faultPlan from './fault-plan.js';
 import * as gatewayProcess from './gateway-process.js';
@@ -83,16 +84,15 @@
 interface Instance {
   readonly process: gatewayProcess.GatewayProcess;
   readonly storeProxy: loopbackProxy.LoopbackProxy;
-}
-
-/** Current id of an upstream; each start gets a new one. */
-interface UpstreamName {
-  id: string;
-  starts: number;
+  /** Address for callers. */
+  readonly address: string;
 }
 
 interface Upstream {
-  readonly name: UpstreamName;
+  readonly index: number;
+  /** Number of its starts so far. */
+  starts: number;
+  readonly state: soakUpstream.SoakUpstreamState;
   readonly server: fakes.ScriptedUpstream;
   readonly proxy: loopbackProxy.LoopbackProxy;
 }
@@ -107,6 +107,9 @@
   private readonly upstreams: Upstream[] = [];
   private readonly runs: invariants.RunRecord[] = [];
   private readonly revocations: invariants.Revocation[] = [];
+  private readonly arrivals: checkNotices.Arrival[] = [];
+  private readonly notices: checkNotices.Notice[] = [];
+  private readonly disruptions: checkNotices.Disruption[] = [];
   private keys = KEYS;
   private version = 1;
   private load: loadGenerator.LoadGenerator | undefined;
@@ -118,7 +121,10 @@
 
   async run(): Promise<SoakResult> {
     const {seed, durationMs} = this.options;
-    const faults = faultPlan.drawFaults(this.random, durationMs);
+    const faults = [
+      ...faultPlan.drawFaults(this.random, durationMs),
+      ...faultPlan.drawNoticeFaults(fakes.createRandom(seed), durationMs),
+    ].sort((a, b) => a.atMs - b.atMs);
     try {
       await this.start();
       const load = this.load;
@@ -135,6 +141,11 @@
         callers: load.records,
         runs: this.runs,
         revocations: this.revocations,
+        notices: {
+          arrivals: this.arrivals,
+          notices: this.notices,
+          disruptions: this.disruptions,
+        },
         recoveryFromMs,
         bounds: documents.SOAK_BOUNDS,
       });
@@ -184,25 +195,34 @@
   }
 
   private async addUpstream(index: number): Promise<void> {
-    const name: UpstreamName = {id: `u-${index}.0`, starts: 0};
+    const state: soakUpstream.SoakUpstreamState = {
+      id: `u-${index}.0`,
+      shedsUntilMs: -Infinity,
+      isLeaving: false,
+    };
+    const record: soakUpstream.SoakRecorder = {
+      run: run => this.runs.push(run),
+      arrival: arrival => this.arrivals.push(arrival),
+      notice: notice => this.notices.push(notice),
+    };
     const script = soakUpstream.createSoakScript(
-      () => name.id,
+      state,
       this.random,
-      run => this.runs.push(run),
+      record,
       () => this.clock.now(),
     );
     const server = new fakes.ScriptedUpstream(script);
     await server.start();
     const proxy = new loopbackProxy.LoopbackProxy(server.address);
     await proxy.start();
-    const upstream = {name, server, proxy};
+    const upstream = {index, starts: 0, state, server, proxy};
     this.upstreams.push(upstream);
     await this.register(upstream);
   }
 
-  private async register({name, proxy}: Upstream): Promise<void> {
+  private async register({state, proxy}: Upstream): Promise<void> {
     const entry = documents.createEntry(proxy.address, 'ready');
-    await this.storeServer.store.create(UPSTREAMS, name.id, entry);
+    await this.storeServer.store.create(UPSTREAMS, state.id, entry);
   }
 
   private async startInstances(): Promise<readonly string[]> {
@@ -230,7 +250,7 @@
       const log = path.join(this.folder, `${id}.log`);
       const process = new gatewayProcess.GatewayProcess(id, file, log);
       process.start();
-      this.instances.push({process, storeProxy});
+      this.instances.push({process, storeProxy, address: listen.callers});
     }
     return listens.map(({callers}) => callers);
   }
@@ -267,13 +287,25 @@
     await Promise.all(inProgress);
   }
 
-  private async injectFault({
-    kind,
-    forMs,
-    target,
-  }: faultPlan.Fault): Promise<void> {
+  /** Records a fault that excuses the sends of an instance or upstream. */
+  private recordDisruption({kind, forMs, target}: faultPlan.Fault): void {
+    const {address} = getByIndex(this.instances, target);
+    const {id} = getByIndex(this.upstreams, target).state;
+    const fromMs = this.clock.now();
+    const toMs = fromMs + forMs;
+    if (INSTANCE_DISRUPTIONS.has(kind)) {
+      this.disruptions.push({target: address, fromMs, toMs});
+    }
+    if (UPSTREAM_DISRUPTIONS.has(kind)) {
+      this.disruptions.push({target: id, fromMs, toMs});
+    }
+  }
+
+  private async injectFault(fault: faultPlan.Fault): Promise<void> {
+    const {kind, forMs, target} = fault;
     const {process, storeProxy} = getByIndex(this.instances, target);
     const upstream = getByIndex(this.upstreams, target);
+    this.recordDisruption(fault);
     switch (kind) {
       case 'kill':
         process.signal('SIGKILL');
@@ -308,6 +340,13 @@
         return this.disruptProxy(upstream.proxy, 'delayed', forMs);
       case 'upstream_leaves':
         return this.replaceUpstream(upstream, forMs);
+      case 'upstream_sheds':
+        upstream.state.shedsUntilMs = this.clock.now() + forMs;
+        return;
+      case 'upstream_says_leaving':
+        upstream.state.isLeaving = true;
+        await this.clock.sleep(forMs);
+        return this.replaceUpstream(upstream, 0);
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -338,15 +377,16 @@
     forMs: number,
   ): Promise<void> {
     const {store} = this.storeServer;
-    const {name} = upstream;
-    const found = await store.get(UPSTREAMS, name.id);
+    const {state} = upstream;
+    const found = await store.get(UPSTREAMS, state.id);
     if (found.isLeft()) {
       return;
     }
-    await store.delete(UPSTREAMS, name.id, found.unsafeCoerce().version);
+    await store.delete(UPSTREAMS, state.id, found.unsafeCoerce().version);
     await this.clock.sleep(forMs);
-    name.starts++;
-    name.id = `${name.id.split('.')[0] ?? ''}.${name.starts}`;
+    upstream.starts++;
+    state.id = `u-${upstream.index}.${upstream.starts}`;
+    state.isLeaving = false;
     await this.register(upstream);
   }
 
@@ -392,6 +432,21 @@
   }
 }
 
+/** Faults in which an instance forgets notices, or gets none. */
+const INSTANCE_DISRUPTIONS: ReadonlySet<faultPlan.FaultKind> = new Set([
+  'kill',
+  'planned_stop',
+  'pause',
+]);
+
+/** Faults in which the answers of an upstream are lost or late. */
+const UPSTREAM_DISRUPTIONS: ReadonlySet<faultPlan.FaultKind> = new Set([
+  'upstream_reset',
+  'upstream_silent',
+  'upstream_one_way',
+  'upstream_delayed',
+]);
+
 const getByIndex = <T>(values: readonly T[], index: number): T =>
   values[index % values.length] as T;
 
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -1,6 +1,7 @@
 /** Script of an upstream that records every run and fails some requests. */
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
+import type * as checkNotices from './check-notices.js';
 import * as invariants from './invariants.js';
 
 const NAMES = platform.HEADER_NAMES;
@@ -9,6 +10,19 @@
 const EXPECTED_UPSTREAM = NAMES.expectedUpstream.toLowerCase();
 const LAST_EVENT_ID = NAMES.lastEventId.toLowerCase();
 
+const LEAVING_HEADERS = {[NAMES.leaving]: '1'};
+
+const MS_PER_S = 1_000;
+
+const formatShed = (request: fakes.ParsedRequest, backoffMs: number): string =>
+  fakes.formatAnswer(request, '', {
+    status: 503,
+    headers: {
+      [NAMES.notRun]: '1',
+      'Retry-After': (backoffMs / MS_PER_S).toFixed(3),
+    },
+  });
+
 /** Fractions of requests that fail; small, so that most requests succeed. */
 const NOT_RUN_FRACTION = 0.04;
 const ANSWER_LOST_FRACTION = 0.03;
@@ -20,51 +34,82 @@
 /** Time between two events of a stream, in milliseconds. */
 const EVENT_MS = 20;
 
+/** State of one upstream, which faults change. */
+export interface SoakUpstreamState {
+  /** Changes with each start. */
+  id: string;
+  /** Until then it refuses everything, and asks for a backoff. */
+  shedsUntilMs: number;
+  isLeaving: boolean;
+}
+
+/** Receives what a script records. */
+export interface SoakRecorder {
+  readonly run: (run: invariants.RunRecord) => void;
+  readonly arrival: (arrival: checkNotices.Arrival) => void;
+  readonly notice: (notice: checkNotices.Notice) => void;
+}
+
 /**
- * Creates the script of one upstream. `findId` returns its current id, which
- * changes with each start; requests that expect another id are refused (421).
+ * Creates the script of one upstream. Requests that expect another id than its
+ * current one are refused (421).
  */
 export const createSoakScript =
   (
-    findId: () => string,
+    state: SoakUpstreamState,
     random: () => number,
-    record: (run: invariants.RunRecord) => void,
+    record: SoakRecorder,
     now: () => number,
   ): fakes.UpstreamScript =>
   ({request, socket}) => {
     const {headers} = request;
-    const id = findId();
+    const {id, shedsUntilMs, isLeaving} = state;
     if (headers[EXPECTED_UPSTREAM] !== id) {
       socket.write(fakes.formatNotRun(request, 421));
       return;
     }
+    const requestId = headers[REQUEST_ID] ?? '';
+    const notice = {id: requestId, upstream: id, untilMs: shedsUntilMs};
+    record.arrival({id: requestId, upstream: id, atMs: now()});
+    const backoffMs = shedsUntilMs - now();
+    if (backoffMs > 0) {
+      record.notice({...notice, kind: 'backoff', atMs: now()});
+      socket.write(formatShed(request, backoffMs));
+      return;
+    }
+    const answerHeaders = isLeaving ? LEAVING_HEADERS : {};
     if (random() < NOT_RUN_FRACTION) {
       socket.write(fakes.formatNotRun(request));
       return;
     }
-    const requestId = headers[REQUEST_ID] ?? '';
     const lastEventId = Number(headers[LAST_EVENT_ID] ?? 0);
-    record({id: requestId, upstream: id, atMs: now(), lastEventId});
+    record.run({id: requestId, upstream: id, atMs: now(), lastEventId});
     const workMs = WORK_MS.min + random() * (WORK_MS.max - WORK_MS.min);
     const isLost = random() < ANSWER_LOST_FRACTION;
     const isCut = random() < CUT_FRACTION;
     setTimeout(() => {
       if (isLost) {
         socket.resetAndDestroy();
-      } else if (
+        return;
+      }
+      if (isLeaving && !isCut) {
+        record.notice({...notice, kind: 'leaving', atMs: now()});
+      }
+      if (
         request.target.startsWith('/read') ||
         request.target.startsWith('/book')
       ) {
         const text = fakes.formatAnswer(
           request,
           invariants.formatPlainBody(requestId),
+          {headers: answerHeaders},
         );
         socket.write(isCut ? text.slice(0, -3) : text);
         if (isCut) {
           socket.resetAndDestroy();
         }
       } else {
-        socket.write(fakes.formatStreamHead(request));
+        socket.write(fakes.formatStreamHead(request, {headers: answerHeaders}));
         writeEvents(requestId, lastEventId + 1, isCut);
       }
     }, workMs);
--- a/packages/soak/tests/invariants.test.ts
+++ b/packages/soak/tests/invariants.test.ts
@@ -13,6 +13,7 @@
         id,
         kind: 'book',
         key: 'key-1',
+        instance: 'instance-1',
         sentAtMs: 10_000,
         endedAtMs: 10_050,
         status: 200,
@@ -30,8 +31,9 @@
       ...run,
     })),
     revocations: [],
+    notices: {arrivals: [], notices: [], disruptions: []},
     recoveryFromMs: 0,
-    bounds: {revocationMs: 3_000},
+    bounds: {revocationMs: 3_000, leavingMs: 2_000},
   };
 };
 
