Bound the log lines about backoffs

Cause: an upstream that refuses with a time of a few ms begins a backoff with each refusal, and each began a line. Change: one line a second and upstream at most.

--- a/packages/decisions/src/upstream-backoffs.ts
+++ b/packages/decisions/src/upstream-backoffs.ts
@@ -17,15 +17,23 @@
 /** Options of `UpstreamBackoffs`. */
 export interface UpstreamBackoffsOptions {
   readonly now: () => number;
-  /** Called when an upstream asks for a backoff while it has none. */
+  /**
+   * Called when an upstream asks for a backoff while it has none, at most once
+   * in `ANNOUNCE_INTERVAL_MS` for each upstream.
+   */
   readonly onBegin: (id: string, forMs: number) => void;
 }
 
 interface Backoff {
   readonly startedAtMs: number;
   readonly untilMs: number;
+  /** Time of its last `onBegin`. */
+  readonly announcedAtMs: number;
 }
 
+/** Keeps refusals with very short backoffs from filling the log, in ms. */
+const ANNOUNCE_INTERVAL_MS = 1_000;
+
 /** The backoffs that upstreams asked this instance for. */
 export class UpstreamBackoffs {
   private readonly byId = new Map<string, Backoff>();
@@ -52,9 +60,15 @@
     if (forMs <= remainingMs) {
       return;
     }
-    const untilMs = this.options.now() + forMs;
-    this.byId.set(id, {startedAtMs, untilMs});
-    if (remainingMs === 0) {
+    const now = this.options.now();
+    const lastMs = known?.announcedAtMs ?? -Infinity;
+    const isNew = remainingMs === 0 && now - lastMs >= ANNOUNCE_INTERVAL_MS;
+    this.byId.set(id, {
+      startedAtMs,
+      untilMs: now + forMs,
+      announcedAtMs: isNew ? now : lastMs,
+    });
+    if (isNew) {
       this.options.onBegin(id, forMs);
     }
   }
--- a/packages/decisions/tests/upstream-backoffs.test.ts
+++ b/packages/decisions/tests/upstream-backoffs.test.ts
@@ -70,6 +70,16 @@
     ]);
   });
 
+  it('calls onBegin at most once a second for one upstream', () => {
+    // Guards against a log that fills up with very short backoffs.
+    const {backoffs, begun, wait} = setUp();
+    for (let i = 0; i < 50; i++) {
+      backoffs.record(createStart(), 10);
+      wait(50);
+    }
+    chai.expect(begun).length(3);
+  });
+
   it('does not apply to a later start of the upstream', () => {
     const {backoffs} = setUp();
     backoffs.record(createStart(1), 60_000);
