Parse amounts in headers in one place

Cause: the rate limit and the Retry-After of an upstream were parsed by two copies of the same lines; two tests had the same set-up.

--- a/packages/amaranthknot/tests/gateway/placement-load.ts
+++ b/packages/amaranthknot/tests/gateway/placement-load.ts
@@ -57,6 +57,17 @@
   await returned;
 };
 
+/** The only instance of a fleet; throws if there is another number. */
+export const getOnlyInstance = ({
+  live,
+}: virtualFleet.VirtualFleet): virtualFleet.VirtualInstance => {
+  const [instance, ...others] = live();
+  if (!instance || others.length > 0) {
+    throw new Error(`expected one live instance, got ${live().length}`);
+  }
+  return instance;
+};
+
 /** Starts a fleet and registers the upstreams. */
 export const startPlacementLoad = async (
   options: PlacementLoadOptions,
--- a/packages/amaranthknot/tests/gateway/upstream-backoffs.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-backoffs.test.ts
@@ -309,10 +309,7 @@
 describe('a service of which all upstreams asked for a backoff', () => {
   it('names the time at which the first is over, and serves from then on', async () => {
     const fleet = await startFleet(1);
-    const [instance] = fleet.live();
-    if (!instance) {
-      throw new Error('expected one live instance, got none');
-    }
+    const instance = placementLoad.getOnlyInstance(fleet);
     const place = () =>
       instance
         .get('placement')
--- a/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-rate-limits.test.ts
@@ -139,10 +139,7 @@
   it('names the time at which the first takes a request again', async () => {
     // Guards against callers that come back too early and are refused again.
     const fleet = await startFleet(1);
-    const [instance] = fleet.live();
-    if (!instance) {
-      throw new Error('expected one live instance, got none');
-    }
+    const instance = placementLoad.getOnlyInstance(fleet);
     const place = () =>
       instance
         .get('placement')
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export * from './logistic-regression.js';
 export * from './model-choice.js';
 export * from './moving-estimate.js';
+export * from './parse-amount.js';
 export * from './pick-request.js';
 export * from './placement.js';
 export * from './placement-pool.js';
--- a/packages/decisions/src/retry-after.ts
+++ b/packages/decisions/src/retry-after.ts
@@ -6,6 +6,7 @@
  * callers of that time are refused. Harm prevented: told the same moment, they
  * all return in it, and the upstreams shed load again. Pure.
  */
+import * as parseAmount from './parse-amount.js';
 
 const MS_PER_S = 1_000;
 
@@ -16,9 +17,8 @@
 export const parseRetryAfterMs = (
   text: string | undefined,
 ): number | undefined => {
-  const seconds = Number(text);
-  const isValid = Number.isFinite(seconds) && seconds >= 0;
-  return isValid && text?.trim() !== '' ? seconds * MS_PER_S : undefined;
+  const seconds = parseAmount.parseAmount(text);
+  return seconds === undefined ? undefined : seconds * MS_PER_S;
 };
 
 /** Part of the wait over which the returns are spread after its end. */
--- a/packages/decisions/src/upstream-backoffs.ts
+++ b/packages/decisions/src/upstream-backoffs.ts
@@ -31,7 +31,10 @@
   readonly announcedAtMs: number;
 }
 
-/** Keeps refusals with very short backoffs from filling the log, in ms. */
+/**
+ * Minimum time between two calls of `onBegin` for one upstream, in ms: one that
+ * asks for a few ms each time would fill the log.
+ */
 const ANNOUNCE_INTERVAL_MS = 1_000;
 
 /** The backoffs that upstreams asked this instance for. */
--- a/packages/gateway/src/upstream-notices.ts
+++ b/packages/gateway/src/upstream-notices.ts
@@ -37,13 +37,6 @@
   headers: rawHeaders.RawHeaders,
 ) => UpstreamNotices;
 
-/** Undefined if the header is missing, malformed or negative. */
-const parseRate = (text: string | undefined): number | undefined => {
-  const value = Number(text);
-  const isValid = Number.isFinite(value) && value >= 0 && text?.trim() !== '';
-  return isValid ? value : undefined;
-};
-
 /** Creates the parser for headers of these names. */
 export const createParseNotices = (
   names: headerNames.HeaderNames,
@@ -51,11 +44,12 @@
   const rateLimitName = names.rateLimit.toLowerCase();
   const leavingName = names.leaving.toLowerCase();
   return (status, headers) => {
+    const rateLimit = rawHeaders.findHeader(headers, rateLimitName);
     const retryAfter = BACKOFF_STATUSES.has(status)
       ? rawHeaders.findHeader(headers, RETRY_AFTER)
       : undefined;
     return {
-      rateLimit: parseRate(rawHeaders.findHeader(headers, rateLimitName)),
+      rateLimit: decisions.parseAmount(rateLimit),
       backoffMs: decisions.parseRetryAfterMs(retryAfter),
       isLeaving: rawHeaders.findHeader(headers, leavingName) === LEAVING,
     };
