Draw no port twice for the servers of soak and tests

The soak draws all ports of a run before a server listens on any, and a drawn port that nobody listens on yet looked free: with 12 draws of 15,000, one run in 230. The fixture of the gateway's tests had a copy of the same lines. Change: one function for both, which remembers what it has drawn.

--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -1,6 +1,5 @@
 /** Starts gateway instances with a fake store and fake upstreams. */
 import * as http from 'node:http';
-import * as net from 'node:net';
 import type * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
 import * as fleet from '@amaranthknot/fleet';
@@ -155,36 +154,6 @@
   addressMaxAgeMs: 5_000,
 };
 
-/**
- * Range of the ports that are drawn, below the ephemeral ones: between the draw
- * and its use, an outgoing connection could take an ephemeral port.
- */
-const PORTS = {first: 15_000, last: 30_000};
-
-const isFree = async (port: number): Promise<boolean> => {
-  const server = net.createServer();
-  const isListening = await new Promise<boolean>(resolve => {
-    server.once('error', () => {
-      resolve(false);
-    });
-    server.listen(port, '127.0.0.1', () => {
-      resolve(true);
-    });
-  });
-  await new Promise(resolve => server.close(resolve));
-  return isListening;
-};
-
-const findFreePort = async (): Promise<number> => {
-  for (;;) {
-    const span = PORTS.last - PORTS.first;
-    const port = PORTS.first + Math.floor(Math.random() * span);
-    if (await isFree(port)) {
-      return port;
-    }
-  }
-};
-
 const createSettings = async (
   id: string,
   store: string,
@@ -192,7 +161,7 @@
 ): Promise<configuration.GatewaySettings> => {
   const local = async (): Promise<configuration.Address> => ({
     host: '127.0.0.1',
-    port: await findFreePort(),
+    port: await fakes.drawFreePort(),
   });
   const [host = '', port = ''] = store.split(':');
   return {
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -53,33 +53,8 @@
 
 const KEYS: readonly string[] = ['key-1', 'key-2', 'key-3', 'key-4'];
 
-/**
- * Range of the instances' ports. It is below the ephemeral ports: an outgoing
- * connection could otherwise take the port of an instance whose process is
- * down, which would then fail to start.
- */
-const PORTS = {first: 15_000, last: 30_000};
-
-const isFree = async (port: number): Promise<boolean> => {
-  const server = net.createServer();
-  const isListening = await new Promise<boolean>(resolve => {
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => resolve(true));
-  });
-  await new Promise(resolve => server.close(resolve));
-  return isListening;
-};
-
-/** Not drawn from the seed, since concurrent runs share the range of ports. */
-const findFreeAddress = async (): Promise<string> => {
-  for (;;) {
-    const span = PORTS.last - PORTS.first;
-    const port = PORTS.first + Math.floor(Math.random() * span);
-    if (await isFree(port)) {
-      return `127.0.0.1:${port}`;
-    }
-  }
-};
+const drawAddress = async (): Promise<string> =>
+  `127.0.0.1:${await fakes.drawFreePort()}`;
 
 interface Instance {
   readonly process: gatewayProcess.GatewayProcess;
@@ -229,10 +204,10 @@
     const listens: documents.InstanceAddresses[] = [];
     for (let i = 0; i < this.options.instances; i++) {
       listens.push({
-        callers: await findFreeAddress(),
-        readiness: await findFreeAddress(),
-        directory: await findFreeAddress(),
-        peers: await findFreeAddress(),
+        callers: await drawAddress(),
+        readiness: await drawAddress(),
+        directory: await drawAddress(),
+        peers: await drawAddress(),
       });
     }
     const seeds = listens.slice(0, 3).map(({peers}) => peers);
