Keep the order of bytes in the soak's proxy when a delay ends

Cause: in a delay the proxy holds each chunk for 120 ms; once the delay was over, the next chunk went on at once, before those that were held. A connection never reorders bytes: the fault is the soak's. Change: chunks wait behind those that are held.

--- a/packages/soak/src/loopback-proxy.ts
+++ b/packages/soak/src/loopback-proxy.ts
@@ -70,16 +70,24 @@
     to: net.Socket,
     isOpen: () => boolean,
   ): void {
+    const delayed: (() => void)[] = [];
+    let lastDueMs = -Infinity;
     const schedule = (action: () => void) => {
-      // Data that arrives in a cut is lost; a delay keeps the order.
+      // Data that arrives in a cut is lost.
       if (!isOpen()) {
         return;
       }
-      if (this.mode === 'delayed') {
-        setTimeout(action, DELAY_MS);
-      } else {
+      const nowMs = performance.now();
+      const delayMs = this.mode === 'delayed' ? DELAY_MS : 0;
+      const dueMs = Math.max(lastDueMs, nowMs + delayMs);
+      if (delayed.length === 0 && dueMs === nowMs) {
         action();
+        return;
       }
+      // Also keeps the order when a delay ends, as a connection does.
+      lastDueMs = dueMs;
+      delayed.push(action);
+      setTimeout(() => delayed.shift()?.(), dueMs - nowMs);
     };
     from.on('data', (chunk: Buffer) => {
       schedule(() => !to.destroyed && to.write(chunk));
