Tell lost links to upstreams from upstreams that are down, and log it

Nothing acts on this belief yet.

Two upstreams that fail without an answer over a new connection in between start a check of up to three others, a health request each, and the service counts as out of reach if none answers; then it is checked every 0.4 s until one does. No connection is opened while requests are answered.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -61,6 +61,8 @@
   readonly backoffs: decisions.UpstreamBackoffs;
   readonly leavingNotices: decisions.LeavingNotices;
   readonly availability: gateway.UpstreamAvailability;
+  readonly upstreamLinks: decisions.UpstreamLinks;
+  readonly linkMonitor: gateway.LinkMonitor;
   readonly rollouts: gateway.RolloutTracker;
   readonly pool: gateway.ConnectionPool;
   readonly placement: gateway.UpstreamPlacement;
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -37,6 +37,7 @@
       upstreams: get('catalog').all().length,
       upstreamsAgeMs: get('state').upstreamsAgeMs(),
       upstreamsInBackoff: get('backoffs').activeCount,
+      servicesUnreachable: get('upstreamLinks').lostServices.length,
       servingInstances: get('members').serving(options.clock.now()).length,
     })),
 });
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -131,6 +131,7 @@
     while (!signal.aborted) {
       this.updatePhase();
       get('state').expire();
+      get('linkMonitor').recheckLost();
       get('rollouts').reportDueEnds();
       this.checkFleetIfDue(clock.now());
       get('log').reportDroppedLines();
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -19,6 +19,8 @@
   | 'backoffs'
   | 'leavingNotices'
   | 'availability'
+  | 'upstreamLinks'
+  | 'linkMonitor'
   | 'rollouts'
   | 'pool'
   | 'placement'
@@ -51,6 +53,7 @@
   get('picker').retain(ids);
   get('limits').retain(ids);
   get('backoffs').removeEnded();
+  get('upstreamLinks').retain(ids);
   get('leavingNotices').retain(ids);
 };
 
@@ -140,6 +143,55 @@
   }
 };
 
+const createUpstreamLinks = (
+  get: gatewayComponents.GatewayResolver,
+): decisions.UpstreamLinks =>
+  new decisions.UpstreamLinks({
+    now: () => get('options').clock.now(),
+    onLost: (service, failed) => {
+      get('log').warn('upstream_links_lost', {
+        service,
+        failed,
+        upstreams: get('availability').findInService(service).length,
+        upstreamsAgeMs: Math.round(get('state').upstreamsAgeMs() ?? -1),
+      });
+    },
+    onRegained: (service, awayMs) => {
+      get('log').info('upstream_links_regained', {
+        service,
+        awayMs: Math.round(awayMs),
+      });
+    },
+  });
+
+const createLinkMonitor = (
+  get: gatewayComponents.GatewayResolver,
+): gateway.LinkMonitor =>
+  new gateway.LinkMonitor({
+    links: get('upstreamLinks'),
+    check: gateway.checkLink,
+    findUpstreams: service =>
+      get('availability')
+        .findInService(service)
+        .map(({upstream}) => upstream),
+    findService: name => get('state').activeTable()?.table.services.get(name),
+    random: get('options').random,
+  });
+
+/** A probe that also tells the monitor of upstreams that don't answer. */
+const createMonitoredProbe = (
+  get: gatewayComponents.GatewayResolver,
+): gateway.ProbeUpstream => {
+  const probe = gateway.createProbe(get('options').clock);
+  return async upstream => {
+    const isReachable = await probe(upstream);
+    if (!isReachable) {
+      get('linkMonitor').record(upstream, 'failed');
+    }
+    return isReachable;
+  };
+};
+
 const createGateway = (
   get: gatewayComponents.GatewayResolver,
 ): gateway.Gateway => {
@@ -151,18 +203,17 @@
     log: get('log'),
     latencies: get('latencies'),
     escalation: get('escalationPolicy'),
-    probe: gateway.createProbe(clock),
+    probe: createMonitoredProbe(get),
     whenSynced: () =>
       Promise.race([get('state').whenSynced(), clock.sleep(HOLD_AT_START_MS)]),
     headerConventions: HEADER_CONVENTIONS,
     place: query => get('placement').place(query),
-    openCall: gateway.createOpenCall(
-      get('pool'),
-      HEADER_CONVENTIONS.headers,
-      (upstream, notices) => {
+    openCall: gateway.createOpenCall(get('pool'), HEADER_CONVENTIONS.headers, {
+      recordNotices: (upstream, notices) => {
         recordNotices(get, upstream, notices);
       },
-    ),
+      recordLink: get('linkMonitor').record,
+    }),
     refreshTable: () => get('viewRefresher').refresh(),
     activeTable: () => get('state').activeTable(),
     onRequestEnd: sample => {
@@ -250,6 +301,8 @@
       },
     }),
   availability: createAvailability,
+  upstreamLinks: createUpstreamLinks,
+  linkMonitor: createLinkMonitor,
   rollouts: createRollouts,
   pool: () => new gateway.ConnectionPool(),
   placement: createPlacement,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,8 @@
 export * from './run-context.js';
 export * from './header-names.js';
 export * from './buffered-run.js';
+export * from './link-check.js';
+export * from './link-monitor.js';
 export * from './raw-headers.js';
 export * from './refusal.js';
 export * from './rollout-tracker.js';
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -19,6 +19,12 @@
   readonly signal: AbortSignal;
 }
 
+/**
+ * Longest wait for an answer's head after which the link is suspected, in
+ * milliseconds: prompts take longer, and are no sign of a lost link.
+ */
+const MAX_SUSPECT_MS = 1_000;
+
 /** The outcome that a failed call means for placement. */
 const outcomeOf = (
   failure: upstreamCall.CallFailure,
@@ -74,7 +80,7 @@
 > => {
   const {placed, model, lastEventId, signal} = attempt;
   const {upstream, inputs} = placed;
-  const {caller} = request;
+  const {caller, route} = request;
   const startedAtMs = dependencies.clock.now();
   const timeLeftMs = request.deadlineMs - startedAtMs;
   log.step('request_placed', {upstream: upstream.id, model, ...inputs});
@@ -93,6 +99,7 @@
       connection: attempt.connection,
       connectTimeoutMs: attempt.connectTimeoutMs,
       headTimeoutMs: attempt.headTimeoutMs,
+      suspectAfterMs: Math.min(route.latencyTargetMs, MAX_SUSPECT_MS),
     },
     signal,
   );
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -12,6 +12,7 @@
 import type * as routing from '@amaranthknot/routing';
 import type * as connectionPool from './connection-pool.js';
 import type * as headerNames from './header-names.js';
+import type * as linkMonitor from './link-monitor.js';
 import * as rawHeaders from './raw-headers.js';
 import * as upstreamNotices from './upstream-notices.js';
 
@@ -35,6 +36,8 @@
   readonly connectTimeoutMs: number;
   /** Longest wait for the head of the answer, in milliseconds. */
   readonly headTimeoutMs: number;
+  /** Wait for the head after which the link is suspected, in milliseconds. */
+  readonly suspectAfterMs: number;
 }
 
 /** Load that an upstream reports in the headers of an answer. */
@@ -81,6 +84,12 @@
   signal: AbortSignal,
 ) => Promise<purify.Either<CallFailure, UpstreamAnswer>>;
 
+/** Receives what calls show of the upstreams. */
+export interface CallObserver {
+  readonly recordNotices: upstreamNotices.RecordNotices;
+  readonly recordLink: linkMonitor.RecordLink;
+}
+
 /** Status by which another upstream than the expected one refuses to run. */
 const MISDIRECTED = 421;
 
@@ -100,7 +109,7 @@
 export const createOpenCall = (
   pool: connectionPool.ConnectionPool,
   names: headerNames.HeaderNames,
-  recordNotices: upstreamNotices.RecordNotices,
+  {recordNotices, recordLink}: CallObserver,
 ): OpenCall => {
   const parseNotices = upstreamNotices.createParseNotices(names);
   const lowerNames = {
@@ -180,13 +189,29 @@
         isSilent = true;
         sending.destroy();
       }, request.headTimeoutMs);
+      const suspectTimer = setTimeout(() => {
+        recordLink(upstream, 'failed');
+      }, request.suspectAfterMs);
+      const clearTimers = () => {
+        clearTimeout(headTimer);
+        clearTimeout(suspectTimer);
+      };
       let hasFailed = false;
+      let hasAnswered = false;
       const fail = () => {
-        clearTimeout(headTimer);
+        clearTimers();
+        if (!hasAnswered && !signal.aborted) {
+          recordLink(upstream, 'failed');
+        }
         resolve(purify.Left(tracker.describe(isSilent, signal)));
       };
       sending.once('response', response => {
-        clearTimeout(headTimer);
+        clearTimers();
+        hasAnswered = true;
+        recordLink(
+          upstream,
+          sending.reusedSocket ? 'answered_kept' : 'answered_new',
+        );
         response.once('close', () => {
           signal.removeEventListener('abort', cancel);
         });
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -64,6 +64,10 @@
   | 'upstream_backoff'
   /** An upstream said in an answer that it is leaving. */
   | 'upstream_leaving'
+  /** This instance reaches no upstream of a service any more. */
+  | 'upstream_links_lost'
+  /** It reaches an upstream of the service again. */
+  | 'upstream_links_regained'
   | 'zones_out'
   | 'rollout_followed'
   | 'rollout_judged'
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -29,6 +29,8 @@
   readonly upstreamsAgeMs: number | undefined;
   /** Upstreams that asked this instance to send them nothing for a time. */
   readonly upstreamsInBackoff: number;
+  /** Services of which this instance reaches no upstream. */
+  readonly servicesUnreachable: number;
   /** Instances that accept callers, including this one. */
   readonly servingInstances: number;
 }
@@ -95,6 +97,11 @@
       'Upstreams that want no requests from this instance for now.',
       () => readGauges().upstreamsInBackoff,
     );
+    this.addGauge(
+      'services_unreachable',
+      'Services of which this instance reaches no upstream.',
+      () => readGauges().servicesUnreachable,
+    );
     this.addGauge(
       'serving_instances',
       'Instances that take callers, as this one knows them.',
--- a/packages/telemetry/tests/gateway-metrics.test.ts
+++ b/packages/telemetry/tests/gateway-metrics.test.ts
@@ -7,6 +7,7 @@
   upstreams: 12,
   upstreamsAgeMs: undefined,
   upstreamsInBackoff: 2,
+  servicesUnreachable: 1,
   servingInstances: 7,
 };
 
@@ -29,6 +30,7 @@
       'amaranthknot_configuration_age_seconds 0.25',
       'amaranthknot_upstreams_age_seconds -1',
       'amaranthknot_upstreams_in_backoff 2',
+      'amaranthknot_services_unreachable 1',
       'amaranthknot_serving_instances 7',
     ];
     expected.forEach(line => chai.expect(text).contain(line));
