Let tests cut the links of one instance to upstreams

A proxy before an upstream couldn't tell its clients apart, so a cut by pair of instance and upstream couldn't be played. Instances now can call upstreams from a source address of their own (setting source_address, as on a machine with several addresses), and the loopback proxy has a mode for each. It moves from the soak to the fakes, as tests of instances use it too.

--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -169,7 +169,9 @@
 ): gateway.LinkMonitor =>
   new gateway.LinkMonitor({
     links: get('upstreamLinks'),
-    check: gateway.checkLink,
+    check: gateway.createCheckLink(
+      get('options').settings.current.sourceAddress,
+    ),
     findUpstreams: service =>
       get('availability')
         .findInService(service)
@@ -182,7 +184,8 @@
 const createMonitoredProbe = (
   get: gatewayComponents.GatewayResolver,
 ): gateway.ProbeUpstream => {
-  const probe = gateway.createProbe(get('options').clock);
+  const {clock, settings} = get('options');
+  const probe = gateway.createProbe(clock, settings.current.sourceAddress);
   return async upstream => {
     const isReachable = await probe(upstream);
     if (!isReachable) {
@@ -304,7 +307,8 @@
   upstreamLinks: createUpstreamLinks,
   linkMonitor: createLinkMonitor,
   rollouts: createRollouts,
-  pool: () => new gateway.ConnectionPool(),
+  pool: () =>
+    new gateway.ConnectionPool(options.settings.current.sourceAddress),
   placement: createPlacement,
   gateway: createGateway,
   callerServer: get =>
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -158,6 +158,7 @@
   id: string,
   store: string,
   seeds: readonly configuration.Address[],
+  sourceAddress: string,
 ): Promise<configuration.GatewaySettings> => {
   const local = async (): Promise<configuration.Address> => ({
     host: '127.0.0.1',
@@ -173,6 +174,7 @@
       directory: await local(),
       peers: await local(),
     },
+    sourceAddress,
     seeds,
     isBootstrap: false,
     store: {
@@ -226,7 +228,7 @@
   /** Creates an upstream in the store and waits until all instances know it. */
   readonly register: (
     id: string,
-    upstream: fakes.ScriptedUpstream,
+    upstream: {readonly address: string},
     overrides?: Readonly<Record<string, unknown>>,
   ) => Promise<void>;
   readonly stop: () => Promise<void>;
@@ -234,6 +236,10 @@
 
 let lastId = 0;
 
+/** IP address from which an instance calls upstreams, by its index. */
+export const findSource = (instance: number): string =>
+  `127.0.0.${10 + instance}`;
+
 /**
  * Sends a request and reads the answer until it ends or the connection fails.
  */
@@ -289,7 +295,8 @@
   for (let i = 0; i < count; i++) {
     const seeds = settings.map(({listen}) => listen.peers);
     const id = `instance-${i + 1}`;
-    settings.push(await createSettings(id, storeServer.address, seeds));
+    const source = findSource(i);
+    settings.push(await createSettings(id, storeServer.address, seeds, source));
   }
   const instances = settings.map(
     (own, index) =>
--- a/packages/configuration/src/gateway-settings.ts
+++ b/packages/configuration/src/gateway-settings.ts
@@ -95,6 +95,8 @@
   /** Region of each availability zone. */
   readonly zones: ReadonlyMap<string, string>;
   readonly listen: GatewayListen;
+  /** IP address from which upstreams are called; absent if the system chooses. */
+  readonly sourceAddress?: string;
   /** Peers to contact at the start; they may no longer exist. */
   readonly seeds: readonly settings.Address[];
   /** Whether the whole deployment starts for the first time. */
--- a/packages/configuration/src/parse-gateway-settings.ts
+++ b/packages/configuration/src/parse-gateway-settings.ts
@@ -36,6 +36,7 @@
     peers: addresses.addressSchema,
     metrics: addresses.addressSchema.optional(),
   }),
+  source_address: zod.ipv4().optional(),
   seeds: zod.array(addresses.addressSchema).default([]),
   bootstrap: zod.boolean().default(false),
   store: zod.strictObject({
@@ -127,6 +128,9 @@
   instance: written.instance,
   zones: new Map(Object.entries(written.zones)),
   listen: createListen(written.listen),
+  ...(written.source_address === undefined
+    ? {}
+    : {sourceAddress: written.source_address}),
   seeds: written.seeds.map(readAddress),
   isBootstrap: written.bootstrap,
   store: {
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,6 +1,7 @@
 /** Fakes of external systems, for tests, benchmarks and the demo. */
 export * from './draw-free-port.js';
 export * from './engine-server.js';
+export * from './loopback-proxy.js';
 export * from './memory-object-store.js';
 export * from './platform-server.js';
 export * from './seeded-random.js';
--- a/packages/soak/src/loopback-proxy.ts
+++ b/packages/fakes/src/loopback-proxy.ts
@@ -1,4 +1,4 @@
-/** TCP proxy for one address that injects network faults. */
+/** TCP proxy for one address that injects network faults, for all or one client. */
 import * as net from 'node:net';
 
 /**
@@ -8,7 +8,7 @@
  * - `delayed`: forwards each chunk after a delay.
  * - `silent`: accepts connections and forwards nothing in either direction.
  * - `one_way`: forwards from client to target, and nothing back.
- * - `refusing`: resets each new connection.
+ * - `refusing`: resets each new connection; open ones live on.
  */
 export type ProxyMode = 'open' | 'delayed' | 'silent' | 'one_way' | 'refusing';
 
@@ -18,8 +18,11 @@
 /** A proxy on 127.0.0.1 before one target. */
 export class LoopbackProxy {
   mode: ProxyMode = 'open';
+  /** Mode for clients at some source addresses, in place of `mode`. */
+  private readonly modeBySource = new Map<string, ProxyMode>();
   private readonly server: net.Server;
-  private readonly sockets = new Set<net.Socket>();
+  /** Open sockets, with the source address of their client. */
+  private readonly sockets = new Map<net.Socket, string>();
 
   /** @param target address as `host:port`. */
   constructor(private readonly target: string) {
@@ -45,30 +48,50 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
-  /** Resets all open connections. */
-  resetAll(): void {
-    this.sockets.forEach(socket => socket.resetAndDestroy());
+  /** Sets the mode for clients at a source address. */
+  setModeOf(source: string, mode: ProxyMode): void {
+    this.modeBySource.set(source, mode);
+  }
+
+  /** Resets all open connections, or those of clients at a source address. */
+  resetAll(source?: string): void {
+    for (const [socket, client] of this.sockets) {
+      if (source === undefined || client === source) {
+        socket.resetAndDestroy();
+      }
+    }
+  }
+
+  private findMode(source: string): ProxyMode {
+    return this.modeBySource.get(source) ?? this.mode;
   }
 
   private accept(client: net.Socket): void {
-    this.track(client);
-    if (this.mode === 'refusing') {
+    const source = client.remoteAddress ?? '';
+    this.track(client, source);
+    if (this.findMode(source) === 'refusing') {
       client.resetAndDestroy();
       return;
     }
     const [host = '', port = ''] = this.target.split(':');
     const target = net.connect(Number(port), host);
-    this.track(target);
-    this.forward(client, target, () => this.mode !== 'silent');
-    this.forward(target, client, () => {
-      return this.mode !== 'silent' && this.mode !== 'one_way';
-    });
+    this.track(target, source);
+    const isSilent = () => this.findMode(source) === 'silent';
+    const isDelayed = () => this.findMode(source) === 'delayed';
+    this.forward(client, target, () => !isSilent(), isDelayed);
+    this.forward(
+      target,
+      client,
+      () => !isSilent() && this.findMode(source) !== 'one_way',
+      isDelayed,
+    );
   }
 
   private forward(
     from: net.Socket,
     to: net.Socket,
     isOpen: () => boolean,
+    isDelayed: () => boolean,
   ): void {
     const delayed: (() => void)[] = [];
     let lastDueMs = -Infinity;
@@ -78,7 +101,7 @@
         return;
       }
       const nowMs = performance.now();
-      const delayMs = this.mode === 'delayed' ? DELAY_MS : 0;
+      const delayMs = isDelayed() ? DELAY_MS : 0;
       const dueMs = Math.max(lastDueMs, nowMs + delayMs);
       if (delayed.length === 0 && dueMs === nowMs) {
         action();
@@ -104,8 +127,8 @@
     });
   }
 
-  private track(socket: net.Socket): void {
-    this.sockets.add(socket);
+  private track(socket: net.Socket, source: string): void {
+    this.sockets.set(socket, source);
     socket.on('error', () => undefined);
     socket.once('close', () => this.sockets.delete(socket));
   }
--- a/packages/soak/tests/loopback-proxy.test.ts
+++ b/packages/fakes/tests/loopback-proxy.test.ts
@@ -1,6 +1,6 @@
 import * as net from 'node:net';
 import * as chai from 'chai';
-import * as loopbackProxy from '../src/loopback-proxy.js';
+import * as fakes from '@amaranthknot/fakes';
 
 /** Bytes that are sent before and after the end of a delay. */
 const BEFORE = 'sent in the delay, ';
@@ -22,7 +22,7 @@
     const accepted = new Promise<net.Socket>(resolve => {
       server.once('connection', resolve);
     });
-    const proxy = new loopbackProxy.LoopbackProxy(await listen(server));
+    const proxy = new fakes.LoopbackProxy(await listen(server));
     await proxy.start();
     const [host = '', port = ''] = proxy.address.split(':');
     const client = net.connect(Number(port), host);
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -52,10 +52,24 @@
   }
 };
 
+/** Options of an agent that sets the source address, if there is one. */
+const findSource = (
+  localAddress: string | undefined,
+): {readonly localAddress?: string} =>
+  localAddress === undefined ? {} : {localAddress};
+
 /** One agent for each upstream, and one that keeps no connections. */
 export class ConnectionPool {
   private readonly agents = new Map<string, GuardedAgent>();
-  private readonly unpooledAgent = new http.Agent({keepAlive: false});
+  private readonly unpooledAgent: http.Agent;
+
+  /** @param localAddress IP address from which connections are opened. */
+  constructor(private readonly localAddress?: string) {
+    this.unpooledAgent = new http.Agent({
+      keepAlive: false,
+      ...findSource(localAddress),
+    });
+  }
 
   /** The agent for requests to `upstream`; `fresh` keeps no connection. */
   agentOf(
@@ -74,6 +88,7 @@
       maxFreeSockets: MAX_IDLE_PER_UPSTREAM,
       timeout: MAX_IDLE_MS,
       scheduling: 'lifo',
+      ...findSource(this.localAddress),
     });
     this.agents.set(upstream.id, agent);
     return agent;
--- a/packages/gateway/src/upstream-probe.ts
+++ b/packages/gateway/src/upstream-probe.ts
@@ -20,9 +20,15 @@
   readonly answer: Promise<boolean>;
 }
 
-const connect = ({address}: routing.Upstream): Promise<boolean> =>
+const connect = (
+  {address}: routing.Upstream,
+  localAddress: string | undefined,
+): Promise<boolean> =>
   new Promise(resolve => {
-    const socket = net.connect(address);
+    const socket = net.connect({
+      ...address,
+      ...(localAddress === undefined ? {} : {localAddress}),
+    });
     const finish = (isReachable: boolean) => {
       clearTimeout(timer);
       socket.destroy();
@@ -43,15 +49,20 @@
  * Creates a probe. It distinguishes an engine that is busy with a long prompt
  * from one that lost power: both are silent, but the busy one still accepts
  * connections. Of all streams that probe one upstream, only one connects.
+ *
+ * @param localAddress IP address from which connections are opened.
  */
-export const createProbe = (clock: ports.Clock): ProbeUpstream => {
+export const createProbe = (
+  clock: ports.Clock,
+  localAddress?: string,
+): ProbeUpstream => {
   const probes = new Map<string, CachedProbe>();
   return upstream => {
     const known = probes.get(upstream.id);
     if (known && clock.now() - known.atMs < RESULT_TTL_MS) {
       return known.answer;
     }
-    const answer = connect(upstream);
+    const answer = connect(upstream, localAddress);
     probes.set(upstream.id, {atMs: clock.now(), answer});
     return answer.then(isReachable => {
       setTimeout(() => probes.delete(upstream.id), RESULT_TTL_MS).unref();
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -3,6 +3,5 @@
  * store, with injected faults, checked from outside.
  */
 export * from './fault-plan.js';
-export * from './loopback-proxy.js';
 export * from './invariants.js';
 export * from './run-soak.js';
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -13,7 +13,6 @@
 import * as loadGenerator from './load-generator.js';
 import * as faultPlan from './fault-plan.js';
 import * as gatewayProcess from './gateway-process.js';
-import * as loopbackProxy from './loopback-proxy.js';
 import * as invariants from './invariants.js';
 import * as documents from './soak-documents.js';
 import * as soakUpstream from './soak-upstream.js';
@@ -58,7 +57,7 @@
 
 interface Instance {
   readonly process: gatewayProcess.GatewayProcess;
-  readonly storeProxy: loopbackProxy.LoopbackProxy;
+  readonly storeProxy: fakes.LoopbackProxy;
   /** Address for callers. */
   readonly address: string;
 }
@@ -69,7 +68,7 @@
   starts: number;
   readonly state: soakUpstream.SoakUpstreamState;
   readonly server: fakes.ScriptedUpstream;
-  readonly proxy: loopbackProxy.LoopbackProxy;
+  readonly proxy: fakes.LoopbackProxy;
 }
 
 /** One run of one seed. */
@@ -188,7 +187,7 @@
     );
     const server = new fakes.ScriptedUpstream(script);
     await server.start();
-    const proxy = new loopbackProxy.LoopbackProxy(server.address);
+    const proxy = new fakes.LoopbackProxy(server.address);
     await proxy.start();
     const upstream = {index, starts: 0, state, server, proxy};
     this.upstreams.push(upstream);
@@ -213,9 +212,7 @@
     const seeds = listens.slice(0, 3).map(({peers}) => peers);
     for (const [i, listen] of listens.entries()) {
       const id = `instance-${i}`;
-      const storeProxy = new loopbackProxy.LoopbackProxy(
-        this.storeServer.address,
-      );
+      const storeProxy = new fakes.LoopbackProxy(this.storeServer.address);
       await storeProxy.start();
       const file = path.join(this.folder, `${id}.toml`);
       fs.writeFileSync(
@@ -330,8 +327,8 @@
   }
 
   private async disruptProxy(
-    proxy: loopbackProxy.LoopbackProxy,
-    mode: loopbackProxy.ProxyMode,
+    proxy: fakes.LoopbackProxy,
+    mode: fakes.ProxyMode,
     forMs: number,
   ): Promise<void> {
     proxy.mode = mode;
