Count no repeat for a send that reached no upstream

What callers saw: requests refused with 503 at an instance that had lost links, with upstreams left that nobody had asked. Cause: each send after the first took a repeat from the budget, also after connections that were never established; the budget bounds what arrives at a service.

A request is recorded for the budget once, and takes a repeat only if an earlier send may have arrived; refusals count as arrived.

--- a/packages/amaranthknot/tests/gateway/placement-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/placement-fixture.ts
@@ -45,6 +45,7 @@
     },
     model: undefined,
     excluded: new Set(),
+    sends: 0,
     isRepeat: false,
   };
 };
--- a/packages/amaranthknot/tests/gateway/placement-load.ts
+++ b/packages/amaranthknot/tests/gateway/placement-load.ts
@@ -102,7 +102,8 @@
         Right: placed => {
           const excluded = new Set([...request.excluded, placed.upstream.id]);
           const repeat = () => {
-            send(instance, {...request, excluded, isRepeat: true});
+            const sends = request.sends + 1;
+            send(instance, {...request, excluded, sends, isRepeat: true});
           };
           answer({instance, placed, repeat});
         },
--- a/packages/experiment/src/run-simulation.ts
+++ b/packages/experiment/src/run-simulation.ts
@@ -155,7 +155,13 @@
     },
   };
   const request = {caller, route, service, workspace: undefined, deadlineMs};
-  return {request, model, excluded: new Set(), isRepeat};
+  return {
+    request,
+    model,
+    excluded: new Set(),
+    sends: isRepeat ? 1 : 0,
+    isRepeat,
+  };
 };
 
 /** One simulated load on one fleet. */
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -45,6 +45,8 @@
   /** Number of upstreams on which the request may have run. */
   private possibleRuns = 0;
   private sends = 0;
+  /** Number of sends that certainly reached no upstream. */
+  private unreached = 0;
   private last: WholeAnswer | undefined;
   /** Time until an upstream takes the request, where that is known. */
   private waitMs: number | undefined;
@@ -171,7 +173,8 @@
       request: this.context.request,
       model: undefined,
       excluded: this.excluded,
-      isRepeat: this.sends > 0,
+      sends: this.sends,
+      isRepeat: this.sends > this.unreached,
     });
     return placed.caseOf({
       Left: ({reason, waitMs, inputs}) => {
@@ -210,8 +213,9 @@
       },
     );
     if (opened.isLeft()) {
-      const {ran} = opened.extract();
+      const {ran, reason} = opened.extract();
       this.possibleRuns -= ran === 'not_run' ? 1 : 0;
+      this.unreached += reason === 'unreachable' ? 1 : 0;
       return {kind: ran};
     }
     const answer = opened.unsafeCoerce();
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -54,7 +54,9 @@
   readonly model: string | undefined;
   /** Ids of upstreams that already failed for this request. */
   readonly excluded: ReadonlySet<string>;
-  /** Whether the request has been sent to an upstream before. */
+  /** Number of attempts before this one. */
+  readonly sends: number;
+  /** Whether one of them may have reached an upstream. */
   readonly isRepeat: boolean;
 }
 
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -37,6 +37,8 @@
   private readonly excluded = new Set<string>();
   private runCount = 0;
   private sends = 0;
+  /** Number of sends that certainly reached no upstream. */
+  private unreached = 0;
   /** Time until an upstream takes the request, where that is known. */
   private waitMs: number | undefined;
   /**
@@ -127,9 +129,14 @@
     excluded: ReadonlySet<string>,
   ): runContext.PlacedAttempt | undefined {
     const {request, log} = this.context;
-    const isRepeat = this.sends > 0;
     return this.dependencies
-      .place({request, model, excluded, isRepeat})
+      .place({
+        request,
+        model,
+        excluded,
+        sends: this.sends,
+        isRepeat: this.sends > this.unreached,
+      })
       .caseOf({
         Left: ({reason, waitMs, inputs}) => {
           this.waitMs = waitMs;
@@ -207,7 +214,8 @@
     watchdog.stop();
     const tookMs = dependencies.clock.now() - startedAtMs;
     if (opened.isLeft()) {
-      const {ran} = opened.extract();
+      const {ran, reason} = opened.extract();
+      this.unreached += reason === 'unreachable' ? 1 : 0;
       if (
         runContext.abortReasonOf(abortController.signal) === 'upstream_silent'
       ) {
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -92,13 +92,20 @@
     return Math.round(this.options.upstreamsAgeMs() ?? -1);
   }
 
-  private takeRepeat({request, isRepeat}: runContext.PlacementRequest) {
+  /** A request is recorded once, and takes a repeat only if it had arrived. */
+  private takeRepeat({
+    request,
+    sends,
+    isRepeat,
+  }: runContext.PlacementRequest): boolean {
     const {repeats} = this.options;
     const {name} = request.service;
     if (isRepeat) {
       return repeats.take(name);
     }
-    repeats.recordRequest(name);
+    if (sends === 0) {
+      repeats.recordRequest(name);
+    }
     return true;
   }
 
