Report no failure of an upstream that only this instance can't reach

What callers saw: nothing by itself yet; an instance that lost its links told its peers of dozens of failures at sound upstreams, and a peer ejects an upstream after a single failure of its own if those of all instances exceed the mean.

An upstream out of reach is ejected at once as before, and counted nowhere. The new test failed before: the peer ejected u-0.

--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -337,7 +337,7 @@
         );
         return;
       case 'unreachable':
-        entry.stats.recordFailure(now);
+        // Not counted, as other instances may reach it, and counts are shared.
         this.eject(entry, now);
         return;
       case 'failed':
--- a/packages/decisions/tests/upstream-picker.test.ts
+++ b/packages/decisions/tests/upstream-picker.test.ts
@@ -52,6 +52,22 @@
 ): string => picker.pick(candidates, request)?.id ?? '';
 
 describe('UpstreamPicker', () => {
+  it('does not report an upstream that it cannot reach as failing', () => {
+    // Guards against peers that eject a sound upstream for another's lost link.
+    const cut = setUp();
+    const sound = setUp();
+    for (let i = 0; i < 5; i++) {
+      cut.picker.start('u-0', PLAIN).end('unreachable');
+    }
+    chai.expect(cut.ejected).contain('u-0');
+    sound.candidates.forEach(({id}) => {
+      sound.picker.start(id, PLAIN).end('answered');
+    });
+    sound.picker.merge('cut', cut.picker.report());
+    sound.picker.start('u-0', PLAIN).end('failed');
+    chai.expect(sound.ejected).eql([]);
+  });
+
   it('spreads requests over idle upstreams', () => {
     const setup = setUp();
     for (let i = 0; i < 16; i++) {
