--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -63,6 +63,10 @@
   readonly availability: gateway.UpstreamAvailability;
   readonly upstreamLinks: decisions.UpstreamLinks;
   readonly linkMonitor: gateway.LinkMonitor;
+  readonly peerForwarder: gateway.PeerForwarder;
+  readonly forwardAdmission: decisions.ForwardAdmission;
+  /** Connections over which requests are forwarded. */
+  readonly peerPool: gateway.ConnectionPool;
   readonly rollouts: gateway.RolloutTracker;
   readonly pool: gateway.ConnectionPool;
   readonly placement: gateway.UpstreamPlacement;
--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -93,8 +93,11 @@
         platform.INSTANCE_PATHS.directory,
         question => this.answerDirectory(question),
       ),
-      gateway.createPeerServer(listen.peers, protocol.INNER_PATH, text =>
-        get('peerServer').handle(text),
+      gateway.createPeerServer(
+        listen.peers,
+        protocol.INNER_PATH,
+        text => get('peerServer').handle(text),
+        (...exchange) => get('gateway').handleForwarded(...exchange),
       ),
       ...(listen.metrics
         ? [
@@ -177,6 +180,11 @@
     return this.get('catalog').find(id) !== undefined;
   }
 
+  /** Names of the services of which this instance reaches no upstream. */
+  lostServices(): readonly string[] {
+    return this.get('upstreamLinks').lostServices;
+  }
+
   private isReady(): boolean {
     return !this.stopping && this.get('state').isSynced();
   }
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -38,6 +38,7 @@
       upstreamsAgeMs: get('state').upstreamsAgeMs(),
       upstreamsInBackoff: get('backoffs').activeCount,
       servicesUnreachable: get('upstreamLinks').lostServices.length,
+      requestsForwarded: get('peerForwarder').inFlight,
       servingInstances: get('members').serving(options.clock.now()).length,
     })),
 });
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -45,6 +45,7 @@
 export class InstanceLoops {
   private reloadedAtMs = 0;
   private fleetCheckedAtMs = -Infinity;
+  private lastLoad = performance.eventLoopUtilization();
 
   constructor(
     private readonly get: gatewayComponents.GatewayResolver,
@@ -132,6 +133,7 @@
       this.updatePhase();
       get('state').expire();
       get('linkMonitor').recheckLost();
+      this.sampleLoad();
       get('rollouts').reportDueEnds();
       this.checkFleetIfDue(clock.now());
       get('log').reportDroppedLines();
@@ -140,11 +142,29 @@
     }
   }
 
+  private sampleLoad(): void {
+    const load = performance.eventLoopUtilization();
+    const since = performance.eventLoopUtilization(load, this.lastLoad);
+    this.lastLoad = load;
+    this.get('forwardAdmission').record(since.utilization);
+  }
+
+  private dropGonePeers(nowMs: number): void {
+    const ids = new Set(
+      this.get('members')
+        .live(nowMs)
+        .map(({id}) => id),
+    );
+    this.get('peerPool').retain(ids);
+    this.get('peerForwarder').retain(ids);
+  }
+
   private checkFleetIfDue(nowMs: number): void {
     if (nowMs - this.fleetCheckedAtMs >= FLEET_CHECK_INTERVAL_MS) {
       this.fleetCheckedAtMs = nowMs;
       this.get('fleetChangeLogger').logChanges();
       repeatSlack.updateRepeatSlack(this.get);
+      this.dropGonePeers(nowMs);
     }
   }
 
--- a/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
@@ -31,6 +31,7 @@
     phase: 'starting',
     store: 'reached',
     cores: limits.cores,
+    lostServices: [],
   });
 };
 
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -2,7 +2,7 @@
 import * as decisions from '@amaranthknot/decisions';
 import * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
-import type * as routing from '@amaranthknot/routing';
+import * as routing from '@amaranthknot/routing';
 import * as gatewayState from '../gateway-state.js';
 import type * as gatewayComponents from '../gateway-components.js';
 import * as repeatSlack from '../repeat-slack.js';
@@ -21,6 +21,9 @@
   | 'availability'
   | 'upstreamLinks'
   | 'linkMonitor'
+  | 'peerForwarder'
+  | 'forwardAdmission'
+  | 'peerPool'
   | 'rollouts'
   | 'pool'
   | 'placement'
@@ -122,6 +125,8 @@
     picker: get('picker'),
     repeats: get('repeatBudget'),
     rollouts: get('rollouts'),
+    forwarder: get('peerForwarder'),
+    isLost: service => get('upstreamLinks').isLost(service),
     now: () => clock.now(),
     upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
     regionOf: zone => settings.current.zones.get(zone),
@@ -143,12 +148,50 @@
   }
 };
 
+/** Tells the other instances which services this one has no links to. */
+const reportLinks = (get: gatewayComponents.GatewayResolver): void => {
+  get('members').setLostServices(get('upstreamLinks').lostServices);
+};
+
+/** The instances that take callers and have links to a service. */
+const findForwardPeers = (
+  get: gatewayComponents.GatewayResolver,
+  service: string,
+): readonly gateway.ForwardPeer[] => {
+  const {settings, clock} = get('options');
+  const members = get('members');
+  return members.serving(clock.now()).flatMap(member => {
+    const {id, zone, cores, lostServices} = member;
+    const address = routing.parseAddress(member.peers);
+    const hasLinks = lostServices?.includes(service) === false;
+    return id === members.self.id || !hasLinks || !address
+      ? []
+      : [{id, zone, cores, address, region: settings.current.zones.get(zone)}];
+  });
+};
+
+const createPeerForwarder = (
+  get: gatewayComponents.GatewayResolver,
+): gateway.PeerForwarder => {
+  const {settings, clock, random} = get('options');
+  const {zone, region} = settings.current.instance;
+  return new gateway.PeerForwarder({
+    now: () => clock.now(),
+    random,
+    zone,
+    region,
+    findPeers: service => findForwardPeers(get, service),
+  });
+};
+
 const createUpstreamLinks = (
   get: gatewayComponents.GatewayResolver,
 ): decisions.UpstreamLinks =>
   new decisions.UpstreamLinks({
     now: () => get('options').clock.now(),
     onLost: (service, failed) => {
+      reportLinks(get);
+      get('linkMonitor').notifyLost(service);
       get('log').warn('upstream_links_lost', {
         service,
         failed,
@@ -157,6 +200,7 @@
       });
     },
     onRegained: (service, awayMs) => {
+      reportLinks(get);
       get('log').info('upstream_links_regained', {
         service,
         awayMs: Math.round(awayMs),
@@ -207,6 +251,16 @@
     latencies: get('latencies'),
     escalation: get('escalationPolicy'),
     probe: createMonitoredProbe(get),
+    probePeer: gateway.createProbe(clock),
+    links: {
+      isLost: service => get('upstreamLinks').isLost(service),
+      whenLost: (...wait) => get('linkMonitor').whenLost(...wait),
+    },
+    hasRoomForForwarded: () => get('forwardAdmission').hasRoom(),
+    openForward: gateway.createOpenForward(
+      get('peerPool'),
+      HEADER_CONVENTIONS.headers,
+    ),
     whenSynced: () =>
       Promise.race([get('state').whenSynced(), clock.sleep(HOLD_AT_START_MS)]),
     headerConventions: HEADER_CONVENTIONS,
@@ -306,6 +360,9 @@
   availability: createAvailability,
   upstreamLinks: createUpstreamLinks,
   linkMonitor: createLinkMonitor,
+  peerForwarder: createPeerForwarder,
+  forwardAdmission: () => new decisions.ForwardAdmission(),
+  peerPool: () => new gateway.ConnectionPool(),
   rollouts: createRollouts,
   pool: () =>
     new gateway.ConnectionPool(options.settings.current.sourceAddress),
--- a/packages/amaranthknot/tests/gateway/placement-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/placement-fixture.ts
@@ -42,10 +42,10 @@
       service,
       workspace: undefined,
       deadlineMs: now + 3_000,
+      configuration: 1,
     },
     model: undefined,
     excluded: new Set(),
-    sends: 0,
-    isRepeat: false,
+    history: {sends: 0, isRepeat: false, hasUnreached: false, runs: 0},
   };
 };
--- a/packages/amaranthknot/tests/gateway/placement-load.ts
+++ b/packages/amaranthknot/tests/gateway/placement-load.ts
@@ -102,8 +102,9 @@
         Right: placed => {
           const excluded = new Set([...request.excluded, placed.upstream.id]);
           const repeat = () => {
-            const sends = request.sends + 1;
-            send(instance, {...request, excluded, sends, isRepeat: true});
+            const sends = request.history.sends + 1;
+            const history = {...request.history, sends, isRepeat: true};
+            send(instance, {...request, excluded, history});
           };
           answer({instance, placed, repeat});
         },
--- a/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
+++ b/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
@@ -24,7 +24,9 @@
     const instance = await startInstance();
     const first = placementFixture.createPlacementRequest(instance, 'r');
     const place = (sends: number, isRepeat: boolean) =>
-      instance.get('placement').place({...first, sends, isRepeat});
+      instance
+        .get('placement')
+        .place({...first, history: {...first.history, sends, isRepeat}});
     while (place(1, true).isRight()) {
       // Spends the repeat budget.
     }
@@ -66,8 +68,14 @@
               : instance.get('placement').place(toPlace);
           },
           openCall: () => Promise.resolve(purify.Left(failure)),
+          openForward: () => Promise.resolve(purify.Left(failure)),
+          links: {
+            isLost: () => false,
+            whenLost: () => new Promise(() => undefined),
+          },
           latencies: new decisions.LatencyEstimates(),
           probe: () => Promise.resolve(true),
+          probePeer: () => Promise.resolve(true),
           escalation: instance.get('escalationPolicy'),
         },
         {
@@ -77,8 +85,8 @@
         },
       );
       await run.run();
-      chai.expect(placed[1]?.sends).equal(1);
-      chai.expect(placed[1]?.isRepeat).equal(isRepeat);
+      chai.expect(placed[1]?.history.sends).equal(1);
+      chai.expect(placed[1]?.history.isRepeat).equal(isRepeat);
     });
   });
 });
--- a/packages/experiment/src/run-simulation.ts
+++ b/packages/experiment/src/run-simulation.ts
@@ -154,13 +154,20 @@
       ],
     },
   };
-  const request = {caller, route, service, workspace: undefined, deadlineMs};
+  const request = {
+    caller,
+    route,
+    service,
+    workspace: undefined,
+    deadlineMs,
+    configuration: table?.version ?? 0,
+  };
+  const sends = isRepeat ? 1 : 0;
   return {
     request,
     model,
     excluded: new Set(),
-    sends: isRepeat ? 1 : 0,
-    isRepeat,
+    history: {sends, isRepeat, hasUnreached: false, runs: sends},
   };
 };
 
--- a/packages/fleet/src/member-table.ts
+++ b/packages/fleet/src/member-table.ts
@@ -107,6 +107,11 @@
     }
   }
 
+  /** Sets the services of which this instance reports no link. */
+  setLostServices(lostServices: readonly string[]): void {
+    this.updateSelf({lostServices: [...lostServices]});
+  }
+
   private updateSelf(changed: Partial<protocol.Member>): void {
     const revision = this.selfRow.revision + 1;
     this.selfRow = {...this.selfRow, ...changed, revision};
--- a/packages/gateway/src/accept-request.ts
+++ b/packages/gateway/src/accept-request.ts
@@ -102,5 +102,12 @@
     caller.deadlineMs,
     caller.receivedAtMs + route.timeoutMs,
   );
-  return purify.Right({caller, route, service, workspace, deadlineMs});
+  return purify.Right({
+    caller,
+    route,
+    service,
+    workspace,
+    deadlineMs,
+    configuration: table.version,
+  });
 };
--- a/packages/gateway/src/auxiliary-server.ts
+++ b/packages/gateway/src/auxiliary-server.ts
@@ -8,6 +8,7 @@
  */
 import * as http from 'node:http';
 import * as zlib from 'node:zlib';
+import * as protocol from '@amaranthknot/protocol';
 import type * as configuration from '@amaranthknot/configuration';
 import * as httpListener from './http-listener.js';
 
@@ -17,6 +18,12 @@
 /** Smallest answer that is compressed, in bytes. */
 const MIN_COMPRESSED_BYTES = 1_024;
 
+/**
+ * Largest head of a request, in bytes: that of a caller's request with what an
+ * instance adds to forward it.
+ */
+const MAX_HEADER_BYTES = 81_920;
+
 /** Path of the metrics endpoint. */
 const METRICS_PATH = '/metrics';
 
@@ -55,22 +62,36 @@
 
 const NOT_FOUND: Answer = {status: 404};
 
-/** Creates a server for messages of other instances; `handle` answers them. */
+/** Handles a request that another instance forwards. */
+export type HandleForwarded = (
+  message: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
+/**
+ * Creates a server for other instances. `handle` answers their messages,
+ * `handleForwarded` the requests that they forward for their callers.
+ */
 export const createPeerServer = (
   address: configuration.Address,
   path: string,
   handle: (text: string) => Promise<string>,
+  handleForwarded: HandleForwarded,
 ): AuxiliaryServer =>
-  createServer(address, {
-    method: 'POST',
-    path,
-    answer: async request => {
-      const text = await readText(request);
-      return text === undefined
-        ? {status: 400}
-        : {status: 200, type: JSON_TYPE, body: await handle(text)};
+  createServer(
+    address,
+    {
+      method: 'POST',
+      path,
+      answer: async request => {
+        const text = await readText(request);
+        return text === undefined
+          ? {status: 400}
+          : {status: 200, type: JSON_TYPE, body: await handle(text)};
+      },
     },
-  });
+    handleForwarded,
+  );
 
 /** Creates a server that answers whether this instance accepts requests. */
 export const createReadinessServer = (
@@ -124,11 +145,19 @@
     }),
   });
 
+const FORWARDED_NAME = protocol.FORWARD_HEADERS.request.toLowerCase();
+
 const createServer = (
   address: configuration.Address,
   endpoint: Endpoint,
+  handleForwarded?: HandleForwarded,
 ): AuxiliaryServer => {
-  const server = http.createServer((request, response) => {
+  const options = {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0};
+  const server = http.createServer(options, (request, response) => {
+    if (handleForwarded && FORWARDED_NAME in request.headers) {
+      void handleForwarded(request, response);
+      return;
+    }
     void findAnswer(endpoint, request).then(answer => {
       send(request, response, answer);
     });
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -2,6 +2,7 @@
  * Runs a request whose answer is buffered, so that the caller only gets a
  * complete one and a broken answer can be requested again.
  */
+import * as attemptHistory from './attempt-history.js';
 import type * as callerAnswer from './caller-answer.js';
 import * as runContext from './run-context.js';
 import * as rawHeaders from './raw-headers.js';
@@ -34,6 +35,9 @@
 type AttemptResult =
   WholeAnswer | {readonly kind: 'not_run'} | {readonly kind: 'unknown'};
 
+/** A promise that stays pending. */
+const NEVER = new Promise<never>(() => undefined);
+
 const NO_DROPPED_HEADERS: ReadonlySet<string> = new Set<string>();
 
 /** Whether a status says that the upstream failed. */
@@ -42,11 +46,9 @@
 /** One request to a plain service. */
 export class BufferedRun {
   private readonly excluded = new Set<string>();
-  /** Number of upstreams on which the request may have run. */
-  private possibleRuns = 0;
-  private sends = 0;
-  /** Number of sends that certainly reached no upstream. */
-  private unreached = 0;
+  private readonly history: attemptHistory.AttemptHistory;
+  /** Whether the last attempt went to another instance, which hedges itself. */
+  private isForwarding = false;
   private last: WholeAnswer | undefined;
   /** Time until an upstream takes the request, where that is known. */
   private waitMs: number | undefined;
@@ -54,7 +56,12 @@
   constructor(
     private readonly dependencies: runContext.RunDependencies,
     private readonly context: runContext.RunContext,
-  ) {}
+  ) {
+    const {request} = context;
+    this.history = new attemptHistory.AttemptHistory(request, () =>
+      dependencies.links.isLost(request.service.name),
+    );
+  }
 
   /** Runs the request; resolves to an upstream's answer or a refusal. */
   async run(): Promise<WholeAnswer | refusals.Refusal> {
@@ -120,38 +127,64 @@
     return undefined;
   }
 
-  /** The next result, or `late` when a hedged attempt should start. */
+  /** The next result, or `late` when another attempt should start. */
   private async waitForNext(
     pending: ReadonlySet<Promise<FinishedAttempt>>,
   ): Promise<FinishedAttempt | 'late'> {
-    if (!this.maySend() || pending.size > 1) {
-      return Promise.race(pending);
-    }
+    const waits = new AbortController();
+    const late = [
+      this.waitForHedge(pending.size, waits.signal),
+      this.waitForLostLinks(waits.signal),
+    ];
+    const next = await Promise.race([...pending, ...late]);
+    waits.abort();
+    return next;
+  }
+
+  /** Resolves when a hedged attempt should start, if one may. */
+  private async waitForHedge(
+    pending: number,
+    signal: AbortSignal,
+  ): Promise<'late'> {
     const {service, route} = this.context.request;
+    if (!this.maySend() || pending > 1 || this.isForwarding) {
+      return NEVER;
+    }
     const waitMs = this.dependencies.latencies.hedgeDelayMs(
       service.name,
       route.latencyTargetMs,
     );
-    const hedgeTimer = new AbortController();
-    const late = this.dependencies.clock
-      .sleep(waitMs, hedgeTimer.signal)
-      .then(() => 'late' as const);
-    const next = await Promise.race([...pending, late]);
-    hedgeTimer.abort();
-    return next;
+    await this.dependencies.clock.sleep(waitMs, signal);
+    return 'late';
+  }
+
+  /**
+   * Resolves when the links to the service are lost.
+   *
+   * Guards against callers who wait until their deadline for upstreams that
+   * have been cut off, while another instance could serve them.
+   */
+  private async waitForLostLinks(signal: AbortSignal): Promise<'late'> {
+    const {links} = this.dependencies;
+    const service = this.context.request.service.name;
+    if (links.isLost(service)) {
+      return NEVER;
+    }
+    await links.whenLost(service, signal);
+    return 'late';
   }
 
   private maySend(): boolean {
     const {maxAttempts} = this.context.request.route;
     return (
       !this.context.signal.aborted &&
-      this.possibleRuns < maxAttempts &&
-      this.sends < maxAttempts + MAX_REFUSED_SENDS
+      !this.history.isExhausted() &&
+      this.history.sends < maxAttempts + MAX_REFUSED_SENDS
     );
   }
 
   private explainFailure(): refusals.Refusal {
-    if (this.possibleRuns > 0) {
+    if (this.history.runs > 0) {
       const isTimeUp = this.context.signal.aborted;
       return {reason: isTimeUp ? 'timeout' : 'failed'};
     }
@@ -173,15 +206,14 @@
       request: this.context.request,
       model: undefined,
       excluded: this.excluded,
-      sends: this.sends,
-      isRepeat: this.sends > this.unreached,
+      history: this.history.summarize(),
     });
     return placed.caseOf({
       Left: ({reason, waitMs, inputs}) => {
-        this.waitMs = waitMs;
+        this.waitMs = waitMs ?? this.waitMs;
         this.context.log.step('try_not_placed', {
           reason,
-          sends: this.sends,
+          sends: this.history.sends,
           ...inputs,
         });
         return undefined;
@@ -195,8 +227,9 @@
     signal: AbortSignal,
   ): Promise<AttemptResult> {
     const {request} = this.context;
-    this.sends++;
-    this.possibleRuns++;
+    const history = this.history.summarize();
+    this.history.begin(placed);
+    this.isForwarding = placed.forward !== undefined;
     this.excluded.add(placed.upstream.id);
     const startedAtMs = this.dependencies.clock.now();
     const opened = await sendAttempt.sendAttempt(
@@ -205,6 +238,8 @@
       {
         placed,
         model: undefined,
+        isModelFixed: false,
+        history,
         lastEventId: request.caller.lastEventId,
         connection: request.route.kind === 'at_most_once' ? 'fresh' : 'kept',
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -213,10 +248,12 @@
       },
     );
     if (opened.isLeft()) {
-      const {ran, reason} = opened.extract();
-      this.possibleRuns -= ran === 'not_run' ? 1 : 0;
-      this.unreached += reason === 'unreachable' ? 1 : 0;
-      return {kind: ran};
+      const failure = opened.extract();
+      this.history.recordFailure(placed, failure);
+      if (placed.forward && failure.ran === 'not_run') {
+        this.waitMs = failure.backoffMs ?? this.waitMs;
+      }
+      return {kind: failure.ran};
     }
     const answer = opened.unsafeCoerce();
     const body = await readBody.readBody(answer);
@@ -227,7 +264,9 @@
     const {status} = answer;
     placed.settle(isFailure(status) ? 'failed' : 'answered');
     const tookMs = this.dependencies.clock.now() - startedAtMs;
-    this.dependencies.latencies.record(request.service.name, tookMs);
+    if (!placed.forward) {
+      this.dependencies.latencies.record(request.service.name, tookMs);
+    }
     const headers = rawHeaders.keepEndToEnd(answer.headers, NO_DROPPED_HEADERS);
     this.last = {
       kind: 'answer',
--- a/packages/gateway/src/caller-answer.ts
+++ b/packages/gateway/src/caller-answer.ts
@@ -1,5 +1,6 @@
 /** The answer to one caller. A partial answer never looks complete. */
 import type * as http from 'node:http';
+import * as protocol from '@amaranthknot/protocol';
 import type * as rawHeaders from './raw-headers.js';
 import * as refusals from './refusal.js';
 
@@ -20,6 +21,8 @@
     private readonly closesConnection: () => boolean,
     /** Called when the head is sent. */
     private readonly onBegin: () => void,
+    /** Whether the answer goes to the instance that forwarded the request. */
+    private readonly isForwarded = false,
   ) {}
 
   /** Whether the head has been sent. */
@@ -45,7 +48,10 @@
   /** Sends a refusal by the gateway. */
   refuse(refusal: refusals.Refusal): void {
     const {status, headers, body} = refusals.formatRefusal(refusal);
-    this.send({status, headers}, body);
+    const mark = this.isForwarded
+      ? [protocol.FORWARD_HEADERS.refusal, refusal.reason]
+      : [];
+    this.send({status, headers: [...headers, ...mark]}, body);
   }
 
   /** Sends the head of a stream. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,9 +1,13 @@
 /** Handles each caller's request from its arrival to its final answer. */
 import type * as http from 'node:http';
 import type * as telemetry from '@amaranthknot/telemetry';
+import * as protocol from '@amaranthknot/protocol';
+import * as purify from 'purify-ts';
+import * as acceptForwarded from './accept-forwarded.js';
 import * as acceptRequest from './accept-request.js';
 import * as callerAnswer from './caller-answer.js';
 import * as callerRequest from './caller-request.js';
+import * as rawHeaders from './raw-headers.js';
 import type * as runContext from './run-context.js';
 import * as bufferedRun from './buffered-run.js';
 import type * as refusals from './refusal.js';
@@ -18,6 +22,8 @@
   /** Resolves when the configuration is confirmed, or cannot be for now. */
   readonly refreshTable: () => Promise<void>;
   readonly tableAgeLimits: acceptRequest.TableAgeLimits;
+  /** Whether this instance takes another request that is forwarded to it. */
+  readonly hasRoomForForwarded: () => boolean;
   /** Called at the end of each accepted request. */
   readonly onRequestEnd: (sample: telemetry.RequestSample) => void;
 }
@@ -27,6 +33,28 @@
   begunAtMs?: number;
 }
 
+/** Accepts a request or refuses it. */
+type Accept = (
+  caller: callerRequest.CallerRequest,
+  message: http.IncomingMessage,
+) => Promise<acceptRequest.Acceptance>;
+
+/** One exchange with a caller, or with the instance that forwards for it. */
+interface Exchange {
+  readonly message: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly answer: callerAnswer.CallerAnswer;
+  readonly receivedAtMs: number;
+  readonly times: AnswerTimes;
+  readonly accept: Accept;
+}
+
+/**
+ * `Retry-After` where this instance is too busy for forwarded requests, in
+ * milliseconds: the time over which its load is averaged.
+ */
+const OVERLOADED_RETRY_MS = 1_000;
+
 /**
  * Time before its deadline at which a request is answered at the latest, in
  * milliseconds, so that the answer reaches the caller while it still waits.
@@ -68,10 +96,27 @@
    * @param waitedMs see `HandleRequest`. It counts as used up, so that no
    *     upstream is given more time than the caller still waits.
    */
-  async handle(
+  handle(
     message: http.IncomingMessage,
     response: http.ServerResponse,
     waitedMs = 0,
+  ): Promise<void> {
+    return this.handleExchange(message, response, waitedMs, false);
+  }
+
+  /** Handles a request that another instance forwards; never rejects. */
+  handleForwarded(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    return this.handleExchange(message, response, 0, true);
+  }
+
+  private async handleExchange(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    waitedMs: number,
+    isForwarded: boolean,
   ): Promise<void> {
     const receivedAtMs = this.dependencies.clock.now() - waitedMs;
     const times: AnswerTimes = {};
@@ -81,10 +126,21 @@
       () => {
         times.begunAtMs ??= this.dependencies.clock.now();
       },
+      isForwarded,
     );
+    const accept: Accept = isForwarded
+      ? (...request) => Promise.resolve(this.acceptForwarded(...request))
+      : caller => this.accept(caller);
     this.active++;
     try {
-      await this.readAndServe(message, receivedAtMs, response, answer, times);
+      await this.readAndServe({
+        message,
+        response,
+        answer,
+        receivedAtMs,
+        times,
+        accept,
+      });
     } catch (error) {
       // An internal error must not end the process, nor be answered as `not
       // run`, because the request may have run.
@@ -104,13 +160,8 @@
     }
   }
 
-  private async readAndServe(
-    message: http.IncomingMessage,
-    receivedAtMs: number,
-    response: http.ServerResponse,
-    answer: callerAnswer.CallerAnswer,
-    times: AnswerTimes,
-  ): Promise<void> {
+  private async readAndServe(exchange: Exchange): Promise<void> {
+    const {message, answer, receivedAtMs} = exchange;
     const body = await readRequestBody(message, this.bodyLimit());
     if (body === 'gone') {
       return;
@@ -130,7 +181,7 @@
     if (!this.dependencies.activeTable()) {
       await this.dependencies.whenSynced();
     }
-    await this.serve(caller, response, answer, log, times);
+    await this.serve(caller, exchange, log);
   }
 
   private bodyLimit(): number {
@@ -158,17 +209,18 @@
 
   private async serve(
     caller: callerRequest.CallerRequest,
-    response: http.ServerResponse,
-    answer: callerAnswer.CallerAnswer,
+    {message, response, answer, times, accept}: Exchange,
     log: telemetry.RequestLog,
-    times: AnswerTimes,
   ): Promise<void> {
-    const accepted = await this.accept(caller);
+    const accepted = await accept(caller, message);
     if (accepted.isLeft()) {
       this.refuse(answer, log, accepted.extract());
       return;
     }
     const request = accepted.unsafeCoerce();
+    if (request.forwarded) {
+      log.step('forward_accepted', describeForwarded(request.forwarded));
+    }
     if (this.mayOutliveStop(request)) {
       this.refuse(answer, log, {reason: 'stopping', retryAfterMs: 0});
       return;
@@ -199,10 +251,14 @@
     }
   }
 
+  /** A forwarded request is measured at the instance that its caller called. */
   private recordEnd(
-    {route, caller}: runContext.AcceptedRequest,
+    {route, caller, forwarded}: runContext.AcceptedRequest,
     {begunAtMs}: AnswerTimes,
   ): void {
+    if (forwarded) {
+      return;
+    }
     const {receivedAtMs} = caller;
     this.dependencies.onRequestEnd({
       kind: route.kind,
@@ -212,6 +268,36 @@
     });
   }
 
+  private acceptForwarded(
+    caller: callerRequest.CallerRequest,
+    message: http.IncomingMessage,
+  ): acceptRequest.Acceptance {
+    const {hasRoomForForwarded, activeTable, log} = this.dependencies;
+    if (!hasRoomForForwarded()) {
+      return purify.Left({
+        reason: 'overloaded',
+        retryAfterMs: OVERLOADED_RETRY_MS,
+      });
+    }
+    const value = rawHeaders.findHeader(
+      message.rawHeaders,
+      protocol.FORWARD_HEADERS.request.toLowerCase(),
+    );
+    return protocol
+      .decodeForwardedRequest(value ?? '')
+      .mapLeft((reason): refusals.Refusal => {
+        log.warn('peer_message_refused', {reason, code: 'forwarded_request'});
+        return {reason: 'malformed'};
+      })
+      .chain(forwarded =>
+        acceptForwarded.acceptForwarded(
+          caller,
+          forwarded,
+          activeTable()?.table,
+        ),
+      );
+  }
+
   /** Accepts a request, after a refresh if the configuration is too old. */
   private async accept(
     caller: callerRequest.CallerRequest,
@@ -282,6 +368,18 @@
   }
 }
 
+const describeForwarded = ({
+  attempts,
+  sends,
+  isRepeat,
+  model,
+}: protocol.ForwardedRequest): telemetry.Details => ({
+  attempts,
+  sends,
+  isRepeat,
+  model,
+});
+
 /** Reads a caller's body; `gone` if the caller closed before its end. */
 const readRequestBody = (
   message: http.IncomingMessage,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,7 @@
 /** Forwards callers' requests to upstreams and returns their answers. */
+export * from './accept-forwarded.js';
 export * from './accept-request.js';
+export * from './attempt-history.js';
 export * from './caller-answer.js';
 export * from './caller-request.js';
 export * from './caller-server.js';
@@ -13,6 +15,7 @@
 export * from './buffered-run.js';
 export * from './link-check.js';
 export * from './link-monitor.js';
+export * from './peer-forwarder.js';
 export * from './raw-headers.js';
 export * from './refusal.js';
 export * from './rollout-tracker.js';
--- a/packages/gateway/src/link-monitor.ts
+++ b/packages/gateway/src/link-monitor.ts
@@ -38,8 +38,33 @@
 
 /** Watches the links of one instance. */
 export class LinkMonitor {
+  /** Called when the links to a service are lost, by name of the service. */
+  private readonly waiters = new Map<string, Set<() => void>>();
+
   constructor(private readonly options: LinkMonitorOptions) {}
 
+  /** Resolves when the links to a service are lost, or `signal` aborts. */
+  whenLost(service: string, signal: AbortSignal): Promise<void> {
+    const waiters = this.waiters.get(service) ?? new Set();
+    this.waiters.set(service, waiters);
+    return new Promise(resolve => {
+      const finish = () => {
+        waiters.delete(finish);
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      waiters.add(finish);
+      signal.addEventListener('abort', finish);
+    });
+  }
+
+  /** Wakes the requests that wait for the loss of the links to a service. */
+  notifyLost(service: string): void {
+    this.waiters.get(service)?.forEach(finish => {
+      finish();
+    });
+  }
+
   /** Records what a request showed of a link. */
   readonly record: RecordLink = ({service, id}, evidence) => {
     const {links} = this.options;
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -2,8 +2,10 @@
 import type * as purify from 'purify-ts';
 import type * as decisions from '@amaranthknot/decisions';
 import type * as ports from '@amaranthknot/ports';
+import type * as protocol from '@amaranthknot/protocol';
 import type * as routing from '@amaranthknot/routing';
 import type * as telemetry from '@amaranthknot/telemetry';
+import type * as attemptHistory from './attempt-history.js';
 import type * as callerRequest from './caller-request.js';
 import type * as escalationPolicy from './escalation-policy.js';
 import type * as headerNames from './header-names.js';
@@ -18,6 +20,10 @@
   readonly workspace: routing.Workspace | undefined;
   /** Time by which the final answer is due, by this instance's clock. */
   readonly deadlineMs: number;
+  /** Version of the configuration by which it was accepted. */
+  readonly configuration: number;
+  /** Present if another instance forwarded it. */
+  readonly forwarded?: protocol.ForwardedRequest;
 }
 
 /**
@@ -35,9 +41,18 @@
 /** How one attempt at an upstream ended, for placement. */
 export type AttemptOutcome = decisions.PickOutcome;
 
+/** An attempt by way of another instance, which chooses upstreams itself. */
+export interface ForwardAttempt {
+  /** Number of upstreams on which that instance may run the request. */
+  readonly attempts: number;
+}
+
 /** An attempt for which an upstream was chosen. */
 export interface PlacedAttempt {
+  /** The upstream, or the instance that the request is forwarded to. */
   readonly upstream: routing.Upstream;
+  /** Present if it is forwarded to another instance. */
+  readonly forward?: ForwardAttempt;
   /** Inputs of the choice, for the log. */
   readonly inputs: telemetry.Details;
   /** Call it when the head of the answer has arrived. */
@@ -54,10 +69,8 @@
   readonly model: string | undefined;
   /** Ids of upstreams that already failed for this request. */
   readonly excluded: ReadonlySet<string>;
-  /** Number of attempts before this one. */
-  readonly sends: number;
-  /** Whether one of them may have reached an upstream. */
-  readonly isRepeat: boolean;
+  /** What happened to the request before. */
+  readonly history: attemptHistory.AttemptSummary;
 }
 
 /** Why an attempt was not placed. */
@@ -82,6 +95,14 @@
   toPlace: PlacementRequest,
 ) => purify.Either<PlacementRefusal, PlacedAttempt>;
 
+/** What runs need to know of this instance's links to upstreams. */
+export interface LinkStates {
+  /** Whether no upstream of the service is reached. */
+  readonly isLost: (service: string) => boolean;
+  /** Resolves when the links to the service are lost, or `signal` aborts. */
+  readonly whenLost: (service: string, signal: AbortSignal) => Promise<void>;
+}
+
 /** What runs of requests need. */
 export interface RunDependencies {
   readonly clock: ports.Clock;
@@ -90,8 +111,13 @@
   readonly headerConventions: headerNames.HeaderConventions;
   readonly place: PlaceAttempt;
   readonly openCall: upstreamCall.OpenCall;
+  /** Forwards a request to another instance. */
+  readonly openForward: upstreamCall.OpenCall;
+  readonly links: LinkStates;
   readonly latencies: decisions.LatencyEstimates;
   readonly probe: upstreamProbe.ProbeUpstream;
+  /** Probes another instance. */
+  readonly probePeer: upstreamProbe.ProbeUpstream;
   readonly escalation: escalationPolicy.EscalationPolicy;
 }
 
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -1,6 +1,9 @@
 /** Sends a request to the chosen upstream and waits for the answer's head. */
 import type * as telemetry from '@amaranthknot/telemetry';
+import type * as protocol from '@amaranthknot/protocol';
 import type * as purify from 'purify-ts';
+import type * as attemptHistory from './attempt-history.js';
+import * as forwardHeaders from './forward-headers.js';
 import * as runContext from './run-context.js';
 import type * as upstreamCall from './upstream-call.js';
 import * as upstreamHeaders from './upstream-headers.js';
@@ -9,6 +12,9 @@
 export interface UpstreamAttempt {
   readonly placed: runContext.PlacedAttempt;
   readonly model: string | undefined;
+  /** Whether no other model may answer, as the caller has a part already. */
+  readonly isModelFixed: boolean;
+  readonly history: attemptHistory.AttemptSummary;
   /** Number of the last event that the caller already has. */
   readonly lastEventId: string | undefined;
   readonly connection: 'fresh' | 'kept';
@@ -34,6 +40,8 @@
     case 'unreachable':
     case 'other_upstream':
       return 'unreachable';
+    case 'no_upstream':
+      return 'cancelled';
     case 'refused':
       return 'refused';
     case 'cancelled':
@@ -70,6 +78,60 @@
     : {ran, reason};
 };
 
+/** Creates the call of an attempt: to an upstream, or to another instance. */
+const createCall = (
+  {headerConventions}: runContext.RunDependencies,
+  request: runContext.AcceptedRequest,
+  attempt: UpstreamAttempt,
+  timeLeftMs: number,
+): upstreamCall.UpstreamRequest => {
+  const {placed, model, lastEventId} = attempt;
+  const {upstream, forward} = placed;
+  const {caller, route} = request;
+  const headers = forward
+    ? forwardHeaders.createForwardHeaders(
+        request,
+        {
+          request: describeForwarded(request, attempt, forward),
+          timeLeftMs,
+          lastEventId,
+        },
+        headerConventions,
+      )
+    : upstreamHeaders.createUpstreamHeaders(
+        request,
+        {upstreamId: upstream.id, timeLeftMs, model, lastEventId},
+        headerConventions,
+      );
+  return {
+    upstream,
+    requestId: caller.id,
+    method: caller.method,
+    target: caller.target,
+    headers,
+    body: caller.body,
+    connection: attempt.connection,
+    connectTimeoutMs: attempt.connectTimeoutMs,
+    headTimeoutMs: attempt.headTimeoutMs,
+    suspectAfterMs: Math.min(route.latencyTargetMs, MAX_SUSPECT_MS),
+  };
+};
+
+const describeForwarded = (
+  {configuration, route, service, workspace}: runContext.AcceptedRequest,
+  {model, isModelFixed, history}: UpstreamAttempt,
+  {attempts}: runContext.ForwardAttempt,
+): protocol.ForwardedRequest => ({
+  configuration,
+  route: route.name,
+  service: service.name,
+  ...(workspace ? {workspace: workspace.name} : {}),
+  attempts,
+  sends: history.sends,
+  isRepeat: history.isRepeat,
+  ...(isModelFixed && model !== undefined ? {model} : {}),
+});
+
 /** Sends a request. A failed attempt is settled here, others by the caller. */
 export const sendAttempt = async (
   dependencies: runContext.RunDependencies,
@@ -78,29 +140,18 @@
 ): Promise<
   purify.Either<upstreamCall.CallFailure, upstreamCall.UpstreamAnswer>
 > => {
-  const {placed, model, lastEventId, signal} = attempt;
-  const {upstream, inputs} = placed;
-  const {caller, route} = request;
+  const {placed, model, signal} = attempt;
+  const {upstream, forward, inputs} = placed;
   const startedAtMs = dependencies.clock.now();
   const timeLeftMs = request.deadlineMs - startedAtMs;
-  log.step('request_placed', {upstream: upstream.id, model, ...inputs});
-  const opened = await dependencies.openCall(
-    {
-      upstream,
-      requestId: caller.id,
-      method: caller.method,
-      target: caller.target,
-      headers: upstreamHeaders.createUpstreamHeaders(
-        request,
-        {upstreamId: upstream.id, timeLeftMs, model, lastEventId},
-        dependencies.headerConventions,
-      ),
-      body: caller.body,
-      connection: attempt.connection,
-      connectTimeoutMs: attempt.connectTimeoutMs,
-      headTimeoutMs: attempt.headTimeoutMs,
-      suspectAfterMs: Math.min(route.latencyTargetMs, MAX_SUSPECT_MS),
-    },
+  if (forward) {
+    log.step('request_forwarded', {peer: upstream.id, ...forward, ...inputs});
+  } else {
+    log.step('request_placed', {upstream: upstream.id, model, ...inputs});
+  }
+  const open = forward ? dependencies.openForward : dependencies.openCall;
+  const opened = await open(
+    createCall(dependencies, request, attempt, timeLeftMs),
     signal,
   );
   const tookMs = Math.round(dependencies.clock.now() - startedAtMs);
@@ -108,7 +159,7 @@
     Left: failure => {
       placed.settle(outcomeOf(failure, signal));
       log.failure('try_failed', {
-        upstream: upstream.id,
+        ...(forward ? {peer: upstream.id} : {upstream: upstream.id}),
         ...describeFailure(failure),
         tookMs,
       });
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -4,6 +4,7 @@
  */
 import * as decisions from '@amaranthknot/decisions';
 import type * as routing from '@amaranthknot/routing';
+import * as attemptHistory from './attempt-history.js';
 import type * as eventRelay from './event-relay.js';
 import * as runContext from './run-context.js';
 import * as refusals from './refusal.js';
@@ -22,6 +23,12 @@
 /** Minimum `Retry-After` when no upstream takes the request, in ms. */
 const MIN_RETRY_AFTER_MS = 250;
 
+/**
+ * Factor on the time after which a silent stream fails over, where another
+ * instance forwards it, which fails over by itself first.
+ */
+const FORWARD_STALL_FACTOR = 2;
+
 /** An answer whose head has arrived, with its attempt. */
 export interface OpenStream extends eventRelay.RelayedStream {
   readonly model: string | undefined;
@@ -35,10 +42,8 @@
 /** Opens streams for one request. */
 export class StreamOpener {
   private readonly excluded = new Set<string>();
-  private runCount = 0;
-  private sends = 0;
-  /** Number of sends that certainly reached no upstream. */
-  private unreached = 0;
+  private isModelFixed = false;
+  private readonly history: attemptHistory.AttemptHistory;
   /** Time until an upstream takes the request, where that is known. */
   private waitMs: number | undefined;
   /**
@@ -55,27 +60,39 @@
     private readonly dependencies: runContext.RunDependencies,
     private readonly context: runContext.RunContext,
     private readonly findLastEventId: () => string | undefined,
-  ) {}
+  ) {
+    const {request} = context;
+    this.history = new attemptHistory.AttemptHistory(request, () =>
+      dependencies.links.isLost(request.service.name),
+    );
+  }
 
   /** Runs so far, without attempts that certainly did not run. */
   get runs(): number {
-    return this.runCount;
+    return this.history.runs;
   }
 
   /** Whether the route allows no further run. */
   isExhausted(): boolean {
-    return this.runCount >= this.context.request.route.maxAttempts;
+    return this.history.isExhausted();
   }
 
-  /** Tries upstreams until one of them begins a stream. */
+  /**
+   * Tries upstreams until one of them begins a stream.
+   *
+   * @param isModelFixed whether an instance that the request is forwarded to
+   *     must use `model` too.
+   */
   async open(
     model: string | undefined,
+    isModelFixed: boolean,
   ): Promise<OpenStream | refusals.Refusal> {
     const {request, signal} = this.context;
     const {maxAttempts, isResumable} = request.route;
-    const maxSends = this.sends + maxAttempts + MAX_REFUSED_SENDS;
+    const maxSends = this.history.sends + maxAttempts + MAX_REFUSED_SENDS;
+    this.isModelFixed = isModelFixed;
     let maySend = true;
-    while (maySend && !signal.aborted && this.sends < maxSends) {
+    while (maySend && !signal.aborted && this.history.sends < maxSends) {
       const found = this.takeReserved() ?? this.place(model, this.excluded);
       if (!found) {
         break;
@@ -118,7 +135,7 @@
     if (pauseTargetMs === undefined) {
       return stallWatchdog.NO_WATCHDOG;
     }
-    return this.startWatchdog(placed.upstream, model, abortController, {
+    return this.startWatchdog(placed, model, abortController, {
       probeAfterMs: decisions.findProbeDelayMs(pauseTargetMs),
       stallAfterMs: decisions.findStallTimeoutMs(pauseTargetMs),
     });
@@ -134,15 +151,14 @@
         request,
         model,
         excluded,
-        sends: this.sends,
-        isRepeat: this.sends > this.unreached,
+        history: this.history.summarize(),
       })
       .caseOf({
         Left: ({reason, waitMs, inputs}) => {
-          this.waitMs = waitMs;
+          this.waitMs = waitMs ?? this.waitMs;
           log.step('try_not_placed', {
             reason,
-            sends: this.sends,
+            sends: this.history.sends,
             ...inputs,
           });
           return undefined;
@@ -180,7 +196,7 @@
   }
 
   private explainFailure(): refusals.Refusal {
-    if (this.runCount > 0) {
+    if (this.history.runs > 0) {
       const isTimeUp = this.context.signal.aborted;
       return {reason: isTimeUp ? 'timeout' : 'failed'};
     }
@@ -197,14 +213,16 @@
   ): Promise<OpenStream | 'not_run' | 'unknown'> {
     const {dependencies, context} = this;
     const {request} = context;
-    this.sends++;
-    this.runCount++;
+    const history = this.history.summarize();
+    this.history.begin(placed);
     const startedAtMs = dependencies.clock.now();
     const abortController = new AbortController();
-    const watchdog = this.watchForHead(placed.upstream, model, abortController);
+    const watchdog = this.watchForHead(placed, model, abortController);
     const opened = await sendAttempt.sendAttempt(dependencies, context, {
       placed,
       model,
+      isModelFixed: this.isModelFixed,
+      history,
       lastEventId: this.findLastEventId(),
       connection: request.route.isResumable ? 'kept' : 'fresh',
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -214,16 +232,17 @@
     watchdog.stop();
     const tookMs = dependencies.clock.now() - startedAtMs;
     if (opened.isLeft()) {
-      const {ran, reason} = opened.extract();
-      this.unreached += reason === 'unreachable' ? 1 : 0;
-      if (
-        runContext.abortReasonOf(abortController.signal) === 'upstream_silent'
-      ) {
+      const failure = opened.extract();
+      this.history.recordFailure(placed, failure);
+      if (placed.forward && failure.ran === 'not_run') {
+        this.waitMs = failure.backoffMs ?? this.waitMs;
+      }
+      const reason = runContext.abortReasonOf(abortController.signal);
+      if (reason === 'upstream_silent') {
         // A wait that timed out counts too: all upstreams may be slow.
-        this.recordWait(model, tookMs, true);
+        this.recordWait(placed, model, tookMs, true);
       }
-      this.runCount -= ran === 'not_run' ? 1 : 0;
-      return ran;
+      return failure.ran;
     }
     const answer = opened.unsafeCoerce();
     if (answer.status >= 300) {
@@ -237,15 +256,21 @@
       });
       return 'unknown';
     }
-    this.recordWait(model, tookMs, false);
-    return {placed, answer, model, abortController};
+    this.recordWait(placed, model, tookMs, false);
+    const answeringModel = answer.model ?? model;
+    return {placed, answer, model: answeringModel, abortController};
   }
 
+  /** Waits at another instance say nothing of a single upstream. */
   private recordWait(
+    {forward}: runContext.PlacedAttempt,
     model: string | undefined,
     waitMs: number,
     timedOut: boolean,
   ): void {
+    if (forward) {
+      return;
+    }
     const {latencies, escalation} = this.dependencies;
     latencies.record(this.latencyKeyOf(model), waitMs);
     escalation.recordWait(this.context.request, model, waitMs, timedOut);
@@ -262,12 +287,12 @@
    * caller does.
    */
   private watchForHead(
-    upstream: routing.Upstream,
+    placed: runContext.PlacedAttempt,
     model: string | undefined,
     abortController: AbortController,
   ): stallWatchdog.StallWatchdog {
     const {latencyTargetMs} = this.context.request.route;
-    return this.startWatchdog(upstream, model, abortController, {
+    return this.startWatchdog(placed, model, abortController, {
       probeAfterMs: decisions.findProbeDelayMs(latencyTargetMs),
       stallAfterMs: this.dependencies.latencies.firstTokenTimeoutMs(
         this.latencyKeyOf(model),
@@ -277,19 +302,23 @@
   }
 
   private startWatchdog(
-    upstream: routing.Upstream,
+    {upstream, forward}: runContext.PlacedAttempt,
     model: string | undefined,
     abortController: AbortController,
     times: {readonly probeAfterMs: number; readonly stallAfterMs: number},
   ): stallWatchdog.StallWatchdog {
+    const {probe, probePeer} = this.dependencies;
+    const isReachableNow = forward ? probePeer : probe;
+    const stallFactor = forward ? FORWARD_STALL_FACTOR : 1;
     if (!this.context.request.route.isResumable || this.isExhausted()) {
       return stallWatchdog.NO_WATCHDOG;
     }
     let isReachable = true;
     return stallWatchdog.startStallWatchdog({
-      ...times,
+      probeAfterMs: times.probeAfterMs,
+      stallAfterMs: stallFactor * times.stallAfterMs,
       isReachable: async () => {
-        isReachable = await this.dependencies.probe(upstream);
+        isReachable = await isReachableNow(upstream);
         return isReachable;
       },
       failOver: () =>
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -2,6 +2,7 @@
  * Runs a request whose answer is a stream of events: escalates to the capable
  * model if needed, and resumes a broken stream at another upstream.
  */
+import * as protocol from '@amaranthknot/protocol';
 import type * as callerAnswer from './caller-answer.js';
 import * as eventRelay from './event-relay.js';
 import * as runContext from './run-context.js';
@@ -90,12 +91,18 @@
     streamOpener.OpenStream | refusals.Refusal
   > {
     const {opener} = this;
-    const {models} = this.context.request.route;
+    const {route, forwarded} = this.context.request;
+    const {models} = route;
+    if (forwarded?.model !== undefined) {
+      return opener.open(forwarded.model, true);
+    }
     const cheapest = models[0];
     const capable = models.at(-1);
-    const open = await opener.open(cheapest);
+    const open = await opener.open(cheapest, false);
     if (
       !streamOpener.isOpenStream(open) ||
+      // The other instance has decided on an escalation.
+      open.placed.forward ||
       cheapest === capable ||
       opener.isExhausted()
     ) {
@@ -114,7 +121,7 @@
     }
     open.abortController.abort('not_needed' satisfies runContext.AbortReason);
     open.placed.settle('answered');
-    return opener.open(capable);
+    return opener.open(capable, true);
   }
 
   private nextLastEventId(): string | undefined {
@@ -124,8 +131,11 @@
       : String(lastEventId);
   }
 
-  private beginAnswer({answer}: streamOpener.OpenStream): void {
+  private beginAnswer({answer, model}: streamOpener.OpenStream): void {
     const headers = rawHeaders.keepEndToEnd(answer.headers, DROPPED_HEADERS);
+    if (this.context.request.forwarded && model !== undefined) {
+      headers.push(protocol.FORWARD_HEADERS.model, model);
+    }
     this.answer.begin({status: answer.status, headers});
   }
 
@@ -138,7 +148,7 @@
     if (!request.route.isResumable || opener.isExhausted() || signal.aborted) {
       return undefined;
     }
-    const open = await opener.open(model);
+    const open = await opener.open(model, true);
     return streamOpener.isOpenStream(open) ? open : undefined;
   }
 }
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -8,6 +8,8 @@
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as decisions from '@amaranthknot/decisions';
+import * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import type * as routing from '@amaranthknot/routing';
 import type * as connectionPool from './connection-pool.js';
@@ -51,7 +53,12 @@
 export type CallFailure =
   | {
       readonly ran: 'not_run';
-      readonly reason: 'unreachable' | 'refused' | 'other_upstream';
+      readonly reason:
+        | 'unreachable'
+        | 'refused'
+        | 'other_upstream'
+        /** An instance that it was forwarded to found no upstream. */
+        | 'no_upstream';
       readonly load?: UpstreamLoad;
       /** Status of the refusal; undefined if no answer came. */
       readonly status?: number;
@@ -70,6 +77,8 @@
   readonly load?: UpstreamLoad;
   /** The model's confidence in its answer, 0 to 100. */
   readonly confidence?: number;
+  /** The model that answers, if another instance chose it. */
+  readonly model?: string;
   readonly body: http.IncomingMessage;
   /**
    * Whether the connection broke. An answer without a length ends when its
@@ -105,6 +114,16 @@
   return text === undefined || !Number.isFinite(value) ? undefined : value;
 };
 
+/** Whether a call's connection broke after its answer's head. */
+type IsBroken = () => boolean;
+
+/** Decides what the head of an answer means. */
+type ClassifyAnswer = (
+  request: UpstreamRequest,
+  response: http.IncomingMessage,
+  isBroken: IsBroken,
+) => purify.Either<CallFailure, UpstreamAnswer>;
+
 /** Creates the function that calls upstreams. */
 export const createOpenCall = (
   pool: connectionPool.ConnectionPool,
@@ -119,11 +138,7 @@
     confidence: names.confidence.toLowerCase(),
   };
 
-  const classify = (
-    request: UpstreamRequest,
-    response: http.IncomingMessage,
-    isBroken: () => boolean,
-  ): purify.Either<CallFailure, UpstreamAnswer> => {
+  const classify: ClassifyAnswer = (request, response, isBroken) => {
     const headers = response.rawHeaders;
     const status = response.statusCode ?? 0;
     const load = parseLoad(rawHeaders.findHeader(headers, lowerNames.load));
@@ -165,7 +180,76 @@
     });
   };
 
-  return (request, signal) =>
+  return createOpen(pool, classify, recordLink);
+};
+
+/**
+ * Creates the function that forwards requests to other instances. What an
+ * upstream says about itself in an answer is recorded there.
+ */
+export const createOpenForward = (
+  pool: connectionPool.ConnectionPool,
+  names: headerNames.HeaderNames,
+): OpenCall => {
+  const requestIdName = names.requestId.toLowerCase();
+  const classify: ClassifyAnswer = (request, response, isBroken) => {
+    const headers = response.rawHeaders;
+    const status = response.statusCode ?? 0;
+    const refusal = rawHeaders.findHeader(headers, REFUSAL_NAME);
+    if (refusal !== undefined) {
+      response.resume();
+      return purify.Left(classifyRefusal(refusal, status, headers));
+    }
+    if (rawHeaders.findHeader(headers, requestIdName) !== request.requestId) {
+      response.destroy();
+      return purify.Left({ran: 'unknown', reason: 'foreign_answer'});
+    }
+    const model = rawHeaders.findHeader(headers, MODEL_NAME);
+    return purify.Right({
+      status,
+      headers: rawHeaders.keepEndToEnd(headers, FORWARD_NAMES),
+      ...(model === undefined ? {} : {model}),
+      body: response,
+      isBroken,
+    });
+  };
+  return createOpen(pool, classify, () => undefined);
+};
+
+const REFUSAL_NAME = protocol.FORWARD_HEADERS.refusal.toLowerCase();
+const MODEL_NAME = protocol.FORWARD_HEADERS.model.toLowerCase();
+
+/** Headers of a forwarded answer that its caller does not get. */
+const FORWARD_NAMES: ReadonlySet<string> = new Set([REFUSAL_NAME, MODEL_NAME]);
+
+/** Statuses of refusals after which the request may have run. */
+const MAY_HAVE_RUN: ReadonlySet<number> = new Set([500, 502, 504]);
+
+const classifyRefusal = (
+  refusal: string,
+  status: number,
+  headers: rawHeaders.RawHeaders,
+): CallFailure => {
+  if (MAY_HAVE_RUN.has(status)) {
+    return {ran: 'unknown', reason: 'broken'};
+  }
+  const retryAfter = rawHeaders.findHeader(headers, 'retry-after');
+  return {
+    ran: 'not_run',
+    reason: refusal === 'no_upstream' ? 'no_upstream' : 'refused',
+    status,
+    backoffMs: decisions.parseRetryAfterMs(retryAfter),
+  };
+};
+
+/** Creates the function that calls servers and classifies their answers. */
+const createOpen =
+  (
+    pool: connectionPool.ConnectionPool,
+    classify: ClassifyAnswer,
+    recordLink: linkMonitor.RecordLink,
+  ): OpenCall =>
+  (request, signal) =>
     new Promise(resolve => {
       if (signal.aborted) {
         resolve(purify.Left({ran: 'not_run', reason: 'unreachable'}));
@@ -229,7 +313,6 @@
       sending.once('close', fail);
       sending.end(body);
     });
-};
 
 /**
  * Distinguishes a connection that was reset from one that was closed.
--- a/packages/gateway/src/upstream-headers.ts
+++ b/packages/gateway/src/upstream-headers.ts
@@ -1,5 +1,6 @@
 /** Builds the headers of a request to an upstream. */
 import * as decisions from '@amaranthknot/decisions';
+import * as protocol from '@amaranthknot/protocol';
 import type * as runContext from './run-context.js';
 import type * as headerNames from './header-names.js';
 import * as rawHeaders from './raw-headers.js';
@@ -20,6 +21,7 @@
   const {headers, instanceOnlyHeaders} = headerConventions;
   const names = [
     ...instanceOnlyHeaders,
+    protocol.FORWARD_HEADERS.request,
     headers.timeLeft,
     headers.apiKey,
     headers.model,
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -8,6 +8,7 @@
 import type * as telemetry from '@amaranthknot/telemetry';
 import * as callerRequest from './caller-request.js';
 import * as placementRefusal from './placement-refusal.js';
+import type * as peerForwarder from './peer-forwarder.js';
 import type * as runContext from './run-context.js';
 import type * as followedRollout from './followed-rollout.js';
 import type * as rolloutTracker from './rollout-tracker.js';
@@ -22,6 +23,9 @@
   readonly picker: decisions.UpstreamPicker;
   readonly repeats: decisions.RepeatBudget;
   readonly rollouts: rolloutTracker.RolloutTracker;
+  readonly forwarder: peerForwarder.PeerForwarder;
+  /** Whether no upstream of the service is reached. */
+  readonly isLost: (service: string) => boolean;
   readonly now: () => number;
   /** Time since the list of upstreams was known to be complete, in ms. */
   readonly upstreamsAgeMs: () => number | undefined;
@@ -36,41 +40,75 @@
 
   /**
    * Places an attempt, unless no upstream may take it, or it would be a repeat
-   * and the repeat budget that all instances share is spent.
+   * and the repeat budget that all instances share is spent. Where no upstream
+   * can be reached, it goes to another instance.
    */
   place(
     toPlace: runContext.PlacementRequest,
+  ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
+    const {isLost, forwarder} = this.options;
+    const forwarded = isLost(toPlace.request.service.name)
+      ? forwarder.place(toPlace)
+      : ({kind: 'none'} as const);
+    switch (forwarded.kind) {
+      case 'placed':
+        return purify.Right(forwarded.attempt);
+      case 'exhausted':
+        return purify.Left(this.createRefusal('no_upstream', toPlace));
+      case 'none':
+        return this.placeDirectly(toPlace);
+    }
+  }
+
+  private placeDirectly(
+    toPlace: runContext.PlacementRequest,
   ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
     const {picker} = this.options;
     const pickRequest = createPickRequest(toPlace);
     const version = this.chooseVersion(toPlace.request);
     const inService = this.findInService(toPlace, version);
     const candidates = this.findCandidates(inService, toPlace, version);
-    const refuse = (reason: runContext.PlacementRefusal['reason']) =>
-      purify.Left(
-        placementRefusal.createPlacementRefusal(reason, toPlace, {
-          availability: this.options.availability,
-          inService,
-          upstreamsAgeMs: this.findUpstreamsAgeMs(),
-        }),
-      );
     const picked = picker.pick(candidates, pickRequest);
     const known = picked && this.options.catalog.find(picked.id);
     if (!known) {
-      return refuse('no_upstream');
+      return this.placeElsewhere(toPlace);
     }
     if (!this.takeRepeat(toPlace)) {
-      return refuse('no_budget');
+      return purify.Left(this.createRefusal('no_budget', toPlace));
     }
     const attempt = this.beginAttempt(known, toPlace, pickRequest);
     const inputs = this.describeChoice(known, candidates.length, toPlace);
     return purify.Right({...attempt, inputs});
   }
 
+  /** Forwards a request if some upstreams were out of reach, or refuses it. */
+  private placeElsewhere(
+    toPlace: runContext.PlacementRequest,
+  ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
+    const forwarded = toPlace.history.hasUnreached
+      ? this.options.forwarder.place(toPlace)
+      : ({kind: 'none'} as const);
+    return forwarded.kind === 'placed'
+      ? purify.Right(forwarded.attempt)
+      : purify.Left(this.createRefusal('no_upstream', toPlace));
+  }
+
+  private createRefusal(
+    reason: runContext.PlacementRefusal['reason'],
+    toPlace: runContext.PlacementRequest,
+  ): runContext.PlacementRefusal {
+    const version = this.chooseVersion(toPlace.request);
+    return placementRefusal.createPlacementRefusal(reason, toPlace, {
+      availability: this.options.availability,
+      inService: this.findInService(toPlace, version),
+      upstreamsAgeMs: this.findUpstreamsAgeMs(),
+    });
+  }
+
   private describeChoice(
     known: Known,
     candidates: number,
-    {isRepeat}: runContext.PlacementRequest,
+    {history}: runContext.PlacementRequest,
   ): telemetry.Details {
     const {upstream} = known;
     const {isCold, limitPerS, backoffMs} =
@@ -79,7 +117,7 @@
       zone: upstream.zone,
       version: upstream.version,
       candidates,
-      isRepeat,
+      isRepeat: history.isRepeat,
       isCold,
       upstreamsAgeMs: this.findUpstreamsAgeMs(),
       limitPerS,
@@ -93,13 +131,10 @@
   }
 
   /** A request is recorded once, and takes a repeat only if it had arrived. */
-  private takeRepeat({
-    request,
-    sends,
-    isRepeat,
-  }: runContext.PlacementRequest): boolean {
+  private takeRepeat({request, history}: runContext.PlacementRequest): boolean {
     const {repeats} = this.options;
     const {name} = request.service;
+    const {sends, isRepeat} = history;
     if (isRepeat) {
       return repeats.take(name);
     }
--- a/packages/gateway/tests/auxiliary-server.test.ts
+++ b/packages/gateway/tests/auxiliary-server.test.ts
@@ -3,6 +3,7 @@
 import * as zlib from 'node:zlib';
 import * as chai from 'chai';
 import * as gateway from '@amaranthknot/gateway';
+import * as protocol from '@amaranthknot/protocol';
 
 const HOST = '127.0.0.1';
 const PATH = '/inner/rpc';
@@ -54,13 +55,21 @@
     request.end(sent.body);
   });
 
+const FORWARDED = 'handled as a forwarded request';
+
 /** Runs `test` with a peer server that answers each message with it doubled. */
 const withPeerServer = async (
   test: (port: number) => Promise<void>,
 ): Promise<void> => {
   const port = await findFreePort();
-  const server = gateway.createPeerServer({host: HOST, port}, PATH, text =>
-    Promise.resolve(text + text),
+  const server = gateway.createPeerServer(
+    {host: HOST, port},
+    PATH,
+    text => Promise.resolve(text + text),
+    (_, response) => {
+      response.end(FORWARDED);
+      return Promise.resolve();
+    },
   );
   await server.start();
   try {
@@ -78,6 +87,14 @@
       chai.expect(String(body)).equal('abcabc');
     }));
 
+  it('hand requests that other instances forward over as they are', () =>
+    withPeerServer(async port => {
+      const sent = {path: '/any', method: 'GET'};
+      const headers = {[protocol.FORWARD_HEADERS.request]: 'x'};
+      const {body} = await send(port, {...sent, headers});
+      chai.expect(String(body)).equal(FORWARDED);
+    }));
+
   it('decompress requests and compress long answers', () =>
     withPeerServer(async port => {
       const text = 'name '.repeat(1_000);
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -25,6 +25,11 @@
   store: zod.enum(['reached', 'lost']).default('reached'),
   /** Processor cores that it may use. */
   cores: zod.number().positive().default(1),
+  /**
+   * Services of which it reaches no upstream; absent in releases that can't
+   * take forwarded requests.
+   */
+  lostServices: zod.array(shapes.name).max(shapes.MAX_ITEMS).optional(),
 });
 
 /**
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -16,6 +16,10 @@
 export type RequestEvent =
   /** An upstream was chosen for an attempt. */
   | 'request_placed'
+  /** An attempt goes to another instance, as this one reaches no upstream. */
+  | 'request_forwarded'
+  /** A request that another instance forwards was accepted. */
+  | 'forward_accepted'
   /** No upstream could be chosen for an attempt. */
   | 'try_not_placed'
   /** An attempt ended without a usable answer. */
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -31,6 +31,8 @@
   readonly upstreamsInBackoff: number;
   /** Services of which this instance reaches no upstream. */
   readonly servicesUnreachable: number;
+  /** Requests that other instances serve for callers of this one. */
+  readonly requestsForwarded: number;
   /** Instances that accept callers, including this one. */
   readonly servingInstances: number;
 }
@@ -102,6 +104,11 @@
       'Services of which this instance reaches no upstream.',
       () => readGauges().servicesUnreachable,
     );
+    this.addGauge(
+      'requests_forwarded',
+      'Requests that other instances serve for this one now.',
+      () => readGauges().requestsForwarded,
+    );
     this.addGauge(
       'serving_instances',
       'Instances that take callers, as this one knows them.',
--- a/packages/telemetry/tests/gateway-metrics.test.ts
+++ b/packages/telemetry/tests/gateway-metrics.test.ts
@@ -8,6 +8,7 @@
   upstreamsAgeMs: undefined,
   upstreamsInBackoff: 2,
   servicesUnreachable: 1,
+  requestsForwarded: 4,
   servingInstances: 7,
 };
 
@@ -31,6 +32,7 @@
       'amaranthknot_upstreams_age_seconds -1',
       'amaranthknot_upstreams_in_backoff 2',
       'amaranthknot_services_unreachable 1',
+      'amaranthknot_requests_forwarded 4',
       'amaranthknot_serving_instances 7',
     ];
     expected.forEach(line => chai.expect(text).contain(line));
