--- a/packages/decisions/tests/forwarding.test.ts
+++ b/packages/decisions/tests/forwarding.test.ts
@@ -44,7 +44,12 @@
   });
 
   it('finds none without candidates', () => {
-    chai.expect(decisions.chooseForwardPeer([], 'a', () => 0)).equal(undefined);
+    const chosen = decisions.chooseForwardPeer(
+      createCandidates([]),
+      'a',
+      () => 0,
+    );
+    chai.expect(chosen).equal(undefined);
   });
 });
 
