Keep what upstreams announce for all instances in a module of its own

The limit of requests a second is one of two such values to come: it is recorded with its age, forwarded between instances, kept over a lapsed entry and withdrawn by an answer without it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
  */
 export * from './admission-queue.js';
 export * from './admission-outcome.js';
+export * from './announced-values.js';
 export * from './cascade-policy.js';
 export * from './cascade-plan.js';
 export * from './cold-detector.js';
