Divide the slots of upstreams that fail when they refuse too much

Cause: nobody read the notice, and an instance learns that an upstream is full from a refusal alone. All instances together turned away as many requests as there were too many.

While an upstream names such a limit, instances divide its slots: each has in progress there no more than its share, without messages, and refuses at once what has none. After a refusal it pauses for as long as keeps all instances within the limit. The notice is forwarded and kept as rate limits are; an upstream that comes back counts as having given it until it answers.

--- a/packages/amaranthknot/src/gateway/fleet-reports.ts
+++ b/packages/amaranthknot/src/gateway/fleet-reports.ts
@@ -51,6 +51,7 @@
       // A follower reports these to its watcher alone.
       upstreams: isFollower ? [] : [...this.collectReportedStats()],
       limits: [...get('limits').report()],
+      refusalLimits: [...get('concurrencyShares').report()],
       evidence: isFollower ? [] : [...get('rollouts').evidence()],
       rollouts: isFollower ? [] : [...get('rollouts').progress()],
     };
@@ -62,6 +63,7 @@
     const now = get('options').clock.now();
     this.applyMembers(report, now);
     get('limits').merge(report.limits);
+    get('concurrencyShares').merge(report.refusalLimits);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isFollower()) {
       // A follower has its watcher's sums, which count the same requests. With
@@ -103,6 +105,7 @@
       // Watchers receive each other's stats in their exchange of reports.
       upstreams: isWatcher ? [] : [...get('picker').report()],
       limits: [...get('limits').report()],
+      refusalLimits: [...get('concurrencyShares').report()],
       evidence: [...get('rollouts').evidence('own')],
       rollouts: [...get('rollouts').progress(exchanged.sent)],
       membersVersion: get('members').watcherListVersion(name),
@@ -115,6 +118,7 @@
     const {get} = this;
     const now = get('options').clock.now();
     get('limits').merge(report.limits);
+    get('concurrencyShares').merge(report.refusalLimits);
     if (report.isWatcher) {
       get('members').recordKeeper(report.from, now);
       return;
@@ -138,6 +142,7 @@
         ...get('picker').report(name => name !== id && name !== WATCHER_SOURCE),
       ],
       limits: [...get('limits').report()],
+      refusalLimits: [...get('concurrencyShares').report()],
       evidence: [...get('rollouts').evidenceSums()],
       rollouts: [...get('rollouts').progress(report.pinnedKnown)],
       pinnedCounts: {...get('rollouts').pinnedCounts()},
@@ -150,13 +155,14 @@
     if (get('watchRole').isWatcher()) {
       return;
     }
-    const {membersVersion, members, upstreams, limits, evidence, rollouts} =
-      summary;
+    const {membersVersion, members, upstreams, evidence, rollouts} = summary;
+    const {limits, refusalLimits} = summary;
     const now = get('options').clock.now();
     const name = formatIncarnation(watcher);
     get('members').applyWatcherList(name, membersVersion, members, now);
     get('picker').merge(WATCHER_SOURCE, upstreams, 'others');
     get('limits').merge(limits);
+    get('concurrencyShares').merge(refusalLimits);
     get('rollouts').applySums(rollouts, evidence);
     this.exchangedSessions = {
       watcher: name,
--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -60,6 +60,7 @@
   readonly limits: decisions.RateLimits;
   readonly backoffs: decisions.UpstreamBackoffs;
   readonly leavingNotices: decisions.LeavingNotices;
+  readonly concurrencyShares: decisions.ConcurrencyShares;
   readonly availability: gateway.UpstreamAvailability;
   readonly upstreamLinks: decisions.UpstreamLinks;
   readonly linkMonitor: gateway.LinkMonitor;
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -18,6 +18,7 @@
   | 'limits'
   | 'backoffs'
   | 'leavingNotices'
+  | 'concurrencyShares'
   | 'availability'
   | 'upstreamLinks'
   | 'linkMonitor'
@@ -58,6 +59,7 @@
   get('backoffs').removeEnded();
   get('upstreamLinks').retain(ids);
   get('leavingNotices').retain(ids);
+  get('concurrencyShares').retain(ids);
 };
 
 const formatIncarnation = (get: gatewayComponents.GatewayResolver): string => {
@@ -92,6 +94,35 @@
   });
 };
 
+/** The instances that send requests of a service to its upstreams. */
+const findSenders = (
+  get: gatewayComponents.GatewayResolver,
+  service: string,
+): readonly string[] => {
+  const members = get('members');
+  const now = get('options').clock.now();
+  const without = members
+    .live(now)
+    .filter(({lostServices}) => lostServices?.includes(service))
+    .map(({id}) => id);
+  return members.idsForShares(now).filter(id => !without.includes(id));
+};
+
+const createConcurrencyShares = (
+  get: gatewayComponents.GatewayResolver,
+): decisions.ConcurrencyShares => {
+  const {clock, settings} = get('options');
+  return new decisions.ConcurrencyShares({
+    now: () => clock.now(),
+    self: settings.current.instance.id,
+    findInstances: service => findSenders(get, service),
+    findService: id => get('catalog').find(id)?.upstream.service,
+    onChange: (upstream, refusalsPerS) => {
+      get('log').info('upstream_refusals_limited', {upstream, refusalsPerS});
+    },
+  });
+};
+
 const createAvailability = (
   get: gatewayComponents.GatewayResolver,
 ): gateway.UpstreamAvailability => {
@@ -102,6 +133,8 @@
     limits: get('limits'),
     backoffs: get('backoffs'),
     leaving: get('leavingNotices'),
+    concurrency: get('concurrencyShares'),
+    inFlightOf: id => get('picker').inFlightOf(id),
     now: () => clock.now(),
     isZoneOut: zone => get('state').isZoneOut(zone),
     coldShare: (upstream, service) =>
@@ -137,9 +170,10 @@
 const recordNotices = (
   get: gatewayComponents.GatewayResolver,
   upstream: routing.Upstream,
-  {rateLimit, backoffMs, isLeaving}: gateway.UpstreamNotices,
+  {rateLimit, refusalLimit, backoffMs, isLeaving}: gateway.UpstreamNotices,
 ): void => {
   get('limits').record(upstream.id, rateLimit);
+  get('concurrencyShares').record(upstream, refusalLimit);
   if (backoffMs !== undefined) {
     get('backoffs').record(upstream, backoffMs);
   }
@@ -357,6 +391,7 @@
         get('log').info('upstream_leaving', {upstream});
       },
     }),
+  concurrencyShares: createConcurrencyShares,
   availability: createAvailability,
   upstreamLinks: createUpstreamLinks,
   linkMonitor: createLinkMonitor,
--- a/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
@@ -43,6 +43,13 @@
     findInstances: () => [id],
     onChange: () => undefined,
   });
+  const concurrencyShares = new decisions.ConcurrencyShares({
+    now,
+    self: id,
+    findInstances: () => [id],
+    findService: () => undefined,
+    onChange: () => undefined,
+  });
   const rollouts = new gateway.RolloutTracker({
     clock,
     incarnation: `${id}.1`,
@@ -67,6 +74,7 @@
     members,
     picker,
     limits,
+    concurrencyShares,
     rollouts,
     relay: {states: () => []},
     watchRole: {isWatcher: () => isWatcher, findWatchers: () => []},
--- a/packages/decisions/src/instance-share.ts
+++ b/packages/decisions/src/instance-share.ts
@@ -29,3 +29,23 @@
   );
   return holders.includes(self) ? 1 : 0;
 };
+
+/**
+ * As `findInstanceShare`, but with the remainder divided too: the shares of all
+ * instances add up to `total`.
+ */
+export const findWholeShare = (
+  total: number,
+  key: string,
+  self: string,
+  instances: readonly string[],
+): number => {
+  const count = Math.max(1, instances.length);
+  const share = Math.floor(total / count);
+  const holders = rendezvous.rankByRendezvous(
+    key,
+    instances,
+    Math.floor(total) % count,
+  );
+  return share + (holders.includes(self) ? 1 : 0);
+};
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -271,6 +271,11 @@
     };
   }
 
+  /** Requests that this instance has in progress at an upstream. */
+  inFlightOf(id: string): number {
+    return this.entries.get(id)?.stats.inFlight ?? 0;
+  }
+
   /** Weighted tokens of all instances' prompts waiting at these upstreams. */
   sumWaitingTokens(ids: readonly string[]): number {
     const now = this.options.now();
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -60,6 +60,7 @@
   isWatcher: false,
   upstreams: [],
   limits: [],
+  refusalLimits: [],
   evidence: [],
   rollouts: [],
   membersVersion: 'none',
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -16,6 +16,8 @@
   readonly load: string;
   /** Requests a second that the upstream accepts from all senders together. */
   readonly rateLimit: string;
+  /** Refusals a second above which the upstream fails, in all its answers. */
+  readonly refusalLimit: string;
   /** `1` in all answers of an upstream that is leaving. */
   readonly leaving: string;
   /** Set in an answer that says that the request did not run. */
--- a/packages/gateway/src/placement-refusal.ts
+++ b/packages/gateway/src/placement-refusal.ts
@@ -50,6 +50,7 @@
       backingOff: count('backing_off'),
       cold: count('cold'),
       limited: count('limited'),
+      atCapacity: count('at_capacity'),
       upstreamsAgeMs,
     },
   };
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -1,6 +1,6 @@
 /**
  * Which upstreams may take requests of a service, and why others may not for
- * now: backoff, cold start, rate limit. All kinds of sends ask here, so that
+ * now: backoff, cold start, rate limit, no slot left. All kinds of sends ask here, so that
  * none passes by what an upstream asked for.
  */
 import * as decisions from '@amaranthknot/decisions';
@@ -13,6 +13,9 @@
   readonly limits: decisions.RateLimits;
   readonly backoffs: decisions.UpstreamBackoffs;
   readonly leaving: decisions.LeavingNotices;
+  readonly concurrency: decisions.ConcurrencyShares;
+  /** Requests that this instance has in progress at an upstream. */
+  readonly inFlightOf: (id: string) => number;
   readonly now: () => number;
   /** Whether operators have taken a zone out of use. */
   readonly isZoneOut: (zone: string) => boolean;
@@ -24,7 +27,7 @@
 }
 
 /** Why an upstream takes no request for now, although it is in service. */
-export type WaitReason = 'backing_off' | 'cold' | 'limited';
+export type WaitReason = 'backing_off' | 'cold' | 'limited' | 'at_capacity';
 
 /**
  * Window over which requests to a cold upstream are counted, in milliseconds.
@@ -70,20 +73,31 @@
     if (this.findColdWaitMs(known, service) !== 0) {
       return 'cold';
     }
-    return limits.maySend(known.upstream.id) ? undefined : 'limited';
+    if (!limits.maySend(known.upstream.id)) {
+      return 'limited';
+    }
+    return this.hasSlot(known) ? undefined : 'at_capacity';
   }
 
   /**
    * Time until an upstream takes a request of this instance, in ms; 0 if it
-   * takes one now, undefined if other instances have all of what it takes.
+   * takes one now, undefined if other instances have all of what it takes, or
+   * if this one has to wait for an answer.
    */
   findWaitMs(known: Known, service: routing.Service): number | undefined {
-    const {backoffs, limits} = this.options;
+    const {backoffs, limits, concurrency} = this.options;
     const coldMs = this.findColdWaitMs(known, service);
     const limitedMs = limits.findWaitMs(known.upstream.id);
-    return coldMs === undefined || limitedMs === undefined
+    const pausedMs = concurrency.findWaitMs(known.upstream);
+    const isUnknown = pausedMs === 0 && !this.hasSlot(known);
+    return coldMs === undefined || limitedMs === undefined || isUnknown
       ? undefined
-      : Math.max(backoffs.findRemainingMs(known.upstream), coldMs, limitedMs);
+      : Math.max(
+          backoffs.findRemainingMs(known.upstream),
+          coldMs,
+          limitedMs,
+          pausedMs,
+        );
   }
 
   /** Records a request that is sent to an upstream. */
@@ -92,18 +106,32 @@
     this.options.limits.recordSend(known.upstream.id);
   }
 
+  /** Records that an upstream refused a request for want of room. */
+  recordRefusal({upstream}: Known): void {
+    this.options.concurrency.recordRefusal(upstream);
+  }
+
+  /** Whether this instance may have another request in progress there. */
+  private hasSlot({upstream}: Known): boolean {
+    const {concurrency, inFlightOf} = this.options;
+    const capacity = concurrency.findCapacity(upstream);
+    return capacity === undefined || inFlightOf(upstream.id) < capacity;
+  }
+
   /** What limits the use of an upstream now, for the log. */
   describe({upstream, coldUntilMs}: Known): {
     readonly isCold: boolean;
     readonly limitPerS: number | undefined;
     readonly backoffMs: number | undefined;
+    readonly capacity: number | undefined;
   } {
-    const {limits, backoffs, now} = this.options;
+    const {limits, backoffs, concurrency, now} = this.options;
     const backoffMs = Math.round(backoffs.findRemainingMs(upstream));
     return {
       isCold: now() < coldUntilMs,
       limitPerS: limits.find(upstream.id),
       backoffMs: backoffMs > 0 ? backoffMs : undefined,
+      capacity: concurrency.findCapacity(upstream),
     };
   }
 
--- a/packages/gateway/src/upstream-notices.ts
+++ b/packages/gateway/src/upstream-notices.ts
@@ -11,6 +11,11 @@
    * if it names no limit.
    */
   readonly rateLimit: number | undefined;
+  /**
+   * Refusals a second, for want of room, above which it fails; undefined if it
+   * names none.
+   */
+  readonly refusalLimit: number | undefined;
   /** Time for which it wants no requests from this instance, in ms. */
   readonly backoffMs: number | undefined;
   /** Whether it is about to exit. */
@@ -42,14 +47,17 @@
   names: headerNames.HeaderNames,
 ): ParseNotices => {
   const rateLimitName = names.rateLimit.toLowerCase();
+  const refusalLimitName = names.refusalLimit.toLowerCase();
   const leavingName = names.leaving.toLowerCase();
   return (status, headers) => {
     const rateLimit = rawHeaders.findHeader(headers, rateLimitName);
+    const refusalLimit = rawHeaders.findHeader(headers, refusalLimitName);
     const retryAfter = BACKOFF_STATUSES.has(status)
       ? rawHeaders.findHeader(headers, RETRY_AFTER)
       : undefined;
     return {
       rateLimit: decisions.parseAmount(rateLimit),
+      refusalLimit: decisions.parseAmount(refusalLimit),
       backoffMs: decisions.parseRetryAfterMs(retryAfter),
       isLeaving: rawHeaders.findHeader(headers, leavingName) === LEAVING,
     };
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -111,7 +111,7 @@
     {history}: runContext.PlacementRequest,
   ): telemetry.Details {
     const {upstream} = known;
-    const {isCold, limitPerS, backoffMs} =
+    const {isCold, limitPerS, backoffMs, capacity} =
       this.options.availability.describe(known);
     return {
       zone: upstream.zone,
@@ -122,6 +122,7 @@
       upstreamsAgeMs: this.findUpstreamsAgeMs(),
       limitPerS,
       backoffMs,
+      capacity,
       ...this.options.picker.describe(upstream.id),
     };
   }
@@ -232,6 +233,9 @@
       },
       settle: outcome => {
         ticket.end(outcome);
+        if (isOpen && outcome === 'refused') {
+          this.options.availability.recordRefusal(known);
+        }
         if (isOpen && (outcome === 'answered' || outcome === 'failed')) {
           recordPace(pace.take());
           rollouts.recordAttempt({
--- a/packages/gateway/tests/upstream-notices.test.ts
+++ b/packages/gateway/tests/upstream-notices.test.ts
@@ -46,6 +46,12 @@
       headers: [NAMES.rateLimit, '1.5'],
       expected: {rateLimit: 1.5},
     },
+    {
+      name: 'the refusals above which it fails, in an answer of any status',
+      status: 200,
+      headers: [NAMES.refusalLimit, '3'],
+      expected: {refusalLimit: 3},
+    },
     {
       name: 'that the upstream is leaving, in an answer of any status',
       status: 200,
@@ -65,6 +71,7 @@
     it(`parses ${name}`, () => {
       chai.expect(parse(status, headers)).eql({
         rateLimit: undefined,
+        refusalLimit: undefined,
         backoffMs: undefined,
         isLeaving: false,
         ...expected,
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -123,6 +123,12 @@
   ageMs: shapes.milliseconds,
 });
 
+/**
+ * The refusals per second above which an upstream says that it fails, over all
+ * instances together.
+ */
+export const refusalLimit = rateLimit;
+
 /** Counts of a rollout's versions since one start of an instance. */
 export const orderEvidence = zod.object({
   /** Identifies the rollout: service and version. */
@@ -160,6 +166,7 @@
   isWatcher: zod.boolean().default(false),
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
+  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).default([]),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Version of the member list that the instance has. */
@@ -176,6 +183,7 @@
   /** Sums over all instances except the caller. */
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
+  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).default([]),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -196,6 +204,7 @@
   views: zod.array(viewState).max(shapes.MAX_ENVIRONMENTS),
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
+  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).default([]),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
--- a/packages/protocol/tests/peer-messages.test.ts
+++ b/packages/protocol/tests/peer-messages.test.ts
@@ -56,6 +56,7 @@
       membersVersion: 'one#1',
       upstreams,
       limits,
+      refusalLimits: limits,
       evidence: [],
       rollouts: [],
       pinnedCounts: {},
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -64,6 +64,8 @@
   | 'upstream_rested'
   /** An upstream announced or lifted its limit for all instances together. */
   | 'upstream_limited'
+  /** An upstream named, or withdrew, the refusals above which it fails. */
+  | 'upstream_refusals_limited'
   /** An upstream asked this instance to send it nothing for a time. */
   | 'upstream_backoff'
   /** An upstream said in an answer that it is leaving. */
