Let both instances keep what an upstream says in a forwarded answer

An answer that says that its upstream is leaving, or that names a limit, is passed on by two instances, and both have told their caller so. Only the one that called the upstream kept it; the other would send to it again as soon as its links are back. The upstream's id now comes with a forwarded answer. The new test failed before: the instance sent to an upstream that it had passed a leaving notice on for.

--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -294,6 +294,12 @@
     openForward: gateway.createOpenForward(
       get('peerPool'),
       HEADER_CONVENTIONS.headers,
+      (id, notices) => {
+        const known = get('catalog').find(id);
+        if (known) {
+          recordNotices(get, known.upstream, notices);
+        }
+      },
     ),
     whenSynced: () =>
       Promise.race([get('state').whenSynced(), clock.sleep(HOLD_AT_START_MS)]),
--- a/packages/amaranthknot/tests/gateway/forwarded-requests.test.ts
+++ b/packages/amaranthknot/tests/gateway/forwarded-requests.test.ts
@@ -134,6 +134,30 @@
       .not.property(protocol.FORWARD_HEADERS.refusal.toLowerCase());
   });
 
+  it('tells both instances what the upstream says about itself', async () => {
+    // Guards against requests to an upstream whose notice was passed on.
+    setScript(({request, socket}) => {
+      const headers = {[NAMES.leaving]: '1'};
+      socket.write(fakes.formatAnswer(request, 'whole', {headers}));
+    });
+    for (const id of ['first', 'second', 'third']) {
+      const call = {path: fixture.PATHS.read, id};
+      const {status, headers} = await linked.gateway.call(call);
+      chai.expect(status).equal(200);
+      chai
+        .expect(headers)
+        .not.property(protocol.FORWARD_HEADERS.upstream.toLowerCase());
+    }
+    linked.heal(0);
+    await ports.systemClock.sleep(1_000);
+    for (const instance of [0, 1]) {
+      const call = {path: fixture.PATHS.read, id: `after-${instance}`};
+      const {status} = await linked.gateway.call(call, instance);
+      chai.expect(status).equal(503);
+      chai.expect(findRequests(call.id)).length(0);
+    }
+  });
+
   it('is dropped by the upstream when its caller leaves', async () => {
     // Guards against work for callers who have left.
     const closed = new Promise<void>(resolve => {
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -4,6 +4,7 @@
  */
 import * as attemptHistory from './attempt-history.js';
 import type * as callerAnswer from './caller-answer.js';
+import * as forwardHeaders from './forward-headers.js';
 import * as runContext from './run-context.js';
 import * as rawHeaders from './raw-headers.js';
 import * as readBody from './read-body.js';
@@ -268,9 +269,13 @@
       this.dependencies.latencies.record(request.service.name, tookMs);
     }
     const headers = rawHeaders.keepEndToEnd(answer.headers, NO_DROPPED_HEADERS);
+    const upstream = answer.upstream ?? placed.upstream.id;
+    if (request.forwarded) {
+      headers.push(...forwardHeaders.describeAnswer(upstream, undefined));
+    }
     this.last = {
       kind: 'answer',
-      upstream: placed.upstream.id,
+      upstream,
       head: {status, headers},
       body,
     };
--- a/packages/gateway/src/forward-headers.ts
+++ b/packages/gateway/src/forward-headers.ts
@@ -4,6 +4,16 @@
 import type * as runContext from './run-context.js';
 import * as rawHeaders from './raw-headers.js';
 
+/** Headers that tell the forwarding instance who gives an answer. */
+export const describeAnswer = (
+  upstream: string,
+  model: string | undefined,
+): rawHeaders.RawHeaders => [
+  protocol.FORWARD_HEADERS.upstream,
+  upstream,
+  ...(model === undefined ? [] : [protocol.FORWARD_HEADERS.model, model]),
+];
+
 /** Values of one forwarded attempt. */
 export interface ForwardHeaders {
   readonly request: protocol.ForwardedRequest;
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -2,9 +2,9 @@
  * Runs a request whose answer is a stream of events: escalates to the capable
  * model if needed, and resumes a broken stream at another upstream.
  */
-import * as protocol from '@amaranthknot/protocol';
 import type * as callerAnswer from './caller-answer.js';
 import * as eventRelay from './event-relay.js';
+import * as forwardHeaders from './forward-headers.js';
 import * as runContext from './run-context.js';
 import * as rawHeaders from './raw-headers.js';
 import type * as refusals from './refusal.js';
@@ -131,10 +131,10 @@
       : String(lastEventId);
   }
 
-  private beginAnswer({answer, model}: streamOpener.OpenStream): void {
+  private beginAnswer({answer, model, placed}: streamOpener.OpenStream): void {
     const headers = rawHeaders.keepEndToEnd(answer.headers, DROPPED_HEADERS);
-    if (this.context.request.forwarded && model !== undefined) {
-      headers.push(protocol.FORWARD_HEADERS.model, model);
+    if (this.context.request.forwarded) {
+      headers.push(...forwardHeaders.describeAnswer(placed.upstream.id, model));
     }
     this.answer.begin({status: answer.status, headers});
   }
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -79,6 +79,8 @@
   readonly confidence?: number;
   /** The model that answers, if another instance chose it. */
   readonly model?: string;
+  /** Id of the upstream that answers, if another instance chose it. */
+  readonly upstream?: string;
   readonly body: http.IncomingMessage;
   /**
    * Whether the connection broke. An answer without a length ends when its
@@ -183,14 +185,23 @@
   return createOpen(pool, classify, recordLink);
 };
 
+/** Records the notices in an answer of the upstream with this id. */
+export type RecordForwardedNotices = (
+  upstream: string,
+  notices: upstreamNotices.UpstreamNotices,
+) => void;
+
 /**
  * Creates the function that forwards requests to other instances. What an
- * upstream says about itself in an answer is recorded there.
+ * upstream says about itself in an answer that is passed on binds this instance
+ * too.
  */
 export const createOpenForward = (
   pool: connectionPool.ConnectionPool,
   names: headerNames.HeaderNames,
+  recordNotices: RecordForwardedNotices,
 ): OpenCall => {
+  const parseNotices = upstreamNotices.createParseNotices(names);
   const requestIdName = names.requestId.toLowerCase();
   const classify: ClassifyAnswer = (request, response, isBroken) => {
     const headers = response.rawHeaders;
@@ -205,10 +216,15 @@
       return purify.Left({ran: 'unknown', reason: 'foreign_answer'});
     }
     const model = rawHeaders.findHeader(headers, MODEL_NAME);
+    const upstream = rawHeaders.findHeader(headers, UPSTREAM_NAME);
+    if (upstream !== undefined) {
+      recordNotices(upstream, parseNotices(status, headers));
+    }
     return purify.Right({
       status,
       headers: rawHeaders.keepEndToEnd(headers, FORWARD_NAMES),
       ...(model === undefined ? {} : {model}),
+      ...(upstream === undefined ? {} : {upstream}),
       body: response,
       isBroken,
     });
@@ -218,9 +234,14 @@
 
 const REFUSAL_NAME = protocol.FORWARD_HEADERS.refusal.toLowerCase();
 const MODEL_NAME = protocol.FORWARD_HEADERS.model.toLowerCase();
+const UPSTREAM_NAME = protocol.FORWARD_HEADERS.upstream.toLowerCase();
 
 /** Headers of a forwarded answer that its caller does not get. */
-const FORWARD_NAMES: ReadonlySet<string> = new Set([REFUSAL_NAME, MODEL_NAME]);
+const FORWARD_NAMES: ReadonlySet<string> = new Set([
+  REFUSAL_NAME,
+  MODEL_NAME,
+  UPSTREAM_NAME,
+]);
 
 /** Statuses of refusals after which the request may have run. */
 const MAY_HAVE_RUN: ReadonlySet<number> = new Set([500, 502, 504]);
--- a/packages/protocol/src/forwarded-request.ts
+++ b/packages/protocol/src/forwarded-request.ts
@@ -15,6 +15,8 @@
   refusal: 'Amaranthknot-Refusal',
   /** In an answer: the model that gives it, if the instance chose one. */
   model: 'Amaranthknot-Model',
+  /** In an answer of an upstream: its id. */
+  upstream: 'Amaranthknot-Upstream',
 } as const;
 
 const schema = zod.object({
