Cut links by pair of instance and upstream in the soak, and make upstreams fragile

Callers of an instance whose links are cut (hanging, reset, only new ones refused, one way; 4 to 6 s, overlapping all other faults) have to be served two thirds as often as others from 3 s on; upstreams that bear three refusals a second must not fail more than 2 + a tenth of their number; upstreams are silent for a second. Drawn apart, so that seeds keep the plans that they had.

--- a/packages/fakes/src/loopback-proxy.ts
+++ b/packages/fakes/src/loopback-proxy.ts
@@ -48,9 +48,13 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
-  /** Sets the mode for clients at a source address. */
-  setModeOf(source: string, mode: ProxyMode): void {
-    this.modeBySource.set(source, mode);
+  /** Sets the mode for clients at a source address; undefined: as for all. */
+  setModeOf(source: string, mode: ProxyMode | undefined): void {
+    if (mode) {
+      this.modeBySource.set(source, mode);
+    } else {
+      this.modeBySource.delete(source);
+    }
   }
 
   /** Resets all open connections, or those of clients at a source address. */
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -21,7 +21,13 @@
   | 'configuration_change'
   | 'key_revoked'
   | 'upstream_sheds'
-  | 'upstream_says_leaving';
+  | 'upstream_says_leaving'
+  | 'links_hang'
+  | 'links_reset'
+  | 'links_new_refused'
+  | 'links_one_way'
+  | 'upstreams_fragile'
+  | 'upstream_pauses';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -71,35 +77,86 @@
 const NOTICE_INTERVAL_MS = {min: 1_000, max: 3_000};
 const NOTICE_DURATION_MS = {min: 1_500, max: 4_000};
 
+/**
+ * Kinds of cuts between an instance and all upstreams, and faults that concern
+ * who reaches an upstream and how much it takes; drawn apart as well.
+ */
+const LINK_KINDS: readonly FaultKind[] = [
+  'links_hang',
+  'links_reset',
+  'links_new_refused',
+  'links_one_way',
+  'upstreams_fragile',
+  'upstream_pauses',
+];
+
+/** Time between two of these, and their duration. */
+const LINK_INTERVAL_MS = {min: 500, max: 2_500};
+const LINK_DURATION_MS = {min: 4_000, max: 6_000};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
 
-const drawBetween = (
-  random: () => number,
-  {min, max}: {readonly min: number; readonly max: number},
-): number => Math.round(min + random() * (max - min));
+const drawBetween = (random: () => number, {min, max}: Range): number =>
+  Math.round(min + random() * (max - min));
 
-/** Draws the faults by which upstreams ask for a backoff, or say they leave. */
-export const drawNoticeFaults = (
+interface Range {
+  readonly min: number;
+  readonly max: number;
+}
+
+/** How faults of some kinds follow each other. */
+interface FaultSeries {
+  readonly kinds: readonly FaultKind[];
+  readonly intervalMs: Range;
+  readonly forMs: Range;
+}
+
+const drawSeries = (
   random: () => number,
   durationMs: number,
+  {kinds, intervalMs, forMs}: FaultSeries,
 ): readonly Fault[] => {
   const faults: Fault[] = [];
-  let atMs = drawBetween(random, NOTICE_INTERVAL_MS);
+  let atMs = drawBetween(random, intervalMs);
   while (atMs < durationMs) {
-    const index = Math.floor(random() * NOTICE_KINDS.length);
-    faults.push({
-      kind: NOTICE_KINDS[index] ?? 'upstream_sheds',
-      atMs,
-      forMs: drawBetween(random, NOTICE_DURATION_MS),
-      target: Math.floor(random() * 1_000),
-    });
-    atMs += drawBetween(random, NOTICE_INTERVAL_MS);
+    const kind = kinds[Math.floor(random() * kinds.length)];
+    if (kind) {
+      faults.push({
+        kind,
+        atMs,
+        forMs: drawBetween(random, forMs),
+        target: Math.floor(random() * 1_000),
+      });
+    }
+    atMs += drawBetween(random, intervalMs);
   }
   return faults;
 };
 
+/** Draws the faults by which upstreams ask for a backoff, or say they leave. */
+export const drawNoticeFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] =>
+  drawSeries(random, durationMs, {
+    kinds: NOTICE_KINDS,
+    intervalMs: NOTICE_INTERVAL_MS,
+    forMs: NOTICE_DURATION_MS,
+  });
+
+/** Draws cuts of links, and upstreams that pause or bear few refusals. */
+export const drawLinkFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] =>
+  drawSeries(random, durationMs, {
+    kinds: LINK_KINDS,
+    intervalMs: LINK_INTERVAL_MS,
+    forMs: LINK_DURATION_MS,
+  });
+
 /** Draws faults for a run of `durationMs`, ordered by start. */
 export const drawFaults = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -3,6 +3,7 @@
  * upstreams recorded.
  */
 
+import * as checkLinks from './check-links.js';
 import * as checkNotices from './check-notices.js';
 
 /** Kinds of request, named after their routes. */
@@ -46,6 +47,8 @@
   readonly revocationMs: number;
   /** After an upstream's notice that it is leaving. */
   readonly leavingMs: number;
+  /** After the start of a cut, until callers must be served. */
+  readonly stabilityMs: number;
 }
 
 /** All records of one soak run. */
@@ -54,6 +57,7 @@
   readonly runs: readonly RunRecord[];
   readonly revocations: readonly Revocation[];
   readonly notices: checkNotices.NoticeRecord;
+  readonly links: checkLinks.LinkRecord;
   /** Time from which requests count for recovery; faults ended before. */
   readonly recoveryFromMs: number;
   readonly bounds: InvariantBounds;
@@ -211,6 +215,12 @@
       record.callers,
       record.bounds.leavingMs,
     ),
+    ...checkLinks.findUnservedCuts(
+      record.links,
+      record.callers,
+      record.bounds.stabilityMs,
+    ),
+    ...checkLinks.findFragileFailures(record.links),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -9,6 +9,7 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
+import type * as checkLinks from './check-links.js';
 import type * as checkNotices from './check-notices.js';
 import * as loadGenerator from './load-generator.js';
 import * as faultPlan from './fault-plan.js';
@@ -60,6 +61,8 @@
   readonly storeProxy: fakes.LoopbackProxy;
   /** Address for callers. */
   readonly address: string;
+  /** IP address from which it calls upstreams. */
+  readonly source: string;
 }
 
 interface Upstream {
@@ -84,6 +87,11 @@
   private readonly arrivals: checkNotices.Arrival[] = [];
   private readonly notices: checkNotices.Notice[] = [];
   private readonly disruptions: checkNotices.Disruption[] = [];
+  private readonly cuts: checkLinks.LinkCut[] = [];
+  private readonly fragileTimes: checkLinks.FragileTime[] = [];
+  private readonly failuresMs: number[] = [];
+  /** Faults in which an instance may serve nobody. */
+  private readonly outages: checkNotices.Disruption[] = [];
   private keys = KEYS;
   private version = 1;
   private load: loadGenerator.LoadGenerator | undefined;
@@ -98,6 +106,10 @@
     const faults = [
       ...faultPlan.drawFaults(this.random, durationMs),
       ...faultPlan.drawNoticeFaults(fakes.createRandom(seed), durationMs),
+      ...faultPlan.drawLinkFaults(
+        fakes.createRandom(seed + LINK_SEED_OFFSET),
+        durationMs,
+      ),
     ].sort((a, b) => a.atMs - b.atMs);
     try {
       await this.start();
@@ -120,6 +132,14 @@
           notices: this.notices,
           disruptions: this.disruptions,
         },
+        links: {
+          cuts: this.cuts,
+          fragileTimes: this.fragileTimes,
+          failuresMs: this.failuresMs,
+          upstreams: this.upstreams.length,
+          disruptions: this.outages,
+          instances: this.instances.map(({address}) => address),
+        },
         recoveryFromMs,
         bounds: documents.SOAK_BOUNDS,
       });
@@ -169,15 +189,12 @@
   }
 
   private async addUpstream(index: number): Promise<void> {
-    const state: soakUpstream.SoakUpstreamState = {
-      id: `u-${index}.0`,
-      shedsUntilMs: -Infinity,
-      isLeaving: false,
-    };
+    const state = soakUpstream.createUpstreamState(`u-${index}.0`);
     const record: soakUpstream.SoakRecorder = {
       run: run => this.runs.push(run),
       arrival: arrival => this.arrivals.push(arrival),
       notice: notice => this.notices.push(notice),
+      failure: atMs => this.failuresMs.push(atMs),
     };
     const script = soakUpstream.createSoakScript(
       state,
@@ -207,6 +224,7 @@
         readiness: await drawAddress(),
         directory: await drawAddress(),
         peers: await drawAddress(),
+        source: `127.0.0.${FIRST_SOURCE + i}`,
       });
     }
     const seeds = listens.slice(0, 3).map(({peers}) => peers);
@@ -222,7 +240,8 @@
       const log = path.join(this.folder, `${id}.log`);
       const process = new gatewayProcess.GatewayProcess(id, file, log);
       process.start();
-      this.instances.push({process, storeProxy, address: listen.callers});
+      const {callers: address, source} = listen;
+      this.instances.push({process, storeProxy, address, source});
     }
     return listens.map(({callers}) => callers);
   }
@@ -265,6 +284,10 @@
     const {id} = getByIndex(this.upstreams, target).state;
     const fromMs = this.clock.now();
     const toMs = fromMs + forMs;
+    if (INSTANCE_OUTAGES.has(kind)) {
+      const untilMs = toMs + RESTART_MS;
+      this.outages.push({target: address, fromMs, toMs: untilMs});
+    }
     if (INSTANCE_DISRUPTIONS.has(kind)) {
       this.disruptions.push({target: address, fromMs, toMs});
     }
@@ -319,6 +342,18 @@
         upstream.state.isLeaving = true;
         await this.clock.sleep(forMs);
         return this.replaceUpstream(upstream, 0);
+      case 'links_hang':
+        return this.cutLinks(fault, 'silent');
+      case 'links_reset':
+      case 'links_new_refused':
+        return this.cutLinks(fault, 'refusing');
+      case 'links_one_way':
+        return this.cutLinks(fault, 'one_way');
+      case 'upstreams_fragile':
+        return this.makeFragile(forMs);
+      case 'upstream_pauses':
+        upstream.state.pausedUntilMs = this.clock.now() + PAUSE_MS;
+        return;
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -343,6 +378,46 @@
     }
   }
 
+  /** Cuts the links of an instance to all upstreams. */
+  private async cutLinks(
+    {kind, forMs, target}: faultPlan.Fault,
+    mode: fakes.ProxyMode,
+  ): Promise<void> {
+    const {address, source} = getByIndex(this.instances, target);
+    const fromMs = this.clock.now();
+    this.cuts.push({instance: address, fromMs, toMs: fromMs + forMs});
+    for (const {proxy} of this.upstreams) {
+      proxy.setModeOf(source, mode);
+      if (kind === 'links_reset') {
+        proxy.resetAll(source);
+      }
+    }
+    await this.clock.sleep(forMs);
+    this.healLinks(source);
+  }
+
+  private healLinks(source: string): void {
+    for (const {proxy} of this.upstreams) {
+      proxy.setModeOf(source, undefined);
+      // Connections that lost bytes in a cut would hang for ever.
+      proxy.resetAll(source);
+    }
+  }
+
+  /** Makes all upstreams fail for a time when they refuse too much. */
+  private async makeFragile(forMs: number): Promise<void> {
+    const fromMs = this.clock.now();
+    this.fragileTimes.push({fromMs, toMs: fromMs + forMs});
+    const states = this.upstreams.map(({state}) => state);
+    states.forEach(state => {
+      state.fragileSinceMs ??= fromMs;
+    });
+    await this.clock.sleep(forMs);
+    states.forEach(state => {
+      state.fragileSinceMs = undefined;
+    });
+  }
+
   /** Deletes the upstream's entry and registers it later under a new id. */
   private async replaceUpstream(
     upstream: Upstream,
@@ -385,9 +460,10 @@
   }
 
   private clearFaults(): void {
-    for (const {process, storeProxy} of this.instances) {
+    for (const {process, storeProxy, source} of this.instances) {
       process.signal('SIGCONT');
       storeProxy.mode = 'open';
+      this.healLinks(source);
     }
     for (const {proxy} of this.upstreams) {
       proxy.mode = 'open';
@@ -404,11 +480,39 @@
   }
 }
 
+/** Added to the seed for the faults that are drawn apart from the others. */
+const LINK_SEED_OFFSET = 1_000_000;
+
+/** Last number of the IP address from which the first instance calls upstreams. */
+const FIRST_SOURCE = 10;
+
+/** Time for which an upstream that pauses answers nothing, in milliseconds. */
+const PAUSE_MS = 1_000;
+
+/** Time that an instance takes at most to serve again, in milliseconds. */
+const RESTART_MS = 4_000;
+
+/** Faults in which an instance is down, or can't confirm its configuration. */
+const INSTANCE_OUTAGES: ReadonlySet<faultPlan.FaultKind> = new Set([
+  'kill',
+  'planned_stop',
+  'pause',
+  'store_silent',
+  'store_refusing',
+  'store_cut',
+  'store_delayed',
+]);
+
 /** Faults in which an instance forgets notices, or gets none. */
 const INSTANCE_DISRUPTIONS: ReadonlySet<faultPlan.FaultKind> = new Set([
   'kill',
   'planned_stop',
   'pause',
+  // Answers come by way of another instance, which gets the notices.
+  'links_hang',
+  'links_reset',
+  'links_new_refused',
+  'links_one_way',
 ]);
 
 /** Faults in which the answers of an upstream are lost or late. */
--- a/packages/soak/src/soak-documents.ts
+++ b/packages/soak/src/soak-documents.ts
@@ -7,14 +7,20 @@
   evacuationMs: 5_000,
   revocationMs: 3_000,
   stopGraceS: 4,
+  stabilityMs: 3_000,
 } as const;
 
+/** Requests that an upstream says it processes at a time. */
+export const UPSTREAM_SLOTS = 2;
+
 /** Listen addresses of one instance, as `host:port`. */
 export interface InstanceAddresses {
   readonly callers: string;
   readonly readiness: string;
   readonly directory: string;
   readonly peers: string;
+  /** IP address from which it calls upstreams. */
+  readonly source: string;
 }
 
 const route = (name: string, kind: string, extra = {}): unknown => ({
@@ -70,7 +76,7 @@
   address,
   zone: 'zone-a',
   version: 'v1',
-  slots: 16,
+  slots: UPSTREAM_SLOTS,
   state,
   coldRemainingMs: 0,
   born: 1,
@@ -85,6 +91,7 @@
   seeds: readonly string[],
 ): string => `
 seeds = ${JSON.stringify(seeds)}
+source_address = "${listen.source}"
 session_s = 5
 address_max_age_s = 5
 [instance]
@@ -108,7 +115,7 @@
 evacuation_ms = ${SOAK_BOUNDS.evacuationMs}
 revocation_ms = ${SOAK_BOUNDS.revocationMs}
 stop_grace_s = ${SOAK_BOUNDS.stopGraceS}
-stability_ms = 3000
+stability_ms = ${SOAK_BOUNDS.stabilityMs}
 [retry]
 ratio = 0.9
 slack = 50
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -3,6 +3,7 @@
 import * as platform from '@amaranthknot/platform';
 import type * as checkNotices from './check-notices.js';
 import * as invariants from './invariants.js';
+import * as documents from './soak-documents.js';
 
 const NAMES = platform.HEADER_NAMES;
 
@@ -10,6 +11,8 @@
 const EXPECTED_UPSTREAM = NAMES.expectedUpstream.toLowerCase();
 const LAST_EVENT_ID = NAMES.lastEventId.toLowerCase();
 
+const NOT_RUN = {[NAMES.notRun]: '1'};
+
 const LEAVING_HEADERS = {[NAMES.leaving]: '1'};
 
 const MS_PER_S = 1_000;
@@ -28,6 +31,50 @@
 const ANSWER_LOST_FRACTION = 0.03;
 const CUT_FRACTION = 0.03;
 
+/** Refusals a second that a fragile upstream bears. */
+const MAX_REFUSALS = 3;
+
+/** Time for which it says so before it refuses and fails, in milliseconds. */
+const FRAGILE_NOTICE_MS = 3_000;
+
+/** Time for which it is down after a failure, in milliseconds. */
+const DOWN_MS = 1_500;
+
+const REFUSAL_HEADERS = {[NAMES.refusalLimit]: String(MAX_REFUSALS)};
+
+/** Creates the state of an upstream that has just started. */
+export const createUpstreamState = (id: string): SoakUpstreamState => ({
+  id,
+  shedsUntilMs: -Infinity,
+  isLeaving: false,
+  pausedUntilMs: -Infinity,
+  fragileSinceMs: undefined,
+  downUntilMs: -Infinity,
+  inProgress: 0,
+  refusedAtMs: [],
+});
+
+/** Whether a fragile upstream has no slot left; fails if it refuses too much. */
+const refusesForRoom = (
+  state: SoakUpstreamState,
+  record: SoakRecorder,
+  now: number,
+): boolean => {
+  const {fragileSinceMs = Infinity, inProgress} = state;
+  const isFragile = now - fragileSinceMs >= FRAGILE_NOTICE_MS;
+  if (!isFragile || inProgress < documents.UPSTREAM_SLOTS) {
+    return false;
+  }
+  state.refusedAtMs = state.refusedAtMs.filter(atMs => atMs > now - MS_PER_S);
+  state.refusedAtMs.push(now);
+  if (state.refusedAtMs.length > MAX_REFUSALS) {
+    state.refusedAtMs = [];
+    state.downUntilMs = now + DOWN_MS;
+    record.failure(now);
+  }
+  return true;
+};
+
 /** Processing time of a request, in milliseconds. */
 const WORK_MS = {min: 5, max: 40};
 
@@ -41,6 +88,14 @@
   /** Until then it refuses everything, and asks for a backoff. */
   shedsUntilMs: number;
   isLeaving: boolean;
+  /** Until then it answers nothing, and then goes on. */
+  pausedUntilMs: number;
+  /** Since when it has said how many refusals it bears; undefined if not. */
+  fragileSinceMs: number | undefined;
+  /** Until then it is down, as it refused too much. */
+  downUntilMs: number;
+  inProgress: number;
+  refusedAtMs: number[];
 }
 
 /** Receives what a script records. */
@@ -48,6 +103,8 @@
   readonly run: (run: invariants.RunRecord) => void;
   readonly arrival: (arrival: checkNotices.Arrival) => void;
   readonly notice: (notice: checkNotices.Notice) => void;
+  /** It failed because it refused too much. */
+  readonly failure: (atMs: number) => void;
 }
 
 /**
@@ -64,6 +121,14 @@
   ({request, socket}) => {
     const {headers} = request;
     const {id, shedsUntilMs, isLeaving} = state;
+    if (now() < state.downUntilMs) {
+      socket.resetAndDestroy();
+      return;
+    }
+    if (request.target === '/health') {
+      socket.write(fakes.formatAnswer(request, ''));
+      return;
+    }
     if (headers[EXPECTED_UPSTREAM] !== id) {
       socket.write(fakes.formatNotRun(request, 421));
       return;
@@ -77,7 +142,16 @@
       socket.write(formatShed(request, backoffMs));
       return;
     }
-    const answerHeaders = isLeaving ? LEAVING_HEADERS : {};
+    const isFragile = state.fragileSinceMs !== undefined;
+    const answerHeaders = {
+      ...(isLeaving ? LEAVING_HEADERS : {}),
+      ...(isFragile ? REFUSAL_HEADERS : {}),
+    };
+    if (refusesForRoom(state, record, now())) {
+      const refusal = {status: 503, headers: {...answerHeaders, ...NOT_RUN}};
+      socket.write(fakes.formatAnswer(request, '', refusal));
+      return;
+    }
     if (random() < NOT_RUN_FRACTION) {
       socket.write(fakes.formatNotRun(request));
       return;
@@ -85,10 +159,16 @@
     const lastEventId = Number(headers[LAST_EVENT_ID] ?? 0);
     record.run({id: requestId, upstream: id, atMs: now(), lastEventId});
     const workMs = WORK_MS.min + random() * (WORK_MS.max - WORK_MS.min);
+    const pauseMs = Math.max(0, state.pausedUntilMs - now());
+    state.inProgress++;
+    const end = () => {
+      state.inProgress--;
+    };
     const isLost = random() < ANSWER_LOST_FRACTION;
     const isCut = random() < CUT_FRACTION;
     setTimeout(() => {
       if (isLost) {
+        end();
         socket.resetAndDestroy();
         return;
       }
@@ -108,21 +188,25 @@
         if (isCut) {
           socket.resetAndDestroy();
         }
+        end();
       } else {
         socket.write(fakes.formatStreamHead(request, {headers: answerHeaders}));
         writeEvents(requestId, lastEventId + 1, isCut);
       }
-    }, workMs);
+    }, workMs + pauseMs);
 
     const writeEvents = (name: string, from: number, isCutHalfway: boolean) => {
       if (socket.destroyed) {
+        end();
         return;
       }
       if (from > invariants.STREAM_LENGTH) {
         socket.write(fakes.LAST_CHUNK);
+        end();
         return;
       }
       if (isCutHalfway && from > invariants.STREAM_LENGTH / 2) {
+        end();
         socket.resetAndDestroy();
         return;
       }
--- a/packages/soak/tests/invariants.test.ts
+++ b/packages/soak/tests/invariants.test.ts
@@ -33,7 +33,15 @@
     revocations: [],
     notices: {arrivals: [], notices: [], disruptions: []},
     recoveryFromMs: 0,
-    bounds: {revocationMs: 3_000, leavingMs: 2_000},
+    links: {
+      cuts: [],
+      fragileTimes: [],
+      failuresMs: [],
+      upstreams: 3,
+      disruptions: [],
+      instances: ['instance-1'],
+    },
+    bounds: {revocationMs: 3_000, leavingMs: 2_000, stabilityMs: 3_000},
   };
 };
 
