Suspect no link for slow answers while others of the service answer

A request that waits for its first token for a second was taken for a sign of a lost link. Under load two such waits are common, and each pair would have cost up to three checks of upstreams, although answers arrive all the while. Silence now counts only if nothing of the service was heard meanwhile.

--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -309,7 +309,7 @@
       recordNotices: (upstream, notices) => {
         recordNotices(get, upstream, notices);
       },
-      recordLink: get('linkMonitor').record,
+      links: get('linkMonitor'),
     }),
     refreshTable: () => get('viewRefresher').refresh(),
     activeTable: () => get('state').activeTable(),
--- a/packages/decisions/src/upstream-links.ts
+++ b/packages/decisions/src/upstream-links.ts
@@ -29,7 +29,10 @@
 interface ServiceLinks {
   /** When each upstream failed last, since the last answer of any. */
   readonly failedAtMs: Map<string, number>;
+  /** Last answer over a new connection. */
   answeredAtMs: number;
+  /** Last answer over any connection. */
+  heardAtMs: number;
   checkedAtMs: number;
   isChecking: boolean;
   lostAtMs: number | undefined;
@@ -77,17 +80,30 @@
    *     that are open may live on while new ones fail.
    */
   recordAnswer(service: string, id: string, isNewConnection: boolean): void {
-    this.heardAtMs.set(id, this.options.now());
+    const now = this.options.now();
+    this.heardAtMs.set(id, now);
+    this.linksOf(service).heardAtMs = now;
     if (isNewConnection) {
       this.recordReached(service);
     }
   }
 
-  /** Records that an upstream refused, reset or did not answer in time. */
+  /** Records that an upstream refused or reset a connection, or accepted none. */
   recordFailure(service: string, id: string): void {
     this.linksOf(service).failedAtMs.set(id, this.options.now());
   }
 
+  /**
+   * Records that an upstream has not answered a request for `forMs`. Where
+   * others of the service answered meanwhile, it is slow, and not out of reach.
+   */
+  recordSilence(service: string, id: string, forMs: number): void {
+    const {heardAtMs} = this.linksOf(service);
+    if (heardAtMs < this.options.now() - forMs) {
+      this.recordFailure(service, id);
+    }
+  }
+
   /**
    * Whether the links to a service should be checked now: after failures, and
    * again and again while they are lost.
@@ -180,6 +196,7 @@
     const created: ServiceLinks = {
       failedAtMs: new Map(),
       answeredAtMs: -Infinity,
+      heardAtMs: -Infinity,
       checkedAtMs: -Infinity,
       isChecking: false,
       lostAtMs: undefined,
--- a/packages/decisions/tests/upstream-links.test.ts
+++ b/packages/decisions/tests/upstream-links.test.ts
@@ -95,6 +95,16 @@
         fail(['a', 'b'], {c: 'silent', d: 'silent'});
       },
     },
+    {
+      name: 'slow upstreams while others of the service answer',
+      run: ({links, fail, wait}) => {
+        links.recordAnswer(SERVICE, 'c', false);
+        wait(900);
+        links.recordSilence(SERVICE, 'a', 1_000);
+        links.recordSilence(SERVICE, 'b', 1_000);
+        fail([], {c: 'failed'});
+      },
+    },
     {
       name: 'an answer during the check',
       run: ({links}) => {
@@ -117,6 +127,16 @@
     });
   });
 
+  it('takes the links for lost when nothing answers for long', () => {
+    const {links, fail, wait} = setUp();
+    links.recordAnswer(SERVICE, 'c', true);
+    wait(1_100);
+    links.recordSilence(SERVICE, 'a', 1_000);
+    links.recordSilence(SERVICE, 'b', 1_000);
+    fail([], {c: 'silent', d: 'silent'});
+    chai.expect(links.isLost(SERVICE)).equal(true);
+  });
+
   it('takes the links for lost although open connections answer', () => {
     // Guards against an instance on which only new connections fail.
     const {links, fail} = setUp();
--- a/packages/gateway/src/link-monitor.ts
+++ b/packages/gateway/src/link-monitor.ts
@@ -13,11 +13,12 @@
   | 'answered_kept'
   | 'failed';
 
-/** Receives what requests show of the link to an upstream. */
-export type RecordLink = (
-  upstream: routing.Upstream,
-  evidence: LinkEvidence,
-) => void;
+/** Receives what requests show of the links to upstreams. */
+export interface LinkObserver {
+  readonly record: (upstream: routing.Upstream, evidence: LinkEvidence) => void;
+  /** An upstream has not answered a request for `forMs`. */
+  readonly recordSilence: (upstream: routing.Upstream, forMs: number) => void;
+}
 
 /** What a `LinkMonitor` needs. */
 export interface LinkMonitorOptions {
@@ -37,7 +38,7 @@
 const SAMPLE_SIZE = 3;
 
 /** Watches the links of one instance. */
-export class LinkMonitor {
+export class LinkMonitor implements LinkObserver {
   /** Called when the links to a service are lost, by name of the service. */
   private readonly waiters = new Map<string, Set<() => void>>();
 
@@ -66,7 +67,7 @@
   }
 
   /** Records what a request showed of a link. */
-  readonly record: RecordLink = ({service, id}, evidence) => {
+  record({service, id}: routing.Upstream, evidence: LinkEvidence): void {
     const {links} = this.options;
     if (evidence !== 'failed') {
       links.recordAnswer(service, id, evidence === 'answered_new');
@@ -74,7 +75,13 @@
     }
     links.recordFailure(service, id);
     void this.checkIfDue(service);
-  };
+  }
+
+  /** Records that an upstream has not answered a request for `forMs`. */
+  recordSilence({service, id}: routing.Upstream, forMs: number): void {
+    this.options.links.recordSilence(service, id, forMs);
+    void this.checkIfDue(service);
+  }
 
   /** Checks the services again whose upstreams are out of reach. */
   recheckLost(): void {
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -98,7 +98,7 @@
 /** Receives what calls show of the upstreams. */
 export interface CallObserver {
   readonly recordNotices: upstreamNotices.RecordNotices;
-  readonly recordLink: linkMonitor.RecordLink;
+  readonly links: linkMonitor.LinkObserver;
 }
 
 /** Status by which another upstream than the expected one refuses to run. */
@@ -130,7 +130,7 @@
 export const createOpenCall = (
   pool: connectionPool.ConnectionPool,
   names: headerNames.HeaderNames,
-  {recordNotices, recordLink}: CallObserver,
+  {recordNotices, links}: CallObserver,
 ): OpenCall => {
   const parseNotices = upstreamNotices.createParseNotices(names);
   const lowerNames = {
@@ -182,7 +182,7 @@
     });
   };
 
-  return createOpen(pool, classify, recordLink);
+  return createOpen(pool, classify, links);
 };
 
 /** Records the notices in an answer of the upstream with this id. */
@@ -229,7 +229,13 @@
       isBroken,
     });
   };
-  return createOpen(pool, classify, () => undefined);
+  return createOpen(pool, classify, NO_LINK_OBSERVER);
+};
+
+/** Links to other instances are not those to upstreams. */
+const NO_LINK_OBSERVER: linkMonitor.LinkObserver = {
+  record: () => undefined,
+  recordSilence: () => undefined,
 };
 
 const REFUSAL_NAME = protocol.FORWARD_HEADERS.refusal.toLowerCase();
@@ -268,7 +274,7 @@
   (
     pool: connectionPool.ConnectionPool,
     classify: ClassifyAnswer,
-    recordLink: linkMonitor.RecordLink,
+    links: linkMonitor.LinkObserver,
   ): OpenCall =>
   (request, signal) =>
     new Promise(resolve => {
@@ -295,7 +301,7 @@
         sending.destroy();
       }, request.headTimeoutMs);
       const suspectTimer = setTimeout(() => {
-        recordLink(upstream, 'failed');
+        links.recordSilence(upstream, request.suspectAfterMs);
       }, request.suspectAfterMs);
       const clearTimers = () => {
         clearTimeout(headTimer);
@@ -306,14 +312,14 @@
       const fail = () => {
         clearTimers();
         if (!hasAnswered && !signal.aborted) {
-          recordLink(upstream, 'failed');
+          links.record(upstream, 'failed');
         }
         resolve(purify.Left(tracker.describe(isSilent, signal)));
       };
       sending.once('response', response => {
         clearTimers();
         hasAnswered = true;
-        recordLink(
+        links.record(
           upstream,
           sending.reusedSocket ? 'answered_kept' : 'answered_new',
         );
