Refuse a forwarded request at once where the links are lost too

An instance now refuses, as not run, what is forwarded for a service that it reaches no upstream of, also between two attempts, and the request goes on to the next. A request that an instance refused to take counts as not arrived.

--- a/packages/gateway/src/accept-forwarded.ts
+++ b/packages/gateway/src/accept-forwarded.ts
@@ -19,16 +19,24 @@
     ? undefined
     : [...(workspaces?.values() ?? [])].find(found => found.name === name);
 
+/** What acceptance depends on. */
+export interface ForwardAcceptance {
+  readonly table: routing.RoutingTable | undefined;
+  /** Whether this instance reaches no upstream of a service itself. */
+  readonly isLost: (service: string) => boolean;
+}
+
 /**
  * Accepts a forwarded request.
  *
  * Guards against a request that is handled by an older configuration than the
- * one by which it was accepted: it is refused, and sent to another instance.
+ * one by which it was accepted, and against one that waits here for upstreams
+ * that are out of reach too: it is refused, and sent to another instance.
  */
 export const acceptForwarded = (
   caller: callerRequest.CallerRequest,
   forwarded: protocol.ForwardedRequest,
-  table: routing.RoutingTable | undefined,
+  {table, isLost}: ForwardAcceptance,
 ): acceptRequest.Acceptance => {
   const route = table?.routes.find(({name}) => name === forwarded.route);
   const service = table?.services.get(forwarded.service);
@@ -36,6 +44,7 @@
   const isKnown =
     table !== undefined &&
     table.version >= forwarded.configuration &&
+    !isLost(forwarded.service) &&
     (workspace !== undefined || forwarded.workspace === undefined);
   if (!isKnown || !route || !service) {
     return purify.Left({
--- a/packages/gateway/src/attempt-history.ts
+++ b/packages/gateway/src/attempt-history.ts
@@ -63,7 +63,10 @@
     {forward}: runContext.PlacedAttempt,
     {ran, reason}: upstreamCall.CallFailure,
   ): void {
-    this.unreachedCount += reason === 'unreachable' ? 1 : 0;
+    // An instance that refuses to take a request has sent it nowhere.
+    const isUnreached =
+      reason === 'unreachable' || (forward && reason === 'refused');
+    this.unreachedCount += isUnreached ? 1 : 0;
     if (ran === 'unknown') {
       return;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -272,7 +272,7 @@
     caller: callerRequest.CallerRequest,
     message: http.IncomingMessage,
   ): acceptRequest.Acceptance {
-    const {hasRoomForForwarded, activeTable, log} = this.dependencies;
+    const {hasRoomForForwarded, activeTable, links, log} = this.dependencies;
     if (!hasRoomForForwarded()) {
       return purify.Left({
         reason: 'overloaded',
@@ -290,11 +290,10 @@
         return {reason: 'malformed'};
       })
       .chain(forwarded =>
-        acceptForwarded.acceptForwarded(
-          caller,
-          forwarded,
-          activeTable()?.table,
-        ),
+        acceptForwarded.acceptForwarded(caller, forwarded, {
+          table: activeTable()?.table,
+          isLost: links.isLost,
+        }),
       );
   }
 
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -47,16 +47,21 @@
     toPlace: runContext.PlacementRequest,
   ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
     const {isLost, forwarder} = this.options;
-    const forwarded = isLost(toPlace.request.service.name)
-      ? forwarder.place(toPlace)
-      : ({kind: 'none'} as const);
+    const {request} = toPlace;
+    if (!isLost(request.service.name)) {
+      return this.placeDirectly(toPlace);
+    }
+    const forwarded = forwarder.place(toPlace);
     switch (forwarded.kind) {
       case 'placed':
         return purify.Right(forwarded.attempt);
       case 'exhausted':
         return purify.Left(this.createRefusal('no_upstream', toPlace));
       case 'none':
-        return this.placeDirectly(toPlace);
+        // The forwarding instance may know another one that has links.
+        return request.forwarded
+          ? purify.Left(this.createRefusal('no_upstream', toPlace))
+          : this.placeDirectly(toPlace);
     }
   }
 
