--- a/packages/amaranthknot/src/gateway/fleet-reports.ts
+++ b/packages/amaranthknot/src/gateway/fleet-reports.ts
@@ -51,7 +51,7 @@
       // A follower reports these to its watcher alone.
       upstreams: isFollower ? [] : [...this.collectReportedStats()],
       limits: [...get('limits').report()],
-      refusalLimits: [...get('concurrencyShares').report()],
+      ...this.createRefusalLimits(),
       evidence: isFollower ? [] : [...get('rollouts').evidence()],
       rollouts: isFollower ? [] : [...get('rollouts').progress()],
     };
@@ -63,7 +63,7 @@
     const now = get('options').clock.now();
     this.applyMembers(report, now);
     get('limits').merge(report.limits);
-    get('concurrencyShares').merge(report.refusalLimits);
+    get('concurrencyShares').merge(report.refusalLimits ?? []);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isFollower()) {
       // A follower has its watcher's sums, which count the same requests. With
@@ -105,7 +105,7 @@
       // Watchers receive each other's stats in their exchange of reports.
       upstreams: isWatcher ? [] : [...get('picker').report()],
       limits: [...get('limits').report()],
-      refusalLimits: [...get('concurrencyShares').report()],
+      ...this.createRefusalLimits(),
       evidence: [...get('rollouts').evidence('own')],
       rollouts: [...get('rollouts').progress(exchanged.sent)],
       membersVersion: get('members').watcherListVersion(name),
@@ -118,7 +118,7 @@
     const {get} = this;
     const now = get('options').clock.now();
     get('limits').merge(report.limits);
-    get('concurrencyShares').merge(report.refusalLimits);
+    get('concurrencyShares').merge(report.refusalLimits ?? []);
     if (report.isWatcher) {
       get('members').recordKeeper(report.from, now);
       return;
@@ -142,7 +142,7 @@
         ...get('picker').report(name => name !== id && name !== WATCHER_SOURCE),
       ],
       limits: [...get('limits').report()],
-      refusalLimits: [...get('concurrencyShares').report()],
+      ...this.createRefusalLimits(),
       evidence: [...get('rollouts').evidenceSums()],
       rollouts: [...get('rollouts').progress(report.pinnedKnown)],
       pinnedCounts: {...get('rollouts').pinnedCounts()},
@@ -162,7 +162,7 @@
     get('members').applyWatcherList(name, membersVersion, members, now);
     get('picker').merge(WATCHER_SOURCE, upstreams, 'others');
     get('limits').merge(limits);
-    get('concurrencyShares').merge(refusalLimits);
+    get('concurrencyShares').merge(refusalLimits ?? []);
     get('rollouts').applySums(rollouts, evidence);
     this.exchangedSessions = {
       watcher: name,
@@ -171,6 +171,12 @@
     };
   }
 
+  /** Left out of messages where no upstream names such a limit. */
+  private createRefusalLimits(): Pick<protocol.FleetReport, 'refusalLimits'> {
+    const refusalLimits = [...this.get('concurrencyShares').report()];
+    return refusalLimits.length === 0 ? {} : {refusalLimits};
+  }
+
   /** Whether this instance gets the state of the fleet from a watcher. */
   private isFollower(): boolean {
     const {get} = this;
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -166,7 +166,7 @@
   isWatcher: zod.boolean().default(false),
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
-  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).default([]),
+  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Version of the member list that the instance has. */
@@ -183,7 +183,7 @@
   /** Sums over all instances except the caller. */
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
-  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).default([]),
+  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -204,7 +204,7 @@
   views: zod.array(viewState).max(shapes.MAX_ENVIRONMENTS),
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
-  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).default([]),
+  refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
