Stay with an upstream that is out of reach for a moment

What callers saw: nothing yet; a stream whose upstream was silent, and accepted no connection, for a third of the pause that its route allows was moved to another one. A sound upstream that goes on after a second still works on it then, and the run counts twice. An upstream now counts as out of reach after two probes in a row, or if this instance has lost its links to the service. The new test failed before: two runs in place of one.

--- a/packages/amaranthknot/tests/gateway/streams.test.ts
+++ b/packages/amaranthknot/tests/gateway/streams.test.ts
@@ -8,6 +8,12 @@
 /** Longer than the gap target of the routes in the fixture, in milliseconds. */
 const LONG_PAUSE_MS = 800;
 
+/**
+ * Longer than the time after which a silent upstream is probed, shorter than
+ * that after which it is probed again, in milliseconds.
+ */
+const SHORT_SILENCE_MS = 420;
+
 /** Events after `Last-Event-Id`, and the end of the stream. */
 const restOfStream = (request: fakes.ParsedRequest): string => {
   const from = Number(request.headers['last-event-id'] ?? 0) + 1;
@@ -69,6 +75,24 @@
     ...second.requests,
   ];
 
+  it('stays with an upstream that is out of reach for a moment', async () => {
+    // Guards against a stream that runs twice after a short silence.
+    [first, second].forEach(upstream => {
+      upstream.script = exchange => {
+        upstream.refuseConnections();
+        setTimeout(() => {
+          wholeStream(exchange);
+        }, SHORT_SILENCE_MS);
+      };
+    });
+    const answer = await gateway.call({
+      path: fixture.PATHS.stream,
+      method: 'POST',
+    });
+    chai.expect(answer.body).equal(expectedBody());
+    chai.expect(all()).length(1);
+  });
+
   it('forwards a whole stream', async () => {
     const answer = await gateway.call({
       path: fixture.PATHS.stream,
--- a/packages/fakes/src/gateway/scripted-upstream.ts
+++ b/packages/fakes/src/gateway/scripted-upstream.ts
@@ -50,6 +50,11 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  /** Refuses new connections from now on; open ones live on. */
+  refuseConnections(): void {
+    this.server.close();
+  }
+
   private accept(socket: net.Socket): void {
     this.connections++;
     this.sockets.add(socket);
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -29,6 +29,13 @@
  */
 const FORWARD_STALL_FACTOR = 2;
 
+/**
+ * Probes in a row that an upstream must fail to count as out of reach. A sound
+ * one may be silent for about a second and then go on with the stream, which
+ * would then run twice.
+ */
+const UNREACHABLE_PROBES = 2;
+
 /** An answer whose head has arrived, with its attempt. */
 export interface OpenStream extends eventRelay.RelayedStream {
   readonly model: string | undefined;
@@ -313,21 +320,31 @@
     if (!this.context.request.route.isResumable || this.isExhausted()) {
       return stallWatchdog.NO_WATCHDOG;
     }
-    let isReachable = true;
-    return stallWatchdog.startStallWatchdog({
+    const {isLost} = this.dependencies.links;
+    let failedProbes = 0;
+    const isReachable = () =>
+      failedProbes < UNREACHABLE_PROBES && !isLost(upstream.service);
+    const watchdog = stallWatchdog.startStallWatchdog({
       probeAfterMs: times.probeAfterMs,
       stallAfterMs: stallFactor * times.stallAfterMs,
       isReachable: async () => {
-        isReachable = await isReachableNow(upstream);
-        return isReachable;
+        failedProbes = (await isReachableNow(upstream)) ? 0 : failedProbes + 1;
+        return failedProbes === 0 || isReachable();
       },
       failOver: () =>
         this.failOver(
           upstream,
           model,
           abortController,
-          isReachable ? 'upstream_silent' : 'upstream_lost',
+          isReachable() ? 'upstream_silent' : 'upstream_lost',
         ),
     });
+    return {
+      stop: watchdog.stop,
+      reset: () => {
+        failedProbes = 0;
+        watchdog.reset();
+      },
+    };
   }
 }
