--- a/packages/amaranthknot/tests/gateway/forwarded-requests.test.ts
+++ b/packages/amaranthknot/tests/gateway/forwarded-requests.test.ts
@@ -271,6 +271,47 @@
   });
 });
 
+describe('a planned stop', () => {
+  const stopped: readonly {readonly name: string; readonly index: number}[] = [
+    {name: 'the instance that took the request', index: 0},
+    {name: 'the instance that it is forwarded to', index: 1},
+  ];
+
+  stopped.forEach(({name, index}) => {
+    it(`cuts no forwarded stream: ${name}`, async () => {
+      // Guards against requests that are lost with the instance in between.
+      const linked = await links.startLinkedGateway(2);
+      try {
+        linked.cut(0, 'reset');
+        await linked.load(0, DETECTION_MS);
+        const events = Array.from({length: 10}, (_, number) => number + 1);
+        const whole = events.map(id => fakes.formatEvent(id)).join('');
+        linked.upstreams.forEach(upstream => {
+          upstream.script = besidesHealth(({request, socket}) => {
+            socket.write(fakes.formatStreamHead(request));
+            events.forEach(id => {
+              const end = id === events.length ? fakes.LAST_CHUNK : '';
+              setTimeout(() => {
+                socket.write(fakes.formatChunk(fakes.formatEvent(id)) + end);
+              }, id * 100);
+            });
+          });
+        });
+        const call = {path: fixture.PATHS.stream, method: 'POST'};
+        const pending = linked.gateway.call(call);
+        await ports.systemClock.sleep(250);
+        const stop = linked.gateway.instances[index]?.stop();
+        const answer = await pending;
+        await stop;
+        chai.expect(answer.isComplete).equal(true);
+        chai.expect(answer.body).equal(whole);
+      } finally {
+        await linked.stop();
+      }
+    });
+  });
+});
+
 describe('an instance one of whose upstreams is silent for a second', () => {
   it('keeps its links', async () => {
     // Guards against requests that are forwarded for a fault of one upstream.
