--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -64,6 +64,8 @@
   readonly availability: gateway.UpstreamAvailability;
   readonly upstreamLinks: decisions.UpstreamLinks;
   readonly linkMonitor: gateway.LinkMonitor;
+  /** Probes upstreams, and tells the monitor of those that don't answer. */
+  readonly upstreamProbe: gateway.ProbeUpstream;
   readonly peerForwarder: gateway.PeerForwarder;
   readonly forwardAdmission: decisions.ForwardAdmission;
   /** Connections over which requests are forwarded. */
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -7,6 +7,7 @@
 import * as tsyringe from 'tsyringe';
 import type * as gatewayComponents from './gateway-components.js';
 import * as fleetFactories from './wiring/fleet-factories.js';
+import * as linkFactories from './wiring/link-factories.js';
 import * as requestFactories from './wiring/request-factories.js';
 import * as storeFactories from './wiring/store-factories.js';
 
@@ -20,6 +21,7 @@
   ...storeFactories.createStoreFactories(options),
   ...fleetFactories.createFleetFactories(options),
   ...requestFactories.createRequestFactories(options),
+  ...linkFactories.createLinkFactories(),
   options: () => options,
   log: get =>
     new telemetry.DecisionLog({
@@ -39,6 +41,7 @@
       upstreamsInBackoff: get('backoffs').activeCount,
       servicesUnreachable: get('upstreamLinks').lostServices.length,
       requestsForwarded: get('peerForwarder').inFlight,
+      utilization: get('forwardAdmission').utilization,
       servingInstances: get('members').serving(options.clock.now()).length,
     })),
 });
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -2,7 +2,7 @@
 import * as decisions from '@amaranthknot/decisions';
 import * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
-import * as routing from '@amaranthknot/routing';
+import type * as routing from '@amaranthknot/routing';
 import * as gatewayState from '../gateway-state.js';
 import type * as gatewayComponents from '../gateway-components.js';
 import * as repeatSlack from '../repeat-slack.js';
@@ -20,11 +20,6 @@
   | 'leavingNotices'
   | 'concurrencyShares'
   | 'availability'
-  | 'upstreamLinks'
-  | 'linkMonitor'
-  | 'peerForwarder'
-  | 'forwardAdmission'
-  | 'peerPool'
   | 'rollouts'
   | 'pool'
   | 'placement'
@@ -182,97 +177,6 @@
   }
 };
 
-/** Tells the other instances which services this one has no links to. */
-const reportLinks = (get: gatewayComponents.GatewayResolver): void => {
-  get('members').setLostServices(get('upstreamLinks').lostServices);
-};
-
-/** The instances that take callers and have links to a service. */
-const findForwardPeers = (
-  get: gatewayComponents.GatewayResolver,
-  service: string,
-): readonly gateway.ForwardPeer[] => {
-  const {settings, clock} = get('options');
-  const members = get('members');
-  return members.serving(clock.now()).flatMap(member => {
-    const {id, zone, cores, lostServices} = member;
-    const address = routing.parseAddress(member.peers);
-    const hasLinks = lostServices?.includes(service) === false;
-    return id === members.self.id || !hasLinks || !address
-      ? []
-      : [{id, zone, cores, address, region: settings.current.zones.get(zone)}];
-  });
-};
-
-const createPeerForwarder = (
-  get: gatewayComponents.GatewayResolver,
-): gateway.PeerForwarder => {
-  const {settings, clock, random} = get('options');
-  const {zone, region} = settings.current.instance;
-  return new gateway.PeerForwarder({
-    now: () => clock.now(),
-    random,
-    zone,
-    region,
-    findPeers: service => findForwardPeers(get, service),
-  });
-};
-
-const createUpstreamLinks = (
-  get: gatewayComponents.GatewayResolver,
-): decisions.UpstreamLinks =>
-  new decisions.UpstreamLinks({
-    now: () => get('options').clock.now(),
-    onLost: (service, failed) => {
-      reportLinks(get);
-      get('linkMonitor').notifyLost(service);
-      get('log').warn('upstream_links_lost', {
-        service,
-        failed,
-        upstreams: get('availability').findInService(service).length,
-        upstreamsAgeMs: Math.round(get('state').upstreamsAgeMs() ?? -1),
-      });
-    },
-    onRegained: (service, awayMs) => {
-      reportLinks(get);
-      get('log').info('upstream_links_regained', {
-        service,
-        awayMs: Math.round(awayMs),
-      });
-    },
-  });
-
-const createLinkMonitor = (
-  get: gatewayComponents.GatewayResolver,
-): gateway.LinkMonitor =>
-  new gateway.LinkMonitor({
-    links: get('upstreamLinks'),
-    check: gateway.createCheckLink(
-      get('options').settings.current.sourceAddress,
-    ),
-    findUpstreams: service =>
-      get('availability')
-        .findInService(service)
-        .map(({upstream}) => upstream),
-    findService: name => get('state').activeTable()?.table.services.get(name),
-    random: get('options').random,
-  });
-
-/** A probe that also tells the monitor of upstreams that don't answer. */
-const createMonitoredProbe = (
-  get: gatewayComponents.GatewayResolver,
-): gateway.ProbeUpstream => {
-  const {clock, settings} = get('options');
-  const probe = gateway.createProbe(clock, settings.current.sourceAddress);
-  return async upstream => {
-    const isReachable = await probe(upstream);
-    if (!isReachable) {
-      get('linkMonitor').record(upstream, 'failed');
-    }
-    return isReachable;
-  };
-};
-
 const createGateway = (
   get: gatewayComponents.GatewayResolver,
 ): gateway.Gateway => {
@@ -284,7 +188,7 @@
     log: get('log'),
     latencies: get('latencies'),
     escalation: get('escalationPolicy'),
-    probe: createMonitoredProbe(get),
+    probe: get('upstreamProbe'),
     probePeer: gateway.createProbe(clock),
     links: {
       isLost: service => get('upstreamLinks').isLost(service),
@@ -399,11 +303,6 @@
     }),
   concurrencyShares: createConcurrencyShares,
   availability: createAvailability,
-  upstreamLinks: createUpstreamLinks,
-  linkMonitor: createLinkMonitor,
-  peerForwarder: createPeerForwarder,
-  forwardAdmission: () => new decisions.ForwardAdmission(),
-  peerPool: () => new gateway.ConnectionPool(),
   rollouts: createRollouts,
   pool: () =>
     new gateway.ConnectionPool(options.settings.current.sourceAddress),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './buffered-run.js';
 export * from './link-check.js';
 export * from './link-monitor.js';
+export * from './open-forward.js';
 export * from './peer-forwarder.js';
 export * from './raw-headers.js';
 export * from './refusal.js';
--- /dev/null
+++ b/packages/gateway/src/open-exchange.ts
@@ -0,0 +1,154 @@
+/**
+ * One HTTP exchange with an upstream or another instance, up to the head of its
+ * answer. A failure says whether the request may have left.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as purify from 'purify-ts';
+import type * as connectionPool from './connection-pool.js';
+import type * as linkMonitor from './link-monitor.js';
+import type * as upstreamCall from './upstream-call.js';
+
+/** Whether a call's connection broke after its answer's head. */
+type IsBroken = () => boolean;
+
+/** Decides what the head of an answer means. */
+export type ClassifyAnswer = (
+  request: upstreamCall.UpstreamRequest,
+  response: http.IncomingMessage,
+  isBroken: IsBroken,
+) => purify.Either<upstreamCall.CallFailure, upstreamCall.UpstreamAnswer>;
+
+/** Creates the function that calls servers and classifies their answers. */
+export const createOpen =
+  (
+    pool: connectionPool.ConnectionPool,
+    classify: ClassifyAnswer,
+    links: linkMonitor.LinkObserver,
+  ): upstreamCall.OpenCall =>
+  (request, signal) =>
+    new Promise(resolve => {
+      if (signal.aborted) {
+        resolve(purify.Left({ran: 'not_run', reason: 'unreachable'}));
+        return;
+      }
+      const {upstream, body} = request;
+      const sending = http.request({
+        host: upstream.address.host,
+        port: upstream.address.port,
+        method: request.method,
+        path: request.target,
+        agent: pool.agentOf(upstream, request.connection),
+        setHost: false,
+        headers: request.headers as string[],
+      });
+      const tracker = trackConnection(sending, request.connectTimeoutMs);
+      const cancel = () => sending.destroy();
+      signal.addEventListener('abort', cancel);
+      let isSilent = false;
+      const headTimer = setTimeout(() => {
+        isSilent = true;
+        sending.destroy();
+      }, request.headTimeoutMs);
+      const suspectTimer = setTimeout(() => {
+        links.recordSilence(upstream, request.suspectAfterMs);
+      }, request.suspectAfterMs);
+      const clearTimers = () => {
+        clearTimeout(headTimer);
+        clearTimeout(suspectTimer);
+      };
+      let hasFailed = false;
+      let hasAnswered = false;
+      const fail = () => {
+        clearTimers();
+        if (!hasAnswered && !signal.aborted) {
+          links.record(upstream, 'failed');
+        }
+        resolve(purify.Left(tracker.describe(isSilent, signal)));
+      };
+      sending.once('response', response => {
+        clearTimers();
+        hasAnswered = true;
+        links.record(
+          upstream,
+          sending.reusedSocket ? 'answered_kept' : 'answered_new',
+        );
+        response.once('close', () => {
+          signal.removeEventListener('abort', cancel);
+        });
+        // A body that breaks before it is read must not end the process.
+        response.on('error', () => undefined);
+        const wasReset = watchForReset(response);
+        resolve(classify(request, response, () => hasFailed || wasReset()));
+      });
+      // An error after the head concerns the body, whose reader handles it.
+      sending.on('error', () => {
+        hasFailed = true;
+        signal.removeEventListener('abort', cancel);
+        fail();
+      });
+      sending.once('close', fail);
+      sending.end(body);
+    });
+
+/**
+ * Distinguishes a connection that was reset from one that was closed.
+ *
+ * Guards against a reset that arrives with the last bytes of an answer: the
+ * event loop reports a reset and a close alike, as bytes and a clean end, so an
+ * answer without a length looks complete. After a reset the socket has no
+ * remote address, after a close it still has. The socket caches the address, so
+ * it must not be read earlier.
+ */
+const watchForReset = ({
+  headers,
+  socket,
+}: http.IncomingMessage): (() => boolean) => {
+  const hasLength =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  let wasReset = false;
+  if (hasLength) {
+    return () => false;
+  }
+  socket.prependOnceListener('end', () => {
+    wasReset = socket.remoteAddress === undefined;
+  });
+  return () => wasReset;
+};
+
+/** Tracks whether a connection was established, so that bytes may have left. */
+const trackConnection = (
+  sending: http.ClientRequest,
+  connectTimeoutMs: number,
+): {
+  readonly describe: (
+    isSilent: boolean,
+    signal: AbortSignal,
+  ) => upstreamCall.CallFailure;
+} => {
+  let wasConnected = false;
+  sending.once('socket', (socket: net.Socket) => {
+    if (!socket.connecting) {
+      wasConnected = true;
+      return;
+    }
+    const timer = setTimeout(() => sending.destroy(), connectTimeoutMs);
+    sending.once('close', () => {
+      clearTimeout(timer);
+    });
+    socket.once('connect', () => {
+      wasConnected = true;
+      clearTimeout(timer);
+    });
+  });
+  return {
+    describe: (isSilent, signal) => {
+      if (!wasConnected) {
+        return {ran: 'not_run', reason: 'unreachable'};
+      }
+      const reason = signal.aborted ? 'cancelled' : 'broken';
+      return {ran: 'unknown', reason: isSilent ? 'silent' : reason};
+    },
+  };
+};
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -6,15 +6,13 @@
  * byte, and bytes that arrive on a kept connection after the end of an answer
  * must be noticed.
  */
-import * as http from 'node:http';
-import type * as net from 'node:net';
-import * as decisions from '@amaranthknot/decisions';
-import * as protocol from '@amaranthknot/protocol';
+import type * as http from 'node:http';
 import * as purify from 'purify-ts';
 import type * as routing from '@amaranthknot/routing';
 import type * as connectionPool from './connection-pool.js';
 import type * as headerNames from './header-names.js';
 import type * as linkMonitor from './link-monitor.js';
+import * as openExchange from './open-exchange.js';
 import * as rawHeaders from './raw-headers.js';
 import * as upstreamNotices from './upstream-notices.js';
 
@@ -116,16 +114,6 @@
   return text === undefined || !Number.isFinite(value) ? undefined : value;
 };
 
-/** Whether a call's connection broke after its answer's head. */
-type IsBroken = () => boolean;
-
-/** Decides what the head of an answer means. */
-type ClassifyAnswer = (
-  request: UpstreamRequest,
-  response: http.IncomingMessage,
-  isBroken: IsBroken,
-) => purify.Either<CallFailure, UpstreamAnswer>;
-
 /** Creates the function that calls upstreams. */
 export const createOpenCall = (
   pool: connectionPool.ConnectionPool,
@@ -140,7 +128,11 @@
     confidence: names.confidence.toLowerCase(),
   };
 
-  const classify: ClassifyAnswer = (request, response, isBroken) => {
+  const classify: openExchange.ClassifyAnswer = (
+    request,
+    response,
+    isBroken,
+  ) => {
     const headers = response.rawHeaders;
     const status = response.statusCode ?? 0;
     const load = parseLoad(rawHeaders.findHeader(headers, lowerNames.load));
@@ -182,220 +174,5 @@
     });
   };
 
-  return createOpen(pool, classify, links);
-};
-
-/** Records the notices in an answer of the upstream with this id. */
-export type RecordForwardedNotices = (
-  upstream: string,
-  notices: upstreamNotices.UpstreamNotices,
-) => void;
-
-/**
- * Creates the function that forwards requests to other instances. What an
- * upstream says about itself in an answer that is passed on binds this instance
- * too.
- */
-export const createOpenForward = (
-  pool: connectionPool.ConnectionPool,
-  names: headerNames.HeaderNames,
-  recordNotices: RecordForwardedNotices,
-): OpenCall => {
-  const parseNotices = upstreamNotices.createParseNotices(names);
-  const requestIdName = names.requestId.toLowerCase();
-  const classify: ClassifyAnswer = (request, response, isBroken) => {
-    const headers = response.rawHeaders;
-    const status = response.statusCode ?? 0;
-    const refusal = rawHeaders.findHeader(headers, REFUSAL_NAME);
-    if (refusal !== undefined) {
-      response.resume();
-      return purify.Left(classifyRefusal(refusal, status, headers));
-    }
-    if (rawHeaders.findHeader(headers, requestIdName) !== request.requestId) {
-      response.destroy();
-      return purify.Left({ran: 'unknown', reason: 'foreign_answer'});
-    }
-    const model = rawHeaders.findHeader(headers, MODEL_NAME);
-    const upstream = rawHeaders.findHeader(headers, UPSTREAM_NAME);
-    if (upstream !== undefined) {
-      recordNotices(upstream, parseNotices(status, headers));
-    }
-    return purify.Right({
-      status,
-      headers: rawHeaders.keepEndToEnd(headers, FORWARD_NAMES),
-      ...(model === undefined ? {} : {model}),
-      ...(upstream === undefined ? {} : {upstream}),
-      body: response,
-      isBroken,
-    });
-  };
-  return createOpen(pool, classify, NO_LINK_OBSERVER);
-};
-
-/** Links to other instances are not those to upstreams. */
-const NO_LINK_OBSERVER: linkMonitor.LinkObserver = {
-  record: () => undefined,
-  recordSilence: () => undefined,
-};
-
-const REFUSAL_NAME = protocol.FORWARD_HEADERS.refusal.toLowerCase();
-const MODEL_NAME = protocol.FORWARD_HEADERS.model.toLowerCase();
-const UPSTREAM_NAME = protocol.FORWARD_HEADERS.upstream.toLowerCase();
-
-/** Headers of a forwarded answer that its caller does not get. */
-const FORWARD_NAMES: ReadonlySet<string> = new Set([
-  REFUSAL_NAME,
-  MODEL_NAME,
-  UPSTREAM_NAME,
-]);
-
-/** Statuses of refusals after which the request may have run. */
-const MAY_HAVE_RUN: ReadonlySet<number> = new Set([500, 502, 504]);
-
-const classifyRefusal = (
-  refusal: string,
-  status: number,
-  headers: rawHeaders.RawHeaders,
-): CallFailure => {
-  if (MAY_HAVE_RUN.has(status)) {
-    return {ran: 'unknown', reason: 'broken'};
-  }
-  const retryAfter = rawHeaders.findHeader(headers, 'retry-after');
-  return {
-    ran: 'not_run',
-    reason: refusal === 'no_upstream' ? 'no_upstream' : 'refused',
-    status,
-    backoffMs: decisions.parseRetryAfterMs(retryAfter),
-  };
-};
-
-/** Creates the function that calls servers and classifies their answers. */
-const createOpen =
-  (
-    pool: connectionPool.ConnectionPool,
-    classify: ClassifyAnswer,
-    links: linkMonitor.LinkObserver,
-  ): OpenCall =>
-  (request, signal) =>
-    new Promise(resolve => {
-      if (signal.aborted) {
-        resolve(purify.Left({ran: 'not_run', reason: 'unreachable'}));
-        return;
-      }
-      const {upstream, body} = request;
-      const sending = http.request({
-        host: upstream.address.host,
-        port: upstream.address.port,
-        method: request.method,
-        path: request.target,
-        agent: pool.agentOf(upstream, request.connection),
-        setHost: false,
-        headers: request.headers as string[],
-      });
-      const tracker = trackConnection(sending, request.connectTimeoutMs);
-      const cancel = () => sending.destroy();
-      signal.addEventListener('abort', cancel);
-      let isSilent = false;
-      const headTimer = setTimeout(() => {
-        isSilent = true;
-        sending.destroy();
-      }, request.headTimeoutMs);
-      const suspectTimer = setTimeout(() => {
-        links.recordSilence(upstream, request.suspectAfterMs);
-      }, request.suspectAfterMs);
-      const clearTimers = () => {
-        clearTimeout(headTimer);
-        clearTimeout(suspectTimer);
-      };
-      let hasFailed = false;
-      let hasAnswered = false;
-      const fail = () => {
-        clearTimers();
-        if (!hasAnswered && !signal.aborted) {
-          links.record(upstream, 'failed');
-        }
-        resolve(purify.Left(tracker.describe(isSilent, signal)));
-      };
-      sending.once('response', response => {
-        clearTimers();
-        hasAnswered = true;
-        links.record(
-          upstream,
-          sending.reusedSocket ? 'answered_kept' : 'answered_new',
-        );
-        response.once('close', () => {
-          signal.removeEventListener('abort', cancel);
-        });
-        // A body that breaks before it is read must not end the process.
-        response.on('error', () => undefined);
-        const wasReset = watchForReset(response);
-        resolve(classify(request, response, () => hasFailed || wasReset()));
-      });
-      // An error after the head concerns the body, whose reader handles it.
-      sending.on('error', () => {
-        hasFailed = true;
-        signal.removeEventListener('abort', cancel);
-        fail();
-      });
-      sending.once('close', fail);
-      sending.end(body);
-    });
-
-/**
- * Distinguishes a connection that was reset from one that was closed.
- *
- * Guards against a reset that arrives with the last bytes of an answer: the
- * event loop reports a reset and a close alike, as bytes and a clean end, so an
- * answer without a length looks complete. After a reset the socket has no
- * remote address, after a close it still has. The socket caches the address, so
- * it must not be read earlier.
- */
-const watchForReset = ({
-  headers,
-  socket,
-}: http.IncomingMessage): (() => boolean) => {
-  const hasLength =
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  let wasReset = false;
-  if (hasLength) {
-    return () => false;
-  }
-  socket.prependOnceListener('end', () => {
-    wasReset = socket.remoteAddress === undefined;
-  });
-  return () => wasReset;
-};
-
-/** Tracks whether a connection was established, so that bytes may have left. */
-const trackConnection = (
-  sending: http.ClientRequest,
-  connectTimeoutMs: number,
-): {
-  readonly describe: (isSilent: boolean, signal: AbortSignal) => CallFailure;
-} => {
-  let wasConnected = false;
-  sending.once('socket', (socket: net.Socket) => {
-    if (!socket.connecting) {
-      wasConnected = true;
-      return;
-    }
-    const timer = setTimeout(() => sending.destroy(), connectTimeoutMs);
-    sending.once('close', () => {
-      clearTimeout(timer);
-    });
-    socket.once('connect', () => {
-      wasConnected = true;
-      clearTimeout(timer);
-    });
-  });
-  return {
-    describe: (isSilent, signal) => {
-      if (!wasConnected) {
-        return {ran: 'not_run', reason: 'unreachable'};
-      }
-      const reason = signal.aborted ? 'cancelled' : 'broken';
-      return {ran: 'unknown', reason: isSilent ? 'silent' : reason};
-    },
-  };
+  return openExchange.createOpen(pool, classify, links);
 };
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -33,6 +33,8 @@
   readonly servicesUnreachable: number;
   /** Requests that other instances serve for callers of this one. */
   readonly requestsForwarded: number;
+  /** Part of the time in which this instance was busy lately, 0 to 1. */
+  readonly utilization: number;
   /** Instances that accept callers, including this one. */
   readonly servingInstances: number;
 }
@@ -109,6 +111,11 @@
       'Requests that other instances serve for this one now.',
       () => readGauges().requestsForwarded,
     );
+    this.addGauge(
+      'utilization',
+      'Part of the time in which this instance was busy lately, 0 to 1.',
+      () => readGauges().utilization,
+    );
     this.addGauge(
       'serving_instances',
       'Instances that take callers, as this one knows them.',
--- a/packages/telemetry/tests/gateway-metrics.test.ts
+++ b/packages/telemetry/tests/gateway-metrics.test.ts
@@ -9,6 +9,7 @@
   upstreamsInBackoff: 2,
   servicesUnreachable: 1,
   requestsForwarded: 4,
+  utilization: 0.5,
   servingInstances: 7,
 };
 
@@ -33,6 +34,7 @@
       'amaranthknot_upstreams_in_backoff 2',
       'amaranthknot_services_unreachable 1',
       'amaranthknot_requests_forwarded 4',
+      'amaranthknot_utilization 0.5',
       'amaranthknot_serving_instances 7',
     ];
     expected.forEach(line => chai.expect(text).contain(line));
