--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -9,12 +9,12 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
-import type * as checkLinks from './check-links.js';
 import type * as checkNotices from './check-notices.js';
 import * as loadGenerator from './load-generator.js';
 import * as faultPlan from './fault-plan.js';
 import * as gatewayProcess from './gateway-process.js';
 import * as invariants from './invariants.js';
+import * as linkFaults from './link-faults.js';
 import * as documents from './soak-documents.js';
 import * as soakUpstream from './soak-upstream.js';
 
@@ -89,8 +89,10 @@
   private readonly arrivals: checkNotices.Arrival[] = [];
   private readonly notices: checkNotices.Notice[] = [];
   private readonly disruptions: checkNotices.Disruption[] = [];
-  private readonly cuts: checkLinks.LinkCut[] = [];
-  private readonly fragileTimes: checkLinks.FragileTime[] = [];
+  private readonly linkFaults = new linkFaults.LinkFaults(
+    this.clock,
+    this.upstreams,
+  );
   private readonly failuresMs: number[] = [];
   /** Faults in which an instance may serve nobody. */
   private readonly outages: checkNotices.Disruption[] = [];
@@ -140,8 +142,8 @@
           disruptions: this.disruptions,
         },
         links: {
-          cuts: this.cuts,
-          fragileTimes: this.fragileTimes,
+          cuts: this.linkFaults.cuts,
+          fragileTimes: this.linkFaults.fragileTimes,
           failuresMs: this.failuresMs,
           upstreams: this.upstreams.length,
           disruptions: this.outages,
@@ -305,7 +307,8 @@
 
   private async injectFault(fault: faultPlan.Fault): Promise<void> {
     const {kind, forMs, target} = fault;
-    const {process, storeProxy} = getByIndex(this.instances, target);
+    const instance = getByIndex(this.instances, target);
+    const {process, storeProxy} = instance;
     const upstream = getByIndex(this.upstreams, target);
     this.recordDisruption(fault);
     switch (kind) {
@@ -350,14 +353,14 @@
         await this.clock.sleep(forMs);
         return this.replaceUpstream(upstream, 0);
       case 'links_hang':
-        return this.cutLinks(fault, 'silent');
+        return this.linkFaults.cut(instance, fault, 'silent');
       case 'links_reset':
       case 'links_new_refused':
-        return this.cutLinks(fault, 'refusing');
+        return this.linkFaults.cut(instance, fault, 'refusing');
       case 'links_one_way':
-        return this.cutLinks(fault, 'one_way');
+        return this.linkFaults.cut(instance, fault, 'one_way');
       case 'upstreams_fragile':
-        return this.makeFragile(forMs);
+        return this.linkFaults.makeFragile(forMs);
       case 'upstream_pauses':
         upstream.state.pausedUntilMs = this.clock.now() + PAUSE_MS;
         return;
@@ -385,46 +388,6 @@
     }
   }
 
-  /** Cuts the links of an instance to all upstreams. */
-  private async cutLinks(
-    {kind, forMs, target}: faultPlan.Fault,
-    mode: fakes.ProxyMode,
-  ): Promise<void> {
-    const {address, source} = getByIndex(this.instances, target);
-    const fromMs = this.clock.now();
-    this.cuts.push({instance: address, fromMs, toMs: fromMs + forMs});
-    for (const {proxy} of this.upstreams) {
-      proxy.setModeOf(source, mode);
-      if (kind === 'links_reset') {
-        proxy.resetAll(source);
-      }
-    }
-    await this.clock.sleep(forMs);
-    this.healLinks(source);
-  }
-
-  private healLinks(source: string): void {
-    for (const {proxy} of this.upstreams) {
-      proxy.setModeOf(source, undefined);
-      // Connections that lost bytes in a cut would hang for ever.
-      proxy.resetAll(source);
-    }
-  }
-
-  /** Makes all upstreams fail for a time when they refuse too much. */
-  private async makeFragile(forMs: number): Promise<void> {
-    const fromMs = this.clock.now();
-    this.fragileTimes.push({fromMs, toMs: fromMs + forMs});
-    const states = this.upstreams.map(({state}) => state);
-    states.forEach(state => {
-      state.fragileSinceMs ??= fromMs;
-    });
-    await this.clock.sleep(forMs);
-    states.forEach(state => {
-      state.fragileSinceMs = undefined;
-    });
-  }
-
   /** Deletes the upstream's entry and registers it later under a new id. */
   private async replaceUpstream(
     upstream: Upstream,
@@ -470,7 +433,7 @@
     for (const {process, storeProxy, source} of this.instances) {
       process.signal('SIGCONT');
       storeProxy.mode = 'open';
-      this.healLinks(source);
+      this.linkFaults.heal(source);
     }
     for (const {proxy} of this.upstreams) {
       proxy.mode = 'open';
