Keep nothing of requests that wait for no hedge

Each plain request that could not be hedged waited for one promise that all share and that never resolves, which kept a reaction of each for ever. Each wait has its own now. Found in the read-through; in no release.

--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -36,8 +36,11 @@
 type AttemptResult =
   WholeAnswer | {readonly kind: 'not_run'} | {readonly kind: 'unknown'};
 
-/** A promise that stays pending. */
-const NEVER = new Promise<never>(() => undefined);
+/**
+ * A promise that stays pending. Each wait gets its own: a shared one would keep
+ * what waits for it for ever.
+ */
+const waitForever = (): Promise<never> => new Promise(() => undefined);
 
 const NO_DROPPED_HEADERS: ReadonlySet<string> = new Set<string>();
 
@@ -149,7 +152,7 @@
   ): Promise<'late'> {
     const {service, route} = this.context.request;
     if (!this.maySend() || pending > 1 || this.isForwarding) {
-      return NEVER;
+      return waitForever();
     }
     const waitMs = this.dependencies.latencies.hedgeDelayMs(
       service.name,
@@ -169,7 +172,7 @@
     const {links} = this.dependencies;
     const service = this.context.request.service.name;
     if (links.isLost(service)) {
-      return NEVER;
+      return waitForever();
     }
     await links.whenLost(service, signal);
     return 'late';
