--- a/packages/amaranthknot/src/gateway/wiring/link-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/link-factories.ts
@@ -16,6 +16,9 @@
   | 'forwardAdmission'
   | 'peerPool';
 
+/** Maximum number of ids in one log line. */
+const MAX_IDS = 20;
+
 /** Tells the other instances which services this one has no links to. */
 const reportLinks = (get: gatewayComponents.GatewayResolver): void => {
   get('members').setLostServices(get('upstreamLinks').lostServices);
@@ -31,6 +34,7 @@
   return members.serving(clock.now()).flatMap(member => {
     const {id, zone, cores, lostServices} = member;
     const address = routing.parseAddress(member.peers);
+    // Releases that can't take forwarded requests say nothing of their links.
     const hasLinks = lostServices?.includes(service) === false;
     return id === members.self.id || !hasLinks || !address
       ? []
@@ -62,7 +66,7 @@
       get('linkMonitor').notifyLost(service);
       get('log').warn('upstream_links_lost', {
         service,
-        failed,
+        failed: failed.slice(0, MAX_IDS),
         upstreams: get('availability').findInService(service).length,
         upstreamsAgeMs: Math.round(get('state').upstreamsAgeMs() ?? -1),
       });
--- a/packages/decisions/src/concurrency-shares.ts
+++ b/packages/decisions/src/concurrency-shares.ts
@@ -4,11 +4,11 @@
  *
  * Load: more requests than the upstreams of a service carry, from all instances
  * at once. Harm prevented: each instance learns from a refusal that an upstream
- * is full, so that together they refuse it to death, and one that comes back is
- * flooded again. Instances divide the slots without messages; those that have
- * no slot left refuse at once. They forward the notice, and a new upstream of
- * the service counts as having given it until it answers. Pure: the clock is an
- * option.
+ * is full, so that together they make it refuse more than it bears, and do so
+ * again when it is back. Instances divide the slots without messages; one that
+ * has no slot left refuses at once. They forward the limit, and a new upstream
+ * of the service counts as having named it until it answers. Pure: the clock is
+ * an option.
  */
 import * as announcedValues from './announced-values.js';
 import * as instanceShare from './instance-share.js';
@@ -126,7 +126,10 @@
     }
   }
 
-  /** The limit that an upstream named, or others of a service that it joins. */
+  /**
+   * The limit that an upstream named. Before its first answer, it is that of
+   * another upstream of the service.
+   */
   private findLimit({id, startedAtMs, service}: SharedUpstream) {
     const own = this.limits.find(id);
     if (own !== undefined || this.answeredStarts.get(id) === startedAtMs) {
