Log where an upstream ended, what ran there, and which parts are to blame

Of an end our logs showed only try_failed with broken, alike for a connection that was reset alone. upstream_ended names the upstream, how many answers had begun, the requests that it had not begun to answer and the parts of their prompts: all its connections are broken and new ones are refused. Each instance derives from its own ends which part is suspected, held and released (prompt_part_*), with a metric, and request_placed names the parts of the prompt; explain shows both. Nothing acts on these beliefs yet, and instances do not share them.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -62,6 +62,8 @@
   readonly leavingNotices: decisions.LeavingNotices;
   readonly concurrencyShares: decisions.ConcurrencyShares;
   readonly availability: gateway.UpstreamAvailability;
+  readonly partQuarantine: decisions.PartQuarantine;
+  readonly upstreamEnds: gateway.UpstreamEnds;
   readonly upstreamLinks: decisions.UpstreamLinks;
   readonly linkMonitor: gateway.LinkMonitor;
   /** Probes upstreams, and tells the monitor of those that don't answer. */
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -8,6 +8,7 @@
 import type * as gatewayComponents from './gateway-components.js';
 import * as fleetFactories from './wiring/fleet-factories.js';
 import * as linkFactories from './wiring/link-factories.js';
+import * as quarantineFactories from './wiring/quarantine-factories.js';
 import * as requestFactories from './wiring/request-factories.js';
 import * as storeFactories from './wiring/store-factories.js';
 
@@ -22,6 +23,7 @@
   ...fleetFactories.createFleetFactories(options),
   ...requestFactories.createRequestFactories(options),
   ...linkFactories.createLinkFactories(),
+  ...quarantineFactories.createQuarantineFactories(options),
   options: () => options,
   log: get =>
     new telemetry.DecisionLog({
@@ -39,6 +41,7 @@
       upstreams: get('catalog').all().length,
       upstreamsAgeMs: get('state').upstreamsAgeMs(),
       upstreamsInBackoff: get('backoffs').activeCount,
+      promptPartsHeld: get('partQuarantine').heldParts.length,
       servicesUnreachable: get('upstreamLinks').lostServices.length,
       requestsForwarded: get('peerForwarder').inFlight,
       utilization: get('forwardAdmission').utilization,
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -133,6 +133,7 @@
       this.updatePhase();
       get('state').expire();
       get('linkMonitor').recheckLost();
+      get('partQuarantine').expire();
       this.sampleLoad();
       get('rollouts').reportDueEnds();
       this.checkFleetIfDue(clock.now());
--- /dev/null
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -0,0 +1,90 @@
+/**
+ * Factories of the components that find what makes upstreams end, and keep it
+ * away from them.
+ */
+import * as decisions from '@amaranthknot/decisions';
+import * as gateway from '@amaranthknot/gateway';
+import type * as telemetry from '@amaranthknot/telemetry';
+import type * as gatewayComponents from '../gateway-components.js';
+
+/** Tokens of the components that are created here. */
+export type QuarantineComponent = 'partQuarantine' | 'upstreamEnds';
+
+/** Maximum number of ids in one log line. */
+const MAX_IDS = 20;
+
+const EVENTS: Readonly<Record<decisions.PartBelief, telemetry.InstanceEvent>> =
+  {
+    suspected: 'prompt_part_suspected',
+    held: 'prompt_part_held',
+    clear: 'prompt_part_released',
+  };
+
+const logPartChange = (
+  get: gatewayComponents.GatewayResolver,
+  {part, workspace, before, after, upstreams}: decisions.PartChange,
+): void => {
+  get('log').info(EVENTS[after], {
+    part,
+    workspace,
+    before,
+    upstreams: upstreams.slice(0, MAX_IDS),
+  });
+};
+
+const recordEnd = (
+  get: gatewayComponents.GatewayResolver,
+  {upstream, atMs, begun, unanswered}: gateway.UpstreamEnd,
+): void => {
+  const parts = unanswered.flatMap(attempt =>
+    attempt.parts.map(part => ({
+      part,
+      workspace: attempt.workspace,
+      sentAtMs: attempt.sentAtMs,
+    })),
+  );
+  get('log').warn('upstream_ended', {
+    upstream: upstream.id,
+    zone: upstream.zone,
+    version: upstream.version,
+    begun,
+    unanswered: unanswered.length,
+    requests: unanswered.slice(0, MAX_IDS).map(({request}) => request),
+    parts: [...new Set(parts.map(({part}) => part))].slice(0, MAX_IDS),
+    agoMs: Math.round(get('options').clock.now() - atMs),
+  });
+  get('partQuarantine').recordEnd(gateway.nameStart(upstream), atMs, parts);
+};
+
+/** Creates the factories by token. */
+export const createQuarantineFactories = (
+  options: gatewayComponents.GatewayOptions,
+): gatewayComponents.ComponentFactories<QuarantineComponent> => ({
+  partQuarantine: get =>
+    new decisions.PartQuarantine({
+      now: () => options.clock.now(),
+      self: options.settings.current.instance.id,
+      findInstances: () =>
+        get('members')
+          .serving(options.clock.now())
+          .map(({id}) => id),
+      onChange: change => {
+        logPartChange(get, change);
+      },
+      onEvidence: () => undefined,
+    }),
+  upstreamEnds: get =>
+    new gateway.UpstreamEnds({
+      now: () => options.clock.now(),
+      sleep: ms => options.clock.sleep(ms),
+      checkRefusal: gateway.createCheckRefusal(
+        options.settings.current.sourceAddress,
+      ),
+      onEnd: end => {
+        recordEnd(get, end);
+      },
+      onAnswer: parts => {
+        get('partQuarantine').recordAnswer(parts);
+      },
+    }),
+});
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -154,6 +154,7 @@
     repeats: get('repeatBudget'),
     rollouts: get('rollouts'),
     forwarder: get('peerForwarder'),
+    ends: get('upstreamEnds'),
     isLost: service => get('upstreamLinks').isLost(service),
     now: () => clock.now(),
     upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -262,6 +262,9 @@
     const answer = opened.unsafeCoerce();
     const body = await readBody.readBody(answer);
     if (!body) {
+      if (!signal.aborted) {
+        placed.recordBreak();
+      }
       placed.settle(signal.aborted ? 'cancelled' : 'failed');
       return {kind: 'unknown'};
     }
--- a/packages/gateway/src/event-relay.ts
+++ b/packages/gateway/src/event-relay.ts
@@ -57,6 +57,10 @@
       };
       const finish = (end: RelayEnd) => {
         watchdog.stop();
+        const isAborted = signal.aborted || abortController.signal.aborted;
+        if (end === 'broken' && !isAborted) {
+          placed.recordBreak();
+        }
         const outcome = signal.aborted ? 'cancelled' : 'failed';
         placed.settle(end === 'complete' ? 'answered' : outcome);
         resolve(end);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 export * from './upstream-availability.js';
 export * from './upstream-call.js';
 export * from './upstream-catalog.js';
+export * from './upstream-ends.js';
 export * from './upstream-headers.js';
 export * from './upstream-notices.js';
 export * from './upstream-placement.js';
--- a/packages/gateway/src/peer-forwarder.ts
+++ b/packages/gateway/src/peer-forwarder.ts
@@ -127,6 +127,7 @@
       inputs: {zone: peer.zone, inFlight: state.inFlight},
       recordHead: () => undefined,
       recordEvent: () => undefined,
+      recordBreak: () => undefined,
       settle: outcome => {
         if (isOpen) {
           isOpen = false;
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -59,6 +59,8 @@
   readonly recordHead: () => void;
   /** Call it when an event of the answer has arrived. */
   readonly recordEvent: () => void;
+  /** Call it when the connection broke before the answer was complete. */
+  readonly recordBreak: () => void;
   /** Call it when the attempt has ended. */
   readonly settle: (outcome: AttemptOutcome) => void;
 }
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -157,6 +157,9 @@
   const tookMs = Math.round(dependencies.clock.now() - startedAtMs);
   opened.caseOf({
     Left: failure => {
+      if (failure.reason === 'broken') {
+        placed.recordBreak();
+      }
       placed.settle(outcomeOf(failure, signal));
       log.failure('try_failed', {
         ...(forward ? {peer: upstream.id} : {upstream: upstream.id}),
--- /dev/null
+++ b/packages/gateway/src/upstream-ends.ts
@@ -0,0 +1,195 @@
+/**
+ * Tells the end of an upstream from a single broken connection, and finds the
+ * requests that it had not begun to answer.
+ *
+ * After an end all connections to the upstream are broken at once, and new ones
+ * are refused, which a connection that was reset alone doesn't show.
+ */
+import type * as decisions from '@amaranthknot/decisions';
+import type * as routing from '@amaranthknot/routing';
+
+/** Resolves to whether an upstream refuses new connections. */
+export type CheckRefusal = (upstream: routing.Upstream) => Promise<boolean>;
+
+/** An attempt as far as an end concerns it. */
+export interface WatchedAttempt {
+  /** Id of the request. */
+  readonly request: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly parts: readonly string[];
+  /** Name of its workspace; empty if the route is public. */
+  readonly workspace: string;
+}
+
+/** Follows one attempt; each function may be called more than once. */
+export interface AttemptWatch {
+  /** An event or the whole body of the answer has arrived. */
+  readonly recordAnswer: () => void;
+  /** The connection broke. */
+  readonly recordBreak: () => void;
+  /** The attempt has ended. */
+  readonly settle: () => void;
+}
+
+/** An upstream that has ended, as this instance saw it. */
+export interface UpstreamEnd {
+  readonly upstream: routing.Upstream;
+  readonly atMs: number;
+  /** Number of its answers that broke off after they had begun. */
+  readonly begun: number;
+  /** The attempts that it had not begun to answer. */
+  readonly unanswered: readonly UnansweredAttempt[];
+}
+
+/** An attempt that was not answered, and when it was sent. */
+export interface UnansweredAttempt extends WatchedAttempt {
+  readonly sentAtMs: number;
+}
+
+/** What `UpstreamEnds` needs. */
+export interface UpstreamEndsOptions {
+  readonly now: () => number;
+  readonly sleep: (ms: number) => Promise<void>;
+  readonly checkRefusal: CheckRefusal;
+  /**
+   * Called when an end is known, and again with attempts that break later.
+   */
+  readonly onEnd: (end: UpstreamEnd) => void;
+  /** Called while an answer arrives, with the parts of its request. */
+  readonly onAnswer: (parts: readonly string[]) => void;
+}
+
+/**
+ * Waits before the two checks, in milliseconds: the other connections to an
+ * upstream that has ended break within a few milliseconds.
+ */
+const CHECK_DELAYS_MS = [20, 100] as const;
+
+/** Time for which an end is remembered for late breaks, in milliseconds. */
+const END_MEMORY_MS = 10_000;
+
+/** Time after which an answer that goes on is reported again, in ms. */
+const ANSWER_INTERVAL_MS = 250;
+
+interface OpenAttempt {
+  readonly attempt: UnansweredAttempt;
+  answeredAtMs: number;
+}
+
+interface SuspectedEnd {
+  readonly upstream: routing.Upstream;
+  readonly atMs: number;
+  begun: number;
+  unanswered: UnansweredAttempt[];
+  hasEnded: boolean;
+}
+
+/** Name of one start of an upstream, the same at all instances. */
+export const nameStart = ({id, startedAtMs}: decisions.UpstreamStart): string =>
+  `${id}/${startedAtMs}`;
+
+/** Watches the attempts of one instance. */
+export class UpstreamEnds {
+  /** Attempts in progress, by start of their upstream. */
+  private readonly open = new Map<string, Set<OpenAttempt>>();
+  private readonly ends = new Map<string, SuspectedEnd>();
+
+  constructor(private readonly options: UpstreamEndsOptions) {}
+
+  /** Begins to watch an attempt that is sent now. */
+  watch(upstream: routing.Upstream, watched: WatchedAttempt): AttemptWatch {
+    const start = nameStart(upstream);
+    const attempts = this.open.get(start) ?? new Set();
+    this.open.set(start, attempts);
+    const sentAtMs = this.options.now();
+    const opened: OpenAttempt = {
+      attempt: {...watched, sentAtMs},
+      answeredAtMs: -Infinity,
+    };
+    attempts.add(opened);
+    const close = (): boolean => {
+      const wasOpen = attempts.delete(opened);
+      if (attempts.size === 0 && this.open.get(start) === attempts) {
+        this.open.delete(start);
+      }
+      return wasOpen;
+    };
+    return {
+      recordAnswer: () => {
+        this.recordAnswer(opened);
+      },
+      recordBreak: () => {
+        if (close()) {
+          this.recordBreak(upstream, opened);
+        }
+      },
+      settle: close,
+    };
+  }
+
+  private recordAnswer(opened: OpenAttempt): void {
+    const now = this.options.now();
+    if (now - opened.answeredAtMs >= ANSWER_INTERVAL_MS) {
+      opened.answeredAtMs = now;
+      this.options.onAnswer(opened.attempt.parts);
+    }
+  }
+
+  private recordBreak(
+    upstream: routing.Upstream,
+    {attempt, answeredAtMs}: OpenAttempt,
+  ): void {
+    const now = this.options.now();
+    this.forgetOldEnds(now);
+    const start = nameStart(upstream);
+    const known = this.ends.get(start);
+    // It was sent over a connection that was broken already.
+    if (known && attempt.sentAtMs > known.atMs) {
+      return;
+    }
+    const unanswered = answeredAtMs === -Infinity ? [attempt] : [];
+    const end = known ?? {
+      upstream,
+      atMs: now,
+      begun: 0,
+      unanswered: [],
+      hasEnded: false,
+    };
+    end.begun += 1 - unanswered.length;
+    end.unanswered.push(...unanswered);
+    if (!known) {
+      this.ends.set(start, end);
+      void this.check(start, end);
+    } else if (end.hasEnded && unanswered.length > 0) {
+      this.options.onEnd({...end, unanswered});
+    }
+  }
+
+  /** A process that ends may close its connections before its listener. */
+  private async check(start: string, end: SuspectedEnd): Promise<void> {
+    const {sleep, checkRefusal, onEnd} = this.options;
+    for (const delayMs of CHECK_DELAYS_MS) {
+      await sleep(delayMs);
+      if (!this.hasOthers(start, end) && (await checkRefusal(end.upstream))) {
+        end.hasEnded = true;
+        onEnd({...end, unanswered: [...end.unanswered]});
+        return;
+      }
+    }
+    this.ends.delete(start);
+  }
+
+  /** Whether requests sent before the break go on: their connections live. */
+  private hasOthers(start: string, {atMs}: SuspectedEnd): boolean {
+    const others = [...(this.open.get(start) ?? [])];
+    return others.some(({attempt}) => attempt.sentAtMs <= atMs);
+  }
+
+  private forgetOldEnds(now: number): void {
+    for (const [start, {atMs, hasEnded}] of this.ends) {
+      if (hasEnded && now - atMs > END_MEMORY_MS) {
+        this.ends.delete(start);
+      }
+    }
+  }
+}
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -14,6 +14,7 @@
 import type * as rolloutTracker from './rollout-tracker.js';
 import type * as upstreamAvailability from './upstream-availability.js';
 import type * as upstreamCatalog from './upstream-catalog.js';
+import type * as upstreamEnds from './upstream-ends.js';
 import * as versionSelection from './version-selection.js';
 
 /** What placement needs. */
@@ -24,6 +25,7 @@
   readonly repeats: decisions.RepeatBudget;
   readonly rollouts: rolloutTracker.RolloutTracker;
   readonly forwarder: peerForwarder.PeerForwarder;
+  readonly ends: upstreamEnds.UpstreamEnds;
   /** Whether no upstream of the service is reached. */
   readonly isLost: (service: string) => boolean;
   readonly now: () => number;
@@ -113,7 +115,7 @@
   private describeChoice(
     known: Known,
     candidates: number,
-    {history}: runContext.PlacementRequest,
+    {request, history}: runContext.PlacementRequest,
   ): telemetry.Details {
     const {upstream} = known;
     const {isCold, limitPerS, backoffMs, capacity} =
@@ -125,6 +127,7 @@
       isRepeat: history.isRepeat,
       isCold,
       upstreamsAgeMs: this.findUpstreamsAgeMs(),
+      parts: history.sends === 0 ? describeParts(request) : undefined,
       limitPerS,
       backoffMs,
       capacity,
@@ -212,6 +215,7 @@
     const startedAtMs = this.options.now();
     this.options.availability.recordSend(known);
     const ticket = this.options.picker.start(upstream.id, pickRequest);
+    const watch = this.options.ends.watch(upstream, describeWatched(toPlace));
     const requestClass = {
       service: toPlace.request.service.name,
       version: upstream.version,
@@ -229,7 +233,9 @@
     let isOpen = true;
     return {
       upstream,
+      recordBreak: watch.recordBreak,
       recordEvent: () => {
+        watch.recordAnswer();
         recordPace(pace.record(this.options.now()));
       },
       recordHead: () => {
@@ -238,6 +244,11 @@
       },
       settle: outcome => {
         ticket.end(outcome);
+        // A stream is answered from its first event on.
+        if (outcome === 'answered' && !requestClass.isStream) {
+          watch.recordAnswer();
+        }
+        watch.settle();
         if (isOpen && outcome === 'refused') {
           this.options.availability.recordRefusal(known);
         }
@@ -255,6 +266,22 @@
   }
 }
 
+/** Maximum number of parts in one log line. */
+const MAX_LOGGED_PARTS = 16;
+
+const describeParts = ({
+  caller: {generation},
+}: runContext.AcceptedRequest): readonly string[] | undefined =>
+  generation?.parts.slice(0, MAX_LOGGED_PARTS).map(({id}) => id);
+
+const describeWatched = ({
+  request: {caller, workspace},
+}: runContext.PlacementRequest): upstreamEnds.WatchedAttempt => ({
+  request: caller.id,
+  parts: callerRequest.findSharedParts(caller.generation).map(({id}) => id),
+  workspace: workspace?.name ?? '',
+});
+
 /** Weight of a model's tokens: its price over that of the dearest model. */
 const promptWeightOf = (
   model: string | undefined,
@@ -280,8 +307,7 @@
     };
   }
   const weight = promptWeightOf(toPlace.model, service.engine);
-  // The last part is specific to the request or its session.
-  const prefixParts = generation.parts.slice(0, -1);
+  const prefixParts = callerRequest.findSharedParts(generation);
   const prefixTokens = prefixParts.reduce((sum, {tokens}) => sum + tokens, 0);
   const prefixKey =
     prefixParts.length === 0
--- a/packages/gateway/src/upstream-probe.ts
+++ b/packages/gateway/src/upstream-probe.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import type * as ports from '@amaranthknot/ports';
 import type * as routing from '@amaranthknot/routing';
+import type * as upstreamEnds from './upstream-ends.js';
 
 /** Resolves to whether an upstream accepts a connection now. */
 export type ProbeUpstream = (upstream: routing.Upstream) => Promise<boolean>;
@@ -20,31 +21,45 @@
   readonly answer: Promise<boolean>;
 }
 
+/** What a new connection showed. */
+type ConnectResult = 'accepted' | 'refused' | 'silent';
+
 const connect = (
   {address}: routing.Upstream,
   localAddress: string | undefined,
-): Promise<boolean> =>
+): Promise<ConnectResult> =>
   new Promise(resolve => {
     const socket = net.connect({
       ...address,
       ...(localAddress === undefined ? {} : {localAddress}),
     });
-    const finish = (isReachable: boolean) => {
+    const finish = (result: ConnectResult) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(isReachable);
+      resolve(result);
     };
     const timer = setTimeout(() => {
-      finish(false);
+      finish('silent');
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
-      finish(true);
+      finish('accepted');
     });
     socket.once('error', () => {
-      finish(false);
+      finish('refused');
     });
   });
 
+/**
+ * Creates the check whether an upstream refuses new connections, as where its
+ * process has ended. One that is silent may only be out of reach.
+ *
+ * @param localAddress IP address from which connections are opened.
+ */
+export const createCheckRefusal =
+  (localAddress?: string): upstreamEnds.CheckRefusal =>
+  async upstream =>
+    (await connect(upstream, localAddress)) === 'refused';
+
 /**
  * Creates a probe. It distinguishes an engine that is busy with a long prompt
  * from one that lost power: both are silent, but the busy one still accepts
@@ -62,7 +77,9 @@
     if (known && clock.now() - known.atMs < RESULT_TTL_MS) {
       return known.answer;
     }
-    const answer = connect(upstream, localAddress);
+    const answer = connect(upstream, localAddress).then(
+      result => result === 'accepted',
+    );
     probes.set(upstream.id, {atMs: clock.now(), answer});
     return answer.then(isReachable => {
       setTimeout(() => probes.delete(upstream.id), RESULT_TTL_MS).unref();
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -62,6 +62,14 @@
   /** The store was queried because the known data is too old. */
   | 'store_asked'
   | 'upstream_rested'
+  /** An upstream ended while requests ran or waited there. */
+  | 'upstream_ended'
+  /** An upstream ended under a part of prompts that it had not answered. */
+  | 'prompt_part_suspected'
+  /** Requests with a part of prompts are kept away from upstreams. */
+  | 'prompt_part_held'
+  /** A part of prompts is not believed to harm upstreams any more. */
+  | 'prompt_part_released'
   /** An upstream announced or lifted its limit for all instances together. */
   | 'upstream_limited'
   /** An upstream named, or withdrew, the refusals above which it fails. */
--- a/packages/telemetry/src/explain-request.ts
+++ b/packages/telemetry/src/explain-request.ts
@@ -49,6 +49,14 @@
   'upstream_limited',
   'upstream_backoff',
   'upstream_leaving',
+  'upstream_ended',
+]);
+
+/** Events that are shown if they concern a part of the request's prompt. */
+const PART_EVENTS: ReadonlySet<string> = new Set([
+  'prompt_part_suspected',
+  'prompt_part_held',
+  'prompt_part_released',
 ]);
 
 const readText = (value: unknown): string | undefined =>
@@ -110,6 +118,7 @@
   const own = lines.filter(line => line.instance === instance);
   const fromMs = own[0]?.atMs ?? 0;
   const attempted = [...new Set(own.map(({details}) => details['upstream']))];
+  const parts = [...new Set(own.flatMap(({details}) => readParts(details)))];
   const latest = new Map<string, LogLine>();
   for (const line of ordered) {
     if (line.instance !== instance || line.atMs > fromMs) {
@@ -125,13 +134,31 @@
         const about = `${line.event} ${String(upstream)}`;
         latest.set(about, filterLists(line, upstream));
       });
+    } else if (PART_EVENTS.has(line.event)) {
+      const part = readText(line.details['part']) ?? '';
+      // Of what was believed of a part, the latest belief counts.
+      if (parts.includes(part)) {
+        latest.set(`part ${part}`, line);
+      }
     }
   }
   return [...latest.values()].map(line => ({line, ageMs: fromMs - line.atMs}));
 };
 
+/** Ids of parts of its prompt that a line about a request names. */
+const readParts = ({
+  parts,
+  heldParts,
+}: Readonly<Record<string, unknown>>): readonly string[] =>
+  [parts, heldParts].flatMap(list =>
+    Array.isArray(list) ? list.filter(id => typeof id === 'string') : [],
+  );
+
 /** Reduces the lists of a line, which can hold dozens of ids, to an upstream. */
 const filterLists = (line: LogLine, upstream: unknown): LogLine => {
+  if (line.details['upstream'] === upstream) {
+    return line;
+  }
   const details = Object.entries(line.details).flatMap(([name, value]) => {
     if (!Array.isArray(value)) {
       return [[name, value] as const];
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -29,6 +29,8 @@
   readonly upstreamsAgeMs: number | undefined;
   /** Upstreams that asked this instance to send them nothing for a time. */
   readonly upstreamsInBackoff: number;
+  /** Parts of prompts that are kept away from upstreams. */
+  readonly promptPartsHeld: number;
   /** Services of which this instance reaches no upstream. */
   readonly servicesUnreachable: number;
   /** Requests that other instances serve for callers of this one. */
@@ -101,6 +103,11 @@
       'Upstreams that want no requests from this instance for now.',
       () => readGauges().upstreamsInBackoff,
     );
+    this.addGauge(
+      'prompt_parts_held',
+      'Parts of prompts that are kept away from upstreams.',
+      () => readGauges().promptPartsHeld,
+    );
     this.addGauge(
       'services_unreachable',
       'Services of which this instance reaches no upstream.',
