Reproduce a prompt part that ends one upstream after the other

Three instances, eight upstreams: an upstream that begins to answer a request with the part ends with all that it runs, and is back 2 s later under a new id. From 3 s after the fifth end 23 and 21 requests with the part reach upstreams (3 are allowed), in 9 s of 5 a second.

--- a/packages/fakes/src/gateway/scripted-upstream.ts
+++ b/packages/fakes/src/gateway/scripted-upstream.ts
@@ -50,6 +50,12 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  /** Ends as a process does that crashes: nothing is left of it at once. */
+  crash(): void {
+    this.server.close();
+    this.sockets.forEach(socket => socket.resetAndDestroy());
+  }
+
   /** Refuses new connections from now on; open ones live on. */
   refuseConnections(): void {
     this.server.close();
