Keep parts of prompts that end upstreams away from them

Cause: what ends the upstream travels with the request. The failure was counted against the upstream, and retries, hedges, second runs and resumed streams carried the request to the next one, each instance anew.

Why this works: requests that an upstream had not begun to answer when it ended have the cause among them. A part is held after the second such end without an answer to a request with it in between; any answer, at any instance, clears it. Ends that came together count once, ends that a held part explains count against no other part. Instances tell each other at once, so that all derive the same beliefs. All sends pass one place, which refuses the request. A request whose connection broke before its answer waits 20 ms until it is known whether the upstream has ended.

--- a/packages/amaranthknot/src/gateway/fleet-reports.ts
+++ b/packages/amaranthknot/src/gateway/fleet-reports.ts
@@ -51,7 +51,7 @@
       // A follower reports these to its watcher alone.
       upstreams: isFollower ? [] : [...this.collectReportedStats()],
       limits: [...get('limits').report()],
-      ...this.createRefusalLimits(),
+      ...this.createOptionalLists(),
       evidence: isFollower ? [] : [...get('rollouts').evidence()],
       rollouts: isFollower ? [] : [...get('rollouts').progress()],
     };
@@ -64,6 +64,7 @@
     this.applyMembers(report, now);
     get('limits').merge(report.limits);
     get('concurrencyShares').merge(report.refusalLimits ?? []);
+    get('partQuarantine').merge(report.suspectParts ?? []);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isFollower()) {
       // A follower has its watcher's sums, which count the same requests. With
@@ -105,7 +106,7 @@
       // Watchers receive each other's stats in their exchange of reports.
       upstreams: isWatcher ? [] : [...get('picker').report()],
       limits: [...get('limits').report()],
-      ...this.createRefusalLimits(),
+      ...this.createOptionalLists(),
       evidence: [...get('rollouts').evidence('own')],
       rollouts: [...get('rollouts').progress(exchanged.sent)],
       membersVersion: get('members').watcherListVersion(name),
@@ -119,6 +120,7 @@
     const now = get('options').clock.now();
     get('limits').merge(report.limits);
     get('concurrencyShares').merge(report.refusalLimits ?? []);
+    get('partQuarantine').merge(report.suspectParts ?? []);
     if (report.isWatcher) {
       get('members').recordKeeper(report.from, now);
       return;
@@ -142,7 +144,7 @@
         ...get('picker').report(name => name !== id && name !== WATCHER_SOURCE),
       ],
       limits: [...get('limits').report()],
-      ...this.createRefusalLimits(),
+      ...this.createOptionalLists(),
       evidence: [...get('rollouts').evidenceSums()],
       rollouts: [...get('rollouts').progress(report.pinnedKnown)],
       pinnedCounts: {...get('rollouts').pinnedCounts()},
@@ -156,13 +158,14 @@
       return;
     }
     const {membersVersion, members, upstreams, evidence, rollouts} = summary;
-    const {limits, refusalLimits} = summary;
+    const {limits, refusalLimits, suspectParts} = summary;
     const now = get('options').clock.now();
     const name = formatIncarnation(watcher);
     get('members').applyWatcherList(name, membersVersion, members, now);
     get('picker').merge(WATCHER_SOURCE, upstreams, 'others');
     get('limits').merge(limits);
     get('concurrencyShares').merge(refusalLimits ?? []);
+    get('partQuarantine').merge(suspectParts ?? []);
     get('rollouts').applySums(rollouts, evidence);
     this.exchangedSessions = {
       watcher: name,
@@ -171,10 +174,17 @@
     };
   }
 
-  /** Left out of messages where no upstream names such a limit. */
-  private createRefusalLimits(): Pick<protocol.FleetReport, 'refusalLimits'> {
+  /** Lists that are left out of messages while they are empty. */
+  private createOptionalLists(): Pick<
+    protocol.FleetReport,
+    'refusalLimits' | 'suspectParts'
+  > {
     const refusalLimits = [...this.get('concurrencyShares').report()];
-    return refusalLimits.length === 0 ? {} : {refusalLimits};
+    const suspectParts = [...this.get('partQuarantine').report()];
+    return {
+      ...(refusalLimits.length === 0 ? {} : {refusalLimits}),
+      ...(suspectParts.length === 0 ? {} : {suspectParts}),
+    };
   }
 
   /** Whether this instance gets the state of the fleet from a watcher. */
--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -1,4 +1,5 @@
 /** Answers the messages that other instances send to a gateway instance. */
+import type * as decisions from '@amaranthknot/decisions';
 import type * as fleet from '@amaranthknot/fleet';
 import * as protocol from '@amaranthknot/protocol';
 import type * as fleetReports from './fleet-reports.js';
@@ -7,13 +8,14 @@
 export interface PeerServerOptions {
   readonly relay: fleet.ViewRelay;
   readonly reports: fleetReports.FleetReports;
+  readonly quarantine: decisions.PartQuarantine;
 }
 
 /** Creates the message handlers of one instance. */
 export const createPeerServer = (
   options: PeerServerOptions,
 ): protocol.PeerServer => {
-  const {relay, reports} = options;
+  const {relay, reports, quarantine} = options;
   return protocol.createPeerServer({
     exchange_reports: report => {
       reports.applyReport(report);
@@ -21,6 +23,10 @@
     },
     fetch_view: ({kind}) => relay.handleFetch(kind),
     await_views: call => answerFollower(options, call),
+    share_suspect_parts: ({parts}) => {
+      quarantine.merge(parts);
+      return {};
+    },
   });
 };
 
@@ -29,12 +35,14 @@
  * summary: it receives the state of the fleet in its exchange with watchers.
  */
 const answerFollower = async (
-  {relay, reports}: PeerServerOptions,
+  {relay, reports, quarantine}: PeerServerOptions,
   call: protocol.Params<'await_views'>,
 ): Promise<protocol.Result<'await_views'>> => {
   const {report} = call;
   if (!report) {
-    return relay.awaitViews(call);
+    const answer = await relay.awaitViews(call);
+    const suspectParts = [...quarantine.report()];
+    return suspectParts.length === 0 ? answer : {...answer, suspectParts};
   }
   reports.applyFollowerReport(report);
   const answer = await relay.awaitViews(call);
--- a/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
@@ -79,5 +79,6 @@
     peerServer.createPeerServer({
       relay: get('relay'),
       reports: get('reports'),
+      quarantine: get('partQuarantine'),
     }),
 });
--- a/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -6,6 +6,7 @@
 import * as gateway from '@amaranthknot/gateway';
 import type * as telemetry from '@amaranthknot/telemetry';
 import type * as gatewayComponents from '../gateway-components.js';
+import * as pushSuspectParts from '../push-suspect-parts.js';
 
 /** Tokens of the components that are created here. */
 export type QuarantineComponent = 'partQuarantine' | 'upstreamEnds';
@@ -71,7 +72,7 @@
       onChange: change => {
         logPartChange(get, change);
       },
-      onEvidence: () => undefined,
+      onEvidence: pushSuspectParts.createPushSuspectParts(get),
     }),
   upstreamEnds: get =>
     new gateway.UpstreamEnds({
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -155,6 +155,7 @@
     rollouts: get('rollouts'),
     forwarder: get('peerForwarder'),
     ends: get('upstreamEnds'),
+    quarantine: get('partQuarantine'),
     isLost: service => get('upstreamLinks').isLost(service),
     now: () => clock.now(),
     upstreamsAgeMs: () => get('state').upstreamsAgeMs(),
--- a/packages/amaranthknot/src/gateway/wiring/store-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/store-factories.ts
@@ -124,6 +124,9 @@
     onSummary: (source, summary) => {
       get('reports').applySummary(source, summary);
     },
+    onSuspectParts: parts => {
+      get('partQuarantine').merge(parts);
+    },
     onSourceChange: source => {
       get('log').info('watch_source_changed', {source});
     },
--- a/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
@@ -50,6 +50,13 @@
     findService: () => undefined,
     onChange: () => undefined,
   });
+  const partQuarantine = new decisions.PartQuarantine({
+    now,
+    self: id,
+    findInstances: () => [id],
+    onChange: () => undefined,
+    onEvidence: () => undefined,
+  });
   const rollouts = new gateway.RolloutTracker({
     clock,
     incarnation: `${id}.1`,
@@ -75,6 +82,7 @@
     picker,
     limits,
     concurrencyShares,
+    partQuarantine,
     rollouts,
     relay: {states: () => []},
     watchRole: {isWatcher: () => isWatcher, findWatchers: () => []},
--- a/packages/decisions/src/part-quarantine.ts
+++ b/packages/decisions/src/part-quarantine.ts
@@ -66,6 +66,9 @@
   readonly upstreams: readonly string[];
 }
 
+/** Whether evidence is of this instance or was reported by another one. */
+export type EvidenceSource = 'own' | 'reported';
+
 /** Options of `PartQuarantine`. */
 export interface PartQuarantineOptions {
   readonly now: () => number;
@@ -75,7 +78,7 @@
   readonly findInstances: () => readonly string[];
   readonly onChange: (change: PartChange) => void;
   /** Called when other instances should learn of new evidence at once. */
-  readonly onEvidence: () => void;
+  readonly onEvidence: (source: EvidenceSource) => void;
 }
 
 /** Occasions on which upstreams must have ended for a part to be held. */
@@ -93,6 +96,12 @@
  */
 const ANNOUNCE_MS = 3_000;
 
+/**
+ * Times that differ by less are the same, in milliseconds: ages in reports do
+ * not include their transmission, so a time would become later at each round.
+ */
+const SAME_TIME_MS = 500;
+
 /** Parts in one report at most. */
 const MAX_REPORTED = 64;
 
@@ -143,13 +152,14 @@
     parts: readonly UnansweredPart[],
   ): void {
     let isNew = false;
-    for (const {part, workspace, sentAtMs} of parts) {
+    const latestFirst = [...parts].sort((a, b) => b.sentAtMs - a.sentAtMs);
+    for (const {part, workspace, sentAtMs} of latestFirst) {
       const row = this.findOrCreate(part, workspace);
       isNew = this.addEnd(row, {upstream, atMs, sentAtMs}) || isNew;
     }
     if (isNew) {
       this.updateBeliefs();
-      this.options.onEvidence();
+      this.options.onEvidence('own');
     }
   }
 
@@ -167,7 +177,7 @@
     }
     if (isChanged) {
       this.updateBeliefs();
-      this.options.onEvidence();
+      this.options.onEvidence('own');
     }
   }
 
@@ -205,7 +215,7 @@
     }
     const ids = held.map(({suspect}) => suspect.id);
     this.ownTrials.set(request, {parts: ids, endedAtMs: undefined});
-    this.options.onEvidence();
+    this.options.onEvidence('own');
   }
 
   /** Records that the attempt of a trial has ended, in whatever way. */
@@ -219,13 +229,10 @@
   /** Merges the evidence that another instance reports. */
   merge(reports: readonly ReportedPart[]): void {
     const now = this.options.now();
-    let isNew = false;
-    for (const report of reports) {
-      isNew = this.mergeOne(report, now) || isNew;
-    }
-    if (isNew) {
+    const sources = reports.flatMap(report => this.mergeOne(report, now) ?? []);
+    if (sources.length > 0) {
       this.updateBeliefs();
-      this.options.onEvidence();
+      this.options.onEvidence(sources.includes('own') ? 'own' : 'reported');
     }
   }
 
@@ -280,35 +287,35 @@
     }
   }
 
-  private mergeOne(report: ReportedPart, now: number): boolean {
-    const {part, workspace, ends, provenAgeMs, heldAgeMs, trialAgeMs} = report;
-    const known = this.rows.get(part);
-    if (!known && ends.length === 0) {
-      return false;
+  /** Returns what is new in a report: undefined if nothing is. */
+  private mergeOne(
+    report: ReportedPart,
+    now: number,
+  ): EvidenceSource | undefined {
+    const {part, workspace, ends, provenAgeMs = Infinity} = report;
+    if (!this.rows.has(part) && ends.length === 0) {
+      return undefined;
     }
-    const row = known ?? this.findOrCreate(part, workspace);
-    const ownProofMs = this.provenAtMs.get(part) ?? -Infinity;
-    const provenMs = provenAgeMs === undefined ? -Infinity : now - provenAgeMs;
-    const wasProven = row.suspect.prove(Math.max(provenMs, ownProofMs));
-    // The sender may not know of an own answer, which has to be reported once.
+    const row = this.findOrCreate(part, workspace);
     const wasSilent = now - row.announcedAtMs > ANNOUNCE_MS;
-    let isNew = wasProven;
+    const ownProofMs = this.provenAtMs.get(part) ?? -Infinity;
+    const provenMs = now - provenAgeMs;
+    const isLater = provenMs > row.suspect.provenAtMs + SAME_TIME_MS;
+    let isNew = row.suspect.prove(isLater ? provenMs : ownProofMs);
+    let isRefuted = false;
     for (const {upstream, ageMs, sentAgeMs} of ends) {
       const atMs = now - ageMs;
       const end = {upstream, atMs, sentAtMs: now - sentAgeMs};
-      const isRefuted = atMs <= ownProofMs + suspectPart.PROOF_MS;
-      isNew = this.addEnd(row, end) || (isRefuted && wasSilent) || isNew;
-    }
-    if (heldAgeMs !== undefined) {
-      row.heldAtMs = Math.min(row.heldAtMs ?? Infinity, now - heldAgeMs);
-    }
-    if (trialAgeMs !== undefined) {
-      row.trialAtMs = Math.max(row.trialAtMs, now - trialAgeMs);
+      isNew = this.addEnd(row, end) || isNew;
+      isRefuted ||= atMs <= ownProofMs + suspectPart.PROOF_MS;
     }
-    if (isNew) {
+    mergeTimes(row, report, now);
+    // The sender may not know of an own answer, which has to be reported once.
+    const mustAnswer = isRefuted && wasSilent;
+    if (isNew || mustAnswer) {
       row.announcedAtMs = now;
     }
-    return isNew;
+    return mustAnswer ? 'own' : isNew ? 'reported' : undefined;
   }
 
   private addEnd(row: Row, end: suspectPart.PartEnd): boolean {
@@ -462,6 +469,19 @@
   }
 }
 
+const mergeTimes = (
+  row: Row,
+  {heldAgeMs, trialAgeMs = Infinity}: ReportedPart,
+  now: number,
+): void => {
+  if (heldAgeMs !== undefined) {
+    row.heldAtMs = Math.min(row.heldAtMs ?? Infinity, now - heldAgeMs);
+  }
+  if (now - trialAgeMs > row.trialAtMs + SAME_TIME_MS) {
+    row.trialAtMs = now - trialAgeMs;
+  }
+};
+
 const STRENGTHS: Readonly<Record<PartBelief, number>> = {
   held: 2,
   suspected: 1,
--- a/packages/decisions/src/suspect-part.ts
+++ b/packages/decisions/src/suspect-part.ts
@@ -70,14 +70,15 @@
     if (end.atMs <= this.provenMs + PROOF_MS) {
       return false;
     }
-    const known = this.endsByUpstream.get(end.upstream);
-    const sentAtMs = Math.max(end.sentAtMs, known?.sentAtMs ?? -Infinity);
-    this.endsByUpstream.set(end.upstream, {...(known ?? end), sentAtMs});
+    if (this.endsByUpstream.has(end.upstream)) {
+      return false;
+    }
+    this.endsByUpstream.set(end.upstream, end);
     const [oldest] = this.endsByUpstream.keys();
     if (this.endsByUpstream.size > MAX_ENDS && oldest !== undefined) {
       this.endsByUpstream.delete(oldest);
     }
-    return !known;
+    return true;
   }
 
   /** Records that an answer began; false if that changes nothing. */
--- a/packages/decisions/tests/part-quarantine.test.ts
+++ b/packages/decisions/tests/part-quarantine.test.ts
@@ -230,6 +230,24 @@
     chai.expect(first(fixture).judge(['sound'], 'r-2')).equal('trial');
   });
 
+  it('learns no later times from reports that circulate', () => {
+    // Guards against a hold without trials: ages leave out their transmission.
+    const fixture = createFixture(3);
+    holdPart(fixture, 'bad');
+    for (let round = 0; round < 40; round++) {
+      const reports = first(fixture).report();
+      fixture.nowMs += 30;
+      fixture.instances[1]?.merge(reports);
+      const answers = fixture.instances[1]?.report() ?? [];
+      fixture.nowMs += 30;
+      first(fixture).merge(answers);
+    }
+    const verdicts = fixture.instances.map(instance =>
+      instance.judge(['bad'], 'r'),
+    );
+    chai.expect(verdicts).include('trial');
+  });
+
   it('sends a request on trial once', () => {
     const fixture = createFixture();
     holdPart(fixture, 'bad');
--- a/packages/fleet/src/view-relay.ts
+++ b/packages/fleet/src/view-relay.ts
@@ -51,6 +51,8 @@
   private readonly fetching = new Set<string>();
   /** Callbacks for the next change of any view. */
   private waiters: (() => void)[] = [];
+  /** Number of times that held calls were answered early. */
+  private releases = 0;
 
   constructor(private readonly options: ViewRelayOptions) {}
 
@@ -139,6 +141,12 @@
     });
   }
 
+  /** Answers the held calls of peers now, as there is other news for them. */
+  releaseWaiters(): void {
+    this.releases++;
+    this.wakeWaiters();
+  }
+
   /**
    * Answers `await_views`: waits until a view is newer than the peer's, or
    * until the wait is over, and returns the differences.
@@ -148,9 +156,11 @@
     waitMs,
   }: protocol.Params<'await_views'>): Promise<protocol.Result<'await_views'>> {
     const {clock} = this.options;
+    const {releases} = this;
     const startedAtMs = clock.now();
     const endMs = startedAtMs + Math.min(waitMs, MAX_HOLD_MS);
-    while (!this.hasUpdates(known) && clock.now() < endMs) {
+    const mayHold = () => this.releases === releases && clock.now() < endMs;
+    while (!this.hasUpdates(known) && mayHold()) {
       await this.waitForUpdate(endMs - clock.now());
     }
     const views = this.states().map(state => ({
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -30,6 +30,10 @@
     source: protocol.Member,
     summary: protocol.FleetSummary,
   ) => void;
+  /** Called with what a peer knows of such parts when this instance starts. */
+  readonly onSuspectParts: (
+    parts: readonly protocol.SuspectPartReport[],
+  ) => void;
   /** Called when a source gave no usable answer. */
   readonly onFailure: (address: string, error: protocol.PeerError) => void;
   /** Called when the source changes; undefined when there is none any more. */
@@ -110,8 +114,9 @@
       {known: [], waitMs: 0},
       FIRST_ANSWER_TIMEOUT_MS,
     );
-    answer.ifRight(({heldMs, views}) => {
+    answer.ifRight(({heldMs, views, suspectParts = []}) => {
       this.applyViews(views, askedAtMs + heldMs);
+      this.options.onSuspectParts(suspectParts);
     });
   }
 
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -94,6 +94,7 @@
     isWatcher: () => false,
     createReport: createFollowerReport,
     onSummary: () => undefined,
+    onSuspectParts: () => undefined,
     onSourceChange: () => undefined,
     onFailure: () => undefined,
   });
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -56,6 +56,8 @@
   private last: WholeAnswer | undefined;
   /** Time until an upstream takes the request, where that is known. */
   private waitMs: number | undefined;
+  /** Why the last attempt was not placed. */
+  private notPlaced: refusals.PlacementReason | undefined;
 
   constructor(
     private readonly dependencies: runContext.RunDependencies,
@@ -188,13 +190,14 @@
   }
 
   private explainFailure(): refusals.Refusal {
-    if (this.history.runs > 0) {
-      const isTimeUp = this.context.signal.aborted;
-      return {reason: isTimeUp ? 'timeout' : 'failed'};
-    }
-    return refusals.createNoUpstreamRefusal(
-      this.waitMs,
-      MIN_RETRY_AFTER_MS,
+    return refusals.explainRun(
+      {
+        runs: this.history.runs,
+        isTimeUp: this.context.signal.aborted,
+        notPlaced: this.notPlaced,
+        waitMs: this.waitMs,
+        minRetryAfterMs: MIN_RETRY_AFTER_MS,
+      },
       this.dependencies.random,
     );
   }
@@ -215,6 +218,7 @@
     return placed.caseOf({
       Left: ({reason, waitMs, inputs}) => {
         this.waitMs = waitMs ?? this.waitMs;
+        this.notPlaced = reason;
         this.context.log.step('try_not_placed', {
           reason,
           sends: this.history.sends,
@@ -262,10 +266,9 @@
     const answer = opened.unsafeCoerce();
     const body = await readBody.readBody(answer);
     if (!body) {
-      if (!signal.aborted) {
-        placed.recordBreak();
-      }
+      const whenChecked = signal.aborted ? undefined : placed.recordBreak();
       placed.settle(signal.aborted ? 'cancelled' : 'failed');
+      await whenChecked;
       return {kind: 'unknown'};
     }
     const {status} = answer;
--- a/packages/gateway/src/caller-request.ts
+++ b/packages/gateway/src/caller-request.ts
@@ -29,6 +29,18 @@
 }: GenerationSize): number =>
   Math.min(maxTokens, expectedTokens ?? DEFAULT_ANSWER_FRACTION * maxTokens);
 
+/** Longest id of a part that is told apart, in characters. */
+const MAX_PART_ID_LENGTH = 128;
+
+/** Ids of the parts of a prompt that other requests may share, once each. */
+export const findSharedPartIds = ({
+  generation,
+}: CallerRequest): readonly string[] => [
+  ...new Set(
+    findSharedParts(generation).map(({id}) => id.slice(0, MAX_PART_ID_LENGTH)),
+  ),
+];
+
 /**
  * The parts of a prompt that other requests may share: the last one belongs to
  * the request or its session.
--- a/packages/gateway/src/event-relay.ts
+++ b/packages/gateway/src/event-relay.ts
@@ -55,15 +55,24 @@
       const abort = () => {
         abortController.abort('not_needed' satisfies runContext.AbortReason);
       };
+      let hasFinished = false;
       const finish = (end: RelayEnd) => {
+        // An error is followed by a close.
+        if (hasFinished) {
+          return;
+        }
+        hasFinished = true;
         watchdog.stop();
         const isAborted = signal.aborted || abortController.signal.aborted;
-        if (end === 'broken' && !isAborted) {
-          placed.recordBreak();
-        }
+        const whenChecked =
+          end === 'broken' && !isAborted
+            ? placed.recordBreak()
+            : Promise.resolve();
         const outcome = signal.aborted ? 'cancelled' : 'failed';
         placed.settle(end === 'complete' ? 'answered' : outcome);
-        resolve(end);
+        void whenChecked.then(() => {
+          resolve(end);
+        });
       };
       let isInOrder = true;
       body.on('data', (chunk: Buffer) => {
--- a/packages/gateway/src/peer-forwarder.ts
+++ b/packages/gateway/src/peer-forwarder.ts
@@ -127,7 +127,7 @@
       inputs: {zone: peer.zone, inFlight: state.inFlight},
       recordHead: () => undefined,
       recordEvent: () => undefined,
-      recordBreak: () => undefined,
+      recordBreak: () => Promise.resolve(),
       settle: outcome => {
         if (isOpen) {
           isOpen = false;
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -11,6 +11,7 @@
  * - `overloaded`: no capacity becomes free in time.
  * - `expired`: no time is left before the deadline to send it to an upstream.
  * - `no_upstream`: no upstream may take the request now.
+ * - `quarantined`: a part of its prompt ends upstreams.
  * - `stopping`: this instance is stopping and accepts no more requests.
  * - `failed`: an upstream may have run it, but no complete answer came.
  * - `timeout`: no final answer before the deadline of the request.
@@ -24,10 +25,21 @@
   | 'overloaded'
   | 'expired'
   | 'no_upstream'
+  | 'quarantined'
   | 'stopping'
   | 'failed'
   | 'timeout';
 
+/**
+ * Why an attempt was not placed.
+ *
+ * - `no_upstream`: no upstream may take the request now.
+ * - `no_budget`: it would be a repeat, and the repeat budget that all instances
+ *   share is spent.
+ * - `quarantined`: a part of its prompt ends upstreams.
+ */
+export type PlacementReason = 'no_upstream' | 'no_budget' | 'quarantined';
+
 /** A refusal of one request. */
 export interface Refusal {
   readonly reason: RefusalReason;
@@ -48,25 +60,37 @@
   overloaded: 503,
   expired: 503,
   no_upstream: 503,
+  quarantined: 503,
   stopping: 503,
   failed: 502,
   timeout: 504,
 };
 
-/**
- * The refusal of a request that no upstream takes.
- *
- * @param waitMs time until an upstream takes it; undefined if not known.
- * @param minRetryAfterMs `Retry-After` at least, in milliseconds.
- */
-export const createNoUpstreamRefusal = (
-  waitMs: number | undefined,
-  minRetryAfterMs: number,
+/** How a run ended without an answer. */
+export interface UnansweredRun {
+  /** Number of upstreams on which the request may have run. */
+  readonly runs: number;
+  /** Whether its deadline has passed. */
+  readonly isTimeUp: boolean;
+  /** Why its last attempt was not placed; undefined if it was. */
+  readonly notPlaced: PlacementReason | undefined;
+  /** Time until an upstream takes it, in milliseconds; undefined if not known. */
+  readonly waitMs: number | undefined;
+  /** `Retry-After` at least, in milliseconds. */
+  readonly minRetryAfterMs: number;
+}
+
+/** The refusal of a request whose run gave no answer. */
+export const explainRun = (
+  {runs, isTimeUp, notPlaced, waitMs, minRetryAfterMs}: UnansweredRun,
   random: () => number,
 ): Refusal => {
+  if (runs > 0) {
+    return {reason: isTimeUp ? 'timeout' : 'failed'};
+  }
   const drawnMs = decisions.drawRetryAfterMs(waitMs ?? 0, random);
   return {
-    reason: 'no_upstream',
+    reason: notPlaced === 'quarantined' ? 'quarantined' : 'no_upstream',
     retryAfterMs: Math.max(minRetryAfterMs, drawnMs),
   };
 };
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -9,6 +9,7 @@
 import type * as callerRequest from './caller-request.js';
 import type * as escalationPolicy from './escalation-policy.js';
 import type * as headerNames from './header-names.js';
+import type * as refusals from './refusal.js';
 import type * as upstreamProbe from './upstream-probe.js';
 import type * as upstreamCall from './upstream-call.js';
 
@@ -59,8 +60,11 @@
   readonly recordHead: () => void;
   /** Call it when an event of the answer has arrived. */
   readonly recordEvent: () => void;
-  /** Call it when the connection broke before the answer was complete. */
-  readonly recordBreak: () => void;
+  /**
+   * Call it when the connection broke before the answer was complete. Resolves
+   * when the request may be sent to another upstream.
+   */
+  readonly recordBreak: () => Promise<void>;
   /** Call it when the attempt has ended. */
   readonly settle: (outcome: AttemptOutcome) => void;
 }
@@ -77,12 +81,7 @@
 
 /** Why an attempt was not placed. */
 export interface PlacementRefusal {
-  /**
-   * - `no_upstream`: no upstream may take the request now.
-   * - `no_budget`: it would be a repeat, and the repeat budget that all
-   *   instances share is spent.
-   */
-  readonly reason: 'no_upstream' | 'no_budget';
+  readonly reason: refusals.PlacementReason;
   /**
    * Time until an upstream takes the request, in milliseconds; undefined if
    * that is not known.
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -155,11 +155,10 @@
     signal,
   );
   const tookMs = Math.round(dependencies.clock.now() - startedAtMs);
+  const isBroken = opened.isLeft() && opened.extract().reason === 'broken';
+  const whenChecked = isBroken ? placed.recordBreak() : undefined;
   opened.caseOf({
     Left: failure => {
-      if (failure.reason === 'broken') {
-        placed.recordBreak();
-      }
       placed.settle(outcomeOf(failure, signal));
       log.failure('try_failed', {
         ...(forward ? {peer: upstream.id} : {upstream: upstream.id}),
@@ -171,5 +170,6 @@
       placed.recordHead();
     },
   });
+  await whenChecked;
   return opened;
 };
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -53,6 +53,8 @@
   private readonly history: attemptHistory.AttemptHistory;
   /** Time until an upstream takes the request, where that is known. */
   private waitMs: number | undefined;
+  /** Why the last attempt was not placed. */
+  private notPlaced: refusals.PlacementReason | undefined;
   /**
    * The next attempt, placed before the one in progress is aborted, which goes
    * on if the next can't be placed.
@@ -163,6 +165,7 @@
       .caseOf({
         Left: ({reason, waitMs, inputs}) => {
           this.waitMs = waitMs ?? this.waitMs;
+          this.notPlaced = reason;
           log.step('try_not_placed', {
             reason,
             sends: this.history.sends,
@@ -203,13 +206,14 @@
   }
 
   private explainFailure(): refusals.Refusal {
-    if (this.history.runs > 0) {
-      const isTimeUp = this.context.signal.aborted;
-      return {reason: isTimeUp ? 'timeout' : 'failed'};
-    }
-    return refusals.createNoUpstreamRefusal(
-      this.waitMs,
-      MIN_RETRY_AFTER_MS,
+    return refusals.explainRun(
+      {
+        runs: this.history.runs,
+        isTimeUp: this.context.signal.aborted,
+        notPlaced: this.notPlaced,
+        waitMs: this.waitMs,
+        minRetryAfterMs: MIN_RETRY_AFTER_MS,
+      },
       this.dependencies.random,
     );
   }
--- a/packages/gateway/src/upstream-ends.ts
+++ b/packages/gateway/src/upstream-ends.ts
@@ -25,8 +25,12 @@
 export interface AttemptWatch {
   /** An event or the whole body of the answer has arrived. */
   readonly recordAnswer: () => void;
-  /** The connection broke. */
-  readonly recordBreak: () => void;
+  /**
+   * The connection broke. Resolves when it has been checked whether that was the
+   * end of the upstream, if the attempt was not answered: before that, it should
+   * not be sent to the next one.
+   */
+  readonly recordBreak: () => Promise<void>;
   /** The attempt has ended. */
   readonly settle: () => void;
 }
@@ -60,10 +64,13 @@
 }
 
 /**
- * Waits before the two checks, in milliseconds: the other connections to an
+ * Wait before the first check, in milliseconds: the other connections to an
  * upstream that has ended break within a few milliseconds.
  */
-const CHECK_DELAYS_MS = [20, 100] as const;
+const FIRST_CHECK_MS = 20;
+
+/** Wait before the second check, in milliseconds. */
+const RECHECK_MS = 100;
 
 /** Time for which an end is remembered for late breaks, in milliseconds. */
 const END_MEMORY_MS = 10_000;
@@ -82,11 +89,16 @@
   begun: number;
   unanswered: UnansweredAttempt[];
   hasEnded: boolean;
+  /** Resolves to whether the first check has shown the end. */
+  firstCheck: Promise<boolean>;
 }
 
+/** Longest id that messages between instances hold, in characters. */
+const MAX_ID_LENGTH = 200;
+
 /** Name of one start of an upstream, the same at all instances. */
 export const nameStart = ({id, startedAtMs}: decisions.UpstreamStart): string =>
-  `${id}/${startedAtMs}`;
+  `${id.slice(0, MAX_ID_LENGTH)}/${startedAtMs}`;
 
 /** Watches the attempts of one instance. */
 export class UpstreamEnds {
@@ -118,9 +130,9 @@
       recordAnswer: () => {
         this.recordAnswer(opened);
       },
-      recordBreak: () => {
+      recordBreak: async () => {
         if (close()) {
-          this.recordBreak(upstream, opened);
+          await this.recordBreak(upstream, opened);
         }
       },
       settle: close,
@@ -135,10 +147,10 @@
     }
   }
 
-  private recordBreak(
+  private async recordBreak(
     upstream: routing.Upstream,
     {attempt, answeredAtMs}: OpenAttempt,
-  ): void {
+  ): Promise<void> {
     const now = this.options.now();
     this.forgetOldEnds(now);
     const start = nameStart(upstream);
@@ -148,35 +160,59 @@
       return;
     }
     const unanswered = answeredAtMs === -Infinity ? [attempt] : [];
-    const end = known ?? {
+    const end = known ?? this.suspectEnd(start, upstream, now);
+    end.begun += 1 - unanswered.length;
+    end.unanswered.push(...unanswered);
+    if (end.hasEnded && unanswered.length > 0) {
+      this.options.onEnd({...end, unanswered});
+    }
+    if (unanswered.length > 0) {
+      await end.firstCheck;
+    }
+  }
+
+  private suspectEnd(
+    start: string,
+    upstream: routing.Upstream,
+    atMs: number,
+  ): SuspectedEnd {
+    const end: SuspectedEnd = {
       upstream,
-      atMs: now,
+      atMs,
       begun: 0,
       unanswered: [],
       hasEnded: false,
+      firstCheck: Promise.resolve(false),
     };
-    end.begun += 1 - unanswered.length;
-    end.unanswered.push(...unanswered);
-    if (!known) {
-      this.ends.set(start, end);
-      void this.check(start, end);
-    } else if (end.hasEnded && unanswered.length > 0) {
-      this.options.onEnd({...end, unanswered});
-    }
+    this.ends.set(start, end);
+    end.firstCheck = this.check(start, end, FIRST_CHECK_MS);
+    void this.finishChecks(start, end);
+    return end;
   }
 
   /** A process that ends may close its connections before its listener. */
-  private async check(start: string, end: SuspectedEnd): Promise<void> {
+  private async finishChecks(start: string, end: SuspectedEnd): Promise<void> {
+    const isKnown =
+      (await end.firstCheck) || (await this.check(start, end, RECHECK_MS));
+    if (!isKnown) {
+      this.ends.delete(start);
+    }
+  }
+
+  /** Resolves to whether the upstream has ended, after a wait. */
+  private async check(
+    start: string,
+    end: SuspectedEnd,
+    delayMs: number,
+  ): Promise<boolean> {
     const {sleep, checkRefusal, onEnd} = this.options;
-    for (const delayMs of CHECK_DELAYS_MS) {
-      await sleep(delayMs);
-      if (!this.hasOthers(start, end) && (await checkRefusal(end.upstream))) {
-        end.hasEnded = true;
-        onEnd({...end, unanswered: [...end.unanswered]});
-        return;
-      }
+    await sleep(delayMs);
+    end.hasEnded =
+      !this.hasOthers(start, end) && (await checkRefusal(end.upstream));
+    if (end.hasEnded) {
+      onEnd({...end, unanswered: [...end.unanswered]});
     }
-    this.ends.delete(start);
+    return end.hasEnded;
   }
 
   /** Whether requests sent before the break go on: their connections live. */
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -26,6 +26,7 @@
   readonly rollouts: rolloutTracker.RolloutTracker;
   readonly forwarder: peerForwarder.PeerForwarder;
   readonly ends: upstreamEnds.UpstreamEnds;
+  readonly quarantine: decisions.PartQuarantine;
   /** Whether no upstream of the service is reached. */
   readonly isLost: (service: string) => boolean;
   readonly now: () => number;
@@ -34,6 +35,12 @@
   readonly regionOf: (zone: string) => string | undefined;
 }
 
+/**
+ * `Retry-After` of a request with a held part, in milliseconds: a hold ends
+ * within seconds, or lasts for minutes.
+ */
+const QUARANTINE_RETRY_MS = 30_000;
+
 type Known = upstreamCatalog.KnownUpstream;
 
 /** Places the attempts of one instance. */
@@ -44,9 +51,47 @@
    * Places an attempt, unless no upstream may take it, or it would be a repeat
    * and the repeat budget that all instances share is spent. Where no upstream
    * can be reached, it goes to another instance.
+   *
+   * All kinds of sends come here, so that none carries a part of its prompt that
+   * ends upstreams to the next one.
    */
   place(
     toPlace: runContext.PlacementRequest,
+  ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
+    const {quarantine} = this.options;
+    const {caller} = toPlace.request;
+    const parts = callerRequest.findSharedPartIds(caller);
+    const verdict = quarantine.judge(parts, caller.id);
+    if (verdict === 'free') {
+      return this.placeAnywhere(toPlace);
+    }
+    // An instance that a trial is forwarded to would not know it as one.
+    if (verdict === 'held' || this.mayForward(toPlace)) {
+      return purify.Left({
+        reason: 'quarantined',
+        waitMs: QUARANTINE_RETRY_MS,
+        inputs: {heldParts: quarantine.findHeldParts(parts)},
+      });
+    }
+    return this.placeDirectly(toPlace).map(attempt => {
+      quarantine.beginTrial(parts, caller.id);
+      return {
+        ...attempt,
+        inputs: {...attempt.inputs, isTrial: true},
+        settle: outcome => {
+          attempt.settle(outcome);
+          quarantine.endTrial(caller.id);
+        },
+      };
+    });
+  }
+
+  private mayForward({request, history}: runContext.PlacementRequest): boolean {
+    return this.options.isLost(request.service.name) || history.hasUnreached;
+  }
+
+  private placeAnywhere(
+    toPlace: runContext.PlacementRequest,
   ): purify.Either<runContext.PlacementRefusal, runContext.PlacedAttempt> {
     const {isLost, forwarder} = this.options;
     const {request} = toPlace;
@@ -278,7 +323,7 @@
   request: {caller, workspace},
 }: runContext.PlacementRequest): upstreamEnds.WatchedAttempt => ({
   request: caller.id,
-  parts: callerRequest.findSharedParts(caller.generation).map(({id}) => id),
+  parts: callerRequest.findSharedPartIds(caller),
   workspace: workspace?.name ?? '',
 });
 
--- a/packages/gateway/tests/upstream-ends.test.ts
+++ b/packages/gateway/tests/upstream-ends.test.ts
@@ -61,8 +61,8 @@
     const fixture = createFixture();
     const [waiting, running] = ['r-1', 'r-2'].map(fixture.send);
     running?.recordAnswer();
-    waiting?.recordBreak();
-    running?.recordBreak();
+    void waiting?.recordBreak();
+    void running?.recordBreak();
     await fixture.settle();
     chai.expect(fixture.found).length(1);
     const [end] = fixture.found;
@@ -74,7 +74,7 @@
   it('takes a connection that breaks alone for no end', async () => {
     const fixture = createFixture();
     const [broken] = ['r-1', 'r-2'].map(fixture.send);
-    broken?.recordBreak();
+    void broken?.recordBreak();
     await fixture.settle();
     chai.expect(fixture.found).eql([]);
   });
@@ -82,7 +82,7 @@
   it('takes an upstream that accepts connections for alive', async () => {
     const fixture = createFixture();
     fixture.isRefusing = false;
-    fixture.send('r-1').recordBreak();
+    void fixture.send('r-1').recordBreak();
     await fixture.settle();
     chai.expect(fixture.found).eql([]);
   });
@@ -94,12 +94,12 @@
       {request: 'r-0', parts: [], workspace: ''},
     );
     late.settle();
-    fixture.send('r-1').recordBreak();
+    void fixture.send('r-1').recordBreak();
     await fixture.settle();
     fixture.nowMs -= 1;
     const later = fixture.send('r-2');
     fixture.nowMs += 10;
-    later.recordBreak();
+    void later.recordBreak();
     chai
       .expect(fixture.found.map(({unanswered}) => unanswered[0]?.request))
       .eql(['r-1', 'r-2']);
@@ -108,10 +108,10 @@
   it('blames no attempt that was sent after the end', async () => {
     // Guards against blame for a send over a connection that was broken already.
     const fixture = createFixture();
-    fixture.send('r-1').recordBreak();
+    void fixture.send('r-1').recordBreak();
     await fixture.settle();
     fixture.nowMs += 50;
-    fixture.send('r-2').recordBreak();
+    void fixture.send('r-2').recordBreak();
     chai.expect(fixture.found).length(1);
   });
 
@@ -119,7 +119,7 @@
     const fixture = createFixture();
     const cancelled = fixture.send('r-1');
     cancelled.settle();
-    cancelled.recordBreak();
+    void cancelled.recordBreak();
     await fixture.settle();
     chai.expect(fixture.found).eql([]);
   });
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -129,6 +129,35 @@
  */
 export const refusalLimit = rateLimit;
 
+/** Evidence of one instance about a part of prompts that ends upstreams. */
+export const suspectPart = zod.object({
+  part: shapes.name,
+  /** Workspace whose request brought it here; empty if the route is public. */
+  workspace: zod.string().max(shapes.MAX_NAME_LENGTH),
+  /** Ends of upstreams that had not begun to answer a request with it. */
+  ends: zod
+    .array(
+      zod.object({
+        /** Names the upstream and its start. */
+        upstream: shapes.name,
+        ageMs: shapes.milliseconds,
+        /** Time since the last request with the part was sent there. */
+        sentAgeMs: shapes.milliseconds,
+      }),
+    )
+    .max(shapes.MAX_ITEMS)
+    .readonly(),
+  /** Time since an answer to a request with it last began. */
+  provenAgeMs: shapes.milliseconds.optional(),
+  /** Time since it was held. */
+  heldAgeMs: shapes.milliseconds.optional(),
+  /** Time since a request with it was last sent on trial. */
+  trialAgeMs: shapes.milliseconds.optional(),
+});
+
+/** A list of such evidence. */
+export const suspectParts = zod.array(suspectPart).max(shapes.MAX_ITEMS);
+
 /** Counts of a rollout's versions since one start of an instance. */
 export const orderEvidence = zod.object({
   /** Identifies the rollout: service and version. */
@@ -167,6 +196,7 @@
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
+  suspectParts: suspectParts.optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Version of the member list that the instance has. */
@@ -184,6 +214,7 @@
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
+  suspectParts: suspectParts.optional(),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -205,6 +236,7 @@
   upstreams: zod.array(upstreamStats).max(shapes.MAX_OBJECTS),
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
+  suspectParts: suspectParts.optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
@@ -245,5 +277,8 @@
 /** A watcher's summary of the fleet for one instance. */
 export type FleetSummary = Readonly<zod.infer<typeof fleetSummary>>;
 
+/** Evidence of one instance about a part of prompts that ends upstreams. */
+export type SuspectPartReport = Readonly<zod.infer<typeof suspectPart>>;
+
 /** Report that a gateway instance sends to a peer. */
 export type FleetReport = Readonly<zod.infer<typeof fleetReport>>;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -249,8 +249,15 @@
         .max(shapes.MAX_ENVIRONMENTS),
       /** Present if the caller sent a report. */
       summary: fleetMessages.fleetSummary.optional(),
+      /** For an instance that starts, which sends no report. */
+      suspectParts: fleetMessages.suspectParts.optional(),
     }),
   },
+  /** Tells at once of new evidence about parts that end upstreams. */
+  share_suspect_parts: {
+    params: zod.object({parts: fleetMessages.suspectParts}),
+    result: zod.object({}),
+  },
   /** Announces that an instance leaves and must not be offered to callers. */
   leaving: {
     params: zod.object({from: peer}),
--- a/packages/protocol/src/shapes.ts
+++ b/packages/protocol/src/shapes.ts
@@ -16,8 +16,11 @@
 /** Maximum number of environments that one instance follows. */
 export const MAX_ENVIRONMENTS = 16;
 
+/** Longest name, in characters. */
+export const MAX_NAME_LENGTH = 256;
+
 /** A name or an address. */
-export const name = zod.string().min(1).max(256);
+export const name = zod.string().min(1).max(MAX_NAME_LENGTH);
 /** A count. */
 export const count = zod.number().int().nonnegative();
 /** A time in milliseconds. */
