--- a/packages/amaranthknot/tests/gateway/fatal-parts.test.ts
+++ b/packages/amaranthknot/tests/gateway/fatal-parts.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai';
+import * as ports from '@amaranthknot/ports';
 import * as crashes from './crash-fixture.js';
 import * as fixture from './gateway-fixture.js';
 
@@ -21,6 +22,17 @@
 /** Time for which requests with the part come, in milliseconds. */
 const FATAL_MS = 9_000;
 
+/** Places of the upstreams that end together, wave by wave. */
+const WAVES = [
+  [0, 2, 4],
+  [1, 3, 5],
+  [2, 4, 6],
+  [3, 5, 7],
+];
+
+/** Time between two waves, longer than an upstream is down, in ms. */
+const WAVE_MS = 2_300;
+
 /** Least part of the sound requests that is served, relative to before. */
 const MIN_SERVED_RATIO = 0.5;
 
@@ -99,4 +111,38 @@
         .least((MIN_SERVED_RATIO * before.served) / before.sent);
     });
   });
+
+  it('is not looked for in upstreams that end together', async () => {
+    // Guards against sound requests refused because upstreams were lost.
+    crashing = await crashes.startCrashingGateway(INSTANCES, UPSTREAMS);
+    await crashing.load(SOUND_RATE, 1_000, crashes.createSoundPrompt);
+    const forMs = (WAVES.length + 1) * WAVE_MS;
+    const load = crashing.load(SOUND_RATE, forMs, crashes.createSoundPrompt);
+    for (const wave of WAVES) {
+      await ports.systemClock.sleep(WAVE_MS);
+      crashing.crash(wave);
+    }
+    const meanwhile = await load;
+    const after = await crashing.load(
+      SOUND_RATE,
+      1_000,
+      crashes.createSoundPrompt,
+    );
+    chai.expect(meanwhile.served / meanwhile.sent).least(0.98);
+    chai.expect(after.served).equal(after.sent);
+  });
+
+  it('stays held when each instance restarts in turn', async () => {
+    // Guards against a part that each restart lets back to upstreams.
+    crashing = await crashes.startCrashingGateway(INSTANCES, UPSTREAMS);
+    const [{createPrompt} = {createPrompt: crashes.createSoundPrompt}] = CASES;
+    await crashing.load(FATAL_RATE, 2_000, createPrompt);
+    const before = crashing.arrivals.filter(({isFatal}) => isFatal).length;
+    for (let instance = 0; instance < INSTANCES; instance++) {
+      await crashing.gateway.restart(instance);
+      await crashing.load(FATAL_RATE, 1_000, createPrompt);
+    }
+    const after = crashing.arrivals.filter(({isFatal}) => isFatal).length;
+    chai.expect(after - before).most(ALLOWED_ARRIVALS);
+  });
 });
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -231,6 +231,8 @@
     upstream: {readonly address: string},
     overrides?: Readonly<Record<string, unknown>>,
   ) => Promise<void>;
+  /** Ends an instance without grace and starts it again. */
+  readonly restart: (instance: number) => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -298,14 +300,16 @@
     const source = findSource(i);
     settings.push(await createSettings(id, storeServer.address, seeds, source));
   }
-  const instances = settings.map(
-    (own, index) =>
-      new gatewayInstance.GatewayInstance({
-        settings: createSource(own),
-        clock,
-        random: fakes.createRandom(index + 1),
-      }),
-  );
+  const createInstance = (
+    own: configuration.GatewaySettings,
+    index: number,
+  ): gatewayInstance.GatewayInstance =>
+    new gatewayInstance.GatewayInstance({
+      settings: createSource(own),
+      clock,
+      random: fakes.createRandom(index + 1),
+    });
+  const instances = settings.map(createInstance);
   await Promise.all(instances.map(instance => instance.start()));
   await waitUntil(() => instances.every(instance => instance.isServing()));
   return {
@@ -327,6 +331,17 @@
         instances.every(instance => instance.knowsUpstream(id)),
       );
     },
+    restart: async index => {
+      const own = settings[index];
+      if (!own) {
+        throw new Error(`no instance ${index}`);
+      }
+      await instances[index]?.kill();
+      const restarted = createInstance(own, index);
+      instances[index] = restarted;
+      await restarted.start();
+      await waitUntil(() => restarted.isServing(), 'the instance to serve');
+    },
     stop: async () => {
       await Promise.all(instances.map(instance => instance.kill()));
       await storeServer.stop();
