Take no unframed stream for whole that ended before its first event

What callers saw: an upstream whose process ends after the head of an answer without length or chunks, and before its first event, gave an empty stream that looked complete. Cause: such an answer ends with its connection, and a process that ends closes it in order. Evidence: the new test got an empty body from one attempt before; unframed streams that are whole, reset, or end within an event were already handled (tests added, passing before). Now a stream without a single event is broken and resumed. One that its upstream closes in order between two events still can't be told from a whole one.

--- a/packages/amaranthknot/tests/gateway/streams.test.ts
+++ b/packages/amaranthknot/tests/gateway/streams.test.ts
@@ -136,6 +136,34 @@
         );
       },
     },
+    {
+      name: 'a reset in the middle of an event of an unframed stream',
+      script: ({request, socket}) => {
+        const torn = fakes.formatEvent(1) + fakes.formatEvent(2).slice(0, 7);
+        socket.write(fakes.formatUnframedHead(request) + torn);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      },
+    },
+    {
+      name: 'a close in the middle of an event of an unframed stream',
+      script: ({request, socket}) => {
+        const torn = fakes.formatEvent(1) + fakes.formatEvent(2).slice(0, 7);
+        socket.end(fakes.formatUnframedHead(request) + torn);
+      },
+    },
+    {
+      name: 'a reset between events of an unframed stream',
+      script: ({request, socket}) => {
+        socket.write(fakes.formatUnframedHead(request) + fakes.formatEvent(1));
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      },
+    },
+    {
+      name: 'a close of an unframed stream before its first event',
+      script: ({request, socket}) => {
+        socket.end(fakes.formatUnframedHead(request));
+      },
+    },
     {
       name: 'a missing event',
       script: ({request, socket}) => {
@@ -240,6 +268,40 @@
     return found.unsafeCoerce().version;
   };
 
+  it('forwards a whole unframed stream, in one attempt', async () => {
+    const unframed: fakes.UpstreamScript = ({request, socket}) => {
+      socket.end(fakes.formatUnframedHead(request) + expectedBody());
+    };
+    first.script = unframed;
+    second.script = unframed;
+    const answer = await gateway.call({
+      path: fixture.PATHS.stream,
+      method: 'POST',
+      body: 'prompt',
+    });
+    chai.expect(answer.body).equal(expectedBody());
+    chai.expect(answer.isComplete).equal(true);
+    chai.expect(all()).length(1);
+  });
+
+  it('aborts an unframed stream that ends within an event, if it may not be resumed', async () => {
+    // Guards against half an event that the caller takes for the whole stream.
+    const torn: fakes.UpstreamScript = ({request, socket}) => {
+      const events = fakes.formatEvent(1) + fakes.formatEvent(2).slice(0, 7);
+      socket.end(fakes.formatUnframedHead(request) + events);
+    };
+    first.script = torn;
+    second.script = torn;
+    const answer = await gateway.call({
+      path: fixture.PATHS.once,
+      method: 'POST',
+      body: 'prompt',
+    });
+    chai.expect(answer.isComplete).equal(false);
+    chai.expect(answer.body).equal(fakes.formatEvent(1));
+    chai.expect(all()).length(1);
+  });
+
   it('aborts a broken stream that may not be resumed', async () => {
     // A truncated stream must not look complete: the connection to the caller
     // is closed without the last chunk.
--- a/packages/gateway/src/event-relay.ts
+++ b/packages/gateway/src/event-relay.ts
@@ -4,6 +4,7 @@
  */
 import type * as callerAnswer from './caller-answer.js';
 import * as eventSplitter from './event-splitter.js';
+import * as framing from './is-framed.js';
 import type * as runContext from './run-context.js';
 import type * as stallWatchdog from './stall-watchdog.js';
 import type * as upstreamCall from './upstream-call.js';
@@ -22,6 +23,11 @@
 /** Relays the events of one request to its caller. */
 export class EventRelay {
   private lastId: number | undefined;
+  /**
+   * Whether the caller has an event. An unframed stream without one ended with
+   * its upstream.
+   */
+  private hasBegun: boolean;
 
   /**
    * @param initialLastEventId number of the last event that the caller already
@@ -32,7 +38,9 @@
     private readonly caller: callerAnswer.CallerAnswer,
     private readonly initialLastEventId: string | undefined,
     private readonly signal: AbortSignal,
-  ) {}
+  ) {
+    this.hasBegun = initialLastEventId !== undefined;
+  }
 
   /** Number of the last event that was relayed; undefined before the first. */
   get lastEventId(): number | undefined {
@@ -89,6 +97,7 @@
       body.once('end', () => {
         const isWhole =
           isInOrder &&
+          (framing.isFramed(body) || this.hasBegun) &&
           body.complete &&
           !answer.isBroken() &&
           splitter.pendingBytes === 0;
@@ -115,6 +124,7 @@
       }
       this.lastId = id;
     }
+    this.hasBegun = true;
     this.caller.write(bytes);
     return true;
   }
--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -6,6 +6,7 @@
 import type * as net from 'node:net';
 import * as purify from 'purify-ts';
 import type * as connectionPool from './connection-pool.js';
+import * as framing from './is-framed.js';
 import type * as linkMonitor from './link-monitor.js';
 import type * as upstreamCall from './upstream-call.js';
 
@@ -100,15 +101,10 @@
  * remote address, after a close it still has. The socket caches the address, so
  * it must not be read earlier.
  */
-const watchForReset = ({
-  headers,
-  socket,
-}: http.IncomingMessage): (() => boolean) => {
-  const hasLength =
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
+const watchForReset = (response: http.IncomingMessage): (() => boolean) => {
+  const {socket} = response;
   let wasReset = false;
-  if (hasLength) {
+  if (framing.isFramed(response)) {
     return () => false;
   }
   socket.prependOnceListener('end', () => {
