Play in the soak a part under which upstreams end, and streams without framing

Once a run, three of ten streams have the part for 4 to 6 s; an upstream that begins to answer one ends with its listener and is back 1.5 s later at a new address under a new id. Checked: at most three arrive later than 3 s after the fifth end, unless their instance was disrupted. A fifth of the streams have neither a length nor chunks; some end within an event by an orderly close. The loopback proxy passed the close of a connection on that it had lost bytes of: it leaves it open now, as a cut does.

--- a/packages/fakes/src/loopback-proxy.ts
+++ b/packages/fakes/src/loopback-proxy.ts
@@ -125,7 +125,7 @@
     from.on('close', () => {
       if (from.errored) {
         to.resetAndDestroy();
-      } else {
+      } else if (isOpen()) {
         to.destroySoon();
       }
     });
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -27,7 +27,8 @@
   | 'links_new_refused'
   | 'links_one_way'
   | 'upstreams_fragile'
-  | 'upstream_pauses';
+  | 'upstream_pauses'
+  | 'fatal_part';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -94,6 +95,9 @@
 const LINK_INTERVAL_MS = {min: 500, max: 2_500};
 const LINK_DURATION_MS = {min: 5_000, max: 8_000};
 
+/** Duration of a time in which a part ends upstreams; one in each run. */
+const FATAL_DURATION_MS = {min: 4_000, max: 6_000};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
@@ -157,6 +161,17 @@
     forMs: LINK_DURATION_MS,
   });
 
+/** Draws the time in which a part of prompts ends upstreams. */
+export const drawFatalPart = (
+  random: () => number,
+  durationMs: number,
+): Fault => ({
+  kind: 'fatal_part',
+  atMs: drawBetween(random, {min: 0, max: durationMs / 2}),
+  forMs: drawBetween(random, FATAL_DURATION_MS),
+  target: 0,
+});
+
 /** Draws faults for a run of `durationMs`, ordered by start. */
 export const drawFaults = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -3,6 +3,7 @@
  * upstreams recorded.
  */
 
+import * as checkFatalParts from './check-fatal-parts.js';
 import * as checkLinks from './check-links.js';
 import * as checkNotices from './check-notices.js';
 
@@ -13,6 +14,8 @@
 export interface CallerRecord {
   readonly id: string;
   readonly kind: RequestKind;
+  /** Whether its prompt has the part that ends upstreams. */
+  readonly isFatal: boolean;
   readonly key: string;
   /** Address of the instance that it was sent to. */
   readonly instance: string;
@@ -58,6 +61,7 @@
   readonly revocations: readonly Revocation[];
   readonly notices: checkNotices.NoticeRecord;
   readonly links: checkLinks.LinkRecord;
+  readonly fatalPart: checkFatalParts.FatalPartRecord;
   /** Time from which requests count for recovery; faults ended before. */
   readonly recoveryFromMs: number;
   readonly bounds: InvariantBounds;
@@ -184,7 +188,8 @@
 }: SoakRecord): readonly Violation[] => {
   const revoked = new Set(revocations.map(({key}) => key));
   const afterRecovery = callers.filter(
-    ({sentAtMs, key}) => sentAtMs >= recoveryFromMs && !revoked.has(key),
+    ({sentAtMs, key, isFatal}) =>
+      sentAtMs >= recoveryFromMs && !revoked.has(key) && !isFatal,
   );
   const served = afterRecovery.filter(
     caller => isSuccess(caller) && caller.isComplete,
@@ -217,10 +222,16 @@
     ),
     ...checkLinks.findUnservedCuts(
       record.links,
-      record.callers,
+      // Those with the part aren't served anywhere.
+      record.callers.filter(({isFatal}) => !isFatal),
       record.bounds.stabilityMs,
     ),
     ...checkLinks.findFragileFailures(record.links),
+    ...checkFatalParts.findFatalArrivals(
+      record.fatalPart,
+      record.callers,
+      record.bounds.stabilityMs,
+    ),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/load-generator.ts
+++ b/packages/soak/src/load-generator.ts
@@ -1,6 +1,7 @@
 /** Sends requests from concurrent callers and records what each one got. */
 import * as http from 'node:http';
 import * as platform from '@amaranthknot/platform';
+import * as crashFaults from './crash-faults.js';
 import type * as invariants from './invariants.js';
 
 /** Options of the load generator. */
@@ -10,6 +11,8 @@
   readonly keys: readonly string[];
   readonly random: () => number;
   readonly now: () => number;
+  /** Whether the next stream has the part that ends upstreams. */
+  readonly drawIsFatal: () => boolean;
 }
 
 const KINDS: readonly invariants.RequestKind[] = [
@@ -28,6 +31,14 @@
 /** Number of concurrent callers. */
 const CONCURRENCY = 8;
 
+const formatPromptHeaders = (
+  id: string,
+  isFatal: boolean,
+): Readonly<Record<string, string>> => ({
+  [platform.HEADER_NAMES.tokenCounts]: '170,30',
+  [platform.HEADER_NAMES.promptParts]: crashFaults.formatPrompt(id, isFatal),
+});
+
 /** A load that runs until `stop`. */
 export class LoadGenerator {
   /** Finished requests. */
@@ -73,6 +84,8 @@
     const instance = this.draw(addresses);
     const [host = '', port = ''] = instance.split(':');
     const sentAtMs = now();
+    const isStream = kind === 'stream' || kind === 'once';
+    const isFatal = isStream && this.options.drawIsFatal();
     const signal = AbortSignal.timeout(REQUEST_TIMEOUT_MS + 500);
     return new Promise(resolve => {
       let answer: http.IncomingMessage | undefined;
@@ -81,6 +94,7 @@
         resolve({
           id,
           kind,
+          isFatal,
           key,
           instance,
           sentAtMs,
@@ -106,6 +120,7 @@
           [platform.HEADER_NAMES.timeLeft]: String(REQUEST_TIMEOUT_MS),
           [platform.HEADER_NAMES.apiKey]: key,
           'Content-Length': '0',
+          ...(isStream ? formatPromptHeaders(id, isFatal) : {}),
         },
       });
       request.once('response', response => {
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -11,6 +11,7 @@
 import * as ports from '@amaranthknot/ports';
 import type * as checkNotices from './check-notices.js';
 import * as loadGenerator from './load-generator.js';
+import * as crashFaults from './crash-faults.js';
 import * as faultPlan from './fault-plan.js';
 import * as gatewayProcess from './gateway-process.js';
 import * as invariants from './invariants.js';
@@ -58,6 +59,17 @@
 const drawAddress = async (): Promise<string> =>
   `127.0.0.1:${await fakes.drawFreePort()}`;
 
+/** Starts a server with a proxy before it. */
+const startServer = async (
+  script: fakes.UpstreamScript,
+): Promise<Pick<Upstream, 'server' | 'proxy'>> => {
+  const server = new fakes.ScriptedUpstream(script);
+  await server.start();
+  const proxy = new fakes.LoopbackProxy(server.address);
+  await proxy.start();
+  return {server, proxy};
+};
+
 interface Instance {
   readonly process: gatewayProcess.GatewayProcess;
   readonly storeProxy: fakes.LoopbackProxy;
@@ -72,8 +84,9 @@
   /** Number of its starts so far. */
   starts: number;
   readonly state: soakUpstream.SoakUpstreamState;
-  readonly server: fakes.ScriptedUpstream;
-  readonly proxy: fakes.LoopbackProxy;
+  readonly script: fakes.UpstreamScript;
+  server: fakes.ScriptedUpstream;
+  proxy: fakes.LoopbackProxy;
 }
 
 /** One run of one seed. */
@@ -85,6 +98,8 @@
   private readonly instances: Instance[] = [];
   private readonly upstreams: Upstream[] = [];
   private readonly runs: invariants.RunRecord[] = [];
+  /** Servers of upstreams that have ended under a request. */
+  private readonly ended = new Set<fakes.ScriptedUpstream>();
   private readonly revocations: invariants.Revocation[] = [];
   private readonly arrivals: checkNotices.Arrival[] = [];
   private readonly notices: checkNotices.Notice[] = [];
@@ -93,6 +108,11 @@
     this.clock,
     this.upstreams,
   );
+  private readonly crashFaults = new crashFaults.CrashFaults({
+    clock: this.clock,
+    random: () => this.random(),
+    instances: () => this.instances.map(({address}) => address),
+  });
   private readonly failuresMs: number[] = [];
   /** Faults in which an instance may serve nobody. */
   private readonly outages: checkNotices.Disruption[] = [];
@@ -112,6 +132,10 @@
       : [
           ...faultPlan.drawFaults(this.random, durationMs),
           ...faultPlan.drawNoticeFaults(fakes.createRandom(seed), durationMs),
+          faultPlan.drawFatalPart(
+            fakes.createRandom(seed + FATAL_SEED_OFFSET),
+            durationMs,
+          ),
         ];
     const faults = [
       ...others,
@@ -146,9 +170,14 @@
           fragileTimes: this.linkFaults.fragileTimes,
           failuresMs: this.failuresMs,
           upstreams: this.upstreams.length,
-          disruptions: this.outages,
+          disruptions: [...this.outages, ...this.crashFaults.outages],
           instances: this.instances.map(({address}) => address),
         },
+        fatalPart: {
+          arrivals: this.crashFaults.arrivals,
+          endsMs: this.crashFaults.endsMs,
+          disruptions: [...this.outages, ...this.disruptions],
+        },
         recoveryFromMs,
         bounds: documents.SOAK_BOUNDS,
       });
@@ -193,6 +222,7 @@
       keys: KEYS,
       random: this.random,
       now: () => this.clock.now(),
+      drawIsFatal: () => this.crashFaults.drawIsFatal(),
     });
     this.load.start();
   }
@@ -204,6 +234,10 @@
       arrival: arrival => this.arrivals.push(arrival),
       notice: notice => this.notices.push(notice),
       failure: atMs => this.failuresMs.push(atMs),
+      fatalArrival: arrival => this.crashFaults.arrivals.push(arrival),
+      end: () => {
+        void this.endUpstream(upstream);
+      },
     };
     const script = soakUpstream.createSoakScript(
       state,
@@ -211,15 +245,39 @@
       record,
       () => this.clock.now(),
     );
-    const server = new fakes.ScriptedUpstream(script);
-    await server.start();
-    const proxy = new fakes.LoopbackProxy(server.address);
-    await proxy.start();
-    const upstream = {index, starts: 0, state, server, proxy};
+    const upstream: Upstream = {
+      index,
+      starts: 0,
+      state,
+      script,
+      ...(await startServer(script)),
+    };
     this.upstreams.push(upstream);
     await this.register(upstream);
   }
 
+  /** Ends an upstream under a request, unless it has ended already. */
+  private async endUpstream(upstream: Upstream): Promise<void> {
+    const {server, proxy} = upstream;
+    if (this.ended.has(server)) {
+      return;
+    }
+    this.ended.add(server);
+    await this.crashFaults.end({
+      crash: async () => {
+        // The proxy would pass the reset of its target on as a close.
+        await proxy.stop();
+        server.crash();
+      },
+      comeBack: async () => {
+        const {mode} = proxy;
+        Object.assign(upstream, await startServer(upstream.script));
+        upstream.proxy.mode = mode;
+        await this.replaceUpstream(upstream, 0);
+      },
+    });
+  }
+
   private async register({state, proxy}: Upstream): Promise<void> {
     const entry = documents.createEntry(proxy.address, 'ready');
     await this.storeServer.store.create(UPSTREAMS, state.id, entry);
@@ -364,6 +422,8 @@
       case 'upstream_pauses':
         upstream.state.pausedUntilMs = this.clock.now() + PAUSE_MS;
         return;
+      case 'fatal_part':
+        return this.crashFaults.sendPart(forMs);
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -453,6 +513,9 @@
 /** Added to the seed for the faults that are drawn apart from the others. */
 const LINK_SEED_OFFSET = 1_000_000;
 
+/** Added to the seed for the time in which a part ends upstreams. */
+const FATAL_SEED_OFFSET = 2_000_000;
+
 /** Last number of the IP address from which the first instance calls upstreams. */
 const FIRST_SOURCE = 10;
 
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -2,6 +2,7 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
 import type * as checkNotices from './check-notices.js';
+import * as crashFaults from './crash-faults.js';
 import * as invariants from './invariants.js';
 import * as documents from './soak-documents.js';
 
@@ -9,6 +10,7 @@
 
 const REQUEST_ID = NAMES.requestId.toLowerCase();
 const EXPECTED_UPSTREAM = NAMES.expectedUpstream.toLowerCase();
+const PROMPT_PARTS = NAMES.promptParts.toLowerCase();
 const LAST_EVENT_ID = NAMES.lastEventId.toLowerCase();
 
 const NOT_RUN = {[NAMES.notRun]: '1'};
@@ -31,6 +33,9 @@
 const ANSWER_LOST_FRACTION = 0.03;
 const CUT_FRACTION = 0.03;
 
+/** Fraction of the streams that have neither a length nor chunks. */
+const UNFRAMED_FRACTION = 0.2;
+
 /** Refusals a second that a fragile upstream bears. */
 const MAX_REFUSALS = 3;
 
@@ -105,6 +110,10 @@
   readonly notice: (notice: checkNotices.Notice) => void;
   /** It failed because it refused too much. */
   readonly failure: (atMs: number) => void;
+  /** A request with the part that ends upstreams has arrived. */
+  readonly fatalArrival: (arrival: checkNotices.Arrival) => void;
+  /** It begins to answer such a request, and ends. */
+  readonly end: () => void;
 }
 
 /**
@@ -136,6 +145,10 @@
     const requestId = headers[REQUEST_ID] ?? '';
     const notice = {id: requestId, upstream: id, untilMs: shedsUntilMs};
     record.arrival({id: requestId, upstream: id, atMs: now()});
+    const isFatal = crashFaults.isFatalPrompt(headers[PROMPT_PARTS]);
+    if (isFatal) {
+      record.fatalArrival({id: requestId, upstream: id, atMs: now()});
+    }
     const backoffMs = shedsUntilMs - now();
     if (backoffMs > 0) {
       record.notice({...notice, kind: 'backoff', atMs: now()});
@@ -166,6 +179,7 @@
     };
     const isLost = random() < ANSWER_LOST_FRACTION;
     const isCut = random() < CUT_FRACTION;
+    const isUnframed = random() < UNFRAMED_FRACTION;
     setTimeout(() => {
       if (isLost) {
         end();
@@ -190,27 +204,51 @@
         }
         end();
       } else {
-        socket.write(fakes.formatStreamHead(request, {headers: answerHeaders}));
-        writeEvents(requestId, lastEventId + 1, isCut);
+        const options = {headers: answerHeaders};
+        socket.write(
+          isUnframed
+            ? fakes.formatUnframedHead(request, options)
+            : fakes.formatStreamHead(request, options),
+        );
+        if (isFatal) {
+          end();
+          record.end();
+        } else {
+          writeEvents(requestId, lastEventId + 1, isCut);
+        }
       }
     }, workMs + pauseMs);
 
+    /** Ends within an event, where nothing else says that more was to come. */
+    const breakOff = (name: string, at: number) => {
+      if (isUnframed) {
+        socket.end(invariants.formatStreamEvent(name, at).slice(0, -3));
+      } else {
+        socket.resetAndDestroy();
+      }
+    };
+
     const writeEvents = (name: string, from: number, isCutHalfway: boolean) => {
       if (socket.destroyed) {
         end();
         return;
       }
       if (from > invariants.STREAM_LENGTH) {
-        socket.write(fakes.LAST_CHUNK);
+        if (isUnframed) {
+          socket.end();
+        } else {
+          socket.write(fakes.LAST_CHUNK);
+        }
         end();
         return;
       }
       if (isCutHalfway && from > invariants.STREAM_LENGTH / 2) {
         end();
-        socket.resetAndDestroy();
+        breakOff(name, from);
         return;
       }
-      socket.write(fakes.formatChunk(invariants.formatStreamEvent(name, from)));
+      const event = invariants.formatStreamEvent(name, from);
+      socket.write(isUnframed ? event : fakes.formatChunk(event));
       setTimeout(() => {
         writeEvents(name, from + 1, isCutHalfway);
       }, EVENT_MS);
--- a/packages/soak/tests/check-links.test.ts
+++ b/packages/soak/tests/check-links.test.ts
@@ -12,6 +12,7 @@
   Array.from({length: served + failed}, (_, index) => ({
     id: `${instance}-${index}`,
     kind: 'read',
+    isFatal: false,
     key: 'key-1',
     instance,
     sentAtMs: 4_000,
--- a/packages/soak/tests/check-notices.test.ts
+++ b/packages/soak/tests/check-notices.test.ts
@@ -11,6 +11,7 @@
 ): invariants.CallerRecord => ({
   id,
   kind: 'read',
+  isFatal: false,
   key: 'key-1',
   instance,
   sentAtMs,
--- a/packages/soak/tests/invariants.test.ts
+++ b/packages/soak/tests/invariants.test.ts
@@ -12,6 +12,7 @@
       {
         id,
         kind: 'book',
+        isFatal: false,
         key: 'key-1',
         instance: 'instance-1',
         sentAtMs: 10_000,
@@ -41,6 +42,7 @@
       disruptions: [],
       instances: ['instance-1'],
     },
+    fatalPart: {arrivals: [], endsMs: [], disruptions: []},
     bounds: {revocationMs: 3_000, leavingMs: 2_000, stabilityMs: 3_000},
   };
 };
