Let the soak play a fatal part alone, and count requests for who sent them

The check blamed the caller's instance; it now blames the one whose connection brought the request, found by the proxy.

--- a/packages/fakes/src/loopback-proxy.ts
+++ b/packages/fakes/src/loopback-proxy.ts
@@ -66,6 +66,17 @@
     }
   }
 
+  /**
+   * Source address of the client whose connection reaches the target from a
+   * local port.
+   */
+  findSource(port: number | undefined): string | undefined {
+    const found = [...this.sockets].find(
+      ([socket]) => socket.localPort === port,
+    );
+    return found?.[1];
+  }
+
   private findMode(source: string): ProxyMode {
     return this.modeBySource.get(source) ?? this.mode;
   }
--- a/packages/soak/src/check-fatal-parts.ts
+++ b/packages/soak/src/check-fatal-parts.ts
@@ -32,10 +32,10 @@
     return [];
   }
   const instanceOf = new Map(callers.map(({id, instance}) => [id, instance]));
-  const isExcused = ({id, atMs}: checkNotices.Arrival): boolean =>
+  const isExcused = ({id, atMs, sender}: checkNotices.Arrival): boolean =>
     disruptions.some(
       ({target, fromMs, toMs}) =>
-        target === instanceOf.get(id) &&
+        target === (sender ?? instanceOf.get(id)) &&
         fromMs <= atMs &&
         toMs >= atMs - stabilityMs,
     );
--- a/packages/soak/src/check-notices.ts
+++ b/packages/soak/src/check-notices.ts
@@ -9,6 +9,8 @@
   readonly id: string;
   readonly upstream: string;
   readonly atMs: number;
+  /** Instance that sent it; that of its caller if it is not known. */
+  readonly sender?: string | undefined;
 }
 
 /** What an upstream said in its answer to a request. */
@@ -18,6 +20,8 @@
   readonly id: string;
   readonly upstream: string;
   readonly atMs: number;
+  /** Instance that got the answer; that of the caller if it is not known. */
+  readonly sender?: string | undefined;
   /** End of a backoff. */
   readonly untilMs: number;
 }
@@ -59,7 +63,13 @@
   const sent = arrivals.flatMap((arrival): readonly Sent[] => {
     const caller = byId.get(arrival.id);
     return caller
-      ? [{...arrival, instance: caller.instance, sentAtMs: caller.sentAtMs}]
+      ? [
+          {
+            ...arrival,
+            instance: arrival.sender ?? caller.instance,
+            sentAtMs: caller.sentAtMs,
+          },
+        ]
       : [];
   });
   const isExcused = (notice: Notice, {instance, upstream, atMs}: Sent) =>
@@ -74,7 +84,7 @@
       ? atMs > notice.atMs + IN_TRANSIT_MS && atMs < notice.untilMs
       : sentAtMs > notice.atMs + leavingMs;
   return notices.flatMap((notice): readonly invariants.Violation[] => {
-    const instance = byId.get(notice.id)?.instance;
+    const instance = notice.sender ?? byId.get(notice.id)?.instance;
     const ignoring = sent.filter(
       request =>
         request.instance === instance &&
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -95,8 +95,11 @@
 const LINK_INTERVAL_MS = {min: 500, max: 2_500};
 const LINK_DURATION_MS = {min: 5_000, max: 8_000};
 
-/** Duration of a time in which a part ends upstreams; one in each run. */
-const FATAL_DURATION_MS = {min: 4_000, max: 6_000};
+/**
+ * Duration of a time in which a part ends upstreams; one in each run. Well above
+ * the time after which instances must know the part.
+ */
+const FATAL_DURATION_MS = {min: 8_000, max: 10_000};
 
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -14,6 +14,7 @@
     --at-once N    concurrent runs (3)
     --instances N  gateway processes per run (3)
     --links        inject only cuts of links and faults of upstreams
+    --parts        inject only a prompt part under which upstreams end
 
   Exit codes
     0 no invariant was violated; 1 some were, their logs are kept
@@ -26,6 +27,7 @@
   atOnce: {type: 'number', default: 3},
   instances: {type: 'number', default: 3},
   links: {type: 'boolean', default: false},
+  parts: {type: 'boolean', default: false},
 } as const;
 
 const MS_PER_MINUTE = 60_000;
@@ -64,7 +66,7 @@
         instances,
         upstreams: UPSTREAMS,
         durationMs: DURATION_MS,
-        onlyLinks: flags.links,
+        only: flags.links ? 'links' : flags.parts ? 'fatal_part' : undefined,
       });
       print(result);
       failedSeeds += result.violations.length > 0 ? 1 : 0;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -26,8 +26,8 @@
   readonly upstreams: number;
   /** Period in which faults start, in milliseconds. */
   readonly durationMs: number;
-  /** Whether only links are cut, so that no other fault excuses an instance. */
-  readonly onlyLinks?: boolean;
+  /** The only faults, so that no others excuse an instance; all by default. */
+  readonly only?: 'links' | 'fatal_part' | undefined;
 }
 
 /** Result of one run. */
@@ -126,24 +126,8 @@
   }
 
   async run(): Promise<SoakResult> {
-    const {seed, durationMs, onlyLinks = false} = this.options;
-    const others = onlyLinks
-      ? []
-      : [
-          ...faultPlan.drawFaults(this.random, durationMs),
-          ...faultPlan.drawNoticeFaults(fakes.createRandom(seed), durationMs),
-          faultPlan.drawFatalPart(
-            fakes.createRandom(seed + FATAL_SEED_OFFSET),
-            durationMs,
-          ),
-        ];
-    const faults = [
-      ...others,
-      ...faultPlan.drawLinkFaults(
-        fakes.createRandom(seed + LINK_SEED_OFFSET),
-        durationMs,
-      ),
-    ].sort((a, b) => a.atMs - b.atMs);
+    const {seed} = this.options;
+    const faults = this.drawFaults();
     try {
       await this.start();
       const load = this.load;
@@ -205,6 +189,35 @@
     }
   }
 
+  /** Each series has its own source, so that a seed keeps the others' plans. */
+  private drawFaults(): readonly faultPlan.Fault[] {
+    const {seed, durationMs, only} = this.options;
+    const others = () => [
+      ...faultPlan.drawFaults(this.random, durationMs),
+      ...faultPlan.drawNoticeFaults(fakes.createRandom(seed), durationMs),
+    ];
+    const links = () =>
+      faultPlan.drawLinkFaults(
+        fakes.createRandom(seed + LINK_SEED_OFFSET),
+        durationMs,
+      );
+    const fatalPart = () =>
+      faultPlan.drawFatalPart(
+        fakes.createRandom(seed + FATAL_SEED_OFFSET),
+        durationMs,
+      );
+    switch (only) {
+      case 'links':
+        return links();
+      case 'fatal_part':
+        return [fatalPart()];
+      case undefined:
+        return [...others(), ...links(), fatalPart()].sort(
+          (a, b) => a.atMs - b.atMs,
+        );
+    }
+  }
+
   private async start(): Promise<void> {
     await this.storeServer.start();
     await this.storeServer.store.create(
@@ -232,6 +245,10 @@
     const record: soakUpstream.SoakRecorder = {
       run: run => this.runs.push(run),
       arrival: arrival => this.arrivals.push(arrival),
+      findSender: port => {
+        const source = upstream.proxy.findSource(port);
+        return this.instances.find(own => own.source === source)?.address;
+      },
       notice: notice => this.notices.push(notice),
       failure: atMs => this.failuresMs.push(atMs),
       fatalArrival: arrival => this.crashFaults.arrivals.push(arrival),
@@ -273,7 +290,8 @@
         const {mode} = proxy;
         Object.assign(upstream, await startServer(upstream.script));
         upstream.proxy.mode = mode;
-        await this.replaceUpstream(upstream, 0);
+        await this.removeEntry(upstream.state.id);
+        await this.registerAnew(upstream);
       },
     });
   }
@@ -453,14 +471,33 @@
     upstream: Upstream,
     forMs: number,
   ): Promise<void> {
-    const {store} = this.storeServer;
-    const {state} = upstream;
-    const found = await store.get(UPSTREAMS, state.id);
-    if (found.isLeft()) {
+    const {id} = upstream.state;
+    if (!(await this.removeEntry(id))) {
       return;
     }
-    await store.delete(UPSTREAMS, state.id, found.unsafeCoerce().version);
     await this.clock.sleep(forMs);
+    // One that has ended meanwhile registers itself when it comes back.
+    if (upstream.state.id === id && !this.ended.has(upstream.server)) {
+      await this.registerAnew(upstream);
+    }
+  }
+
+  /** Deletes an upstream's entry; false if there is none. */
+  private async removeEntry(id: string): Promise<boolean> {
+    const {store} = this.storeServer;
+    const found = await store.get(UPSTREAMS, id);
+    await found.caseOf({
+      Left: () => Promise.resolve(),
+      Right: async ({version}) => {
+        await store.delete(UPSTREAMS, id, version);
+      },
+    });
+    return found.isRight();
+  }
+
+  /** Registers an upstream under a new id. */
+  private async registerAnew(upstream: Upstream): Promise<void> {
+    const {state} = upstream;
     upstream.starts++;
     state.id = `u-${upstream.index}.${upstream.starts}`;
     state.isLeaving = false;
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -107,6 +107,8 @@
 export interface SoakRecorder {
   readonly run: (run: invariants.RunRecord) => void;
   readonly arrival: (arrival: checkNotices.Arrival) => void;
+  /** Address of the instance that opened a connection, by its port here. */
+  readonly findSender: (port: number | undefined) => string | undefined;
   readonly notice: (notice: checkNotices.Notice) => void;
   /** It failed because it refused too much. */
   readonly failure: (atMs: number) => void;
@@ -143,11 +145,22 @@
       return;
     }
     const requestId = headers[REQUEST_ID] ?? '';
-    const notice = {id: requestId, upstream: id, untilMs: shedsUntilMs};
-    record.arrival({id: requestId, upstream: id, atMs: now()});
+    const sender = record.findSender(socket.remotePort);
+    const notice = {
+      id: requestId,
+      upstream: id,
+      untilMs: shedsUntilMs,
+      sender,
+    };
+    record.arrival({id: requestId, upstream: id, atMs: now(), sender});
     const isFatal = crashFaults.isFatalPrompt(headers[PROMPT_PARTS]);
     if (isFatal) {
-      record.fatalArrival({id: requestId, upstream: id, atMs: now()});
+      record.fatalArrival({
+        id: requestId,
+        upstream: id,
+        atMs: now(),
+        sender,
+      });
     }
     const backoffMs = shedsUntilMs - now();
     if (backoffMs > 0) {
--- a/packages/soak/tests/check-notices.test.ts
+++ b/packages/soak/tests/check-notices.test.ts
@@ -28,6 +28,7 @@
   timesMs: readonly number[],
   disruptions: readonly checkNotices.Disruption[] = [],
   instance = 'instance-1',
+  sender?: string,
 ): readonly invariants.Violation[] => {
   const first = createCaller('first', -10);
   const later = timesMs.map((atMs, index) =>
@@ -37,6 +38,7 @@
     id,
     upstream: 'u-1',
     atMs: sentAtMs + 10,
+    sender,
   }));
   const notice = {kind, id: 'first', upstream: 'u-1', atMs: 0, untilMs: 3_000};
   return checkNotices.findIgnoredNotices(
@@ -66,6 +68,17 @@
     chai.expect(check('backoff', [600, 700, 2_900], [restart])).eql([]);
   });
 
+  it('counts a request for the instance that sent it to the upstream', () => {
+    // Guards against an instance blamed for what it forwarded to another one.
+    const times = [600, 700, 2_900];
+    chai
+      .expect(check('backoff', times, [], 'instance-1', 'instance-2'))
+      .eql([]);
+    chai
+      .expect(check('backoff', times, [], 'instance-2', 'instance-1'))
+      .length(1);
+  });
+
   it('finds a request that was sent too late to a leaving upstream', () => {
     chai.expect(check('leaving', [1_900])).eql([]);
     chai.expect(check('leaving', [2_100])).length(1);
