Let operators list and lift the parts of prompts that are held

Upstreams of plain services are no longer checked for an end: their requests have no parts, and each check costs a connection. Instances are ranked for a trial only when one is due.

--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -23,6 +23,13 @@
     },
     fetch_view: ({kind}) => relay.handleFetch(kind),
     await_views: call => answerFollower(options, call),
+    held_parts: ({lift}) => {
+      const wasHeld = lift === undefined ? undefined : quarantine.lift(lift);
+      return {
+        parts: [...quarantine.describeHeld()],
+        ...(wasHeld === undefined ? {} : {wasHeld}),
+      };
+    },
     share_suspect_parts: ({parts}) => {
       quarantine.merge(parts);
       return {};
--- a/packages/amaranthknot/src/main.ts
+++ b/packages/amaranthknot/src/main.ts
@@ -38,6 +38,10 @@
   ['explain', async () => (await import('./commands/explain.js')).explain],
   ['fakes', async () => (await import('./commands/fakes.js')).fakes],
   ['gateway', async () => (await import('./commands/gateway.js')).gateway],
+  [
+    'held-parts',
+    async () => (await import('./commands/held-parts.js')).heldParts,
+  ],
   ['serve', async () => (await import('./commands/serve.js')).serve],
   ...OPERATOR_COMMANDS.map((name): [string, CommandLoader] => [
     name,
--- a/packages/decisions/src/part-quarantine.ts
+++ b/packages/decisions/src/part-quarantine.ts
@@ -56,6 +56,15 @@
   readonly sentAgeMs: number;
 }
 
+/** A part that is held, for operators. */
+export interface HeldPart {
+  readonly part: string;
+  readonly workspace: string;
+  readonly heldForMs: number;
+  /** Upstreams that ended under it, with their starts. */
+  readonly upstreams: readonly string[];
+}
+
 /** A change of what is believed of a part, for the log. */
 export interface PartChange {
   readonly part: string;
@@ -133,11 +142,22 @@
 
   constructor(private readonly options: PartQuarantineOptions) {}
 
-  /** The parts that are held now. */
+  /** Ids of the parts that are held now. */
   get heldParts(): readonly string[] {
+    return this.describeHeld().map(({part}) => part);
+  }
+
+  /** The parts that are held now. */
+  describeHeld(): readonly HeldPart[] {
+    const now = this.options.now();
     return [...this.rows.values()]
       .filter(({belief}) => belief === 'held')
-      .map(({suspect}) => suspect.id);
+      .map(({suspect, heldAtMs = now}) => ({
+        part: suspect.id,
+        workspace: suspect.workspace,
+        heldForMs: now - heldAtMs,
+        upstreams: suspect.findEnds(now).map(({upstream}) => upstream),
+      }));
   }
 
   /**
@@ -366,25 +386,30 @@
   private isTrialDue(row: Row): boolean {
     const {suspect, heldAtMs, trialAtMs, ownTrialSettledMs} = row;
     const now = this.options.now();
-    const ends = suspect.findEnds(now);
-    const ranked = rendezvous.rankByRendezvous(
-      suspect.id,
-      this.options.findInstances(),
-    );
-    const rank = ranked.indexOf(this.options.self);
     const ownTrials = [...this.ownTrials.values()].filter(({parts}) =>
       parts.includes(suspect.id),
     );
-    return trialSchedule.isTrialDue(
-      {
-        ends,
-        heldAtMs: heldAtMs ?? now,
-        trialAtMs: trialAtMs > ownTrialSettledMs ? trialAtMs : -Infinity,
-        ownTrialsEndedMs: ownTrials.map(({endedAtMs}) => endedAtMs),
-        rank: rank < 0 ? ranked.length : rank,
-      },
-      now,
-    );
+    const isDue = (rank: number): boolean =>
+      trialSchedule.isTrialDue(
+        {
+          ends: suspect.findEnds(now),
+          heldAtMs: heldAtMs ?? now,
+          trialAtMs: trialAtMs > ownTrialSettledMs ? trialAtMs : -Infinity,
+          ownTrialsEndedMs: ownTrials.map(({endedAtMs}) => endedAtMs),
+          rank,
+        },
+        now,
+      );
+    // Ranking hundreds of instances for each request would cost too much.
+    return isDue(0) && isDue(this.findRank(suspect.id));
+  }
+
+  /** Place of this instance in the order of those that may try a part. */
+  private findRank(part: string): number {
+    const {self, findInstances} = this.options;
+    const ranked = rendezvous.rankByRendezvous(part, findInstances());
+    const rank = ranked.indexOf(self);
+    return rank < 0 ? ranked.length : rank;
   }
 
   private findOrCreate(part: string, workspace: string): Row {
--- a/packages/gateway/src/upstream-ends.ts
+++ b/packages/gateway/src/upstream-ends.ts
@@ -151,6 +151,10 @@
     upstream: routing.Upstream,
     {attempt, answeredAtMs}: OpenAttempt,
   ): Promise<void> {
+    // Each check costs a connection, and no part could be to blame.
+    if (attempt.parts.length === 0) {
+      return;
+    }
     const now = this.options.now();
     this.forgetOldEnds(now);
     const start = nameStart(upstream);
--- a/packages/gateway/tests/upstream-ends.test.ts
+++ b/packages/gateway/tests/upstream-ends.test.ts
@@ -115,6 +115,15 @@
     chai.expect(fixture.found).length(1);
   });
 
+  it('checks no upstream for requests whose parts are all their own', async () => {
+    // Guards against a connection for each broken answer of a plain service.
+    const fixture = createFixture();
+    const plain = {request: 'r-1', parts: [], workspace: 'w'};
+    await fixture.ends.watch(UPSTREAM, plain).recordBreak();
+    await fixture.settle();
+    chai.expect(fixture.found).eql([]);
+  });
+
   it('ignores attempts that were cancelled', async () => {
     const fixture = createFixture();
     const cancelled = fixture.send('r-1');
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -253,6 +253,25 @@
       suspectParts: fleetMessages.suspectParts.optional(),
     }),
   },
+  /** Lists the parts of prompts that are held, and lifts one for operators. */
+  held_parts: {
+    params: zod.object({lift: shapes.name.optional()}),
+    result: zod.object({
+      parts: zod
+        .array(
+          zod.object({
+            part: shapes.name,
+            workspace: zod.string().max(shapes.MAX_NAME_LENGTH),
+            heldForMs: shapes.milliseconds,
+            /** Upstreams that ended under it, with their starts. */
+            upstreams: zod.array(shapes.name).max(shapes.MAX_ITEMS).readonly(),
+          }),
+        )
+        .max(shapes.MAX_ITEMS),
+      /** Whether the part to lift was held; absent if none was named. */
+      wasHeld: zod.boolean().optional(),
+    }),
+  },
   /** Tells at once of new evidence about parts that end upstreams. */
   share_suspect_parts: {
     params: zod.object({parts: fleetMessages.suspectParts}),
