Report what is held now and then, and split the quarantine into modules

It is reported for 3 s after each change, and again for 0.6 s of each 5 s for instances that were cut off; one that starts asks for all. A trial is told at once. Lines about parts that are only suspected are limited to 20 a second.

--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -48,7 +48,7 @@
   const {report} = call;
   if (!report) {
     const answer = await relay.awaitViews(call);
-    const suspectParts = [...quarantine.report()];
+    const suspectParts = [...quarantine.report('held')];
     return suspectParts.length === 0 ? answer : {...answer, suspectParts};
   }
   reports.applyFollowerReport(report);
--- a/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -21,16 +21,33 @@
     clear: 'prompt_part_released',
   };
 
-const logPartChange = (
+/**
+ * Lines per second about parts that are only suspected: the loss of many
+ * upstreams at once makes hundreds of parts suspect for a moment.
+ */
+const MAX_SUSPICIONS_PER_S = 20;
+
+/** Creates the function that logs changes of belief. */
+const createLogPartChange = (
   get: gatewayComponents.GatewayResolver,
-  {part, workspace, before, after, upstreams}: decisions.PartChange,
-): void => {
-  get('log').info(EVENTS[after], {
-    part,
-    workspace,
-    before,
-    upstreams: upstreams.slice(0, MAX_IDS),
-  });
+): ((change: decisions.PartChange) => void) => {
+  const lines = new decisions.SlidingCount(1_000);
+  return ({part, workspace, before, after, upstreams}) => {
+    const now = get('options').clock.now();
+    const isSuspicion = before !== 'held' && after !== 'held';
+    if (isSuspicion && lines.count(now) >= MAX_SUSPICIONS_PER_S) {
+      return;
+    }
+    if (isSuspicion) {
+      lines.add(now);
+    }
+    get('log').info(EVENTS[after], {
+      part,
+      workspace,
+      before,
+      upstreams: upstreams.slice(0, MAX_IDS),
+    });
+  };
 };
 
 const recordEnd = (
@@ -69,9 +86,7 @@
         get('members')
           .serving(options.clock.now())
           .map(({id}) => id),
-      onChange: change => {
-        logPartChange(get, change);
-      },
+      onChange: createLogPartChange(get),
       onEvidence: pushSuspectParts.createPushSuspectParts(get),
     }),
   upstreamEnds: get =>
--- a/packages/decisions/src/part-quarantine.ts
+++ b/packages/decisions/src/part-quarantine.ts
@@ -14,13 +14,13 @@
  * share the evidence, so that all come to the same beliefs. Pure: the clock is
  * an option.
  */
+import * as lastAnswers from './last-answers.js';
+import * as partBeliefs from './part-beliefs.js';
+import * as partRow from './part-row.js';
 import * as rendezvous from './rendezvous.js';
 import * as suspectPart from './suspect-part.js';
 import * as trialSchedule from './trial-schedule.js';
 
-/** What is believed of a part. */
-export type PartBelief = 'clear' | 'suspected' | 'held';
-
 /** What may be done with a request. */
 export type PartVerdict =
   | 'free'
@@ -36,26 +36,6 @@
   readonly sentAtMs: number;
 }
 
-/** Evidence about a part as instances report it to each other. */
-export interface ReportedPart {
-  readonly part: string;
-  readonly workspace: string;
-  readonly ends: readonly ReportedPartEnd[];
-  /** Time since an answer to a request with it began, in milliseconds. */
-  readonly provenAgeMs?: number | undefined;
-  /** Time since it was held, in milliseconds. */
-  readonly heldAgeMs?: number | undefined;
-  /** Time since a request with it was last sent on trial, in milliseconds. */
-  readonly trialAgeMs?: number | undefined;
-}
-
-/** One end in a report. */
-export interface ReportedPartEnd {
-  readonly upstream: string;
-  readonly ageMs: number;
-  readonly sentAgeMs: number;
-}
-
 /** A part that is held, for operators. */
 export interface HeldPart {
   readonly part: string;
@@ -69,12 +49,15 @@
 export interface PartChange {
   readonly part: string;
   readonly workspace: string;
-  readonly before: PartBelief;
-  readonly after: PartBelief;
+  readonly before: partRow.PartBelief;
+  readonly after: partRow.PartBelief;
   /** Upstreams that ended under it since the last answer that began. */
   readonly upstreams: readonly string[];
 }
 
+/** What an instance is told: what is new, or all that is held too. */
+export type EvidenceScope = 'news' | 'held';
+
 /** Whether evidence is of this instance or was reported by another one. */
 export type EvidenceSource = 'own' | 'reported';
 
@@ -90,42 +73,22 @@
   readonly onEvidence: (source: EvidenceSource) => void;
 }
 
-/** Occasions on which upstreams must have ended for a part to be held. */
-const HOLD_OCCASIONS = 2;
-
 /** Parts about which evidence is kept, over all workspaces. */
 const MAX_PARTS = 1_024;
 
-/** Parts whose last answer is remembered. */
-const MAX_PROVEN_PARTS = 4_096;
-
 /**
  * Time for which new evidence is reported, in milliseconds: a few rounds of
- * messages. What is held is reported as long as it is, for instances that start.
+ * messages. What is held is reported again every `REPEAT_EVERY_MS`, for
+ * `REPEAT_MS`, for instances that were cut off: in each message it would exceed
+ * what messages between instances may cost.
  */
 const ANNOUNCE_MS = 3_000;
-
-/**
- * Times that differ by less are the same, in milliseconds: ages in reports do
- * not include their transmission, so a time would become later at each round.
- */
-const SAME_TIME_MS = 500;
+const REPEAT_EVERY_MS = 5_000;
+const REPEAT_MS = 600;
 
 /** Parts in one report at most. */
 const MAX_REPORTED = 64;
 
-interface Row {
-  readonly suspect: suspectPart.SuspectPart;
-  belief: PartBelief;
-  /** When this instance learned of the newest evidence. */
-  announcedAtMs: number;
-  heldAtMs: number | undefined;
-  /** When a request was last sent on trial, by any instance. */
-  trialAtMs: number;
-  /** When the outcome of the last own trial was known. */
-  ownTrialSettledMs: number;
-}
-
 /** A request of this instance that was sent on trial. */
 interface OwnTrial {
   readonly parts: readonly string[];
@@ -134,9 +97,8 @@
 
 /** The parts about which one instance has evidence. */
 export class PartQuarantine {
-  private readonly rows = new Map<string, Row>();
-  /** When an answer last began, by part; the oldest first. */
-  private readonly provenAtMs = new Map<string, number>();
+  private readonly rows = new Map<string, partRow.PartRow>();
+  private readonly answers = new lastAnswers.LastAnswers();
   /** By id of the request. */
   private readonly ownTrials = new Map<string, OwnTrial>();
 
@@ -188,7 +150,7 @@
     const now = this.options.now();
     let isChanged = false;
     for (const part of parts) {
-      this.rememberAnswer(part, now);
+      this.answers.record(part, now);
       const row = this.rows.get(part);
       if (row?.suspect.prove(now)) {
         row.announcedAtMs = now;
@@ -232,6 +194,7 @@
     const held = this.findHeld(parts);
     for (const row of held) {
       row.trialAtMs = now;
+      row.announcedAtMs = now;
     }
     const ids = held.map(({suspect}) => suspect.id);
     this.ownTrials.set(request, {parts: ids, endedAtMs: undefined});
@@ -247,7 +210,7 @@
   }
 
   /** Merges the evidence that another instance reports. */
-  merge(reports: readonly ReportedPart[]): void {
+  merge(reports: readonly partRow.ReportedPart[]): void {
     const now = this.options.now();
     const sources = reports.flatMap(report => this.mergeOne(report, now) ?? []);
     if (sources.length > 0) {
@@ -256,24 +219,15 @@
     }
   }
 
-  /** Evidence to report to other instances now. */
-  report(): readonly ReportedPart[] {
+  /**
+   * Evidence to report to other instances now.
+   *
+   * @param scope `news` for one that gets reports all the time, `held` for one
+   *     that starts.
+   */
+  report(scope: EvidenceScope = 'news'): readonly partRow.ReportedPart[] {
     const now = this.options.now();
-    const toAge = (atMs: number): number => Math.max(0, now - atMs);
-    const toOptionalAge = (atMs: number | undefined) =>
-      atMs === undefined || atMs === -Infinity ? undefined : toAge(atMs);
-    return this.findReported().map(({suspect, heldAtMs, trialAtMs}) => ({
-      part: suspect.id,
-      workspace: suspect.workspace,
-      ends: suspect.findEnds(now).map(({upstream, atMs, sentAtMs}) => ({
-        upstream,
-        ageMs: toAge(atMs),
-        sentAgeMs: toAge(sentAtMs),
-      })),
-      provenAgeMs: toOptionalAge(suspect.provenAtMs),
-      heldAgeMs: toOptionalAge(heldAtMs),
-      trialAgeMs: toOptionalAge(trialAtMs),
-    }));
+    return this.findReported(scope).map(row => partRow.describeRow(row, now));
   }
 
   /** Drops what has expired. */
@@ -309,7 +263,7 @@
 
   /** Returns what is new in a report: undefined if nothing is. */
   private mergeOne(
-    report: ReportedPart,
+    report: partRow.ReportedPart,
     now: number,
   ): EvidenceSource | undefined {
     const {part, workspace, ends, provenAgeMs = Infinity} = report;
@@ -318,9 +272,9 @@
     }
     const row = this.findOrCreate(part, workspace);
     const wasSilent = now - row.announcedAtMs > ANNOUNCE_MS;
-    const ownProofMs = this.provenAtMs.get(part) ?? -Infinity;
+    const ownProofMs = this.answers.find(part);
     const provenMs = now - provenAgeMs;
-    const isLater = provenMs > row.suspect.provenAtMs + SAME_TIME_MS;
+    const isLater = provenMs > row.suspect.provenAtMs + partRow.SAME_TIME_MS;
     let isNew = row.suspect.prove(isLater ? provenMs : ownProofMs);
     let isRefuted = false;
     for (const {upstream, ageMs, sentAgeMs} of ends) {
@@ -329,7 +283,7 @@
       isNew = this.addEnd(row, end) || isNew;
       isRefuted ||= atMs <= ownProofMs + suspectPart.PROOF_MS;
     }
-    mergeTimes(row, report, now);
+    isNew = partRow.mergeTimes(row, report, now) || isNew;
     // The sender may not know of an own answer, which has to be reported once.
     const mustAnswer = isRefuted && wasSilent;
     if (isNew || mustAnswer) {
@@ -338,8 +292,8 @@
     return mustAnswer ? 'own' : isNew ? 'reported' : undefined;
   }
 
-  private addEnd(row: Row, end: suspectPart.PartEnd): boolean {
-    const ownProofMs = this.provenAtMs.get(row.suspect.id) ?? -Infinity;
+  private addEnd(row: partRow.PartRow, end: suspectPart.PartEnd): boolean {
+    const ownProofMs = this.answers.find(row.suspect.id);
     const now = this.options.now();
     const isEvidence =
       end.atMs > ownProofMs + suspectPart.PROOF_MS &&
@@ -351,29 +305,21 @@
     return isNew;
   }
 
-  private rememberAnswer(part: string, now: number): void {
-    this.provenAtMs.delete(part);
-    this.provenAtMs.set(part, now);
-    const [oldest] = this.provenAtMs.keys();
-    if (this.provenAtMs.size > MAX_PROVEN_PARTS && oldest !== undefined) {
-      this.provenAtMs.delete(oldest);
-    }
-  }
-
-  private findReported(): readonly Row[] {
+  private findReported(scope: EvidenceScope): readonly partRow.PartRow[] {
     if (this.rows.size === 0) {
       return [];
     }
     const now = this.options.now();
-    const isReported = ({belief, announcedAtMs}: Row) =>
-      belief === 'held' || now - announcedAtMs <= ANNOUNCE_MS;
+    const isHeldDue = scope === 'held' || now % REPEAT_EVERY_MS < REPEAT_MS;
+    const isReported = ({belief, announcedAtMs}: partRow.PartRow) =>
+      (belief === 'held' && isHeldDue) || now - announcedAtMs <= ANNOUNCE_MS;
     return [...this.rows.values()]
       .filter(isReported)
-      .sort((a, b) => compareBeliefs(a.belief, b.belief))
+      .sort((a, b) => partRow.compareBeliefs(a.belief, b.belief))
       .slice(0, MAX_REPORTED);
   }
 
-  private findHeld(parts: readonly string[]): readonly Row[] {
+  private findHeld(parts: readonly string[]): readonly partRow.PartRow[] {
     if (this.rows.size === 0) {
       return [];
     }
@@ -383,7 +329,7 @@
     });
   }
 
-  private isTrialDue(row: Row): boolean {
+  private isTrialDue(row: partRow.PartRow): boolean {
     const {suspect, heldAtMs, trialAtMs, ownTrialSettledMs} = row;
     const now = this.options.now();
     const ownTrials = [...this.ownTrials.values()].filter(({parts}) =>
@@ -412,19 +358,12 @@
     return rank < 0 ? ranked.length : rank;
   }
 
-  private findOrCreate(part: string, workspace: string): Row {
+  private findOrCreate(part: string, workspace: string): partRow.PartRow {
     const known = this.rows.get(part);
     if (known) {
       return known;
     }
-    const row: Row = {
-      suspect: new suspectPart.SuspectPart(part, workspace),
-      belief: 'clear',
-      announcedAtMs: -Infinity,
-      heldAtMs: undefined,
-      trialAtMs: -Infinity,
-      ownTrialSettledMs: -Infinity,
-    };
+    const row = partRow.createPartRow(part, workspace);
     this.rows.set(part, row);
     if (this.rows.size > MAX_PARTS) {
       this.evict();
@@ -444,33 +383,25 @@
     const [largest] = [...counts].sort((a, b) => b[1] - a[1]);
     const [weakest] = [...this.rows.values()]
       .filter(({suspect}) => suspect.workspace === largest?.[0])
-      .sort((a, b) => compareBeliefs(b.belief, a.belief));
+      .sort((a, b) => partRow.compareBeliefs(b.belief, a.belief));
     if (weakest) {
       this.rows.delete(weakest.suspect.id);
     }
   }
 
-  /** Derives all beliefs from the evidence. */
   private updateBeliefs(): void {
     const now = this.options.now();
-    const found = [...this.rows.values()]
-      .map(row => ({row, ends: row.suspect.findEnds(now)}))
-      .sort((a, b) => compareEvidence(a, b));
-    const explained = new Set<string>();
-    for (const {row, ends} of found) {
-      const unexplained = ends.filter(({upstream}) => !explained.has(upstream));
-      const isHeld = suspectPart.countOccasions(unexplained) >= HOLD_OCCASIONS;
-      if (isHeld) {
-        ends.forEach(({upstream}) => explained.add(upstream));
-      }
-      const suspected = ends.length > 0 ? 'suspected' : 'clear';
-      this.setBelief(row, isHeld ? 'held' : suspected, ends);
+    for (const {row, belief, ends} of partBeliefs.deriveBeliefs(
+      [...this.rows.values()],
+      now,
+    )) {
+      this.setBelief(row, belief, ends);
     }
   }
 
   private setBelief(
-    row: Row,
-    after: PartBelief,
+    row: partRow.PartRow,
+    after: partRow.PartBelief,
     ends: readonly suspectPart.PartEnd[],
   ): void {
     const before = row.belief;
@@ -493,36 +424,3 @@
     });
   }
 }
-
-const mergeTimes = (
-  row: Row,
-  {heldAgeMs, trialAgeMs = Infinity}: ReportedPart,
-  now: number,
-): void => {
-  if (heldAgeMs !== undefined) {
-    row.heldAtMs = Math.min(row.heldAtMs ?? Infinity, now - heldAgeMs);
-  }
-  if (now - trialAgeMs > row.trialAtMs + SAME_TIME_MS) {
-    row.trialAtMs = now - trialAgeMs;
-  }
-};
-
-const STRENGTHS: Readonly<Record<PartBelief, number>> = {
-  held: 2,
-  suspected: 1,
-  clear: 0,
-};
-
-/** Orders the strongest belief first. */
-const compareBeliefs = (a: PartBelief, b: PartBelief): number =>
-  STRENGTHS[b] - STRENGTHS[a];
-
-interface RowEvidence {
-  readonly row: Row;
-  readonly ends: readonly suspectPart.PartEnd[];
-}
-
-/** Orders the part first that explains most ends; the same everywhere. */
-const compareEvidence = (a: RowEvidence, b: RowEvidence): number =>
-  b.ends.length - a.ends.length ||
-  (a.row.suspect.id < b.row.suspect.id ? -1 : 1);
--- a/packages/decisions/src/suspect-part.ts
+++ b/packages/decisions/src/suspect-part.ts
@@ -28,7 +28,7 @@
 const COMMON_CAUSE_MS = 1_000;
 
 /** Ends that are kept of each part. */
-export const MAX_ENDS = 16;
+const MAX_ENDS = 8;
 
 /**
  * Number of occasions on which upstreams ended.
--- a/packages/decisions/tests/part-quarantine.test.ts
+++ b/packages/decisions/tests/part-quarantine.test.ts
@@ -266,13 +266,25 @@
     fixture.nowMs += 5_000;
     const started = createFixture();
     started.nowMs = fixture.nowMs;
-    first(started).merge(first(fixture).report());
+    first(started).merge(first(fixture).report('held'));
     chai.expect(heldBy(started)).eql([['bad']]);
     chai.expect(first(started).judge(['bad'], 'r')).equal('held');
     started.nowMs += 10_000;
     chai.expect(first(started).judge(['bad'], 'r')).equal('trial');
   });
 
+  it('reports what is held again, for instances that were cut off', () => {
+    // Guards against an instance that lets the part through after a partition.
+    const fixture = createFixture(3);
+    holdPart(fixture, 'bad');
+    fixture.nowMs += 20_000;
+    for (let waitedMs = 0; waitedMs < 5_000; waitedMs += 400) {
+      fixture.nowMs += 400;
+      fixture.share();
+    }
+    chai.expect(heldBy(fixture)).eql([['bad'], ['bad'], ['bad']]);
+  });
+
   it('reports nothing while no upstream ends', () => {
     const fixture = createFixture();
     first(fixture).recordAnswer(['a', 'b']);
