Let the loopback proxy pass a close on after the bytes that it holds back

Traced to the proxy: while it delays, it passed the close of a connection on at once and dropped what it still held, which no connection does.

--- a/packages/fakes/src/loopback-proxy.ts
+++ b/packages/fakes/src/loopback-proxy.ts
@@ -136,8 +136,10 @@
     from.on('close', () => {
       if (from.errored) {
         to.resetAndDestroy();
-      } else if (isOpen()) {
-        to.destroySoon();
+      } else {
+        schedule(() => {
+          to.destroySoon();
+        });
       }
     });
   }
--- a/packages/fakes/tests/loopback-proxy.test.ts
+++ b/packages/fakes/tests/loopback-proxy.test.ts
@@ -48,4 +48,24 @@
     await proxy.stop();
     await new Promise(resolve => server.close(resolve));
   });
+
+  it('passes a close on after the bytes that it holds back', async () => {
+    // Guards against an answer without a length that lacks its last events.
+    const server = net.createServer(socket => {
+      socket.end(BEFORE);
+    });
+    const proxy = new fakes.LoopbackProxy(await listen(server));
+    await proxy.start();
+    proxy.mode = 'delayed';
+    const [host = '', port = ''] = proxy.address.split(':');
+    const client = net.connect(Number(port), host);
+    let received = '';
+    client.on('data', chunk => {
+      received += chunk.toString();
+    });
+    await new Promise(resolve => client.once('close', resolve));
+    chai.expect(received).equal(BEFORE);
+    await proxy.stop();
+    await new Promise(resolve => server.close(resolve));
+  });
 });
