Blame no part for one of several upstreams that end at the same moment

Cause: two upstreams that were lost in two different waves had each not answered a request with a rare part, and no answer with it began in between. Now an end names the upstreams whose connections broke in the same 30 ms, and counts against a part only if it can explain those too. Instances take turns with a first trial each 0.3 s in place of 1 s, so that a wrong hold ends sooner.

--- a/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -52,7 +52,7 @@
 
 const recordEnd = (
   get: gatewayComponents.GatewayResolver,
-  {upstream, atMs, begun, unanswered}: gateway.UpstreamEnd,
+  {upstream, atMs, begun, unanswered, coincident}: gateway.UpstreamEnd,
 ): void => {
   const parts = unanswered.flatMap(attempt =>
     attempt.parts.map(part => ({
@@ -69,9 +69,15 @@
     unanswered: unanswered.length,
     requests: unanswered.slice(0, MAX_IDS).map(({request}) => request),
     parts: [...new Set(parts.map(({part}) => part))].slice(0, MAX_IDS),
+    coincident,
     agoMs: Math.round(get('options').clock.now() - atMs),
   });
-  get('partQuarantine').recordEnd(gateway.nameStart(upstream), atMs, parts);
+  get('partQuarantine').recordEnd(
+    gateway.nameStart(upstream),
+    atMs,
+    parts,
+    coincident,
+  );
 };
 
 /** Creates the factories by token. */
--- a/packages/decisions/src/part-beliefs.ts
+++ b/packages/decisions/src/part-beliefs.ts
@@ -41,7 +41,9 @@
     .sort(compareEvidence);
   const explained = new Set<string>();
   return found.map(({row, ends}) => {
-    const unexplained = ends.filter(({upstream}) => !explained.has(upstream));
+    const unexplained = suspectPart
+      .findExplicable(ends)
+      .filter(({upstream}) => !explained.has(upstream));
     const isHeld = suspectPart.countOccasions(unexplained) >= HOLD_OCCASIONS;
     if (isHeld) {
       ends.forEach(({upstream}) => explained.add(upstream));
--- a/packages/decisions/src/part-quarantine.ts
+++ b/packages/decisions/src/part-quarantine.ts
@@ -127,17 +127,20 @@
    *
    * @param upstream names the upstream and its start.
    * @param parts parts of the requests that it had not begun to answer.
+   * @param coincident other upstreams that ended at the same moment.
    */
   recordEnd(
     upstream: string,
     atMs: number,
     parts: readonly UnansweredPart[],
+    coincident: readonly string[] = [],
   ): void {
     let isNew = false;
     const latestFirst = [...parts].sort((a, b) => b.sentAtMs - a.sentAtMs);
     for (const {part, workspace, sentAtMs} of latestFirst) {
       const row = this.findOrCreate(part, workspace);
-      isNew = this.addEnd(row, {upstream, atMs, sentAtMs}) || isNew;
+      const end = {upstream, atMs, sentAtMs, coincident};
+      isNew = this.addEnd(row, end) || isNew;
     }
     if (isNew) {
       this.updateBeliefs();
@@ -277,9 +280,9 @@
     const isLater = provenMs > row.suspect.provenAtMs + partRow.SAME_TIME_MS;
     let isNew = row.suspect.prove(isLater ? provenMs : ownProofMs);
     let isRefuted = false;
-    for (const {upstream, ageMs, sentAgeMs} of ends) {
+    for (const {upstream, ageMs, sentAgeMs, coincident = []} of ends) {
       const atMs = now - ageMs;
-      const end = {upstream, atMs, sentAtMs: now - sentAgeMs};
+      const end = {upstream, atMs, sentAtMs: now - sentAgeMs, coincident};
       isNew = this.addEnd(row, end) || isNew;
       isRefuted ||= atMs <= ownProofMs + suspectPart.PROOF_MS;
     }
--- a/packages/decisions/src/part-row.ts
+++ b/packages/decisions/src/part-row.ts
@@ -38,6 +38,8 @@
   readonly upstream: string;
   readonly ageMs: number;
   readonly sentAgeMs: number;
+  /** Other upstreams that ended at the same moment; absent if there are none. */
+  readonly coincident?: readonly string[] | undefined;
 }
 
 /**
@@ -67,11 +69,14 @@
   return {
     part: suspect.id,
     workspace: suspect.workspace,
-    ends: suspect.findEnds(nowMs).map(({upstream, atMs, sentAtMs}) => ({
-      upstream,
-      ageMs: toAge(atMs),
-      sentAgeMs: toAge(sentAtMs),
-    })),
+    ends: suspect
+      .findEnds(nowMs)
+      .map(({upstream, atMs, sentAtMs, coincident}) => ({
+        upstream,
+        ageMs: toAge(atMs),
+        sentAgeMs: toAge(sentAtMs),
+        ...(coincident.length === 0 ? {} : {coincident}),
+      })),
     provenAgeMs: toOptionalAge(suspect.provenAtMs),
     heldAgeMs: toOptionalAge(heldAtMs),
     trialAgeMs: toOptionalAge(trialAtMs),
--- a/packages/decisions/src/suspect-part.ts
+++ b/packages/decisions/src/suspect-part.ts
@@ -10,6 +10,8 @@
   readonly atMs: number;
   /** When the last request with the part had been sent there. */
   readonly sentAtMs: number;
+  /** Other upstreams, and their starts, that ended at the same moment. */
+  readonly coincident: readonly string[];
 }
 
 /**
@@ -27,6 +29,9 @@
  */
 const COMMON_CAUSE_MS = 1_000;
 
+/** Coincident ends that are kept with one. */
+const MAX_COINCIDENT = 4;
+
 /** Ends that are kept of each part. */
 const MAX_ENDS = 8;
 
@@ -49,6 +54,21 @@
   return count;
 };
 
+/**
+ * Ends that the part can explain: it explains those that coincide with them too.
+ *
+ * Guards against a part that is blamed where many upstreams were lost at once,
+ * and that only one of them had not answered.
+ */
+export const findExplicable = (
+  ends: readonly PartEnd[],
+): readonly PartEnd[] => {
+  const upstreams = new Set(ends.map(({upstream}) => upstream));
+  return ends.filter(({coincident}) =>
+    coincident.every(upstream => upstreams.has(upstream)),
+  );
+};
+
 /** The evidence about one part. */
 export class SuspectPart {
   private readonly endsByUpstream = new Map<string, PartEnd>();
@@ -65,13 +85,14 @@
     return this.provenMs;
   }
 
-  /** Records an end; false if it was known, or if it is no evidence. */
+  /** Records an end; false if nothing of it is new, or it is no evidence. */
   recordEnd(end: PartEnd): boolean {
     if (end.atMs <= this.provenMs + PROOF_MS) {
       return false;
     }
-    if (this.endsByUpstream.has(end.upstream)) {
-      return false;
+    const known = this.endsByUpstream.get(end.upstream);
+    if (known) {
+      return this.addCoincident(known, end.coincident);
     }
     this.endsByUpstream.set(end.upstream, end);
     const [oldest] = this.endsByUpstream.keys();
@@ -81,6 +102,19 @@
     return true;
   }
 
+  private addCoincident(known: PartEnd, upstreams: readonly string[]): boolean {
+    const isNew = upstreams.some(id => !known.coincident.includes(id));
+    if (!isNew || known.coincident.length >= MAX_COINCIDENT) {
+      return false;
+    }
+    const coincident = [...new Set([...known.coincident, ...upstreams])];
+    this.endsByUpstream.set(known.upstream, {
+      ...known,
+      coincident: coincident.slice(0, MAX_COINCIDENT),
+    });
+    return true;
+  }
+
   /** Records that an answer began; false if that changes nothing. */
   prove(atMs: number): boolean {
     if (atMs <= this.provenMs) {
--- a/packages/decisions/src/trial-schedule.ts
+++ b/packages/decisions/src/trial-schedule.ts
@@ -30,7 +30,7 @@
  * Time by which each further instance waits longer, in milliseconds. News of a
  * trial spread to all instances in less.
  */
-const TURN_MS = 1_000;
+const TURN_MS = 300;
 
 /** Time for which the other instances wait for the outcome, in milliseconds. */
 const OUTCOME_TIMEOUT_MS = 10_000;
--- a/packages/decisions/tests/part-quarantine.test.ts
+++ b/packages/decisions/tests/part-quarantine.test.ts
@@ -13,7 +13,12 @@
   readonly end: (
     upstream: string,
     parts: readonly string[],
-    options?: {instance?: number; sentAgoMs?: number; workspace?: string},
+    options?: {
+      instance?: number;
+      sentAgoMs?: number;
+      workspace?: string;
+      coincident?: readonly string[];
+    },
   ) => void;
 }
 
@@ -50,7 +55,7 @@
     end: (
       upstream,
       parts,
-      {instance = 0, sentAgoMs = 50, workspace = 'w'} = {},
+      {instance = 0, sentAgoMs = 50, workspace = 'w', coincident = []} = {},
     ) => {
       fixture.instances[instance]?.recordEnd(
         upstream,
@@ -60,6 +65,7 @@
           workspace,
           sentAtMs: fixture.nowMs - sentAgoMs,
         })),
+        coincident,
       );
     },
   };
@@ -127,6 +133,35 @@
     chai.expect(heldBy(fixture)).eql([[]]);
   });
 
+  it('blames no part for one of several upstreams that end together', () => {
+    // Guards against a sound part that is held after two waves of ends.
+    const fixture = createFixture();
+    fixture.end('u-1', ['rare'], {coincident: ['u-2', 'u-3']});
+    fixture.nowMs += 3_000;
+    fixture.end('u-4', ['rare'], {coincident: ['u-5']});
+    chai.expect(heldBy(fixture)).eql([[]]);
+  });
+
+  it('holds a part under which several upstreams end together', () => {
+    const fixture = createFixture();
+    fixture.end('u-1', ['bad', 'near'], {coincident: ['u-2']});
+    fixture.end('u-2', ['bad'], {coincident: ['u-1']});
+    fixture.nowMs += 200;
+    fixture.end('u-3', ['bad']);
+    chai.expect(heldBy(fixture)).eql([['bad']]);
+  });
+
+  it('learns from another instance that upstreams ended together', () => {
+    const fixture = createFixture(3);
+    fixture.end('u-1', ['rare']);
+    fixture.end('u-1', ['rare'], {instance: 1, coincident: ['u-2']});
+    fixture.share();
+    fixture.nowMs += 3_000;
+    fixture.end('u-3', ['rare']);
+    fixture.share();
+    chai.expect(heldBy(fixture)).eql([[], [], []]);
+  });
+
   it('holds no neighbour for the ends that a held part explains', () => {
     const fixture = createFixture();
     ['a', 'b', 'c'].forEach((neighbour, index) => {
--- a/packages/gateway/src/upstream-ends.ts
+++ b/packages/gateway/src/upstream-ends.ts
@@ -43,6 +43,8 @@
   readonly begun: number;
   /** The attempts that it had not begun to answer. */
   readonly unanswered: readonly UnansweredAttempt[];
+  /** Starts of other upstreams whose connections broke at the same moment. */
+  readonly coincident: readonly string[];
 }
 
 /** An attempt that was not answered, and when it was sent. */
@@ -69,6 +71,15 @@
  */
 const FIRST_CHECK_MS = 20;
 
+/**
+ * Time within which ends of upstreams coincide, in milliseconds: well below the
+ * time from one end to the next that a request can cause.
+ */
+const COINCIDENCE_MS = 30;
+
+/** Coincident ends that are named at most; one is enough to tell. */
+const MAX_COINCIDENT = 4;
+
 /** Wait before the second check, in milliseconds. */
 const RECHECK_MS = 100;
 
@@ -168,7 +179,8 @@
     end.begun += 1 - unanswered.length;
     end.unanswered.push(...unanswered);
     if (end.hasEnded && unanswered.length > 0) {
-      this.options.onEnd({...end, unanswered});
+      const coincident = this.findCoincident(start, end);
+      this.options.onEnd({...end, unanswered, coincident});
     }
     if (unanswered.length > 0) {
       await end.firstCheck;
@@ -214,11 +226,28 @@
     end.hasEnded =
       !this.hasOthers(start, end) && (await checkRefusal(end.upstream));
     if (end.hasEnded) {
-      onEnd({...end, unanswered: [...end.unanswered]});
+      onEnd({
+        ...end,
+        unanswered: [...end.unanswered],
+        coincident: this.findCoincident(start, end),
+      });
     }
     return end.hasEnded;
   }
 
+  private findCoincident(
+    start: string,
+    {atMs}: SuspectedEnd,
+  ): readonly string[] {
+    return [...this.ends]
+      .filter(
+        ([other, end]) =>
+          other !== start && Math.abs(end.atMs - atMs) <= COINCIDENCE_MS,
+      )
+      .map(([other]) => other)
+      .slice(0, MAX_COINCIDENT);
+  }
+
   /** Whether requests sent before the break go on: their connections live. */
   private hasOthers(start: string, {atMs}: SuspectedEnd): boolean {
     const others = [...(this.open.get(start) ?? [])];
--- a/packages/gateway/tests/upstream-ends.test.ts
+++ b/packages/gateway/tests/upstream-ends.test.ts
@@ -124,6 +124,20 @@
     chai.expect(fixture.found).eql([]);
   });
 
+  it('names other upstreams that end at the same moment', async () => {
+    const fixture = createFixture();
+    const other = fixture.ends.watch(
+      {...UPSTREAM, id: 'u-2'},
+      {request: 'r-2', parts: ['p'], workspace: 'w'},
+    );
+    void fixture.send('r-1').recordBreak();
+    void other.recordBreak();
+    await fixture.settle();
+    chai
+      .expect(fixture.found.map(({coincident}) => coincident))
+      .eql([['u-2/7'], ['u-1/7']]);
+  });
+
   it('ignores attempts that were cancelled', async () => {
     const fixture = createFixture();
     const cancelled = fixture.send('r-1');
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -143,6 +143,12 @@
         ageMs: shapes.milliseconds,
         /** Time since the last request with the part was sent there. */
         sentAgeMs: shapes.milliseconds,
+        /** Other upstreams that ended at the same moment. */
+        coincident: zod
+          .array(shapes.name)
+          .max(shapes.MAX_ITEMS)
+          .readonly()
+          .optional(),
       }),
     )
     .max(shapes.MAX_ITEMS)
