--- a/packages/decisions/src/part-beliefs.ts
+++ b/packages/decisions/src/part-beliefs.ts
@@ -12,7 +12,7 @@
 export interface DerivedBelief {
   readonly row: partRow.PartRow;
   readonly belief: partRow.PartBelief;
-  /** Ends that speak against it. */
+  /** Ends that are evidence against it. */
   readonly ends: readonly suspectPart.PartEnd[];
 }
 
--- a/packages/decisions/src/part-quarantine.ts
+++ b/packages/decisions/src/part-quarantine.ts
@@ -9,7 +9,7 @@
  *
  * A part is suspected if requests with it had not begun to be answered where an
  * upstream ended, and held after the second such occasion without an answer in
- * between. Ends that a held part explains are not held against other parts. A
+ * between. Ends that a held part explains count against no other part. A
  * request that is sent on trial decides whether the hold goes on. Instances
  * share the evidence, so that all come to the same beliefs. Pure: the clock is
  * an option.
@@ -292,7 +292,10 @@
     if (isNew || mustAnswer) {
       row.announcedAtMs = now;
     }
-    return mustAnswer ? 'own' : isNew ? 'reported' : undefined;
+    if (mustAnswer) {
+      return 'own';
+    }
+    return isNew ? 'reported' : undefined;
   }
 
   private addEnd(row: partRow.PartRow, end: suspectPart.PartEnd): boolean {
--- a/packages/decisions/src/suspect-part.ts
+++ b/packages/decisions/src/suspect-part.ts
@@ -1,6 +1,6 @@
 /**
- * What speaks for and against one part of prompts: upstreams that ended while
- * they had not begun to answer a request with it, and answers that began. Pure.
+ * The evidence about one part of prompts. Against it: upstreams that ended and
+ * had not begun to answer a request with it. For it: answers that began. Pure.
  */
 
 /** The end of one start of an upstream, as evidence against a part. */
@@ -15,8 +15,8 @@
 }
 
 /**
- * Time before an end in which an answer to a request with the part speaks for
- * the part, in milliseconds. Shared parts have one in most such times.
+ * Time before an end in which an answer to a request with the part clears the
+ * part, in milliseconds. Shared parts have one in most such times.
  */
 export const PROOF_MS = 2_000;
 
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -30,7 +30,10 @@
     source: protocol.Member,
     summary: protocol.FleetSummary,
   ) => void;
-  /** Called with what a peer knows of such parts when this instance starts. */
+  /**
+   * Called when this instance starts, with what a peer knows of parts of prompts
+   * that end upstreams.
+   */
   readonly onSuspectParts: (
     parts: readonly protocol.SuspectPartReport[],
   ) => void;
--- a/packages/gateway/src/caller-request.ts
+++ b/packages/gateway/src/caller-request.ts
@@ -29,6 +29,14 @@
 }: GenerationSize): number =>
   Math.min(maxTokens, expectedTokens ?? DEFAULT_ANSWER_FRACTION * maxTokens);
 
+/**
+ * The parts of a prompt that other requests may share: the last one belongs to
+ * the request or its session.
+ */
+export const findSharedParts = (
+  generation: GenerationSize | undefined,
+): readonly PromptPart[] => generation?.parts.slice(0, -1) ?? [];
+
 /** Longest id of a part that is told apart, in characters. */
 const MAX_PART_ID_LENGTH = 128;
 
@@ -41,14 +49,6 @@
   ),
 ];
 
-/**
- * The parts of a prompt that other requests may share: the last one belongs to
- * the request or its session.
- */
-export const findSharedParts = (
-  generation: GenerationSize | undefined,
-): readonly PromptPart[] => generation?.parts.slice(0, -1) ?? [];
-
 /** A request as a caller sent it. */
 export interface CallerRequest {
   /** Empty if the caller gave none. */
