--- a/packages/telemetry/tests/explain-request.test.ts
+++ b/packages/telemetry/tests/explain-request.test.ts
@@ -58,6 +58,33 @@
     chai.expect(text).contain('zones=["z"]').and.contain('leaving=["u"]');
   });
 
+  it('adds what was believed last of the parts of its prompt', () => {
+    const explanation = explain(
+      [
+        lineOf(100, 'a', 'prompt_part_suspected', {part: 'p', before: 'clear'}),
+        lineOf(200, 'a', 'prompt_part_held', {part: 'p', upstreams: ['u/1']}),
+        lineOf(300, 'a', 'prompt_part_held', {part: 'other'}),
+        lineOf(400, 'b', 'prompt_part_released', {part: 'p'}),
+        lineOf(500, 'a', 'upstream_ended', {upstream: 'u', parts: ['p']}),
+        lineOf(600, 'a', 'request_placed', {request: 'r', upstream: 'u'}),
+        lineOf(700, 'a', 'try_not_placed', {
+          request: 'r',
+          reason: 'quarantined',
+          heldParts: ['p'],
+        }),
+      ],
+      'r',
+    );
+    chai
+      .expect(explanation?.beliefs.map(({line, ageMs}) => [line.event, ageMs]))
+      .eql([
+        ['prompt_part_held', 400],
+        ['upstream_ended', 100],
+      ]);
+    const text = explanation && telemetry.formatExplanation(explanation);
+    chai.expect(text).contain('upstreams=["u/1"]').and.contain('parts=["p"]');
+  });
+
   it('returns undefined for a request that no line names', () => {
     chai.expect(explain([lineOf(0, 'a', 'zones_out')], 'r')).equal(undefined);
   });
