Log when, and from where, an instance learns that an upstream is cold

Cause: of a request at a flooded cold upstream the logs had isCold alone. Whether the senders did not know yet, or knew and together had too large shares, could not be told, nor how old the news was, nor what had been sent before it came.

Change: ColdStarts takes the cold starts out of the catalog, notes the source and the requests sent, and reports the begin and the end of each (upstream_cold, upstream_warm); request_placed has the source, the age and the share. A gauge counts cold upstreams. No decision changes.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -61,6 +61,7 @@
   readonly backoffs: decisions.UpstreamBackoffs;
   readonly leavingNotices: decisions.LeavingNotices;
   readonly concurrencyShares: decisions.ConcurrencyShares;
+  readonly coldStarts: decisions.ColdStarts;
   readonly availability: gateway.UpstreamAvailability;
   readonly partQuarantine: decisions.PartQuarantine;
   readonly upstreamEnds: gateway.UpstreamEnds;
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -6,6 +6,7 @@
 import * as telemetry from '@amaranthknot/telemetry';
 import * as tsyringe from 'tsyringe';
 import type * as gatewayComponents from './gateway-components.js';
+import * as coldFactories from './wiring/cold-factories.js';
 import * as fleetFactories from './wiring/fleet-factories.js';
 import * as linkFactories from './wiring/link-factories.js';
 import * as quarantineFactories from './wiring/quarantine-factories.js';
@@ -24,6 +25,7 @@
   ...requestFactories.createRequestFactories(options),
   ...linkFactories.createLinkFactories(),
   ...quarantineFactories.createQuarantineFactories(options),
+  ...coldFactories.createColdFactories(options),
   options: () => options,
   log: get =>
     new telemetry.DecisionLog({
@@ -41,6 +43,7 @@
       upstreams: get('catalog').all().length,
       upstreamsAgeMs: get('state').upstreamsAgeMs(),
       upstreamsInBackoff: get('backoffs').activeCount,
+      upstreamsCold: get('coldStarts').coldCount,
       promptPartsHeld: get('partQuarantine').heldParts.length,
       servicesUnreachable: get('upstreamLinks').lostServices.length,
       requestsForwarded: get('peerForwarder').inFlight,
--- /dev/null
+++ b/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
@@ -0,0 +1,73 @@
+/** Factories of the components that follow the cold starts of upstreams. */
+import * as decisions from '@amaranthknot/decisions';
+import type * as gateway from '@amaranthknot/gateway';
+import type * as gatewayComponents from '../gateway-components.js';
+
+/** Tokens of the components that are created here. */
+export type ColdComponent = 'coldStarts';
+
+const roundOptional = (ms: number | undefined): number | undefined =>
+  ms === undefined ? undefined : Math.round(ms);
+
+/** Records what the entries of upstreams say of their cold starts. */
+export const recordEntries = (
+  get: gatewayComponents.GatewayResolver,
+  changes: readonly gateway.CatalogChange[],
+): void => {
+  const ageMs = get('state').upstreamsAgeMs();
+  for (const {kind, known} of changes) {
+    if (kind !== 'gone' && kind !== 'kept') {
+      const {coldForMs} = known.upstream;
+      const statement = {source: 'entry', coldForMs, ageMs} as const;
+      get('coldStarts').record(known.upstream, statement);
+    }
+  }
+};
+
+const logBegin = (
+  get: gatewayComponents.GatewayResolver,
+  {upstream, source, coldForMs, ageMs, sentLastS}: decisions.ColdBegin,
+): void => {
+  const known = get('catalog').find(upstream)?.upstream;
+  const {clock} = get('options');
+  get('log').info('upstream_cold', {
+    upstream,
+    service: known?.service,
+    zone: known?.zone,
+    source,
+    coldForMs: Math.round(coldForMs),
+    ageMs: roundOptional(ageMs),
+    startedAgoMs: known && Math.round(clock.wallTime() - known.startedAtMs),
+    sentLastS,
+    instances: get('members').idsForShares(clock.now()).length,
+    revision: get('views').upstreams.version,
+  });
+};
+
+const logEnd = (
+  get: gatewayComponents.GatewayResolver,
+  {upstream, source, coldMs, sent}: decisions.ColdEnd,
+): void => {
+  get('log').info('upstream_warm', {
+    upstream,
+    source,
+    coldMs: Math.round(coldMs),
+    sent,
+  });
+};
+
+/** Creates the factories by token. */
+export const createColdFactories = (
+  options: gatewayComponents.GatewayOptions,
+): gatewayComponents.ComponentFactories<ColdComponent> => ({
+  coldStarts: get =>
+    new decisions.ColdStarts({
+      now: () => options.clock.now(),
+      onBegin: begin => {
+        logBegin(get, begin);
+      },
+      onEnd: end => {
+        logEnd(get, end);
+      },
+    }),
+});
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -5,6 +5,7 @@
 import type * as routing from '@amaranthknot/routing';
 import * as gatewayState from '../gateway-state.js';
 import type * as gatewayComponents from '../gateway-components.js';
+import * as coldFactories from './cold-factories.js';
 import * as repeatSlack from '../repeat-slack.js';
 import * as upstreamChanges from '../upstream-changes.js';
 
@@ -55,6 +56,7 @@
   get('upstreamLinks').retain(ids);
   get('leavingNotices').retain(ids);
   get('concurrencyShares').retain(ids);
+  get('coldStarts').retain(ids);
 };
 
 const formatIncarnation = (get: gatewayComponents.GatewayResolver): string => {
@@ -129,6 +131,7 @@
     backoffs: get('backoffs'),
     leaving: get('leavingNotices'),
     concurrency: get('concurrencyShares'),
+    coldStarts: get('coldStarts'),
     inFlightOf: id => get('picker').inFlightOf(id),
     now: () => clock.now(),
     isZoneOut: zone => get('state').isZoneOut(zone),
@@ -245,6 +248,7 @@
     new gateway.UpstreamCatalog({
       onChanges: changes => {
         dropGoneUpstreams(get, changes);
+        coldFactories.recordEntries(get, changes);
         get('log').info(
           'upstreams_changed',
           upstreamChanges.describeChanges(changes, {
--- a/packages/amaranthknot/tests/gateway/upstream-changes.test.ts
+++ b/packages/amaranthknot/tests/gateway/upstream-changes.test.ts
@@ -19,7 +19,6 @@
       state: 'ready',
       coldForMs: 0,
     },
-    coldUntilMs: 0,
     knownSinceMs: 0,
   },
 });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,6 +16,7 @@
 export * from './cascade-plan.js';
 export * from './cold-detector.js';
 export * from './cold-share.js';
+export * from './cold-starts.js';
 export * from './concurrency-shares.js';
 export * from './configuration-freshness.js';
 export * from './demand-meter.js';
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -14,6 +14,7 @@
   readonly backoffs: decisions.UpstreamBackoffs;
   readonly leaving: decisions.LeavingNotices;
   readonly concurrency: decisions.ConcurrencyShares;
+  readonly coldStarts: decisions.ColdStarts;
   /** Requests that this instance has in progress at an upstream. */
   readonly inFlightOf: (id: string) => number;
   readonly now: () => number;
@@ -119,16 +120,21 @@
   }
 
   /** What limits the use of an upstream now, for the log. */
-  describe({upstream, coldUntilMs}: Known): {
-    readonly isCold: boolean;
+  describe(
+    {upstream}: Known,
+    service: routing.Service,
+  ): decisions.ColdDescription & {
+    readonly coldShare: number | undefined;
     readonly limitPerS: number | undefined;
     readonly backoffMs: number | undefined;
     readonly capacity: number | undefined;
   } {
-    const {limits, backoffs, concurrency, now} = this.options;
+    const {limits, backoffs, concurrency, coldStarts, coldShare} = this.options;
+    const cold = coldStarts.describe(upstream);
     const backoffMs = Math.round(backoffs.findRemainingMs(upstream));
     return {
-      isCold: now() < coldUntilMs,
+      ...cold,
+      coldShare: cold.isCold ? coldShare(upstream, service) : undefined,
       limitPerS: limits.find(upstream.id),
       backoffMs: backoffMs > 0 ? backoffMs : undefined,
       capacity: concurrency.findCapacity(upstream),
@@ -137,10 +143,11 @@
 
   /** Undefined if other instances have all of its cold capacity. */
   private findColdWaitMs(
-    {upstream, coldUntilMs}: Known,
+    {upstream}: Known,
     service: routing.Service,
   ): number | undefined {
     const now = this.options.now();
+    const coldUntilMs = this.options.coldStarts.findUntilMs(upstream);
     if (now >= coldUntilMs || service.coldPerSecond === 0) {
       return 0;
     }
@@ -152,8 +159,10 @@
     return Math.min(waitMs, coldUntilMs - now);
   }
 
-  private recordColdSend({upstream, coldUntilMs}: Known): void {
+  private recordColdSend({upstream}: Known): void {
     const now = this.options.now();
+    const coldUntilMs = this.options.coldStarts.findUntilMs(upstream);
+    this.options.coldStarts.recordSend(upstream);
     if (now >= coldUntilMs) {
       this.coldSends.delete(upstream.id);
       return;
--- a/packages/gateway/src/upstream-catalog.ts
+++ b/packages/gateway/src/upstream-catalog.ts
@@ -16,8 +16,6 @@
 /** An upstream, with times that this instance derives from its entries. */
 export interface KnownUpstream {
   readonly upstream: routing.Upstream;
-  /** End of its cold start, in which it takes few requests; by our clock. */
-  readonly coldUntilMs: number;
   /** When this instance first saw this start of it, by our clock. */
   readonly knownSinceMs: number;
 }
@@ -147,12 +145,8 @@
       return;
     }
     const isSame = before?.known.upstream.startedAtMs === upstream.startedAtMs;
-    const coldUntilMs = nowMs + upstream.coldForMs;
     const known = {
       upstream,
-      coldUntilMs: isSame
-        ? Math.max(before.known.coldUntilMs, coldUntilMs)
-        : coldUntilMs,
       knownSinceMs: isSame ? before.known.knownSinceMs : nowMs,
     };
     this.rows.set(object.name, {version: object.version, known});
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -163,19 +163,15 @@
     {request, history}: runContext.PlacementRequest,
   ): telemetry.Details {
     const {upstream} = known;
-    const {isCold, limitPerS, backoffMs, capacity} =
-      this.options.availability.describe(known);
+    const limits = this.options.availability.describe(known, request.service);
     return {
       zone: upstream.zone,
       version: upstream.version,
       candidates,
       isRepeat: history.isRepeat,
-      isCold,
       upstreamsAgeMs: this.findUpstreamsAgeMs(),
       parts: history.sends === 0 ? describeParts(request) : undefined,
-      limitPerS,
-      backoffMs,
-      capacity,
+      ...limits,
       ...this.options.picker.describe(upstream.id),
     };
   }
--- a/packages/gateway/tests/upstream-catalog.test.ts
+++ b/packages/gateway/tests/upstream-catalog.test.ts
@@ -85,17 +85,9 @@
     const catalog = createCatalog();
     catalog.update(entriesOf({a: {coldForMs: 9_000}}), 0, true);
     catalog.update(entriesOf({a: {startedAtMs: 2}}, 2), 5_000, true);
-    chai.expect(catalog.find('a')?.coldUntilMs).equal(5_000);
     chai.expect(catalog.find('a')?.knownSinceMs).equal(5_000);
   });
 
-  it('does not end a cold start early because of a later entry', () => {
-    const catalog = createCatalog();
-    catalog.update(entriesOf({a: {coldForMs: 3_000}}), 0, true);
-    catalog.update(entriesOf({a: {coldForMs: 0}}, 2), 1_000, true);
-    chai.expect(catalog.find('a')?.coldUntilMs).equal(3_000);
-  });
-
   it('ignores entries that describe no upstream', () => {
     const catalog = createCatalog();
     catalog.update(entriesOf({a: {}, b: undefined}), 0, true);
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -76,6 +76,10 @@
   | 'upstream_refusals_limited'
   /** An upstream asked this instance to send it nothing for a time. */
   | 'upstream_backoff'
+  /** An upstream counts as cold from now on, and gets few requests. */
+  | 'upstream_cold'
+  /** It counts as cold no longer. */
+  | 'upstream_warm'
   /** An upstream said in an answer that it is leaving. */
   | 'upstream_leaving'
   /** This instance reaches no upstream of a service any more. */
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -29,6 +29,8 @@
   readonly upstreamsAgeMs: number | undefined;
   /** Upstreams that asked this instance to send them nothing for a time. */
   readonly upstreamsInBackoff: number;
+  /** Upstreams that count as cold. */
+  readonly upstreamsCold: number;
   /** Parts of prompts that are kept away from upstreams. */
   readonly promptPartsHeld: number;
   /** Services of which this instance reaches no upstream. */
@@ -103,6 +105,11 @@
       'Upstreams that want no requests from this instance for now.',
       () => readGauges().upstreamsInBackoff,
     );
+    this.addGauge(
+      'upstreams_cold',
+      'Upstreams that count as cold, and get few requests.',
+      () => readGauges().upstreamsCold,
+    );
     this.addGauge(
       'prompt_parts_held',
       'Parts of prompts that are kept away from upstreams.',
