Reproduce a cold upstream that all instances flood, and shares that add up

What callers would see: an upstream that comes back cold gets the load of a warm one, crashes, and what it runs is lost.

--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -27,8 +27,8 @@
 
 const SERVICE = 'svc';
 
-/** Fields that a test overrides on all routes. */
-type RouteOverrides = Readonly<Record<string, unknown>>;
+/** Fields that a test overrides on all routes, or on the service. */
+type Overrides = Readonly<Record<string, unknown>>;
 
 const createRoute = (
   name: string,
@@ -51,7 +51,8 @@
 /** The operators' manifest, as the store holds it. */
 export const createManifest = (
   version: number,
-  overrides: RouteOverrides = {},
+  overrides: Overrides = {},
+  serviceOverrides: Overrides = {},
 ): unknown => ({
   version,
   routes: [
@@ -84,6 +85,7 @@
           {name: 'large', cost: 0.3},
         ],
       },
+      ...serviceOverrides,
     },
   ],
   limits: {
@@ -287,12 +289,15 @@
  * Starts a store with a manifest and `count` instances; resolves when all
  * serve.
  */
-export const startGateway = async (count = 1): Promise<GatewayFixture> => {
+export const startGateway = async (
+  count = 1,
+  manifest = createManifest(1),
+): Promise<GatewayFixture> => {
   const clock = ports.systemClock;
   const storeServer = new fakes.ObjectApiServer(clock);
   await storeServer.start();
   const {store} = storeServer;
-  await store.create('config', 'main', createManifest(1));
+  await store.create('config', 'main', manifest);
   const settings: configuration.GatewaySettings[] = [];
   for (let i = 0; i < count; i++) {
     const seeds = settings.map(({listen}) => listen.peers);
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -12,6 +12,7 @@
   readonly zones: number;
   readonly isBootstrap?: boolean;
   readonly bounds?: configuration.GatewayBounds;
+  readonly manifest?: unknown;
 }
 
 /** Starts all instances within 0.3 s of each other. */
