Take an upstream that was away for cold until it says otherwise

What callers saw: an upstream that had been silent or had refused connections was back, cold, and got the load of a warm one within moments; it crashed with all that it ran.

Cause: that an upstream is cold was known from its entry in the store alone, and no entry counted as good news. While the store is slow or away, or until the entry is read, each instance took it for warm, and as it looks idle all chose it. The opposite fault: each instance had to find out by itself that it was back, and avoided it for seconds.

Change: requests show an instance that an upstream was away: no connection, two attempts in a row without an answer, a second of silence, a probe that fails twice, an end. Such an upstream counts as cold until it says otherwise, in the answer to a health check or under a new start, or until it has answered some instance for the time of a cold start. Instances tell each other at once of an absence and of the first answer after it, which also ends its ejection everywhere. An instance that starts is told by its seed. The answers to checks of links, which are made anyway, are read for the time that an upstream stays cold; nothing is asked for that purpose.

Why this works: a restart needs an absence, and what one instance sees of it all know within a round of messages, whatever the store does. The presumption is cheap: the limit of a cold upstream is above what one gets at normal load, so a false one holds back little. It can't outlast a cold start after an answer, nor a minute without one.

Also: a caller that leaves while a connection is opened no longer counts as an upstream that can't be reached.

--- a/packages/amaranthknot/src/gateway/fleet-reports.ts
+++ b/packages/amaranthknot/src/gateway/fleet-reports.ts
@@ -65,6 +65,7 @@
     get('limits').merge(report.limits);
     get('concurrencyShares').merge(report.refusalLimits ?? []);
     get('partQuarantine').merge(report.suspectParts ?? []);
+    get('coldStarts').merge(report.absences ?? []);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isFollower()) {
       // A follower has its watcher's sums, which count the same requests. With
@@ -121,6 +122,7 @@
     get('limits').merge(report.limits);
     get('concurrencyShares').merge(report.refusalLimits ?? []);
     get('partQuarantine').merge(report.suspectParts ?? []);
+    get('coldStarts').merge(report.absences ?? []);
     if (report.isWatcher) {
       get('members').recordKeeper(report.from, now);
       return;
@@ -158,7 +160,7 @@
       return;
     }
     const {membersVersion, members, upstreams, evidence, rollouts} = summary;
-    const {limits, refusalLimits, suspectParts} = summary;
+    const {limits, refusalLimits, suspectParts, absences} = summary;
     const now = get('options').clock.now();
     const name = formatIncarnation(watcher);
     get('members').applyWatcherList(name, membersVersion, members, now);
@@ -167,6 +169,7 @@
     get('limits').merge(limits);
     get('concurrencyShares').merge(refusalLimits ?? []);
     get('partQuarantine').merge(suspectParts ?? []);
+    get('coldStarts').merge(absences ?? []);
     get('rollouts').applySums(rollouts, evidence);
     this.exchangedSessions = {
       watcher: name,
@@ -178,13 +181,15 @@
   /** Lists that are left out of messages while they are empty. */
   private createOptionalLists(): Pick<
     protocol.FleetReport,
-    'refusalLimits' | 'suspectParts'
+    'refusalLimits' | 'suspectParts' | 'absences'
   > {
     const refusalLimits = [...this.get('concurrencyShares').report()];
     const suspectParts = [...this.get('partQuarantine').report()];
+    const absences = [...this.get('coldStarts').report()];
     return {
       ...(refusalLimits.length === 0 ? {} : {refusalLimits}),
       ...(suspectParts.length === 0 ? {} : {suspectParts}),
+      ...(absences.length === 0 ? {} : {absences}),
     };
   }
 
--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -64,6 +64,7 @@
   readonly leavingNotices: decisions.LeavingNotices;
   readonly concurrencyShares: decisions.ConcurrencyShares;
   readonly coldStarts: decisions.ColdStarts;
+  readonly absenceSigns: decisions.AbsenceSigns;
   readonly availability: gateway.UpstreamAvailability;
   readonly partQuarantine: decisions.PartQuarantine;
   readonly upstreamEnds: gateway.UpstreamEnds;
--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -9,13 +9,14 @@
   readonly relay: fleet.ViewRelay;
   readonly reports: fleetReports.FleetReports;
   readonly quarantine: decisions.PartQuarantine;
+  readonly coldStarts: decisions.ColdStarts;
 }
 
 /** Creates the message handlers of one instance. */
 export const createPeerServer = (
   options: PeerServerOptions,
 ): protocol.PeerServer => {
-  const {relay, reports, quarantine} = options;
+  const {relay, reports, quarantine, coldStarts} = options;
   return protocol.createPeerServer({
     exchange_reports: report => {
       reports.applyReport(report);
@@ -34,6 +35,10 @@
       quarantine.merge(parts);
       return {};
     },
+    share_absences: ({absences}) => {
+      coldStarts.merge(absences);
+      return {};
+    },
   });
 };
 
@@ -42,14 +47,19 @@
  * summary: it receives the state of the fleet in its exchange with watchers.
  */
 const answerFollower = async (
-  {relay, reports, quarantine}: PeerServerOptions,
+  {relay, reports, quarantine, coldStarts}: PeerServerOptions,
   call: protocol.Params<'await_views'>,
 ): Promise<protocol.Result<'await_views'>> => {
   const {report} = call;
   if (!report) {
     const answer = await relay.awaitViews(call);
     const suspectParts = [...quarantine.report('held')];
-    return suspectParts.length === 0 ? answer : {...answer, suspectParts};
+    const absences = [...coldStarts.report('all')];
+    return {
+      ...answer,
+      ...(suspectParts.length === 0 ? {} : {suspectParts}),
+      ...(absences.length === 0 ? {} : {absences}),
+    };
   }
   reports.applyFollowerReport(report);
   const answer = await relay.awaitViews(call);
--- a/packages/amaranthknot/src/gateway/push-suspect-parts.ts
+++ b/packages/amaranthknot/src/gateway/push-news.ts
@@ -1,16 +1,19 @@
 /**
- * Tells other instances at once of new evidence about parts of prompts that end
- * upstreams.
+ * Tells other instances at once of news about upstreams and prompts.
  *
- * Guards against upstreams that end one after the other until the next regular
- * exchange: each instance sees only its own requests.
+ * Guards against upstreams that end one after the other, or are flooded when
+ * they are back, until the next regular exchange: each instance sees only its
+ * own requests.
  */
 import type * as decisions from '@amaranthknot/decisions';
 import * as protocol from '@amaranthknot/protocol';
 import type * as gatewayComponents from './gateway-components.js';
 
+/** Messages that carry news. */
+type NewsMethod = 'share_suspect_parts' | 'share_absences';
+
 /**
- * Time over which evidence is gathered before it is sent, in milliseconds: the
+ * Time over which news is gathered before it is sent, in milliseconds: the
  * connections of an upstream that ends break within a few milliseconds.
  */
 const GATHER_MS = 30;
@@ -18,10 +21,12 @@
 /** Longest wait for a peer, in milliseconds. */
 const PUSH_TIMEOUT_MS = 700;
 
-/** Creates the function that is called when there is new evidence. */
-export const createPushSuspectParts = (
+/** Creates the function that is called when there is news. */
+export const createPushNews = <M extends NewsMethod>(
   get: gatewayComponents.GatewayResolver,
-): ((source: decisions.EvidenceSource) => void) => {
+  method: M,
+  createMessage: () => protocol.Params<M>,
+): ((origin: decisions.NewsOrigin) => void) => {
   let isGathering = false;
   let hasOwn = false;
   const push = async (): Promise<void> => {
@@ -32,11 +37,11 @@
     // The peers that wait for news from this instance get its summary.
     get('relay').releaseWaiters();
     if (isOwn) {
-      await pushToWatchers(get);
+      await pushToWatchers(get, method, createMessage());
     }
   };
-  return source => {
-    hasOwn ||= source === 'own';
+  return origin => {
+    hasOwn ||= origin === 'own';
     if (!isGathering) {
       isGathering = true;
       void push();
@@ -44,10 +49,11 @@
   };
 };
 
-const pushToWatchers = async (
+const pushToWatchers = async <M extends NewsMethod>(
   get: gatewayComponents.GatewayResolver,
+  method: M,
+  message: protocol.Params<M>,
 ): Promise<void> => {
-  const parts = [...get('partQuarantine').report()];
   const others = get('watchRole')
     .findWatchers()
     .filter(({id}) => id !== get('members').self.id);
@@ -56,8 +62,8 @@
       const answer = await protocol.callPeer(
         get('transport').send,
         peers,
-        'share_suspect_parts',
-        {parts},
+        method,
+        message,
         PUSH_TIMEOUT_MS,
       );
       answer.ifLeft(error => {
--- a/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
@@ -2,9 +2,10 @@
 import * as decisions from '@amaranthknot/decisions';
 import type * as gateway from '@amaranthknot/gateway';
 import type * as gatewayComponents from '../gateway-components.js';
+import * as pushNews from '../push-news.js';
 
 /** Tokens of the components that are created here. */
-export type ColdComponent = 'coldStarts';
+export type ColdComponent = 'coldStarts' | 'absenceSigns';
 
 const roundOptional = (ms: number | undefined): number | undefined =>
   ms === undefined ? undefined : Math.round(ms);
@@ -35,7 +36,7 @@
     service: known?.service,
     zone: known?.zone,
     source,
-    coldForMs: Math.round(coldForMs),
+    coldForMs: roundOptional(coldForMs),
     ageMs: roundOptional(ageMs),
     startedAgoMs: known && Math.round(clock.wallTime() - known.startedAtMs),
     sentLastS,
@@ -56,6 +57,15 @@
   });
 };
 
+const findColdStartMs = (
+  get: gatewayComponents.GatewayResolver,
+  id: string,
+): number => {
+  const service = get('catalog').find(id)?.upstream.service ?? '';
+  const found = get('state').activeTable()?.table.services.get(service);
+  return found && found.coldPerSecond > 0 ? found.coldStartMs : 0;
+};
+
 /** Creates the factories by token. */
 export const createColdFactories = (
   options: gatewayComponents.GatewayOptions,
@@ -63,6 +73,13 @@
   coldStarts: get =>
     new decisions.ColdStarts({
       now: () => options.clock.now(),
+      findColdStartMs: id => findColdStartMs(get, id),
+      onReturn: id => {
+        get('picker').readmit(id);
+      },
+      onNews: pushNews.createPushNews(get, 'share_absences', () => ({
+        absences: [...get('coldStarts').report()],
+      })),
       onBegin: begin => {
         logBegin(get, begin);
       },
@@ -70,4 +87,6 @@
         logEnd(get, end);
       },
     }),
+  absenceSigns: () =>
+    new decisions.AbsenceSigns({now: () => options.clock.now()}),
 });
--- a/packages/amaranthknot/src/gateway/wiring/link-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/link-factories.ts
@@ -4,6 +4,7 @@
  */
 import * as decisions from '@amaranthknot/decisions';
 import * as gateway from '@amaranthknot/gateway';
+import * as platform from '@amaranthknot/platform';
 import * as routing from '@amaranthknot/routing';
 import type * as gatewayComponents from '../gateway-components.js';
 
@@ -85,9 +86,21 @@
 ): gateway.LinkMonitor =>
   new gateway.LinkMonitor({
     links: get('upstreamLinks'),
-    check: gateway.createCheckLink(
-      get('options').settings.current.sourceAddress,
-    ),
+    check: gateway.createCheckLink({
+      localAddress: get('options').settings.current.sourceAddress,
+      names: platform.HEADER_NAMES,
+      onColdFor: (upstream, coldForMs) => {
+        const statement = {
+          source: 'health_check',
+          coldForMs,
+          ageMs: 0,
+        } as const;
+        get('coldStarts').record(upstream, statement);
+      },
+    }),
+    onSilence: (upstream, forMs) => {
+      get('availability').recordSilence(upstream, forMs);
+    },
     findUpstreams: service =>
       get('availability')
         .findInService(service)
@@ -106,6 +119,7 @@
     const isReachable = await probe(upstream);
     if (!isReachable) {
       get('linkMonitor').record(upstream, 'failed');
+      get('availability').recordUnanswered(upstream, 'failed', 0);
     }
     return isReachable;
   };
--- a/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -6,7 +6,7 @@
 import * as gateway from '@amaranthknot/gateway';
 import type * as telemetry from '@amaranthknot/telemetry';
 import type * as gatewayComponents from '../gateway-components.js';
-import * as pushSuspectParts from '../push-suspect-parts.js';
+import * as pushNews from '../push-news.js';
 
 /** Tokens of the components that are created here. */
 export type QuarantineComponent = 'partQuarantine' | 'upstreamEnds';
@@ -93,7 +93,9 @@
           .serving(options.clock.now())
           .map(({id}) => id),
       onChange: createLogPartChange(get),
-      onEvidence: pushSuspectParts.createPushSuspectParts(get),
+      onEvidence: pushNews.createPushNews(get, 'share_suspect_parts', () => ({
+        parts: [...get('partQuarantine').report()],
+      })),
     }),
   upstreamEnds: get =>
     new gateway.UpstreamEnds({
@@ -103,6 +105,7 @@
         options.settings.current.sourceAddress,
       ),
       onEnd: end => {
+        get('coldStarts').recordAbsence(end.upstream);
         recordEnd(get, end);
       },
       onAnswer: parts => {
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -57,6 +57,7 @@
   get('leavingNotices').retain(ids);
   get('concurrencyShares').retain(ids);
   get('coldStarts').retain(ids);
+  get('absenceSigns').retain(ids);
 };
 
 const formatIncarnation = (get: gatewayComponents.GatewayResolver): string => {
@@ -131,6 +132,7 @@
     leaving: get('leavingNotices'),
     concurrency: get('concurrencyShares'),
     coldStarts: get('coldStarts'),
+    absenceSigns: get('absenceSigns'),
     inFlightOf: id => get('picker').inFlightOf(id),
     now: () => clock.now(),
     isZoneOut: zone => get('state').isZoneOut(zone),
--- a/packages/amaranthknot/src/gateway/wiring/store-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/store-factories.ts
@@ -127,6 +127,9 @@
     onSuspectParts: parts => {
       get('partQuarantine').merge(parts);
     },
+    onAbsences: absences => {
+      get('coldStarts').merge(absences);
+    },
     onSourceChange: source => {
       get('log').info('watch_source_changed', {source});
     },
--- /dev/null
+++ b/packages/decisions/src/absence-signs.ts
@@ -0,0 +1,92 @@
+/**
+ * Whether requests of one instance show that an upstream was away: one that was
+ * may have restarted, and be cold, whatever its entry in the store says.
+ *
+ * Load: an upstream that crashes, loses power or falls silent under requests of
+ * many instances, each of which sends only a few there. Pure: the clock is an
+ * option.
+ */
+
+/** How an attempt ended at an upstream that had sent nothing back. */
+export type UnansweredOutcome =
+  /** No connection, or one to another upstream. */
+  | 'unreachable'
+  /** The connection broke, or the answer did not come in time. */
+  | 'failed'
+  /** It was not awaited any longer. */
+  | 'cancelled';
+
+/** Options of `AbsenceSigns`. */
+export interface AbsenceSignsOptions {
+  readonly now: () => number;
+}
+
+/** Attempts in a row without an answer that show an absence. */
+const UNANSWERED_LIMIT = 2;
+
+/** Time within which they have to end, in milliseconds. */
+const UNANSWERED_WINDOW_MS = 2_000;
+
+/**
+ * Wait after which a cancelled attempt counts, in milliseconds: a sound upstream
+ * has mostly begun to answer by then.
+ */
+const MIN_WAIT_MS = 250;
+
+interface Row {
+  answeredAtMs: number;
+  /** Ends of attempts without an answer since then, the latest ones. */
+  unansweredMs: readonly number[];
+}
+
+/** The signs that one instance sees itself, by id of the upstream. */
+export class AbsenceSigns {
+  private readonly rows = new Map<string, Row>();
+
+  constructor(private readonly options: AbsenceSignsOptions) {}
+
+  /** Records that an upstream has begun to answer, or refused. */
+  recordAnswer(id: string): void {
+    this.rows.set(id, {answeredAtMs: this.options.now(), unansweredMs: []});
+  }
+
+  /** Records the end of an attempt; returns whether the upstream was away. */
+  recordUnanswered(
+    id: string,
+    outcome: UnansweredOutcome,
+    waitedMs: number,
+  ): boolean {
+    if (outcome === 'unreachable') {
+      return true;
+    }
+    if (outcome === 'cancelled' && waitedMs < MIN_WAIT_MS) {
+      return false;
+    }
+    const now = this.options.now();
+    const {answeredAtMs = -Infinity, unansweredMs = []} =
+      this.rows.get(id) ?? {};
+    const recent = [...unansweredMs, now].filter(
+      atMs => now - atMs <= UNANSWERED_WINDOW_MS,
+    );
+    this.rows.set(id, {
+      answeredAtMs,
+      unansweredMs: recent.slice(-UNANSWERED_LIMIT),
+    });
+    return recent.length >= UNANSWERED_LIMIT;
+  }
+
+  /** Whether an upstream has answered nothing in the last `forMs`. */
+  isSilent(id: string, forMs: number): boolean {
+    const answeredAtMs = this.rows.get(id)?.answeredAtMs ?? -Infinity;
+    return answeredAtMs < this.options.now() - forMs;
+  }
+
+  /** Drops what is kept of upstreams that are not in `ids`. */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.rows.keys()) {
+      if (!ids.has(id)) {
+        this.rows.delete(id);
+      }
+    }
+  }
+}
--- a/packages/decisions/src/cold-starts.ts
+++ b/packages/decisions/src/cold-starts.ts
@@ -1,33 +1,60 @@
 /**
- * What one instance knows of the cold starts of upstreams, from where, and how
- * many requests it has sent to each meanwhile.
+ * Which upstreams one instance takes for cold, from where it knows, and how many
+ * requests it has sent to each meanwhile.
  *
  * Load: all upstreams of a zone come back cold at once, under the load of the
  * whole fleet. Harm prevented: an upstream that takes few requests for now gets
- * those of a warm one, and crashes. Pure: the clock is an option.
+ * those of a warm one, and crashes. What upstreams say of themselves comes late
+ * or not at all while the store is slow or away. So an upstream that was away
+ * counts as cold until it says otherwise, or has answered for as long as a cold
+ * start lasts. Instances tell each other, as each sees only its own requests.
+ * Pure: the clock is an option.
  */
+import type * as newsOrigin from './news-origin.js';
 import * as slidingCount from './sliding-count.js';
 import type * as upstreamBackoffs from './upstream-backoffs.js';
 
 type UpstreamStart = upstreamBackoffs.UpstreamStart;
 
-/** How an instance learned that an upstream is cold. */
+/** How an instance learned that an upstream is, or may be, cold. */
 export type ColdSource =
   /** Its entry in the store says so. */
-  'entry';
+  | 'entry'
+  /** Its answer to a health check says so. */
+  | 'health_check'
+  /** It was away, as requests of this instance show. */
+  | 'absence'
+  /** Another instance reported that it was away. */
+  | 'reported_absence';
 
 /** What an upstream said of its cold start. */
 export interface ColdStatement {
-  readonly source: ColdSource;
+  readonly source: 'entry' | 'health_check';
   /** How long it stays cold, in milliseconds; 0 if it is warm. */
   readonly coldForMs: number;
   /** Time since it said so, in milliseconds; undefined if not known. */
   readonly ageMs: number | undefined;
 }
 
+/** An upstream that was away, as instances report it to each other. */
+export interface ReportedAbsence {
+  readonly id: string;
+  /** Wall time of the start that was away, in milliseconds. */
+  readonly startedAtMs: number;
+  /** Time since it was last found away, in milliseconds. */
+  readonly awayAgeMs: number;
+  /** Time since an instance first saw it answer again, in milliseconds. */
+  readonly answeredAgeMs?: number | undefined;
+}
+
 /** An upstream that counts as cold from now on. */
-export interface ColdBegin extends ColdStatement {
+export interface ColdBegin {
   readonly upstream: string;
+  readonly source: ColdSource;
+  /** Undefined until it answers again. */
+  readonly coldForMs: number | undefined;
+  /** Age of the news, in milliseconds; undefined if not known. */
+  readonly ageMs: number | undefined;
   /** Requests that this instance sent there in the last second. */
   readonly sentLastS: number;
 }
@@ -47,7 +74,7 @@
   readonly isCold: boolean;
   /** Undefined unless it is cold, as the following ones. */
   readonly coldSource?: ColdSource;
-  readonly coldForMs?: number;
+  readonly coldForMs?: number | undefined;
   /** Time since this instance learned of it, in milliseconds. */
   readonly coldKnownMs?: number;
 }
@@ -55,16 +82,35 @@
 /** Options of `ColdStarts`. */
 export interface ColdStartsOptions {
   readonly now: () => number;
+  /**
+   * How long an upstream is cold after a start, in milliseconds; 0 if it takes
+   * as much then as later.
+   */
+  readonly findColdStartMs: (id: string) => number;
   readonly onBegin: (begin: ColdBegin) => void;
   readonly onEnd: (end: ColdEnd) => void;
+  /** Called when an upstream that was away answers, or says that it is back. */
+  readonly onReturn: (id: string) => void;
+  /** Called when other instances should learn of an absence at once. */
+  readonly onNews: (origin: newsOrigin.NewsOrigin) => void;
+}
+
+interface Absence {
+  foundAtMs: number;
+  /** First known answer after that. */
+  answeredAtMs: number | undefined;
+  readonly source: ColdSource;
+  /** When others were last told, or told this instance. */
+  announcedAtMs: number;
 }
 
 interface Row {
   startedAtMs: number;
-  untilMs: number;
-  source: ColdSource;
+  toldUntilMs: number;
+  absence: Absence | undefined;
   /** When it began to count as cold; undefined while it does not. */
   beganAtMs: number | undefined;
+  beganSource: ColdSource;
   /** Requests sent there since then. */
   sent: number;
 }
@@ -72,7 +118,28 @@
 /** Window of the requests that are reported with `ColdBegin`, in ms. */
 const RECENT_MS = 1_000;
 
-/** The cold starts that one instance knows of. */
+/**
+ * Time after which an absence without an answer is forgotten, in milliseconds:
+ * by then the entry of the upstream has lapsed, or it has none to come back to.
+ */
+const ABSENCE_TTL_MS = 60_000;
+
+/** Time for which an absence is reported, in ms: a few rounds of messages. */
+const ANNOUNCE_MS = 2_000;
+
+/** Minimum time between two announcements that it is still away, in ms. */
+const REANNOUNCE_MS = 500;
+
+/**
+ * Time by which a report must differ from what is known to be news, in ms: the
+ * age in a report does not include its transmission.
+ */
+const SAME_TIME_MS = 200;
+
+/** Absences in one report at most. */
+const MAX_REPORTED = 128;
+
+/** The upstreams that one instance takes for cold. */
 export class ColdStarts {
   private readonly rows = new Map<string, Row>();
   private readonly sends = new Map<string, slidingCount.SlidingCount>();
@@ -82,39 +149,105 @@
   /** Number of upstreams that count as cold now. */
   get coldCount(): number {
     const now = this.options.now();
-    return [...this.rows.values()].filter(({untilMs}) => now < untilMs).length;
+    return [...this.rows].filter(([id, row]) => now < this.findEndMs(id, row))
+      .length;
   }
 
-  /** Records what an upstream said. A later end of the same start stays. */
-  record({id, startedAtMs}: UpstreamStart, statement: ColdStatement): void {
+  /**
+   * Records what an upstream said. A cold start does not end early because of a
+   * later statement. An entry of the same start does not show that the upstream
+   * is warm after an absence: it may have been written before that.
+   */
+  record(start: UpstreamStart, statement: ColdStatement): void {
+    const {source, coldForMs, ageMs} = statement;
     const now = this.options.now();
-    const untilMs = now + statement.coldForMs;
-    const known = this.rows.get(id);
-    const isSame = known?.startedAtMs === startedAtMs;
-    if (isSame && known.untilMs >= untilMs) {
+    // Most statements are of upstreams that are warm all along.
+    const isNoted = coldForMs > 0 || this.rows.has(start.id);
+    const row = isNoted ? this.rowOf(start) : undefined;
+    if (!row) {
       return;
     }
-    if (known && now >= known.untilMs) {
-      this.end(id, known);
+    const isNews = coldForMs > 0 && now >= row.toldUntilMs;
+    const isBack = row.absence !== undefined && source === 'health_check';
+    row.toldUntilMs = Math.max(row.toldUntilMs, now + coldForMs);
+    if (isBack) {
+      row.absence = undefined;
     }
-    const beganAtMs = known?.beganAtMs;
-    this.rows.set(id, {
-      startedAtMs,
-      untilMs,
-      source: statement.source,
-      beganAtMs: untilMs > now ? (beganAtMs ?? now) : undefined,
-      sent: known?.sent ?? 0,
+    if (isNews || isBack) {
+      this.options.onReturn(start.id);
+    }
+    this.update(start.id, row, {source, coldForMs, ageMs});
+  }
+
+  /** Records that requests of this instance found an upstream away. */
+  recordAbsence(start: UpstreamStart): void {
+    const now = this.options.now();
+    this.addAbsence(start, {
+      foundAtMs: now,
+      answeredAtMs: undefined,
+      source: 'absence',
+      announcedAtMs: now,
     });
-    if (untilMs > now && beganAtMs === undefined) {
-      const sentLastS = this.sends.get(id)?.count(now) ?? 0;
-      this.options.onBegin({upstream: id, ...statement, sentLastS});
+  }
+
+  /** Records that an upstream has begun to answer this instance. */
+  recordAnswer(start: UpstreamStart): void {
+    const row = this.rows.get(start.id);
+    const absence = row?.absence;
+    const isSame = row?.startedAtMs === start.startedAtMs;
+    if (!absence || !isSame || absence.answeredAtMs !== undefined) {
+      return;
+    }
+    absence.answeredAtMs = this.options.now();
+    this.announceReturn(start.id, absence, 'own');
+  }
+
+  /**
+   * Absences to report to other instances now.
+   *
+   * @param scope `news` for one that gets reports all the time, `all` for one
+   *     that starts.
+   */
+  report(scope: 'news' | 'all' = 'news'): readonly ReportedAbsence[] {
+    const now = this.options.now();
+    const maxAgeMs = scope === 'all' ? Infinity : ANNOUNCE_MS;
+    const reported: ReportedAbsence[] = [];
+    for (const [id, {startedAtMs, absence}] of this.rows) {
+      if (absence && now - absence.announcedAtMs <= maxAgeMs) {
+        const {foundAtMs, answeredAtMs} = absence;
+        const answeredAgeMs =
+          answeredAtMs === undefined ? undefined : now - answeredAtMs;
+        reported.push({
+          id,
+          startedAtMs,
+          awayAgeMs: now - foundAtMs,
+          answeredAgeMs,
+        });
+      }
+    }
+    return reported.slice(0, MAX_REPORTED);
+  }
+
+  /** Merges the absences that another instance reports. */
+  merge(reports: readonly ReportedAbsence[]): void {
+    const now = this.options.now();
+    for (const {awayAgeMs, answeredAgeMs, ...start} of reports) {
+      this.addAbsence(start, {
+        foundAtMs: now - awayAgeMs,
+        answeredAtMs:
+          answeredAgeMs === undefined ? undefined : now - answeredAgeMs,
+        source: 'reported_absence',
+        announcedAtMs: now,
+      });
     }
   }
 
-  /** When an upstream stops to count as cold; -Infinity if it is not known. */
+  /** When an upstream stops to count as cold; -Infinity if it does not. */
   findUntilMs({id, startedAtMs}: UpstreamStart): number {
     const row = this.rows.get(id);
-    return row?.startedAtMs === startedAtMs ? row.untilMs : -Infinity;
+    return row?.startedAtMs === startedAtMs
+      ? this.findEndMs(id, row)
+      : -Infinity;
   }
 
   /** Records a request that is sent to an upstream. */
@@ -140,42 +273,164 @@
     return row && now < untilMs
       ? {
           isCold: true,
-          coldSource: row.source,
-          coldForMs: Math.round(untilMs - now),
+          coldSource: row.beganSource,
+          coldForMs: Number.isFinite(untilMs)
+            ? Math.round(untilMs - now)
+            : undefined,
           coldKnownMs: Math.round(now - (row.beganAtMs ?? now)),
         }
       : {isCold: false};
   }
 
-  /** Reports the cold starts that are over. */
+  /** Reports the cold starts that are over, and drops what has expired. */
   expire(): void {
     const now = this.options.now();
     for (const [id, row] of this.rows) {
-      if (now >= row.untilMs) {
+      if (now >= this.findEndMs(id, row)) {
         this.end(id, row);
+        this.rows.delete(id);
       }
     }
   }
 
-  /** Drops what is kept of upstreams that are not in `ids`. */
+  /**
+   * Drops what is kept of upstreams that are not in `ids` and not cold. A cold
+   * one is kept: its entry may lapse and return.
+   */
   retain(ids: ReadonlySet<string>): void {
-    for (const byId of [this.rows, this.sends]) {
-      for (const id of byId.keys()) {
-        if (!ids.has(id)) {
-          byId.delete(id);
-        }
+    const now = this.options.now();
+    for (const [id, row] of this.rows) {
+      if (!ids.has(id) && now >= this.findEndMs(id, row)) {
+        this.rows.delete(id);
+      }
+    }
+    for (const id of this.sends.keys()) {
+      if (!ids.has(id)) {
+        this.sends.delete(id);
       }
     }
   }
 
+  private addAbsence(start: UpstreamStart, found: Absence): void {
+    const row = this.rowOf(start);
+    if (!row || this.options.findColdStartMs(start.id) === 0) {
+      return;
+    }
+    const known = row.absence;
+    const knownAtMs = known?.answeredAtMs ?? known?.foundAtMs ?? -Infinity;
+    if (!known || found.foundAtMs > knownAtMs + SAME_TIME_MS) {
+      this.setAbsence(start.id, row, found);
+      return;
+    }
+    const {answeredAtMs = -Infinity} = found;
+    if (known.answeredAtMs === undefined && answeredAtMs > known.foundAtMs) {
+      known.answeredAtMs = answeredAtMs;
+      this.announceReturn(start.id, known, 'reported');
+    }
+  }
+
+  private setAbsence(id: string, row: Row, found: Absence): void {
+    const {now, onNews, onReturn} = this.options;
+    const {absence: known} = row;
+    const isStillAway =
+      known !== undefined &&
+      known.answeredAtMs === undefined &&
+      found.answeredAtMs === undefined;
+    const isNews = !isStillAway || now() - known.announcedAtMs >= REANNOUNCE_MS;
+    const announcedAtMs = isNews ? now() : known.announcedAtMs;
+    row.absence = {...found, announcedAtMs};
+    this.update(id, row, {
+      source: found.source,
+      coldForMs: undefined,
+      ageMs: now() - found.foundAtMs,
+    });
+    if (isNews) {
+      onNews(found.source === 'absence' ? 'own' : 'reported');
+    }
+    if (found.answeredAtMs !== undefined) {
+      onReturn(id);
+    }
+  }
+
+  private announceReturn(
+    id: string,
+    absence: Absence,
+    origin: newsOrigin.NewsOrigin,
+  ): void {
+    absence.announcedAtMs = this.options.now();
+    this.options.onReturn(id);
+    this.options.onNews(origin);
+  }
+
+  /** The row of a start; undefined if a later start of it is known. */
+  private rowOf({id, startedAtMs}: UpstreamStart): Row | undefined {
+    const known = this.rows.get(id);
+    if (known?.startedAtMs === startedAtMs) {
+      return known;
+    }
+    if (known && known.startedAtMs > startedAtMs) {
+      return undefined;
+    }
+    if (known) {
+      this.end(id, known);
+    }
+    const row: Row = {
+      startedAtMs,
+      toldUntilMs: -Infinity,
+      absence: undefined,
+      beganAtMs: undefined,
+      beganSource: 'entry',
+      sent: 0,
+    };
+    this.rows.set(id, row);
+    return row;
+  }
+
+  private findEndMs(
+    id: string,
+    {toldUntilMs, absence}: Pick<Row, 'toldUntilMs' | 'absence'>,
+  ): number {
+    if (!absence) {
+      return toldUntilMs;
+    }
+    const {foundAtMs, answeredAtMs} = absence;
+    const endMs =
+      answeredAtMs === undefined
+        ? foundAtMs + ABSENCE_TTL_MS
+        : answeredAtMs + this.options.findColdStartMs(id);
+    return Math.max(toldUntilMs, endMs);
+  }
+
+  /** Reports an upstream that begins to count as cold. */
+  private update(
+    id: string,
+    row: Row,
+    news: Pick<ColdBegin, 'source' | 'coldForMs' | 'ageMs'>,
+  ): void {
+    const now = this.options.now();
+    if (now >= this.findEndMs(id, row)) {
+      this.end(id, row);
+      return;
+    }
+    if (row.beganAtMs !== undefined) {
+      return;
+    }
+    row.beganAtMs = now;
+    row.beganSource = news.source;
+    const sentLastS = this.sends.get(id)?.count(now) ?? 0;
+    this.options.onBegin({upstream: id, ...news, sentLastS});
+  }
+
   private end(id: string, row: Row): void {
-    const {beganAtMs, source, sent} = row;
+    const {beganAtMs, beganSource, sent} = row;
+    const endMs = Math.min(this.options.now(), this.findEndMs(id, row));
+    row.absence = undefined;
     if (beganAtMs === undefined) {
       return;
     }
     row.beganAtMs = undefined;
     row.sent = 0;
-    const coldMs = row.untilMs - beganAtMs;
-    this.options.onEnd({upstream: id, source, coldMs, sent});
+    const coldMs = endMs - beganAtMs;
+    this.options.onEnd({upstream: id, source: beganSource, coldMs, sent});
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
  * `rollout-schedule`, `warm-up` and `cold-share`, `retry-budget` and
  * `repeat-budget`.
  */
+export * from './absence-signs.js';
 export * from './admission-queue.js';
 export * from './admission-outcome.js';
 export * from './announced-values.js';
@@ -32,6 +33,7 @@
 export * from './logistic-regression.js';
 export * from './model-choice.js';
 export * from './moving-estimate.js';
+export * from './news-origin.js';
 export * from './parse-amount.js';
 export * from './part-quarantine.js';
 export * from './part-row.js';
--- a/packages/decisions/src/part-quarantine.ts
+++ b/packages/decisions/src/part-quarantine.ts
@@ -15,6 +15,7 @@
  * an option.
  */
 import * as lastAnswers from './last-answers.js';
+import type * as newsOrigin from './news-origin.js';
 import * as partBeliefs from './part-beliefs.js';
 import * as partRow from './part-row.js';
 import * as rendezvous from './rendezvous.js';
@@ -58,9 +59,6 @@
 /** What an instance is told: what is new, or all that is held too. */
 export type EvidenceScope = 'news' | 'held';
 
-/** Whether evidence is of this instance or was reported by another one. */
-export type EvidenceSource = 'own' | 'reported';
-
 /** Options of `PartQuarantine`. */
 export interface PartQuarantineOptions {
   readonly now: () => number;
@@ -70,7 +68,7 @@
   readonly findInstances: () => readonly string[];
   readonly onChange: (change: PartChange) => void;
   /** Called when other instances should learn of new evidence at once. */
-  readonly onEvidence: (source: EvidenceSource) => void;
+  readonly onEvidence: (source: newsOrigin.NewsOrigin) => void;
 }
 
 /** Parts about which evidence is kept, over all workspaces. */
@@ -268,7 +266,7 @@
   private mergeOne(
     report: partRow.ReportedPart,
     now: number,
-  ): EvidenceSource | undefined {
+  ): newsOrigin.NewsOrigin | undefined {
     const {part, workspace, ends, provenAgeMs = Infinity} = report;
     if (!this.rows.has(part) && ends.length === 0) {
       return undefined;
--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -271,6 +271,20 @@
     };
   }
 
+  /**
+   * Ends the ejection of an upstream that has come back.
+   *
+   * Guards against upstreams that each instance avoids for seconds after their
+   * return, as it has to find out by itself.
+   */
+  readmit(id: string): void {
+    const entry = this.entries.get(id);
+    if (entry) {
+      entry.ejectedUntilMs = -Infinity;
+      entry.ejectionMs = BASE_EJECTION_MS;
+    }
+  }
+
   /** Requests that this instance has in progress at an upstream. */
   inFlightOf(id: string): number {
     return this.entries.get(id)?.stats.inFlight ?? 0;
--- /dev/null
+++ b/packages/decisions/tests/absence-signs.test.ts
@@ -0,0 +1,80 @@
+import * as chai from 'chai';
+import * as decisions from '@amaranthknot/decisions';
+
+interface Attempt {
+  readonly atMs: number;
+  readonly outcome: decisions.UnansweredOutcome | 'answered';
+  readonly waitedMs: number;
+}
+
+const isAwayAfter = (attempts: readonly Attempt[]): boolean => {
+  let now = 0;
+  const signs = new decisions.AbsenceSigns({now: () => now});
+  let isAway = false;
+  for (const {atMs, outcome, waitedMs} of attempts) {
+    now = atMs;
+    if (outcome === 'answered') {
+      signs.recordAnswer('u-1');
+    } else {
+      isAway = signs.recordUnanswered('u-1', outcome, waitedMs);
+    }
+  }
+  return isAway;
+};
+
+const failed = (atMs: number): Attempt => ({
+  atMs,
+  outcome: 'failed',
+  waitedMs: 5,
+});
+
+const cancelled = (atMs: number, waitedMs: number): Attempt => ({
+  atMs,
+  outcome: 'cancelled',
+  waitedMs,
+});
+
+const ANSWERED: Attempt = {atMs: 500, outcome: 'answered', waitedMs: 20};
+
+describe('AbsenceSigns', () => {
+  const unreachable: Attempt = {atMs: 0, outcome: 'unreachable', waitedMs: 1};
+  [
+    {name: 'no connection', attempts: [unreachable], isAway: true},
+    {name: 'one broken connection', attempts: [failed(0)], isAway: false},
+    {name: 'two in a row', attempts: [failed(0), failed(900)], isAway: true},
+    {
+      name: 'two far apart',
+      attempts: [failed(0), failed(2_500)],
+      isAway: false,
+    },
+    {
+      name: 'an answer between two',
+      attempts: [failed(0), ANSWERED, failed(900)],
+      isAway: false,
+    },
+    {
+      name: 'two long waits that were given up',
+      attempts: [cancelled(0, 300), cancelled(100, 900)],
+      isAway: true,
+    },
+    {
+      name: 'callers that left early',
+      attempts: [cancelled(0, 20), cancelled(100, 30), cancelled(200, 10)],
+      isAway: false,
+    },
+  ].forEach(({name, attempts, isAway}) => {
+    it(`${isAway ? 'takes' : 'does not take'} for an absence: ${name}`, () => {
+      chai.expect(isAwayAfter(attempts)).equal(isAway);
+    });
+  });
+
+  it('takes an upstream for silent that answered nothing meanwhile', () => {
+    let now = 0;
+    const signs = new decisions.AbsenceSigns({now: () => now});
+    signs.recordAnswer('u-1');
+    now = 800;
+    chai.expect(signs.isSilent('u-1', 1_000)).equal(false);
+    now = 1_200;
+    chai.expect(signs.isSilent('u-1', 1_000)).equal(true);
+  });
+});
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -37,6 +37,8 @@
   readonly onSuspectParts: (
     parts: readonly protocol.SuspectPartReport[],
   ) => void;
+  /** Called when this instance starts, with the upstreams that were away. */
+  readonly onAbsences: (absences: readonly protocol.UpstreamAbsence[]) => void;
   /** Called when a source gave no usable answer. */
   readonly onFailure: (address: string, error: protocol.PeerError) => void;
   /** Called when the source changes; undefined when there is none any more. */
@@ -117,8 +119,9 @@
       {known: [], waitMs: 0},
       FIRST_ANSWER_TIMEOUT_MS,
     );
-    answer.ifRight(({heldMs, views, suspectParts = []}) => {
+    answer.ifRight(({heldMs, views, suspectParts = [], absences = []}) => {
       this.applyViews(views, askedAtMs + heldMs);
+      this.options.onAbsences(absences);
       this.options.onSuspectParts(suspectParts);
     });
   }
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -94,6 +94,7 @@
     isWatcher: () => false,
     createReport: createFollowerReport,
     onSummary: () => undefined,
+    onAbsences: () => undefined,
     onSuspectParts: () => undefined,
     onSourceChange: () => undefined,
     onFailure: () => undefined,
--- a/packages/gateway/src/link-monitor.ts
+++ b/packages/gateway/src/link-monitor.ts
@@ -26,6 +26,8 @@
   readonly check: linkCheck.CheckLink;
   /** Upstreams in service, by name of the service. */
   readonly findUpstreams: (service: string) => readonly routing.Upstream[];
+  /** Called when an upstream has not answered a request for `forMs`. */
+  readonly onSilence: (upstream: routing.Upstream, forMs: number) => void;
   /** Undefined if the configuration has no such service. */
   readonly findService: (name: string) => routing.Service | undefined;
   readonly random: () => number;
@@ -78,8 +80,10 @@
   }
 
   /** Records that an upstream has not answered a request for `forMs`. */
-  recordSilence({service, id}: routing.Upstream, forMs: number): void {
+  recordSilence(upstream: routing.Upstream, forMs: number): void {
+    const {service, id} = upstream;
     this.options.links.recordSilence(service, id, forMs);
+    this.options.onSilence(upstream, forMs);
     void this.checkIfDue(service);
   }
 
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -38,6 +38,10 @@
 ): runContext.AttemptOutcome => {
   switch (failure.reason) {
     case 'unreachable':
+      // A caller that leaves while a connection is opened shows nothing.
+      return signal.aborted
+        ? outcomeOfAbort(runContext.abortReasonOf(signal))
+        : 'unreachable';
     case 'other_upstream':
       return 'unreachable';
     case 'no_upstream':
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -15,6 +15,7 @@
   readonly leaving: decisions.LeavingNotices;
   readonly concurrency: decisions.ConcurrencyShares;
   readonly coldStarts: decisions.ColdStarts;
+  readonly absenceSigns: decisions.AbsenceSigns;
   /** Requests that this instance has in progress at an upstream. */
   readonly inFlightOf: (id: string) => number;
   readonly now: () => number;
@@ -107,6 +108,31 @@
     this.options.limits.recordSend(known.upstream.id);
   }
 
+  /** Records that an upstream has begun to answer. */
+  recordAnswer({upstream}: Known): void {
+    this.options.absenceSigns.recordAnswer(upstream.id);
+    this.options.coldStarts.recordAnswer(upstream);
+  }
+
+  /** Records the end of an attempt at an upstream that sent nothing back. */
+  recordUnanswered(
+    upstream: routing.Upstream,
+    outcome: decisions.UnansweredOutcome,
+    waitedMs: number,
+  ): void {
+    const {absenceSigns, coldStarts} = this.options;
+    if (absenceSigns.recordUnanswered(upstream.id, outcome, waitedMs)) {
+      coldStarts.recordAbsence(upstream);
+    }
+  }
+
+  /** Records that an upstream has not answered a request for `forMs`. */
+  recordSilence(upstream: routing.Upstream, forMs: number): void {
+    if (this.options.absenceSigns.isSilent(upstream.id, forMs)) {
+      this.options.coldStarts.recordAbsence(upstream);
+    }
+  }
+
   /** Records that an upstream refused a request for want of room. */
   recordRefusal({upstream}: Known): void {
     this.options.concurrency.recordRefusal(upstream);
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -252,9 +252,9 @@
     pickRequest: decisions.PickRequest,
   ): Omit<runContext.PlacedAttempt, 'inputs'> {
     const {upstream} = known;
-    const {rollouts} = this.options;
+    const {rollouts, availability} = this.options;
     const startedAtMs = this.options.now();
-    this.options.availability.recordSend(known);
+    availability.recordSend(known);
     const ticket = this.options.picker.start(upstream.id, pickRequest);
     const watch = this.options.ends.watch(upstream, describeWatched(toPlace));
     const requestClass = {
@@ -272,6 +272,14 @@
     };
     let firstByteMs: number | undefined;
     let isOpen = true;
+    const recordEndOfWait = (outcome: runContext.AttemptOutcome) => {
+      if (outcome === 'refused' || outcome === 'answered') {
+        availability.recordAnswer(known);
+      } else if (firstByteMs === undefined) {
+        const waitedMs = this.options.now() - startedAtMs;
+        availability.recordUnanswered(upstream, outcome, waitedMs);
+      }
+    };
     return {
       upstream,
       recordBreak: watch.recordBreak,
@@ -281,6 +289,7 @@
       },
       recordHead: () => {
         firstByteMs ??= this.options.now() - startedAtMs;
+        availability.recordAnswer(known);
         ticket.recordFirstByte();
       },
       settle: outcome => {
@@ -290,8 +299,11 @@
           watch.recordAnswer();
         }
         watch.settle();
+        if (isOpen) {
+          recordEndOfWait(outcome);
+        }
         if (isOpen && outcome === 'refused') {
-          this.options.availability.recordRefusal(known);
+          availability.recordRefusal(known);
         }
         if (isOpen && (outcome === 'answered' || outcome === 'failed')) {
           recordPace(pace.take());
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -164,6 +164,22 @@
 /** A list of such evidence. */
 export const suspectParts = zod.array(suspectPart).max(shapes.MAX_ITEMS);
 
+/** An upstream that was away, and may be in cold start since it is back. */
+export const upstreamAbsence = zod.object({
+  id: shapes.name,
+  /** Wall time of the start that was away, in milliseconds. */
+  startedAtMs: zod.number(),
+  /** Time since it was last found away. */
+  awayAgeMs: shapes.milliseconds,
+  /** Time since an instance first saw it answer again. */
+  answeredAgeMs: shapes.milliseconds.optional(),
+});
+
+/** A list of such upstreams. */
+export const upstreamAbsences = zod
+  .array(upstreamAbsence)
+  .max(shapes.MAX_ITEMS);
+
 /** Counts of a rollout's versions since one start of an instance. */
 export const orderEvidence = zod.object({
   /** Identifies the rollout: service and version. */
@@ -203,6 +219,7 @@
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   suspectParts: suspectParts.optional(),
+  absences: upstreamAbsences.optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Version of the member list that the instance has. */
@@ -221,6 +238,7 @@
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   suspectParts: suspectParts.optional(),
+  absences: upstreamAbsences.optional(),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -243,6 +261,7 @@
   limits: zod.array(rateLimit).max(shapes.MAX_OBJECTS).default([]),
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   suspectParts: suspectParts.optional(),
+  absences: upstreamAbsences.optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
@@ -286,5 +305,8 @@
 /** Evidence of one instance about a part of prompts that ends upstreams. */
 export type SuspectPartReport = Readonly<zod.infer<typeof suspectPart>>;
 
+/** An upstream that was away. */
+export type UpstreamAbsence = Readonly<zod.infer<typeof upstreamAbsence>>;
+
 /** Report that a gateway instance sends to a peer. */
 export type FleetReport = Readonly<zod.infer<typeof fleetReport>>;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -251,6 +251,8 @@
       summary: fleetMessages.fleetSummary.optional(),
       /** For an instance that starts, which sends no report. */
       suspectParts: fleetMessages.suspectParts.optional(),
+      /** For an instance that starts. */
+      absences: fleetMessages.upstreamAbsences.optional(),
     }),
   },
   /** Lists the parts of prompts that are held, and lifts one for operators. */
@@ -277,6 +279,11 @@
     params: zod.object({parts: fleetMessages.suspectParts}),
     result: zod.object({}),
   },
+  /** Tells at once of upstreams that were away, or answer again. */
+  share_absences: {
+    params: zod.object({absences: fleetMessages.upstreamAbsences}),
+    result: zod.object({}),
+  },
   /** Announces that an instance leaves and must not be offered to callers. */
   leaving: {
     params: zod.object({from: peer}),
