Give an instance that may not know the fleet no repeats for others

What callers would see: after a common start, while upstreams fail, the instances together repeat far more requests than the fleet may, which takes the upstreams down that are left.

Cause: the repeats allowed on top of the ratio are divided by the instances that each one knows, and each had one at least. One that has just started knows only itself and took all; and one for each is over the bound once there are more instances than repeats.

Evidence: 89 virtual instances, 50 repeats allowed: 4,183 at 0.5 s after a common start, 127 at 1.5 s, 89 at 6 s.

Change: until it is known that all are known, and where the share is smaller, an instance has the slack that lets it repeat the first request after a pause (1 - 0.95 * ratio).

Why this works: that slack alone allows no repeat without a request of its own.

--- a/packages/amaranthknot/src/gateway/known-fleet.ts
+++ b/packages/amaranthknot/src/gateway/known-fleet.ts
@@ -45,6 +45,19 @@
     return isAlone && uptimeMs < ALONE_MS ? 0 : uptimeMs;
   }
 
+  /**
+   * Ids of the instances among which shares are divided; undefined while this
+   * instance has just started and may not know all.
+   */
+  get sharers(): readonly string[] | undefined {
+    const {now, startedAtMs, members, hasOtherSeeds} = this.options;
+    const isSettled =
+      this.isListed ||
+      !hasOtherSeeds() ||
+      now() - startedAtMs >= decisions.NEW_INSTANCE_MS;
+    return isSettled ? members.idsForShares(now()) : undefined;
+  }
+
   /** Records a list of a watcher, which knows the fleet if it is old enough. */
   recordListFrom({start}: protocol.Member): void {
     const startedBeforeMs = this.options.members.self.start - start;
--- a/packages/amaranthknot/src/gateway/repeat-slack.ts
+++ b/packages/amaranthknot/src/gateway/repeat-slack.ts
@@ -8,16 +8,18 @@
 export const REPEAT_BUDGET_FRACTION = 0.95;
 
 /**
- * Divides the repeats that are allowed on top of the ratio among the instances,
- * at least one for each. Call it periodically: the number of instances changes.
+ * Divides the repeats that are allowed on top of the ratio among the instances.
+ * Each has at least what lets it repeat the first request after a pause. One
+ * that has just started has no more: it may not know all others. Call it
+ * periodically: the number of instances changes.
  */
 export const updateRepeatSlack = (
   get: gatewayComponents.GatewayResolver,
 ): void => {
-  const {settings, clock} = get('options');
-  const count = get('members').idsForShares(clock.now()).length;
-  const {slack} = settings.current.bounds.retry;
+  const {ratio, slack} = get('options').settings.current.bounds.retry;
+  const leastSlack = Math.max(0, 1 - REPEAT_BUDGET_FRACTION * ratio);
+  const count = get('knownFleet').sharers?.length ?? Infinity;
   get('repeatBudget').setSlack(
-    Math.max(1, (REPEAT_BUDGET_FRACTION * slack) / count),
+    Math.max(leastSlack, (REPEAT_BUDGET_FRACTION * slack) / count),
   );
 };
