Divide the slots of a fragile upstream only among instances known to be all

What callers would see: after a common start an upstream that fails when it refuses too much gets requests for many times its slots, has to refuse them, and fails again and again.

Cause: its slots are divided among the instances that each one knows. One that has just started knows only itself and takes all of them.

The tests of refusal limits pass as before.

--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -92,18 +92,21 @@
   });
 };
 
-/** The instances that send requests of a service to its upstreams. */
+/**
+ * The instances that send requests of a service to its upstreams; undefined
+ * while this one may not know all.
+ */
 const findSenders = (
   get: gatewayComponents.GatewayResolver,
   service: string,
-): readonly string[] => {
+): readonly string[] | undefined => {
   const members = get('members');
   const now = get('options').clock.now();
   const without = members
     .live(now)
     .filter(({lostServices}) => lostServices?.includes(service))
     .map(({id}) => id);
-  return members.idsForShares(now).filter(id => !without.includes(id));
+  return get('knownFleet').sharers?.filter(id => !without.includes(id));
 };
 
 const createConcurrencyShares = (
--- a/packages/decisions/src/concurrency-shares.ts
+++ b/packages/decisions/src/concurrency-shares.ts
@@ -27,8 +27,11 @@
   extends announcedValues.AnnouncedValuesOptions {
   /** Id of this instance. */
   readonly self: string;
-  /** Ids of the instances that may send requests of a service. */
-  readonly findInstances: (service: string) => readonly string[];
+  /**
+   * Ids of the instances that may send requests of a service; undefined while
+   * this one may not know all, and then has no slot.
+   */
+  readonly findInstances: (service: string) => readonly string[] | undefined;
   /** Service of an upstream; undefined if it is not registered. */
   readonly findService: (id: string) => string | undefined;
 }
@@ -81,7 +84,7 @@
       return;
     }
     const {now, findInstances} = this.options;
-    const instances = findInstances(upstream.service).length;
+    const instances = findInstances(upstream.service)?.length ?? Infinity;
     const pauseMs = (instances * MS_PER_S) / Math.max(1, refusalsPerS);
     const untilMs = now() + Math.min(MAX_PAUSE_MS, pauseMs);
     this.pausedUntilMs.set(upstream.id, untilMs);
@@ -149,12 +152,10 @@
       return known.slots;
     }
     const {self, findInstances} = this.options;
-    const share = instanceShare.findWholeShare(
-      slots,
-      id,
-      self,
-      findInstances(service),
-    );
+    const instances = findInstances(service);
+    const share = instances
+      ? instanceShare.findWholeShare(slots, id, self, instances)
+      : 0;
     this.shares.set(id, {atMs: now, slots: share});
     return share;
   }
