Let instances with answers all the while refute what one finds of an upstream

What callers would see: one instance that can't reach an upstream reports it as away, and all others hold back from an upstream that is well. An instance whose links are all cut would do so for all upstreams at once.

Change: an instance that had parts of answers from the upstream without a gap of 0.4 s around the time in question refutes the absence, and reports carry that on. An absence is told to others only once another upstream of the service has answered, so that an instance that is cut off from all says nothing. Absences have a module of their own.

Why this works: a restart takes longer than the gap, and where the limit of a cold upstream would bind, its answers are dense enough to show that there was none.

--- a/packages/amaranthknot/src/gateway/fleet-reports.ts
+++ b/packages/amaranthknot/src/gateway/fleet-reports.ts
@@ -65,7 +65,7 @@
     get('limits').merge(report.limits);
     get('concurrencyShares').merge(report.refusalLimits ?? []);
     get('partQuarantine').merge(report.suspectParts ?? []);
-    get('coldStarts').merge(report.absences ?? []);
+    get('upstreamAbsences').merge(report.absences ?? []);
     get('rollouts').merge(report.rollouts, report.evidence);
     if (!this.isFollower()) {
       // A follower has its watcher's sums, which count the same requests. With
@@ -122,7 +122,7 @@
     get('limits').merge(report.limits);
     get('concurrencyShares').merge(report.refusalLimits ?? []);
     get('partQuarantine').merge(report.suspectParts ?? []);
-    get('coldStarts').merge(report.absences ?? []);
+    get('upstreamAbsences').merge(report.absences ?? []);
     if (report.isWatcher) {
       get('members').recordKeeper(report.from, now);
       return;
@@ -169,7 +169,7 @@
     get('limits').merge(limits);
     get('concurrencyShares').merge(refusalLimits ?? []);
     get('partQuarantine').merge(suspectParts ?? []);
-    get('coldStarts').merge(absences ?? []);
+    get('upstreamAbsences').merge(absences ?? []);
     get('rollouts').applySums(rollouts, evidence);
     this.exchangedSessions = {
       watcher: name,
@@ -185,7 +185,7 @@
   > {
     const refusalLimits = [...this.get('concurrencyShares').report()];
     const suspectParts = [...this.get('partQuarantine').report()];
-    const absences = [...this.get('coldStarts').report()];
+    const absences = [...this.get('upstreamAbsences').report()];
     return {
       ...(refusalLimits.length === 0 ? {} : {refusalLimits}),
       ...(suspectParts.length === 0 ? {} : {suspectParts}),
--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -65,6 +65,7 @@
   readonly concurrencyShares: decisions.ConcurrencyShares;
   readonly coldStarts: decisions.ColdStarts;
   readonly absenceSigns: decisions.AbsenceSigns;
+  readonly upstreamAbsences: decisions.UpstreamAbsences;
   readonly availability: gateway.UpstreamAvailability;
   readonly partQuarantine: decisions.PartQuarantine;
   readonly upstreamEnds: gateway.UpstreamEnds;
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -134,6 +134,7 @@
       get('state').expire();
       get('linkMonitor').recheckLost();
       get('partQuarantine').expire();
+      get('upstreamAbsences').expire();
       get('coldStarts').expire();
       this.sampleLoad();
       get('rollouts').reportDueEnds();
--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -9,14 +9,14 @@
   readonly relay: fleet.ViewRelay;
   readonly reports: fleetReports.FleetReports;
   readonly quarantine: decisions.PartQuarantine;
-  readonly coldStarts: decisions.ColdStarts;
+  readonly absences: decisions.UpstreamAbsences;
 }
 
 /** Creates the message handlers of one instance. */
 export const createPeerServer = (
   options: PeerServerOptions,
 ): protocol.PeerServer => {
-  const {relay, reports, quarantine, coldStarts} = options;
+  const {relay, reports, quarantine, absences: known} = options;
   return protocol.createPeerServer({
     exchange_reports: report => {
       reports.applyReport(report);
@@ -36,7 +36,7 @@
       return {};
     },
     share_absences: ({absences}) => {
-      coldStarts.merge(absences);
+      known.merge(absences);
       return {};
     },
   });
@@ -47,14 +47,14 @@
  * summary: it receives the state of the fleet in its exchange with watchers.
  */
 const answerFollower = async (
-  {relay, reports, quarantine, coldStarts}: PeerServerOptions,
+  {relay, reports, quarantine, absences: known}: PeerServerOptions,
   call: protocol.Params<'await_views'>,
 ): Promise<protocol.Result<'await_views'>> => {
   const {report} = call;
   if (!report) {
     const answer = await relay.awaitViews(call);
     const suspectParts = [...quarantine.report('held')];
-    const absences = [...coldStarts.report('all')];
+    const absences = [...known.report('all')];
     return {
       ...answer,
       ...(suspectParts.length === 0 ? {} : {suspectParts}),
--- a/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
@@ -5,7 +5,7 @@
 import * as pushNews from '../push-news.js';
 
 /** Tokens of the components that are created here. */
-export type ColdComponent = 'coldStarts' | 'absenceSigns';
+export type ColdComponent = 'coldStarts' | 'absenceSigns' | 'upstreamAbsences';
 
 const roundOptional = (ms: number | undefined): number | undefined =>
   ms === undefined ? undefined : Math.round(ms);
@@ -66,6 +66,17 @@
   return found && found.coldPerSecond > 0 ? found.coldStartMs : 0;
 };
 
+const findSiblings = (
+  get: gatewayComponents.GatewayResolver,
+  id: string,
+): readonly string[] => {
+  const known = get('catalog').all();
+  const service = get('catalog').find(id)?.upstream.service;
+  return known
+    .filter(({upstream}) => upstream.service === service && upstream.id !== id)
+    .map(({upstream}) => upstream.id);
+};
+
 /** Creates the factories by token. */
 export const createColdFactories = (
   options: gatewayComponents.GatewayOptions,
@@ -74,12 +85,13 @@
     new decisions.ColdStarts({
       now: () => options.clock.now(),
       findColdStartMs: id => findColdStartMs(get, id),
+      findAbsence: start => get('upstreamAbsences').find(start),
+      onAnswered: start => {
+        get('upstreamAbsences').clear(start);
+      },
       onReturn: id => {
         get('picker').readmit(id);
       },
-      onNews: pushNews.createPushNews(get, 'share_absences', () => ({
-        absences: [...get('coldStarts').report()],
-      })),
       onBegin: begin => {
         logBegin(get, begin);
       },
@@ -87,6 +99,23 @@
         logEnd(get, end);
       },
     }),
+  upstreamAbsences: get =>
+    new decisions.UpstreamAbsences({
+      now: () => options.clock.now(),
+      isFollowed: id => findColdStartMs(get, id) > 0,
+      findSiblings: id => findSiblings(get, id),
+      isAliveAround: (...around) =>
+        get('absenceSigns').isAliveAround(...around),
+      onChange: start => {
+        get('coldStarts').updateAbsence(start);
+      },
+      onReturn: id => {
+        get('picker').readmit(id);
+      },
+      onNews: pushNews.createPushNews(get, 'share_absences', () => ({
+        absences: [...get('upstreamAbsences').report()],
+      })),
+    }),
   absenceSigns: () =>
     new decisions.AbsenceSigns({now: () => options.clock.now()}),
 });
--- a/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
@@ -101,6 +101,6 @@
       relay: get('relay'),
       reports: get('reports'),
       quarantine: get('partQuarantine'),
-      coldStarts: get('coldStarts'),
+      absences: get('upstreamAbsences'),
     }),
 });
--- a/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -105,7 +105,7 @@
         options.settings.current.sourceAddress,
       ),
       onEnd: end => {
-        get('coldStarts').recordAbsence(end.upstream);
+        get('upstreamAbsences').recordOwn(end.upstream);
         recordEnd(get, end);
       },
       onAnswer: parts => {
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -136,6 +136,7 @@
     concurrency: get('concurrencyShares'),
     coldStarts: get('coldStarts'),
     absenceSigns: get('absenceSigns'),
+    absences: get('upstreamAbsences'),
     inFlightOf: id => get('picker').inFlightOf(id),
     now: () => clock.now(),
     isZoneOut: zone => get('state').isZoneOut(zone),
--- a/packages/amaranthknot/src/gateway/wiring/store-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/store-factories.ts
@@ -128,7 +128,7 @@
       get('partQuarantine').merge(parts);
     },
     onAbsences: absences => {
-      get('coldStarts').merge(absences);
+      get('upstreamAbsences').merge(absences);
     },
     onSourceChange: source => {
       get('log').info('watch_source_changed', {source});
--- a/packages/amaranthknot/tests/gateway/cold-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/cold-fixture.ts
@@ -60,10 +60,14 @@
     absence: Absence,
     forMs: number,
   ) => Promise<void>;
+  /** Cuts an instance off from an upstream, or ends that. */
+  readonly cut: (instance: number, upstream: number, isCut: boolean) => void;
   /** Makes an upstream cold from now on. */
   readonly makeCold: (upstream: number) => void;
   /** Writes what an upstream says of itself to its entry. */
   readonly writeEntry: (upstream: number) => Promise<void>;
+  /** Requests that an upstream got in a time. */
+  readonly count: (upstream: number, fromMs: number, toMs: number) => number;
   /** Most requests that an upstream got in a second, from a time on. */
   readonly findMostPerS: (upstream: number, fromMs: number) => number;
   /** When an upstream got its first request from a time on. */
@@ -164,6 +168,11 @@
       proxy.mode = 'open';
       makeCold(index);
     },
+    cut: (instance, index, isCut) => {
+      const source = fixture.findSource(instance);
+      get(index).proxy.setModeOf(source, isCut ? 'refusing' : undefined);
+      get(index).proxy.resetAll(source);
+    },
     makeCold,
     writeEntry: async index => {
       const {id, proxy, coldUntilMs} = get(index);
@@ -180,6 +189,8 @@
         found.unsafeCoerce().version,
       );
     },
+    count: (index, fromMs, toMs) =>
+      get(index).arrivalsMs.filter(at => at >= fromMs && at < toMs).length,
     findMostPerS: (index, fromMs) =>
       countMostPerS(get(index).arrivalsMs.filter(at => at >= fromMs)),
     findFirstMs: (index, fromMs) =>
--- a/packages/amaranthknot/tests/gateway/cold-upstreams.test.ts
+++ b/packages/amaranthknot/tests/gateway/cold-upstreams.test.ts
@@ -16,6 +16,12 @@
 /** Time after its cold start by which an upstream must be used again, in ms. */
 const USED_AGAIN_MS = 1_500;
 
+/** Time for which one instance is cut off from one upstream, in milliseconds. */
+const CUT_MS = 4_000;
+
+/** Part of its usual requests that this upstream gets at least meanwhile. */
+const MIN_USED = 0.5;
+
 /** Part of all requests that is served meanwhile at least. */
 const MIN_SERVED = 0.9;
 
@@ -73,6 +79,22 @@
       .most(USED_AGAIN_MS);
   });
 
+  it('is not what the others make of a warm one that one instance can not reach', async () => {
+    // Guards against one instance without a link that makes all hold back.
+    const load = cold.load(LOAD_PER_S, 7_000);
+    await ports.systemClock.sleep(1_500);
+    const before = cold.count(0, now() - 1_000, now());
+    cold.cut(0, 0, true);
+    const cutAtMs = now();
+    await ports.systemClock.sleep(CUT_MS);
+    const during = cold.count(0, cutAtMs, cutAtMs + CUT_MS);
+    cold.cut(0, 0, false);
+    chai.expect(await load, 'served').least(MIN_SERVED);
+    chai
+      .expect(during / (CUT_MS / 1_000), 'requests a second')
+      .least(MIN_USED * before);
+  });
+
   it('is not flooded when all instances start together', async () => {
     // Guards against instances that each send what one alone may send.
     await cold.load(LOAD_PER_S, 500);
--- a/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
@@ -5,6 +5,7 @@
 import * as gateway from '@amaranthknot/gateway';
 import * as telemetry from '@amaranthknot/telemetry';
 import * as fleetReports from '../../src/gateway/fleet-reports.js';
+import * as fleetKnowledge from '../../src/gateway/known-fleet.js';
 import * as fixture from './gateway-fixture.js';
 import type * as gatewayComponents from '../../src/gateway/gateway-components.js';
 
@@ -57,6 +58,21 @@
     onChange: () => undefined,
     onEvidence: () => undefined,
   });
+  const upstreamAbsences = new decisions.UpstreamAbsences({
+    now,
+    isFollowed: () => true,
+    findSiblings: () => [],
+    isAliveAround: () => false,
+    onChange: () => undefined,
+    onReturn: () => undefined,
+    onNews: () => undefined,
+  });
+  const knownFleet = new fleetKnowledge.KnownFleet({
+    now,
+    startedAtMs: 0,
+    members,
+    hasOtherSeeds: () => false,
+  });
   const rollouts = new gateway.RolloutTracker({
     clock,
     incarnation: `${id}.1`,
@@ -83,6 +99,8 @@
     limits,
     concurrencyShares,
     partQuarantine,
+    upstreamAbsences,
+    knownFleet,
     rollouts,
     relay: {states: () => []},
     watchRole: {isWatcher: () => isWatcher, findWatchers: () => []},
--- a/packages/decisions/src/absence-signs.ts
+++ b/packages/decisions/src/absence-signs.ts
@@ -33,8 +33,17 @@
  */
 const MIN_WAIT_MS = 250;
 
+/**
+ * Longest time between two parts of answers of an upstream that was there all
+ * the while, in milliseconds: less than a restart takes.
+ */
+const MAX_GAP_MS = 400;
+
 interface Row {
+  /** Last part of an answer. */
   answeredAtMs: number;
+  /** Since when such parts came without a longer gap. */
+  aliveSinceMs: number;
   /** Ends of attempts without an answer since then, the latest ones. */
   unansweredMs: readonly number[];
 }
@@ -45,9 +54,28 @@
 
   constructor(private readonly options: AbsenceSignsOptions) {}
 
-  /** Records that an upstream has begun to answer, or refused. */
+  /** Records a part of an answer of an upstream, or a refusal. */
   recordAnswer(id: string): void {
-    this.rows.set(id, {answeredAtMs: this.options.now(), unansweredMs: []});
+    const now = this.options.now();
+    const row = this.rows.get(id);
+    if (!row) {
+      const times = {answeredAtMs: now, aliveSinceMs: now};
+      this.rows.set(id, {...times, unansweredMs: []});
+      return;
+    }
+    if (now - row.answeredAtMs > MAX_GAP_MS) {
+      row.aliveSinceMs = now;
+    }
+    row.answeredAtMs = now;
+    row.unansweredMs = [];
+  }
+
+  /** Whether answers came shortly before and after a time. */
+  isAliveAround(id: string, atMs: number): boolean {
+    const row = this.rows.get(id);
+    return (
+      row !== undefined && row.aliveSinceMs < atMs && row.answeredAtMs > atMs
+    );
   }
 
   /** Records the end of an attempt; returns whether the upstream was away. */
@@ -63,15 +91,16 @@
       return false;
     }
     const now = this.options.now();
-    const {answeredAtMs = -Infinity, unansweredMs = []} =
-      this.rows.get(id) ?? {};
-    const recent = [...unansweredMs, now].filter(
+    const row = this.rows.get(id) ?? {
+      answeredAtMs: -Infinity,
+      aliveSinceMs: Infinity,
+      unansweredMs: [],
+    };
+    const recent = [...row.unansweredMs, now].filter(
       atMs => now - atMs <= UNANSWERED_WINDOW_MS,
     );
-    this.rows.set(id, {
-      answeredAtMs,
-      unansweredMs: recent.slice(-UNANSWERED_LIMIT),
-    });
+    row.unansweredMs = recent.slice(-UNANSWERED_LIMIT);
+    this.rows.set(id, row);
     return recent.length >= UNANSWERED_LIMIT;
   }
 
--- a/packages/decisions/src/cold-starts.ts
+++ b/packages/decisions/src/cold-starts.ts
@@ -7,11 +7,10 @@
  * those of a warm one, and crashes. What upstreams say of themselves comes late
  * or not at all while the store is slow or away. So an upstream that was away
  * counts as cold until it says otherwise, or has answered for as long as a cold
- * start lasts. Instances tell each other, as each sees only its own requests.
- * Pure: the clock is an option.
+ * start lasts. Pure: the clock is an option.
  */
-import type * as newsOrigin from './news-origin.js';
 import * as slidingCount from './sliding-count.js';
+import type * as upstreamAbsences from './upstream-absences.js';
 import type * as upstreamBackoffs from './upstream-backoffs.js';
 
 type UpstreamStart = upstreamBackoffs.UpstreamStart;
@@ -36,17 +35,6 @@
   readonly ageMs: number | undefined;
 }
 
-/** An upstream that was away, as instances report it to each other. */
-export interface ReportedAbsence {
-  readonly id: string;
-  /** Wall time of the start that was away, in milliseconds. */
-  readonly startedAtMs: number;
-  /** Time since it was last found away, in milliseconds. */
-  readonly awayAgeMs: number;
-  /** Time since an instance first saw it answer again, in milliseconds. */
-  readonly answeredAgeMs?: number | undefined;
-}
-
 /** An upstream that counts as cold from now on. */
 export interface ColdBegin {
   readonly upstream: string;
@@ -89,25 +77,19 @@
   readonly findColdStartMs: (id: string) => number;
   readonly onBegin: (begin: ColdBegin) => void;
   readonly onEnd: (end: ColdEnd) => void;
-  /** Called when an upstream that was away answers, or says that it is back. */
+  /** The last absence of an upstream. */
+  readonly findAbsence: (
+    start: UpstreamStart,
+  ) => upstreamAbsences.Absence | undefined;
+  /** Called when an upstream says in an answer that it is cold or warm. */
+  readonly onAnswered: (start: UpstreamStart) => void;
+  /** Called when an upstream says that it has become cold. */
   readonly onReturn: (id: string) => void;
-  /** Called when other instances should learn of an absence at once. */
-  readonly onNews: (origin: newsOrigin.NewsOrigin) => void;
-}
-
-interface Absence {
-  foundAtMs: number;
-  /** First known answer after that. */
-  answeredAtMs: number | undefined;
-  readonly source: ColdSource;
-  /** When others were last told, or told this instance. */
-  announcedAtMs: number;
 }
 
 interface Row {
   startedAtMs: number;
   toldUntilMs: number;
-  absence: Absence | undefined;
   /** When it began to count as cold; undefined while it does not. */
   beganAtMs: number | undefined;
   beganSource: ColdSource;
@@ -118,27 +100,6 @@
 /** Window of the requests that are reported with `ColdBegin`, in ms. */
 const RECENT_MS = 1_000;
 
-/**
- * Time after which an absence without an answer is forgotten, in milliseconds:
- * by then the entry of the upstream has lapsed, or it has none to come back to.
- */
-const ABSENCE_TTL_MS = 60_000;
-
-/** Time for which an absence is reported, in ms: a few rounds of messages. */
-const ANNOUNCE_MS = 2_000;
-
-/** Minimum time between two announcements that it is still away, in ms. */
-const REANNOUNCE_MS = 500;
-
-/**
- * Time by which a report must differ from what is known to be news, in ms: the
- * age in a report does not include its transmission.
- */
-const SAME_TIME_MS = 200;
-
-/** Absences in one report at most. */
-const MAX_REPORTED = 128;
-
 /** The upstreams that one instance takes for cold. */
 export class ColdStarts {
   private readonly rows = new Map<string, Row>();
@@ -168,78 +129,28 @@
       return;
     }
     const isNews = coldForMs > 0 && now >= row.toldUntilMs;
-    const isBack = row.absence !== undefined && source === 'health_check';
     row.toldUntilMs = Math.max(row.toldUntilMs, now + coldForMs);
-    if (isBack) {
-      row.absence = undefined;
+    if (source === 'health_check') {
+      this.options.onAnswered(start);
     }
-    if (isNews || isBack) {
+    if (isNews) {
       this.options.onReturn(start.id);
     }
     this.update(start.id, row, {source, coldForMs, ageMs});
   }
 
-  /** Records that requests of this instance found an upstream away. */
-  recordAbsence(start: UpstreamStart): void {
-    const now = this.options.now();
-    this.addAbsence(start, {
-      foundAtMs: now,
-      answeredAtMs: undefined,
-      source: 'absence',
-      announcedAtMs: now,
-    });
-  }
-
-  /** Records that an upstream has begun to answer this instance. */
-  recordAnswer(start: UpstreamStart): void {
-    const row = this.rows.get(start.id);
-    const absence = row?.absence;
-    const isSame = row?.startedAtMs === start.startedAtMs;
-    if (!absence || !isSame || absence.answeredAtMs !== undefined) {
+  /** Takes a change of what is known of an upstream's absence into account. */
+  updateAbsence(start: UpstreamStart): void {
+    const absence = this.options.findAbsence(start);
+    const row = absence ? this.rowOf(start) : this.rows.get(start.id);
+    if (row?.startedAtMs !== start.startedAtMs) {
       return;
     }
-    absence.answeredAtMs = this.options.now();
-    this.announceReturn(start.id, absence, 'own');
-  }
-
-  /**
-   * Absences to report to other instances now.
-   *
-   * @param scope `news` for one that gets reports all the time, `all` for one
-   *     that starts.
-   */
-  report(scope: 'news' | 'all' = 'news'): readonly ReportedAbsence[] {
-    const now = this.options.now();
-    const maxAgeMs = scope === 'all' ? Infinity : ANNOUNCE_MS;
-    const reported: ReportedAbsence[] = [];
-    for (const [id, {startedAtMs, absence}] of this.rows) {
-      if (absence && now - absence.announcedAtMs <= maxAgeMs) {
-        const {foundAtMs, answeredAtMs} = absence;
-        const answeredAgeMs =
-          answeredAtMs === undefined ? undefined : now - answeredAtMs;
-        reported.push({
-          id,
-          startedAtMs,
-          awayAgeMs: now - foundAtMs,
-          answeredAgeMs,
-        });
-      }
-    }
-    return reported.slice(0, MAX_REPORTED);
-  }
-
-  /** Merges the absences that another instance reports. */
-  merge(reports: readonly ReportedAbsence[]): void {
-    const now = this.options.now();
-    for (const {awayAgeMs, answeredAgeMs, ...start} of reports) {
-      this.addAbsence(start, {
-        foundAtMs: now - awayAgeMs,
-        answeredAtMs:
-          answeredAgeMs === undefined ? undefined : now - answeredAgeMs,
-        source: 'reported_absence',
-        announcedAtMs: now,
-      });
-    }
+    this.update(start.id, row, {
+      source: absence?.origin === 'reported' ? 'reported_absence' : 'absence',
+      coldForMs: undefined,
+      ageMs: absence && this.options.now() - absence.foundAtMs,
+    });
   }
 
   /** When an upstream stops to count as cold; -Infinity if it does not. */
@@ -311,57 +222,6 @@
     }
   }
 
-  private addAbsence(start: UpstreamStart, found: Absence): void {
-    const row = this.rowOf(start);
-    if (!row || this.options.findColdStartMs(start.id) === 0) {
-      return;
-    }
-    const known = row.absence;
-    const knownAtMs = known?.answeredAtMs ?? known?.foundAtMs ?? -Infinity;
-    if (!known || found.foundAtMs > knownAtMs + SAME_TIME_MS) {
-      this.setAbsence(start.id, row, found);
-      return;
-    }
-    const {answeredAtMs = -Infinity} = found;
-    if (known.answeredAtMs === undefined && answeredAtMs > known.foundAtMs) {
-      known.answeredAtMs = answeredAtMs;
-      this.announceReturn(start.id, known, 'reported');
-    }
-  }
-
-  private setAbsence(id: string, row: Row, found: Absence): void {
-    const {now, onNews, onReturn} = this.options;
-    const {absence: known} = row;
-    const isStillAway =
-      known !== undefined &&
-      known.answeredAtMs === undefined &&
-      found.answeredAtMs === undefined;
-    const isNews = !isStillAway || now() - known.announcedAtMs >= REANNOUNCE_MS;
-    const announcedAtMs = isNews ? now() : known.announcedAtMs;
-    row.absence = {...found, announcedAtMs};
-    this.update(id, row, {
-      source: found.source,
-      coldForMs: undefined,
-      ageMs: now() - found.foundAtMs,
-    });
-    if (isNews) {
-      onNews(found.source === 'absence' ? 'own' : 'reported');
-    }
-    if (found.answeredAtMs !== undefined) {
-      onReturn(id);
-    }
-  }
-
-  private announceReturn(
-    id: string,
-    absence: Absence,
-    origin: newsOrigin.NewsOrigin,
-  ): void {
-    absence.announcedAtMs = this.options.now();
-    this.options.onReturn(id);
-    this.options.onNews(origin);
-  }
-
   /** The row of a start; undefined if a later start of it is known. */
   private rowOf({id, startedAtMs}: UpstreamStart): Row | undefined {
     const known = this.rows.get(id);
@@ -377,7 +237,6 @@
     const row: Row = {
       startedAtMs,
       toldUntilMs: -Infinity,
-      absence: undefined,
       beganAtMs: undefined,
       beganSource: 'entry',
       sent: 0,
@@ -386,19 +245,16 @@
     return row;
   }
 
-  private findEndMs(
-    id: string,
-    {toldUntilMs, absence}: Pick<Row, 'toldUntilMs' | 'absence'>,
-  ): number {
+  private findEndMs(id: string, {startedAtMs, toldUntilMs}: Row): number {
+    const absence = this.options.findAbsence({id, startedAtMs});
     if (!absence) {
       return toldUntilMs;
     }
-    const {foundAtMs, answeredAtMs} = absence;
-    const endMs =
-      answeredAtMs === undefined
-        ? foundAtMs + ABSENCE_TTL_MS
-        : answeredAtMs + this.options.findColdStartMs(id);
-    return Math.max(toldUntilMs, endMs);
+    const {answeredAtMs = Infinity} = absence;
+    return Math.max(
+      toldUntilMs,
+      answeredAtMs + this.options.findColdStartMs(id),
+    );
   }
 
   /** Reports an upstream that begins to count as cold. */
@@ -424,7 +280,6 @@
   private end(id: string, row: Row): void {
     const {beganAtMs, beganSource, sent} = row;
     const endMs = Math.min(this.options.now(), this.findEndMs(id, row));
-    row.absence = undefined;
     if (beganAtMs === undefined) {
       return;
     }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -60,6 +60,7 @@
 export * from './stage-belief.js';
 export * from './standing-queue.js';
 export * from './stream-pace.js';
+export * from './upstream-absences.js';
 export * from './upstream-backoffs.js';
 export * from './upstream-links.js';
 export * from './upstream-load.js';
--- a/packages/decisions/tests/absence-signs.test.ts
+++ b/packages/decisions/tests/absence-signs.test.ts
@@ -77,4 +77,17 @@
     now = 1_200;
     chai.expect(signs.isSilent('u-1', 1_000)).equal(true);
   });
+
+  it('knows that an upstream was there all the while', () => {
+    let now = 0;
+    const signs = new decisions.AbsenceSigns({now: () => now});
+    [0, 300, 600, 1_500, 1_600].forEach(atMs => {
+      now = atMs;
+      signs.recordAnswer('u-1');
+    });
+    chai.expect(signs.isAliveAround('u-1', 1_550)).equal(true);
+    chai.expect(signs.isAliveAround('u-1', 1_000)).equal(false);
+    chai.expect(signs.isAliveAround('u-1', 1_700)).equal(false);
+    chai.expect(signs.isAliveAround('u-2', 1_550)).equal(false);
+  });
 });
--- a/packages/decisions/tests/cold-starts.test.ts
+++ b/packages/decisions/tests/cold-starts.test.ts
@@ -9,8 +9,7 @@
   readonly coldStarts: decisions.ColdStarts;
   readonly begins: decisions.ColdBegin[];
   readonly ends: decisions.ColdEnd[];
-  readonly returns: string[];
-  readonly news: decisions.NewsOrigin[];
+  readonly setAbsence: (absence: decisions.Absence | undefined) => void;
   readonly setTime: (ms: number) => void;
   readonly tell: (coldForMs: number, startedAtMs?: number) => void;
 }
@@ -19,13 +18,16 @@
   let now = 0;
   const begins: decisions.ColdBegin[] = [];
   const ends: decisions.ColdEnd[] = [];
-  const returns: string[] = [];
-  const news: decisions.NewsOrigin[] = [];
+  let absence: decisions.Absence | undefined;
   const coldStarts = new decisions.ColdStarts({
     now: () => now,
     findColdStartMs: () => COLD_START_MS,
-    onReturn: id => returns.push(id),
-    onNews: origin => news.push(origin),
+    findAbsence: ({startedAtMs}) =>
+      startedAtMs === START.startedAtMs ? absence : undefined,
+    onAnswered: () => {
+      absence = undefined;
+    },
+    onReturn: () => undefined,
     onBegin: begin => begins.push(begin),
     onEnd: end => ends.push(end),
   });
@@ -33,8 +35,10 @@
     coldStarts,
     begins,
     ends,
-    returns,
-    news,
+    setAbsence: found => {
+      absence = found;
+      coldStarts.updateAbsence(START);
+    },
     setTime: ms => {
       now = ms;
     },
@@ -110,13 +114,12 @@
 
   it('takes an upstream that was away for cold until it has answered for long enough', () => {
     // Guards against no news of a cold start that is taken for good news.
-    const {coldStarts, returns, setTime} = createFixture();
-    coldStarts.recordAbsence(START);
+    const {coldStarts, begins, setAbsence, setTime} = createFixture();
+    setAbsence({foundAtMs: 0, answeredAtMs: undefined, origin: 'own'});
     setTime(5_000);
-    chai.expect(coldStarts.findUntilMs(START)).greaterThan(5_000);
-    coldStarts.recordAnswer(START);
-    coldStarts.recordAnswer(START);
-    chai.expect(returns).eql(['u-1']);
+    chai.expect(coldStarts.findUntilMs(START)).equal(Infinity);
+    chai.expect(begins.map(({source}) => source)).eql(['absence']);
+    setAbsence({foundAtMs: 0, answeredAtMs: 5_000, origin: 'own'});
     chai.expect(coldStarts.findUntilMs(START)).equal(5_000 + COLD_START_MS);
     setTime(5_000 + COLD_START_MS);
     coldStarts.expire();
@@ -124,70 +127,35 @@
   });
 
   it('believes what an upstream says of itself after it was away', () => {
-    const {coldStarts, returns, setTime} = createFixture();
-    coldStarts.recordAbsence(START);
+    const {coldStarts, setAbsence, setTime} = createFixture();
+    setAbsence({foundAtMs: 0, answeredAtMs: undefined, origin: 'reported'});
     setTime(1_000);
     const statement = {source: 'health_check', ageMs: 0} as const;
     coldStarts.record(START, {...statement, coldForMs: 700});
     chai.expect(coldStarts.findUntilMs(START)).equal(1_700);
-    chai.expect(returns).eql(['u-1']);
   });
 
   it('does not believe an entry of the start that was away', () => {
     // Guards against an entry that was written before the absence and read later.
-    const {coldStarts, tell} = createFixture();
-    coldStarts.recordAbsence(START);
+    const {coldStarts, setAbsence, tell} = createFixture();
+    setAbsence({foundAtMs: 0, answeredAtMs: undefined, origin: 'own'});
     tell(0);
     chai.expect(coldStarts.describe(START).isCold).equal(true);
   });
 
   it('ends an absence when another start has an entry', () => {
-    const {coldStarts, tell} = createFixture();
-    coldStarts.recordAbsence(START);
+    const {coldStarts, setAbsence, tell} = createFixture();
+    setAbsence({foundAtMs: 0, answeredAtMs: undefined, origin: 'own'});
     tell(0, 2);
     const start = {...START, startedAtMs: 2};
     chai.expect(coldStarts.describe(start).isCold).equal(false);
   });
 
-  it('learns of an absence, and of the first answer after it, by reports', () => {
-    // Guards against instances that each have to find out by themselves.
-    const here = createFixture();
-    const there = createFixture();
-    here.coldStarts.recordAbsence(START);
-    there.setTime(10_000);
-    there.coldStarts.merge(here.coldStarts.report());
-    chai
-      .expect(there.coldStarts.describe(START).coldSource)
-      .equal('reported_absence');
-    here.setTime(1_500);
-    here.coldStarts.recordAnswer(START);
-    there.setTime(11_500);
-    there.coldStarts.merge(here.coldStarts.report());
-    chai
-      .expect(there.coldStarts.findUntilMs(START))
-      .equal(11_500 + COLD_START_MS);
-    chai.expect(there.returns).eql(['u-1']);
-    chai.expect(here.news).eql(['own', 'own']);
-    chai.expect(there.news).eql(['reported', 'reported']);
-  });
-
-  it('does not take an answer before a later absence for its end', () => {
-    const {coldStarts, setTime} = createFixture();
-    setTime(10_000);
-    coldStarts.recordAbsence(START);
-    coldStarts.merge([{...START, awayAgeMs: 3_000, answeredAgeMs: 1_000}]);
-    chai.expect(coldStarts.findUntilMs(START)).greaterThan(20_000);
-  });
-
-  it('reports an absence that goes on now and then, and nothing when none is new', () => {
-    const {coldStarts, news, setTime} = createFixture();
-    for (let atMs = 0; atMs < 2_000; atMs += 50) {
-      setTime(atMs);
-      coldStarts.recordAbsence(START);
-    }
-    chai.expect(news.length).most(5);
-    setTime(10_000);
-    chai.expect(coldStarts.report()).eql([]);
-    chai.expect(coldStarts.report('all').length).equal(1);
+  it('counts an upstream as warm when its absence turns out to be none', () => {
+    const {coldStarts, ends, setAbsence} = createFixture();
+    setAbsence({foundAtMs: 0, answeredAtMs: undefined, origin: 'own'});
+    setAbsence(undefined);
+    chai.expect(coldStarts.describe(START).isCold).equal(false);
+    chai.expect(ends.length).equal(1);
   });
 });
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -16,6 +16,7 @@
   readonly concurrency: decisions.ConcurrencyShares;
   readonly coldStarts: decisions.ColdStarts;
   readonly absenceSigns: decisions.AbsenceSigns;
+  readonly absences: decisions.UpstreamAbsences;
   /** Requests that this instance has in progress at an upstream. */
   readonly inFlightOf: (id: string) => number;
   readonly now: () => number;
@@ -109,9 +110,15 @@
   }
 
   /** Records that an upstream has begun to answer. */
-  recordAnswer({upstream}: Known): void {
+  recordAnswer(known: Known): void {
+    this.recordAlive(known);
+    this.options.absences.recordAnswer(known.upstream);
+  }
+
+  /** Records a part of an answer of an upstream. */
+  recordAlive({upstream}: Known): void {
     this.options.absenceSigns.recordAnswer(upstream.id);
-    this.options.coldStarts.recordAnswer(upstream);
+    this.options.absences.recordAlive(upstream);
   }
 
   /** Records the end of an attempt at an upstream that sent nothing back. */
@@ -120,16 +127,16 @@
     outcome: decisions.UnansweredOutcome,
     waitedMs: number,
   ): void {
-    const {absenceSigns, coldStarts} = this.options;
+    const {absenceSigns, absences} = this.options;
     if (absenceSigns.recordUnanswered(upstream.id, outcome, waitedMs)) {
-      coldStarts.recordAbsence(upstream);
+      absences.recordOwn(upstream);
     }
   }
 
   /** Records that an upstream has not answered a request for `forMs`. */
   recordSilence(upstream: routing.Upstream, forMs: number): void {
     if (this.options.absenceSigns.isSilent(upstream.id, forMs)) {
-      this.options.coldStarts.recordAbsence(upstream);
+      this.options.absences.recordOwn(upstream);
     }
   }
 
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -285,6 +285,7 @@
       recordBreak: watch.recordBreak,
       recordEvent: () => {
         watch.recordAnswer();
+        availability.recordAlive(known);
         recordPace(pace.record(this.options.now()));
       },
       recordHead: () => {
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -173,6 +173,8 @@
   awayAgeMs: shapes.milliseconds,
   /** Time since an instance first saw it answer again. */
   answeredAgeMs: shapes.milliseconds.optional(),
+  /** Whether an instance had answers all the while, so that it was not away. */
+  isRefuted: zod.boolean().optional(),
 });
 
 /** A list of such upstreams. */
