Play in the soak upstreams that are away and come back cold

The soak had never had a cold upstream. Upstreams now are away for 1.5 to 2.5 s, silent or refusing connections, one or all, and are back cold under their id; they write to their entry up to 0.8 s later. The check is the sum over all instances of what arrives in any second.

--- /dev/null
+++ b/packages/soak/src/cold-faults.ts
@@ -0,0 +1,56 @@
+/** Takes upstreams away for a time, after which they are back cold. */
+import type * as fakes from '@amaranthknot/fakes';
+import type * as ports from '@amaranthknot/ports';
+import type * as checkCold from './check-cold.js';
+import * as documents from './soak-documents.js';
+import type * as soakUpstream from './soak-upstream.js';
+
+/** An upstream that can come back cold. */
+export interface ColdUpstream {
+  readonly state: soakUpstream.SoakUpstreamState;
+  readonly proxy: fakes.LoopbackProxy;
+}
+
+/** What these faults need. */
+export interface ColdFaultsOptions {
+  readonly clock: ports.Clock;
+  readonly random: () => number;
+  /** Writes to the entry of an upstream that it started again, and is cold. */
+  readonly writeEntry: (upstream: ColdUpstream) => Promise<void>;
+}
+
+/** Longest time until an upstream that is back has written its entry, in ms. */
+const MAX_ENTRY_DELAY_MS = 800;
+
+/** Injects these faults and records the cold starts. */
+export class ColdFaults {
+  readonly returns: checkCold.ColdReturn[] = [];
+
+  constructor(private readonly options: ColdFaultsOptions) {}
+
+  /** Takes an upstream away, which is back cold under its id. */
+  async returnCold(
+    upstream: ColdUpstream,
+    mode: 'silent' | 'refusing',
+    forMs: number,
+  ): Promise<void> {
+    const {clock, random, writeEntry} = this.options;
+    const {state, proxy} = upstream;
+    const {id} = state;
+    proxy.mode = mode;
+    if (mode === 'refusing') {
+      proxy.resetAll();
+    }
+    await clock.sleep(forMs);
+    proxy.resetAll();
+    proxy.mode = 'open';
+    if (state.id !== id) {
+      return;
+    }
+    const fromMs = clock.now();
+    state.coldUntilMs = fromMs + documents.COLD_START_MS;
+    this.returns.push({upstream: id, fromMs, toMs: state.coldUntilMs});
+    await clock.sleep(MAX_ENTRY_DELAY_MS * random());
+    await writeEntry(upstream);
+  }
+}
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -28,7 +28,10 @@
   | 'links_one_way'
   | 'upstreams_fragile'
   | 'upstream_pauses'
-  | 'fatal_part';
+  | 'fatal_part'
+  | 'upstream_returns_cold'
+  | 'upstreams_return_cold'
+  | 'upstream_restarts_cold';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -101,6 +104,17 @@
  */
 const FATAL_DURATION_MS = {min: 8_000, max: 10_000};
 
+/** Kinds by which upstreams are away and back cold; drawn apart as well. */
+const COLD_KINDS: readonly FaultKind[] = [
+  'upstream_returns_cold',
+  'upstreams_return_cold',
+  'upstream_restarts_cold',
+];
+
+/** Time between two of these, and for how long upstreams are away. */
+const COLD_INTERVAL_MS = {min: 2_000, max: 4_500};
+const COLD_AWAY_MS = {min: 1_500, max: 2_500};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
@@ -164,6 +178,17 @@
     forMs: LINK_DURATION_MS,
   });
 
+/** Draws upstreams that are away and back cold. */
+export const drawColdFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] =>
+  drawSeries(random, durationMs, {
+    kinds: COLD_KINDS,
+    intervalMs: COLD_INTERVAL_MS,
+    forMs: COLD_AWAY_MS,
+  });
+
 /** Draws the time in which a part of prompts ends upstreams. */
 export const drawFatalPart = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -3,6 +3,7 @@
  * upstreams recorded.
  */
 
+import * as checkCold from './check-cold.js';
 import * as checkFatalParts from './check-fatal-parts.js';
 import * as checkLinks from './check-links.js';
 import * as checkNotices from './check-notices.js';
@@ -62,6 +63,7 @@
   readonly notices: checkNotices.NoticeRecord;
   readonly links: checkLinks.LinkRecord;
   readonly fatalPart: checkFatalParts.FatalPartRecord;
+  readonly cold: checkCold.ColdRecord;
   /** Time from which requests count for recovery; faults ended before. */
   readonly recoveryFromMs: number;
   readonly bounds: InvariantBounds;
@@ -232,6 +234,7 @@
       record.callers,
       record.bounds.stabilityMs,
     ),
+    ...checkCold.findFloods(record.cold),
     ...checkRecovery(record),
   ];
 };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -15,6 +15,7 @@
     --instances N  gateway processes per run (3)
     --links        inject only cuts of links and faults of upstreams
     --parts        inject only a prompt part under which upstreams end
+    --cold         inject only upstreams that are away and back cold
 
   Exit codes
     0 no invariant was violated; 1 some were, their logs are kept
@@ -28,6 +29,7 @@
   instances: {type: 'number', default: 3},
   links: {type: 'boolean', default: false},
   parts: {type: 'boolean', default: false},
+  cold: {type: 'boolean', default: false},
 } as const;
 
 const MS_PER_MINUTE = 60_000;
@@ -51,6 +53,21 @@
   }
 };
 
+/** The only kind of fault that the flags ask for; all without one. */
+const findOnly = (flags: {
+  readonly links: boolean;
+  readonly parts: boolean;
+  readonly cold: boolean;
+}): runSoak.SoakOptions['only'] => {
+  if (flags.cold) {
+    return 'cold';
+  }
+  if (flags.links) {
+    return 'links';
+  }
+  return flags.parts ? 'fatal_part' : undefined;
+};
+
 const main = async (): Promise<void> => {
   const {flags} = meow.default(HELP, {importMeta: import.meta, flags: FLAGS});
   const {minutes, instances} = flags;
@@ -66,7 +83,7 @@
         instances,
         upstreams: UPSTREAMS,
         durationMs: DURATION_MS,
-        only: flags.links ? 'links' : flags.parts ? 'fatal_part' : undefined,
+        only: findOnly(flags),
       });
       print(result);
       failedSeeds += result.violations.length > 0 ? 1 : 0;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -11,6 +11,7 @@
 import * as ports from '@amaranthknot/ports';
 import type * as checkNotices from './check-notices.js';
 import * as loadGenerator from './load-generator.js';
+import * as coldFaults from './cold-faults.js';
 import * as crashFaults from './crash-faults.js';
 import * as faultPlan from './fault-plan.js';
 import * as gatewayProcess from './gateway-process.js';
@@ -27,7 +28,7 @@
   /** Period in which faults start, in milliseconds. */
   readonly durationMs: number;
   /** The only faults, so that no others excuse an instance; all by default. */
-  readonly only?: 'links' | 'fatal_part' | undefined;
+  readonly only?: 'links' | 'fatal_part' | 'cold' | undefined;
 }
 
 /** Result of one run. */
@@ -113,6 +114,11 @@
     random: () => this.random(),
     instances: () => this.instances.map(({address}) => address),
   });
+  private readonly coldFaults = new coldFaults.ColdFaults({
+    clock: this.clock,
+    random: () => this.random(),
+    writeEntry: upstream => this.writeColdEntry(upstream),
+  });
   private readonly failuresMs: number[] = [];
   /** Faults in which an instance may serve nobody. */
   private readonly outages: checkNotices.Disruption[] = [];
@@ -162,6 +168,7 @@
           endsMs: this.crashFaults.endsMs,
           disruptions: [...this.outages, ...this.disruptions],
         },
+        cold: {arrivals: this.arrivals, returns: this.coldFaults.returns},
         recoveryFromMs,
         bounds: documents.SOAK_BOUNDS,
       });
@@ -206,13 +213,20 @@
         fakes.createRandom(seed + FATAL_SEED_OFFSET),
         durationMs,
       );
+    const cold = () =>
+      faultPlan.drawColdFaults(
+        fakes.createRandom(seed + COLD_SEED_OFFSET),
+        durationMs,
+      );
     switch (only) {
+      case 'cold':
+        return cold();
       case 'links':
         return links();
       case 'fatal_part':
         return [fatalPart()];
       case undefined:
-        return [...others(), ...links(), fatalPart()].sort(
+        return [...others(), ...links(), fatalPart(), ...cold()].sort(
           (a, b) => a.atMs - b.atMs,
         );
     }
@@ -442,6 +456,17 @@
         return;
       case 'fatal_part':
         return this.crashFaults.sendPart(forMs);
+      case 'upstream_returns_cold':
+        return this.coldFaults.returnCold(upstream, 'silent', forMs);
+      case 'upstream_restarts_cold':
+        return this.coldFaults.returnCold(upstream, 'refusing', forMs);
+      case 'upstreams_return_cold':
+        await Promise.all(
+          this.upstreams.map(each =>
+            this.coldFaults.returnCold(each, 'silent', forMs),
+          ),
+        );
+        return;
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -482,6 +507,24 @@
     }
   }
 
+  /** Writes that an upstream started again under its id, and is cold. */
+  private async writeColdEntry({
+    state,
+    proxy,
+  }: coldFaults.ColdUpstream): Promise<void> {
+    const {store} = this.storeServer;
+    const found = await store.get(UPSTREAMS, state.id);
+    const coldForMs = Math.max(0, state.coldUntilMs - this.clock.now());
+    await found.caseOf({
+      Left: () => Promise.resolve(),
+      Right: async ({version}) => {
+        const start = {born: version + 1, coldForMs};
+        const entry = documents.createEntry(proxy.address, 'ready', start);
+        await store.update(UPSTREAMS, state.id, entry, version);
+      },
+    });
+  }
+
   /** Deletes an upstream's entry; false if there is none. */
   private async removeEntry(id: string): Promise<boolean> {
     const {store} = this.storeServer;
@@ -550,6 +593,9 @@
 /** Added to the seed for the faults that are drawn apart from the others. */
 const LINK_SEED_OFFSET = 1_000_000;
 
+/** Added to the seed for the upstreams that are away and back cold. */
+const COLD_SEED_OFFSET = 3_000_000;
+
 /** Added to the seed for the time in which a part ends upstreams. */
 const FATAL_SEED_OFFSET = 2_000_000;
 
@@ -591,6 +637,9 @@
   'upstream_silent',
   'upstream_one_way',
   'upstream_delayed',
+  'upstream_returns_cold',
+  'upstream_restarts_cold',
+  'upstreams_return_cold',
 ]);
 
 const getByIndex = <T>(values: readonly T[], index: number): T =>
--- a/packages/soak/src/soak-documents.ts
+++ b/packages/soak/src/soak-documents.ts
@@ -10,6 +10,17 @@
   stabilityMs: 3_000,
 } as const;
 
+/** Duration of a cold start, and requests a second that an upstream takes then. */
+export const COLD_START_MS = 2_000;
+const COLD_PER_S = 4;
+
+/** Factor on these requests, and number in addition, that are accepted. */
+const COLD_LIMIT = {overrun: 1.5, slack: 5} as const;
+
+/** Most requests that a cold upstream may get in a second. */
+export const COLD_MOST_PER_S =
+  COLD_PER_S * COLD_LIMIT.overrun + COLD_LIMIT.slack;
+
 /** Requests that an upstream says it processes at a time. */
 export const UPSTREAM_SLOTS = 2;
 
@@ -57,8 +68,8 @@
       name: 'svc',
       healthCheckPath: '/health',
       connectionLimit: 200,
-      coldStartS: 0,
-      coldPerS: 0,
+      coldStartS: COLD_START_MS / 1_000,
+      coldPerS: COLD_PER_S,
     },
   ],
   limits: {
@@ -71,15 +82,19 @@
 });
 
 /** The stored entry of an upstream. */
-export const createEntry = (address: string, state: string): unknown => ({
+export const createEntry = (
+  address: string,
+  state: string,
+  {born, coldForMs} = {born: 1, coldForMs: 0},
+): unknown => ({
   service: 'svc',
   address,
   zone: 'zone-a',
   version: 'v1',
   slots: UPSTREAM_SLOTS,
   state,
-  coldRemainingMs: 0,
-  born: 1,
+  coldRemainingMs: Math.round(coldForMs),
+  born,
   sequence: 1,
 });
 
@@ -125,8 +140,8 @@
 slack = 30
 rollback_ms = 5000
 [cold]
-overrun = 1.5
-slack = 5
+overrun = ${COLD_LIMIT.overrun}
+slack = ${COLD_LIMIT.slack}
 [limits]
 memory_mb = 300
 file_descriptors = 4000
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -52,6 +52,7 @@
   id,
   shedsUntilMs: -Infinity,
   isLeaving: false,
+  coldUntilMs: -Infinity,
   pausedUntilMs: -Infinity,
   fragileSinceMs: undefined,
   downUntilMs: -Infinity,
@@ -93,6 +94,8 @@
   /** Until then it refuses everything, and asks for a backoff. */
   shedsUntilMs: number;
   isLeaving: boolean;
+  /** Until then it takes few requests. */
+  coldUntilMs: number;
   /** Until then it answers nothing, and then goes on. */
   pausedUntilMs: number;
   /** Since when it has said how many refusals it bears; undefined if not. */
@@ -137,7 +140,12 @@
       return;
     }
     if (request.target === '/health') {
-      socket.write(fakes.formatAnswer(request, ''));
+      const coldForMs = Math.max(0, state.coldUntilMs - now());
+      const health = {
+        [NAMES.upstreamId]: id,
+        [NAMES.coldFor]: String(Math.round(coldForMs)),
+      };
+      socket.write(fakes.formatAnswer(request, '', {headers: health}));
       return;
     }
     if (headers[EXPECTED_UPSTREAM] !== id) {
--- a/packages/soak/tests/invariants.test.ts
+++ b/packages/soak/tests/invariants.test.ts
@@ -43,6 +43,7 @@
       instances: ['instance-1'],
     },
     fatalPart: {arrivals: [], endsMs: [], disruptions: []},
+    cold: {arrivals: [], returns: []},
     bounds: {revocationMs: 3_000, leavingMs: 2_000, stabilityMs: 3_000},
   };
 };
