Forget what failed at an upstream while it was away, once it is back

What callers saw: an upstream that is back, and well, gets nothing for up to 4 s; its zone's capacity is missing.

Cause: the requests that were under way when it fell silent count as failures for 4 s, here and in the reports of others. Failures without answers make it look worse than any other, so it is not chosen and gets no answer that would mend that. The end of its ejection did not help.

Evidence: 'is used soon after it was silent' in cold-upstreams.test.ts failed in some runs, 2.4 s after its cold start; the logs of one show all 16 instances that count it as warm, no ejection, and one request in 5 s.

Change: readmit, which is called at the first known answer after an absence and when an upstream says that it is cold, drops the failures, own ones and reported ones.

--- a/packages/decisions/src/upstream-picker.ts
+++ b/packages/decisions/src/upstream-picker.ts
@@ -272,16 +272,18 @@
   }
 
   /**
-   * Ends the ejection of an upstream that has come back.
+   * Ends the ejection of an upstream that has come back, and forgets how attempts
+   * failed while it was away.
    *
-   * Guards against upstreams that each instance avoids for seconds after their
-   * return, as it has to find out by itself.
+   * Guards against upstreams that are avoided for seconds after their return:
+   * with failures and no answers they look worse than any other.
    */
   readmit(id: string): void {
     const entry = this.entries.get(id);
     if (entry) {
       entry.ejectedUntilMs = -Infinity;
       entry.ejectionMs = BASE_EJECTION_MS;
+      entry.stats.forgetFailures();
     }
   }
 
--- a/packages/decisions/src/upstream-stats.ts
+++ b/packages/decisions/src/upstream-stats.ts
@@ -47,7 +47,7 @@
   /** Failures since the last successful answer. */
   consecutiveFailures = 0;
   private readonly answered = new slidingCount.SlidingCount(STATS_WINDOW_MS);
-  private readonly failed = new slidingCount.SlidingCount(STATS_WINDOW_MS);
+  private failed = new slidingCount.SlidingCount(STATS_WINDOW_MS);
   private readonly sent = new slidingCount.SlidingSum(WORK_WINDOW_MS);
   private readonly peerReports = new Map<string, PeerReport>();
 
@@ -68,6 +68,15 @@
     this.failed.add(nowMs);
   }
 
+  /** Drops all failures so far, also those that other instances reported. */
+  forgetFailures(): void {
+    this.consecutiveFailures = 0;
+    this.failed = new slidingCount.SlidingCount(STATS_WINDOW_MS);
+    for (const [instance, report] of this.peerReports) {
+      this.peerReports.set(instance, {...report, failed: 0});
+    }
+  }
+
   /** Replaces the last report of another instance by this one. */
   merge(
     instance: string,
--- a/packages/decisions/tests/upstream-picker.test.ts
+++ b/packages/decisions/tests/upstream-picker.test.ts
@@ -52,6 +52,26 @@
 ): string => picker.pick(candidates, request)?.id ?? '';
 
 describe('UpstreamPicker', () => {
+  it('uses an upstream again as soon as it is known to be back', () => {
+    // Guards against an upstream that is avoided for what failed while it was away.
+    const setup = setUp();
+    const {picker, candidates} = setup;
+    candidates.forEach(({id}) => {
+      picker.start(id, PLAIN).end('answered');
+    });
+    for (let i = 0; i < 6; i++) {
+      picker.start('u-0', PLAIN).end('failed');
+    }
+    const failed = {inFlight: 0, waitingTokens: 0, tokensPerS: 0};
+    picker.merge('other', [{id: 'u-0', ...failed, answered: 0, failed: 9}]);
+    const isPicked = () =>
+      Array.from({length: 50}, () => pickId(setup)).includes('u-0');
+    chai.expect(isPicked()).equal(false);
+    setup.picker.readmit('u-0');
+    chai.expect(isPicked()).equal(true);
+    chai.expect(picker.describe('u-0').failed).equal(0);
+  });
+
   it('does not report an upstream that it cannot reach as failing', () => {
     // Guards against peers that eject a sound upstream for another's lost link.
     const cut = setUp();
