Take no late answer for an absence while others of the upstream come

What callers would see: an upstream that is only slow is held back as if it were cold.

Cause: two attempts in a row that were given up after 250 ms showed an absence, also where another attempt was answered meanwhile, and where answers usually take that long.

Change: an attempt counts only if the upstream answered nothing since it was sent, and one that was given up only from the wait on after which an answer is late. The share of a cold upstream is cached for 0.5 s, as computing it ranks all instances.

--- a/packages/amaranthknot/src/gateway/wiring/link-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/link-factories.ts
@@ -119,7 +119,7 @@
     const isReachable = await probe(upstream);
     if (!isReachable) {
       get('linkMonitor').record(upstream, 'failed');
-      get('availability').recordUnanswered(upstream, 'failed', 0);
+      get('availability').recordUnanswered(upstream, 'failed', 0, 0);
     }
     return isReachable;
   };
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -159,6 +159,7 @@
     catalog: get('catalog'),
     availability: get('availability'),
     picker: get('picker'),
+    latencies: get('latencies'),
     repeats: get('repeatBudget'),
     rollouts: get('rollouts'),
     forwarder: get('peerForwarder'),
--- a/packages/decisions/src/absence-signs.ts
+++ b/packages/decisions/src/absence-signs.ts
@@ -27,12 +27,6 @@
 /** Time within which they have to end, in milliseconds. */
 const UNANSWERED_WINDOW_MS = 2_000;
 
-/**
- * Wait after which a cancelled attempt counts, in milliseconds: a sound upstream
- * has mostly begun to answer by then.
- */
-const MIN_WAIT_MS = 250;
-
 /**
  * Longest time between two parts of answers of an upstream that was there all
  * the while, in milliseconds: less than a restart takes.
@@ -78,19 +72,27 @@
     );
   }
 
-  /** Records the end of an attempt; returns whether the upstream was away. */
+  /**
+   * Records the end of an attempt; returns whether the upstream was away. One that
+   * has answered another attempt meanwhile was not.
+   *
+   * @param usualWaitMs wait after which an answer is late. A cancelled attempt
+   *     counts from then on.
+   */
   recordUnanswered(
     id: string,
     outcome: UnansweredOutcome,
     waitedMs: number,
+    usualWaitMs: number,
   ): boolean {
     if (outcome === 'unreachable') {
       return true;
     }
-    if (outcome === 'cancelled' && waitedMs < MIN_WAIT_MS) {
+    const now = this.options.now();
+    const isEarly = outcome === 'cancelled' && waitedMs < usualWaitMs;
+    if (isEarly || !this.isSilent(id, waitedMs)) {
       return false;
     }
-    const now = this.options.now();
     const row = this.rows.get(id) ?? {
       answeredAtMs: -Infinity,
       aliveSinceMs: Infinity,
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -39,11 +39,22 @@
  */
 const COLD_WINDOW_MS = 1_100;
 
+/** Time for which a share is cached, in milliseconds. */
+const SHARE_CACHE_MS = 500;
+
+interface CachedShare {
+  readonly atMs: number;
+  /** The rate that it was computed from. */
+  readonly perSecond: number;
+  readonly share: number;
+}
+
 type Known = upstreamCatalog.KnownUpstream;
 
 /** Availability of the upstreams that one instance knows. */
 export class UpstreamAvailability {
   private readonly coldSends = new Map<string, decisions.SlidingCount>();
+  private readonly coldShares = new Map<string, CachedShare>();
 
   constructor(private readonly options: UpstreamAvailabilityOptions) {}
 
@@ -121,14 +132,19 @@
     this.options.absences.recordAlive(upstream);
   }
 
-  /** Records the end of an attempt at an upstream that sent nothing back. */
+  /**
+   * Records the end of an attempt at an upstream that sent nothing back, see
+   * `AbsenceSigns`.
+   */
   recordUnanswered(
     upstream: routing.Upstream,
     outcome: decisions.UnansweredOutcome,
     waitedMs: number,
+    usualWaitMs: number,
   ): void {
     const {absenceSigns, absences} = this.options;
-    if (absenceSigns.recordUnanswered(upstream.id, outcome, waitedMs)) {
+    const {id} = upstream;
+    if (absenceSigns.recordUnanswered(id, outcome, waitedMs, usualWaitMs)) {
       absences.recordOwn(upstream);
     }
   }
@@ -162,12 +178,14 @@
     readonly backoffMs: number | undefined;
     readonly capacity: number | undefined;
   } {
-    const {limits, backoffs, concurrency, coldStarts, coldShare} = this.options;
+    const {limits, backoffs, concurrency, coldStarts} = this.options;
     const cold = coldStarts.describe(upstream);
     const backoffMs = Math.round(backoffs.findRemainingMs(upstream));
     return {
       ...cold,
-      coldShare: cold.isCold ? coldShare(upstream, service) : undefined,
+      coldShare: cold.isCold
+        ? this.findColdShare(upstream, service)
+        : undefined,
       limitPerS: limits.find(upstream.id),
       backoffMs: backoffMs > 0 ? backoffMs : undefined,
       capacity: concurrency.findCapacity(upstream),
@@ -184,7 +202,7 @@
     if (now >= coldUntilMs || service.coldPerSecond === 0) {
       return 0;
     }
-    const share = this.options.coldShare(upstream, service);
+    const share = this.findColdShare(upstream, service);
     if (share < 1) {
       return undefined;
     }
@@ -192,12 +210,29 @@
     return Math.min(waitMs, coldUntilMs - now);
   }
 
+  /** Cached, as computing it ranks all instances, which may be hundreds. */
+  private findColdShare(
+    upstream: routing.Upstream,
+    service: routing.Service,
+  ): number {
+    const atMs = this.options.now();
+    const perSecond = service.coldPerSecond;
+    const known = this.coldShares.get(upstream.id);
+    if (known?.perSecond === perSecond && atMs - known.atMs < SHARE_CACHE_MS) {
+      return known.share;
+    }
+    const share = this.options.coldShare(upstream, service);
+    this.coldShares.set(upstream.id, {atMs, perSecond, share});
+    return share;
+  }
+
   private recordColdSend({upstream}: Known): void {
     const now = this.options.now();
     const coldUntilMs = this.options.coldStarts.findUntilMs(upstream);
     this.options.coldStarts.recordSend(upstream);
     if (now >= coldUntilMs) {
       this.coldSends.delete(upstream.id);
+      this.coldShares.delete(upstream.id);
       return;
     }
     const sends =
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -22,6 +22,7 @@
   readonly catalog: upstreamCatalog.UpstreamCatalog;
   readonly availability: upstreamAvailability.UpstreamAvailability;
   readonly picker: decisions.UpstreamPicker;
+  readonly latencies: decisions.LatencyEstimates;
   readonly repeats: decisions.RepeatBudget;
   readonly rollouts: rolloutTracker.RolloutTracker;
   readonly forwarder: peerForwarder.PeerForwarder;
@@ -246,6 +247,15 @@
     );
   }
 
+  /** Wait after which an answer is late, in milliseconds. */
+  private findUsualWaitMs({
+    service,
+    route,
+  }: runContext.AcceptedRequest): number {
+    const {latencies} = this.options;
+    return latencies.hedgeDelayMs(service.name, route.latencyTargetMs);
+  }
+
   private beginAttempt(
     known: Known,
     toPlace: runContext.PlacementRequest,
@@ -277,7 +287,12 @@
         availability.recordAnswer(known);
       } else if (firstByteMs === undefined) {
         const waitedMs = this.options.now() - startedAtMs;
-        availability.recordUnanswered(upstream, outcome, waitedMs);
+        availability.recordUnanswered(
+          upstream,
+          outcome,
+          waitedMs,
+          this.findUsualWaitMs(toPlace.request),
+        );
       }
     };
     return {
