Let the soak's cold faults meet upstreams that have ended

The soak ended with an error when a part ended an upstream that was away or cold: its proxy was gone.

--- a/packages/soak/src/cold-faults.ts
+++ b/packages/soak/src/cold-faults.ts
@@ -8,13 +8,15 @@
 /** An upstream that can come back cold. */
 export interface ColdUpstream {
   readonly state: soakUpstream.SoakUpstreamState;
-  readonly proxy: fakes.LoopbackProxy;
+  proxy: fakes.LoopbackProxy;
 }
 
 /** What these faults need. */
 export interface ColdFaultsOptions {
   readonly clock: ports.Clock;
   readonly random: () => number;
+  /** Whether another fault has ended an upstream. */
+  readonly isDown: (upstream: ColdUpstream) => boolean;
   /** Writes to the entry of an upstream that it started again, and is cold. */
   readonly writeEntry: (upstream: ColdUpstream) => Promise<void>;
 }
@@ -34,23 +36,26 @@
     mode: 'silent' | 'refusing',
     forMs: number,
   ): Promise<void> {
-    const {clock, random, writeEntry} = this.options;
-    const {state, proxy} = upstream;
+    const {clock, random, isDown, writeEntry} = this.options;
+    const {state} = upstream;
     const {id} = state;
-    proxy.mode = mode;
+    upstream.proxy.mode = mode;
     if (mode === 'refusing') {
-      proxy.resetAll();
+      upstream.proxy.resetAll();
     }
     await clock.sleep(forMs);
-    proxy.resetAll();
-    proxy.mode = 'open';
-    if (state.id !== id) {
+    // It may have ended meanwhile, and come back behind another proxy.
+    upstream.proxy.resetAll();
+    upstream.proxy.mode = 'open';
+    if (state.id !== id || isDown(upstream)) {
       return;
     }
     const fromMs = clock.now();
     state.coldUntilMs = fromMs + documents.COLD_START_MS;
     this.returns.push({upstream: id, fromMs, toMs: state.coldUntilMs});
     await clock.sleep(MAX_ENTRY_DELAY_MS * random());
-    await writeEntry(upstream);
+    if (!isDown(upstream)) {
+      await writeEntry(upstream);
+    }
   }
 }
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -117,6 +117,10 @@
   private readonly coldFaults = new coldFaults.ColdFaults({
     clock: this.clock,
     random: () => this.random(),
+    isDown: ({proxy}) =>
+      this.upstreams.some(
+        upstream => upstream.proxy === proxy && this.ended.has(upstream.server),
+      ),
     writeEntry: upstream => this.writeColdEntry(upstream),
   });
   private readonly failuresMs: number[] = [];
