Report an absence for as long as the upstream may be cold

What callers would see: an instance that was paused, or has just started, floods an upstream that is back cold, which the other instances know.

Cause: an absence was told for two seconds. One that got no messages meanwhile was never told.

Change: absences are in all reports until the upstream has answered for the time of a cold start. Nothing is reported where no upstream was away.

--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -54,7 +54,7 @@
   if (!report) {
     const answer = await relay.awaitViews(call);
     const suspectParts = [...quarantine.report('held')];
-    const absences = [...known.report('all')];
+    const absences = [...known.report()];
     return {
       ...answer,
       ...(suspectParts.length === 0 ? {} : {suspectParts}),
--- a/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
@@ -102,7 +102,7 @@
   upstreamAbsences: get =>
     new decisions.UpstreamAbsences({
       now: () => options.clock.now(),
-      isFollowed: id => findColdStartMs(get, id) > 0,
+      findColdStartMs: id => findColdStartMs(get, id),
       findSiblings: id => findSiblings(get, id),
       isAliveAround: (...around) =>
         get('absenceSigns').isAliveAround(...around),
--- a/packages/decisions/src/upstream-absences.ts
+++ b/packages/decisions/src/upstream-absences.ts
@@ -38,8 +38,11 @@
 /** Options of `UpstreamAbsences`. */
 export interface UpstreamAbsencesOptions {
   readonly now: () => number;
-  /** Whether absences of it matter: it takes less after a start. */
-  readonly isFollowed: (id: string) => boolean;
+  /**
+   * How long an upstream is cold after a start, in milliseconds; 0 if it takes
+   * as much then as later, and its absences don't matter.
+   */
+  readonly findColdStartMs: (id: string) => number;
   /** Other upstreams of its service that this instance knows. */
   readonly findSiblings: (id: string) => readonly string[];
   /** Whether this instance had answers shortly before and after a time. */
@@ -69,7 +72,10 @@
  */
 const ABSENCE_TTL_MS = 60_000;
 
-/** Time for which an absence is reported, in ms: a few rounds of messages. */
+/**
+ * Time for which it is reported that there was none, in ms: a few rounds of
+ * messages.
+ */
 const ANNOUNCE_MS = 2_000;
 
 /** Minimum time between two announcements that it is still away, in ms. */
@@ -112,8 +118,8 @@
    * back from all upstreams.
    */
   recordOwn(start: UpstreamStart): void {
-    const {now, onChange, findSiblings, isFollowed} = this.options;
-    const row = isFollowed(start.id) ? this.rowOf(start) : undefined;
+    const {now, onChange, findSiblings} = this.options;
+    const row = this.followedRowOf(start);
     if (!row) {
       return;
     }
@@ -162,18 +168,14 @@
   }
 
   /**
-   * Absences to report to other instances now.
-   *
-   * @param scope `news` for one that gets reports all the time, `all` for one
-   *     that starts.
+   * Absences to report to other instances now, for as long as the upstream may be
+   * cold: one that was paused, or has just started, would miss what is told once.
    */
-  report(scope: 'news' | 'all' = 'news'): readonly ReportedAbsence[] {
+  report(): readonly ReportedAbsence[] {
     const now = this.options.now();
     const reported: ReportedAbsence[] = [];
     for (const [id, row] of this.rows) {
-      const isNews = now - row.announcedAtMs <= ANNOUNCE_MS;
-      const isKnown = row.absence ?? Number.isFinite(row.refutedAtMs);
-      if (isKnown && (isNews || (scope === 'all' && row.absence))) {
+      if (this.isReported(id, row, now)) {
         reported.push(describeRow(id, row, now));
       }
     }
@@ -184,9 +186,7 @@
   merge(reports: readonly ReportedAbsence[]): void {
     const now = this.options.now();
     for (const {awayAgeMs, answeredAgeMs, isRefuted, ...start} of reports) {
-      const row = this.options.isFollowed(start.id)
-        ? this.rowOf(start)
-        : undefined;
+      const row = this.followedRowOf(start);
       const foundAtMs = now - awayAgeMs;
       if (row && isRefuted === true) {
         this.refute(start, row, foundAtMs);
@@ -213,6 +213,20 @@
     }
   }
 
+  private isReported(
+    id: string,
+    {absence, refutedAtMs, announcedAtMs}: Row,
+    now: number,
+  ): boolean {
+    if (!absence) {
+      const isRecent = now - announcedAtMs <= ANNOUNCE_MS;
+      return Number.isFinite(refutedAtMs) && isRecent;
+    }
+    const {answeredAtMs = now} = absence;
+    const mayBeCold = now - answeredAtMs < this.options.findColdStartMs(id);
+    return Number.isFinite(announcedAtMs) && mayBeCold;
+  }
+
   private mergeOne(start: UpstreamStart, row: Row, found: Absence): void {
     const known = row.absence;
     const knownAtMs = known?.answeredAtMs ?? known?.foundAtMs ?? -Infinity;
@@ -302,6 +316,12 @@
     this.options.onNews(origin);
   }
 
+  /** The row of a start whose absences matter. */
+  private followedRowOf(start: UpstreamStart): Row | undefined {
+    const coldStartMs = this.options.findColdStartMs(start.id);
+    return coldStartMs > 0 ? this.rowOf(start) : undefined;
+  }
+
   /** The row of a start; undefined if a later start of it is known. */
   private rowOf({id, startedAtMs}: UpstreamStart): Row | undefined {
     const known = this.rows.get(id);
