--- a/review/stand-ins/run.sh
+++ b/review/stand-ins/run.sh
@@ -15,7 +15,6 @@
 }
 trap finish EXIT
 [ -f target/start-cached.cjs ] && [ -f target/review/driver.cjs ] || exit 2
-: > "$RECORD"
 read -r -a P < <(node target/review/ports.cjs 16)
 [ ${#P[@]} = 16 ] || exit 2
 
