Log how an answer says where it ends, and bodies that broke off

The lines of such a request were request_placed and request_answered, the same as those of a whole answer: they told neither how many bytes came nor what ended the body, so an end in order could not be told from a reset that was missed, nor from a framing that was misread.

request_answered now has framing (length, chunks, bodiless, connection) and the bytes of a plain answer; a body that broke off gets a try_failed line with reason body_broken, where it had none.

A process of our own, killed with SIGKILL while it answers without a length, three times: its connection ends in order (the socket still has its remote address), and a connection that is opened at that moment is refused.

--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -2,6 +2,7 @@
  * Runs a request whose answer is buffered, so that the caller only gets a
  * complete one and a broken answer can be requested again.
  */
+import type * as answerFraming from './answer-framing.js';
 import * as attemptHistory from './attempt-history.js';
 import type * as callerAnswer from './caller-answer.js';
 import * as forwardHeaders from './forward-headers.js';
@@ -10,6 +11,7 @@
 import * as readBody from './read-body.js';
 import * as refusals from './refusal.js';
 import * as sendAttempt from './send-attempt.js';
+import type * as upstreamCall from './upstream-call.js';
 
 /**
  * Connect timeout, in milliseconds. A connection takes a round trip between
@@ -30,6 +32,7 @@
   readonly upstream: string;
   readonly head: callerAnswer.AnswerHead;
   readonly body: Buffer;
+  readonly framing: answerFraming.AnswerFraming;
 }
 
 /** How one attempt ended. */
@@ -268,6 +271,7 @@
     if (!body) {
       const whenChecked = signal.aborted ? undefined : placed.recordBreak();
       placed.settle(signal.aborted ? 'cancelled' : 'failed');
+      this.logBroken(placed, answer, signal);
       await whenChecked;
       return {kind: 'unknown'};
     }
@@ -287,9 +291,27 @@
       upstream,
       head: {status, headers},
       body,
+      framing: answer.framing,
     };
     return this.last;
   }
+
+  private logBroken(
+    {upstream, forward}: runContext.PlacedAttempt,
+    {status, framing}: upstreamCall.UpstreamAnswer,
+    signal: AbortSignal,
+  ): void {
+    if (signal.aborted) {
+      return;
+    }
+    this.context.log.failure('try_failed', {
+      ...(forward ? {peer: upstream.id} : {upstream: upstream.id}),
+      ran: 'unknown',
+      reason: 'body_broken',
+      status,
+      framing,
+    });
+  }
 }
 
 /** An attempt's result, with the promise that identifies the attempt. */
--- a/packages/gateway/src/event-relay.ts
+++ b/packages/gateway/src/event-relay.ts
@@ -4,7 +4,6 @@
  */
 import type * as callerAnswer from './caller-answer.js';
 import * as eventSplitter from './event-splitter.js';
-import * as framing from './is-framed.js';
 import type * as runContext from './run-context.js';
 import type * as stallWatchdog from './stall-watchdog.js';
 import type * as upstreamCall from './upstream-call.js';
@@ -97,7 +96,7 @@
       body.once('end', () => {
         const isWhole =
           isInOrder &&
-          (framing.isFramed(body) || this.hasBegun) &&
+          (answer.framing !== 'connection' || this.hasBegun) &&
           body.complete &&
           !answer.isBroken() &&
           splitter.pendingBytes === 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -343,8 +343,13 @@
       return;
     }
     answer.send(result.head, result.body);
-    const {status} = result.head;
-    log.step('request_answered', {upstream: result.upstream, status});
+    const {upstream, head, framing, body} = result;
+    log.step('request_answered', {
+      upstream,
+      status: head.status,
+      framing,
+      bytes: body.length,
+    });
   }
 
   private refuse(
--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -5,19 +5,25 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as purify from 'purify-ts';
+import * as answerFraming from './answer-framing.js';
 import type * as connectionPool from './connection-pool.js';
-import * as framing from './is-framed.js';
 import type * as linkMonitor from './link-monitor.js';
 import type * as upstreamCall from './upstream-call.js';
 
 /** Whether a call's connection broke after its answer's head. */
 type IsBroken = () => boolean;
 
+/** What is known of an answer's body before it is read. */
+export interface AnswerBody {
+  readonly framing: answerFraming.AnswerFraming;
+  readonly isBroken: IsBroken;
+}
+
 /** Decides what the head of an answer means. */
 export type ClassifyAnswer = (
   request: upstreamCall.UpstreamRequest,
   response: http.IncomingMessage,
-  isBroken: IsBroken,
+  body: AnswerBody,
 ) => purify.Either<upstreamCall.CallFailure, upstreamCall.UpstreamAnswer>;
 
 /** Creates the function that calls servers and classifies their answers. */
@@ -79,8 +85,10 @@
         });
         // A body that breaks before it is read must not end the process.
         response.on('error', () => undefined);
-        const wasReset = watchForReset(response);
-        resolve(classify(request, response, () => hasFailed || wasReset()));
+        const framing = answerFraming.findFraming(request.method, response);
+        const wasReset = watchForReset(response, framing);
+        const isBroken = () => hasFailed || wasReset();
+        resolve(classify(request, response, {framing, isBroken}));
       });
       // An error after the head concerns the body, whose reader handles it.
       sending.on('error', () => {
@@ -101,10 +109,12 @@
  * remote address, after a close it still has. The socket caches the address, so
  * it must not be read earlier.
  */
-const watchForReset = (response: http.IncomingMessage): (() => boolean) => {
-  const {socket} = response;
+const watchForReset = (
+  {socket}: http.IncomingMessage,
+  framing: answerFraming.AnswerFraming,
+): (() => boolean) => {
   let wasReset = false;
-  if (framing.isFramed(response)) {
+  if (framing !== 'connection') {
     return () => false;
   }
   socket.prependOnceListener('end', () => {
--- a/packages/gateway/src/open-forward.ts
+++ b/packages/gateway/src/open-forward.ts
@@ -31,7 +31,7 @@
   const classify: openExchange.ClassifyAnswer = (
     request,
     response,
-    isBroken,
+    {framing, isBroken},
   ) => {
     const headers = response.rawHeaders;
     const status = response.statusCode ?? 0;
@@ -55,6 +55,7 @@
       ...(model === undefined ? {} : {model}),
       ...(upstream === undefined ? {} : {upstream}),
       body: response,
+      framing,
       isBroken,
     });
   };
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -57,7 +57,8 @@
       const {lastEventId} = this.relay;
       if (end === 'complete') {
         this.answer.end();
-        log.step('request_answered', {upstream, lastEventId});
+        const {framing} = open.answer;
+        log.step('request_answered', {upstream, lastEventId, framing});
         return undefined;
       }
       const next = await this.resume(open.model);
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -9,6 +9,7 @@
 import type * as http from 'node:http';
 import * as purify from 'purify-ts';
 import type * as routing from '@amaranthknot/routing';
+import type * as answerFraming from './answer-framing.js';
 import type * as connectionPool from './connection-pool.js';
 import type * as headerNames from './header-names.js';
 import type * as linkMonitor from './link-monitor.js';
@@ -80,6 +81,7 @@
   /** Id of the upstream that answers, if another instance chose it. */
   readonly upstream?: string;
   readonly body: http.IncomingMessage;
+  readonly framing: answerFraming.AnswerFraming;
   /**
    * Whether the connection broke. An answer without a length ends when its
    * connection ends, so a reset makes it look as complete as a close does.
@@ -131,7 +133,7 @@
   const classify: openExchange.ClassifyAnswer = (
     request,
     response,
-    isBroken,
+    {framing, isBroken},
   ) => {
     const headers = response.rawHeaders;
     const status = response.statusCode ?? 0;
@@ -170,6 +172,7 @@
       ...(load ? {load} : {}),
       ...(confidence === undefined ? {} : {confidence}),
       body: response,
+      framing,
       isBroken,
     });
   };
