Check a plain service before an answer of it without a length is recorded

What callers saw: on the product's own interface (serve) a service that ends while it answers without a length has half of its answer returned as a whole one, billed, recorded as the outcome of the call, and served again to each retry with its Idempotency-Key. A reset that arrives with the last bytes did the same.

Change: the framing of answers is found in decisions and a reset in ports, for both interfaces; the client checks the service after the end of an answer that only its connection ends, as the gateway does. Services of this interface have no id and no path for their health, so they are connected to and sent nothing: one that has ended refuses. An end that is not confirmed is a broken call whose outcome is unknown: nothing is recorded, and the claim forbids a second run. What stays open: another process that has taken over the address at once is not told from the service.

--- a/packages/amaranthknot/src/instance-wiring.ts
+++ b/packages/amaranthknot/src/instance-wiring.ts
@@ -19,6 +19,7 @@
 import * as instanceState from './instance-state.js';
 import * as peerServer from './peer-server.js';
 import * as rolloutWiring from './rollout-wiring.js';
+import * as serviceCheck from './service-check.js';
 import * as upstreamWiring from './upstream-wiring.js';
 
 type Factories = {
@@ -160,7 +161,9 @@
         : decisions.drawRetryAfterMs(waitMs, get('options').random ?? random);
     },
     openEngine: upstreams.createEngineClient(),
-    callService: upstreams.createServiceClient(),
+    callService: upstreams.createServiceClient(
+      serviceCheck.createCheckService(get('options').clock),
+    ),
     recordAttempt: model => get('retryBudget').recordAttempt(model),
     mayRetry: model => get('retryBudget').tryRetry(model),
     claims: get('claims'),
--- a/packages/gateway/src/answer-framing.ts
+++ b/packages/decisions/src/answer-framing.ts
@@ -1,5 +1,4 @@
 /** How an answer says where its body ends. */
-import type * as http from 'node:http';
 
 /**
  * What ends the body of an answer.
@@ -12,13 +11,19 @@
  */
 export type AnswerFraming = 'length' | 'chunks' | 'bodiless' | 'connection';
 
+/** The head of an answer; names of headers are in lower case. */
+export interface FramedHead {
+  readonly statusCode?: number | undefined;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
 /** Statuses of answers without a body. */
 const BODILESS: ReadonlySet<number> = new Set([204, 304]);
 
 /** The framing of an answer to a request of this method. */
 export const findFraming = (
   method: string,
-  {statusCode = 0, headers}: http.IncomingMessage,
+  {statusCode = 0, headers}: FramedHead,
 ): AnswerFraming => {
   if (method === 'HEAD' || BODILESS.has(statusCode)) {
     return 'bodiless';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,6 +14,7 @@
 export * from './admission-outcome.js';
 export * from './announced-values.js';
 export * from './answer-end.js';
+export * from './answer-framing.js';
 export * from './cascade-policy.js';
 export * from './cascade-plan.js';
 export * from './cold-detector.js';
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -2,7 +2,7 @@
  * Runs a request whose answer is buffered, so that the caller only gets a
  * complete one and a broken answer can be requested again.
  */
-import type * as answerFraming from './answer-framing.js';
+import type * as decisions from '@amaranthknot/decisions';
 import * as attemptHistory from './attempt-history.js';
 import type * as callerAnswer from './caller-answer.js';
 import * as forwardHeaders from './forward-headers.js';
@@ -32,7 +32,7 @@
   readonly upstream: string;
   readonly head: callerAnswer.AnswerHead;
   readonly body: Buffer;
-  readonly framing: answerFraming.AnswerFraming;
+  readonly framing: decisions.AnswerFraming;
 }
 
 /** How one attempt ended. */
--- a/packages/gateway/src/health-request.ts
+++ b/packages/gateway/src/health-request.ts
@@ -87,10 +87,7 @@
  * @param localAddress IP address from which connections are opened.
  */
 export const createRequestHealth =
-  (
-    names: headerNames.HeaderNames,
-    localAddress: string | undefined,
-  ): RequestHealth =>
+  (names: headerNames.HeaderNames, localAddress?: string): RequestHealth =>
   ({address, healthPath, expectedId, connectTimeoutMs, answerTimeoutMs}) =>
     new Promise(resolve => {
       let isConnected = false;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,6 @@
 export * from './accept-forwarded.js';
 export * from './accept-request.js';
 export * from './answer-ends.js';
-export * from './answer-framing.js';
 export * from './attempt-history.js';
 export * from './caller-answer.js';
 export * from './caller-request.js';
--- a/packages/gateway/src/liveness-check.ts
+++ b/packages/gateway/src/liveness-check.ts
@@ -14,20 +14,30 @@
   readonly tookMs: number;
 }
 
+/** One start of an upstream, and its address. */
+export type CheckedUpstream = Pick<
+  routing.Upstream,
+  'id' | 'startedAtMs' | 'address'
+>;
+
 /** Resolves to what an upstream shows after this moment; never rejects. */
-export type CheckLiveness = (upstream: routing.Upstream) => Promise<Liveness>;
+export type CheckLiveness<U extends CheckedUpstream = routing.Upstream> = (
+  upstream: U,
+) => Promise<Liveness>;
 
 /** Options of the checks. */
-export interface CheckLivenessOptions {
+export interface CheckLivenessOptions<
+  U extends CheckedUpstream = routing.Upstream,
+> {
   readonly clock: ports.Clock;
   readonly requestHealth: healthRequest.RequestHealth;
   /**
    * The path at which the upstream may be asked for its health now; undefined
    * if it may get no request, and is only connected to.
    */
-  readonly findHealthPath: (upstream: routing.Upstream) => string | undefined;
+  readonly findHealthPath: (upstream: U) => string | undefined;
   /** Whether a later start of the upstream is known. */
-  readonly isReplaced: (upstream: routing.Upstream) => boolean;
+  readonly isReplaced: (upstream: U) => boolean;
   /** Called at the end of each check. */
   readonly onChecked: (liveness: Liveness) => void;
 }
@@ -63,7 +73,7 @@
 const MISDIRECTED = 421;
 
 const readSign = (
-  {id}: routing.Upstream,
+  {id}: CheckedUpstream,
   found: healthRequest.HealthResult,
 ): decisions.LivenessSign => {
   switch (found.kind) {
@@ -85,15 +95,13 @@
  * Creates the checks. Each begins after the end of all answers that share it,
  * so that what answers it was not ended by what ended these.
  */
-export const createCheckLiveness = (
-  options: CheckLivenessOptions,
-): CheckLiveness => {
+export const createCheckLiveness = <U extends CheckedUpstream>(
+  options: CheckLivenessOptions<U>,
+): CheckLiveness<U> => {
   const {clock, requestHealth, findHealthPath, isReplaced, onChecked} = options;
   const shared = new sharedChecks.SharedChecks<Liveness>(ms => clock.sleep(ms));
 
-  const ask = (
-    upstream: routing.Upstream,
-  ): Promise<healthRequest.HealthResult> => {
+  const ask = (upstream: U): Promise<healthRequest.HealthResult> => {
     const healthPath = findHealthPath(upstream);
     return requestHealth({
       address: upstream.address,
@@ -105,7 +113,7 @@
     });
   };
 
-  const check = async (upstream: routing.Upstream): Promise<Liveness> => {
+  const check = async (upstream: U): Promise<Liveness> => {
     const startedAtMs = clock.now();
     let found = await ask(upstream);
     let connections = 1;
--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -4,8 +4,9 @@
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as decisions from '@amaranthknot/decisions';
+import * as ports from '@amaranthknot/ports';
 import * as purify from 'purify-ts';
-import * as answerFraming from './answer-framing.js';
 import type * as connectionPool from './connection-pool.js';
 import type * as linkMonitor from './link-monitor.js';
 import type * as upstreamCall from './upstream-call.js';
@@ -15,7 +16,7 @@
 
 /** What is known of an answer's body before it is read. */
 export interface AnswerBody {
-  readonly framing: answerFraming.AnswerFraming;
+  readonly framing: decisions.AnswerFraming;
   readonly isBroken: IsBroken;
 }
 
@@ -85,8 +86,11 @@
         });
         // A body that breaks before it is read must not end the process.
         response.on('error', () => undefined);
-        const framing = answerFraming.findFraming(request.method, response);
-        const wasReset = watchForReset(response, framing);
+        const framing = decisions.findFraming(request.method, response);
+        const wasReset =
+          framing === 'connection'
+            ? ports.watchForReset(response.socket)
+            : () => false;
         const isBroken = () => hasFailed || wasReset();
         resolve(classify(request, response, {framing, isBroken}));
       });
@@ -100,29 +104,6 @@
       sending.end(body);
     });
 
-/**
- * Distinguishes a connection that was reset from one that was closed.
- *
- * Guards against a reset that arrives with the last bytes of an answer: the
- * event loop reports a reset and a close alike, as bytes and a clean end, so an
- * answer without a length looks complete. After a reset the socket has no
- * remote address, after a close it still has. The socket caches the address, so
- * it must not be read earlier.
- */
-const watchForReset = (
-  {socket}: http.IncomingMessage,
-  framing: answerFraming.AnswerFraming,
-): (() => boolean) => {
-  let wasReset = false;
-  if (framing !== 'connection') {
-    return () => false;
-  }
-  socket.prependOnceListener('end', () => {
-    wasReset = socket.remoteAddress === undefined;
-  });
-  return () => wasReset;
-};
-
 /** Tracks whether a connection was established, so that bytes may have left. */
 const trackConnection = (
   sending: http.ClientRequest,
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -7,9 +7,9 @@
  * must be noticed.
  */
 import type * as http from 'node:http';
+import type * as decisions from '@amaranthknot/decisions';
 import * as purify from 'purify-ts';
 import type * as routing from '@amaranthknot/routing';
-import type * as answerFraming from './answer-framing.js';
 import type * as connectionPool from './connection-pool.js';
 import type * as headerNames from './header-names.js';
 import type * as linkMonitor from './link-monitor.js';
@@ -81,7 +81,7 @@
   /** Id of the upstream that answers, if another instance chose it. */
   readonly upstream?: string;
   readonly body: http.IncomingMessage;
-  readonly framing: answerFraming.AnswerFraming;
+  readonly framing: decisions.AnswerFraming;
   /**
    * Whether the connection broke. An answer without a length ends when its
    * connection ends, so a reset makes it look as complete as a close does.
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -4,6 +4,7 @@
 export * from './run-completion.js';
 export {
   createServiceClient,
+  type CheckService,
   type ServiceAnswer,
   type ServiceCall,
   type ServiceClient,
--- a/packages/upstreams/src/service-client.ts
+++ b/packages/upstreams/src/service-client.ts
@@ -1,6 +1,7 @@
 /** Client of plain services: one call, one outcome, no retries. */
 import * as http from 'node:http';
 import * as decisions from '@amaranthknot/decisions';
+import * as ports from '@amaranthknot/ports';
 import * as purify from 'purify-ts';
 import * as wreck from '@hapi/wreck';
 import type * as engineClient from './engine-client.js';
@@ -92,8 +93,45 @@
   return purify.Right({status, contentType, body});
 };
 
-/** Creates a client that opens a connection for each call. */
+/** Resolves to what the service at `address` shows after this moment. */
+export type CheckService = (address: string) => Promise<decisions.LivenessSign>;
+
+/** A response as far as it has arrived. */
+interface ArrivedResponse {
+  readonly framing: decisions.AnswerFraming;
+  readonly wasReset: () => boolean;
+}
+
+/**
+ * Why an answer that has ended may not be whole; undefined if it is.
+ *
+ * Guards against half an answer that is returned, billed and recorded as a
+ * whole one: where a service ends while it answers without a length, its
+ * connection closes as if it had sent everything.
+ */
+const findEarlyEnd = async (
+  {framing, wasReset}: ArrivedResponse,
+  check: () => Promise<decisions.LivenessSign>,
+): Promise<ServiceFailure | undefined> => {
+  if (framing !== 'connection') {
+    return undefined;
+  }
+  const sign = wasReset() ? undefined : await check();
+  if (sign !== undefined && decisions.judgeAnswerEnd(sign) === 'whole') {
+    return undefined;
+  }
+  const reason = sign ?? 'its connection was reset';
+  const message = `the answer has no length and may have ended early: ${reason}`;
+  return {code: 'broken', ran: 'unknown', message};
+};
+
+/**
+ * Creates a client that opens a connection for each call.
+ *
+ * @param checkService called after the end of an answer without a length.
+ */
 export const createServiceClient = (
+  checkService: CheckService,
   timeoutMs = DEFAULT_TIMEOUT_MS,
 ): ServiceClient => {
   // If a service closed a kept connection during a send, it would be unknown
@@ -117,11 +155,18 @@
     signal.addEventListener('abort', abort);
     try {
       const response = await sending;
+      const arrived = {
+        framing: decisions.findFraming(call.method, response),
+        wasReset: ports.watchForReset(response.socket),
+      };
       const body = await wreck.default.read(response, {
         timeout: timeoutMs,
         maxBytes: MAX_ANSWER_BYTES,
       });
-      return classifyAnswer(call, response, body);
+      const early = await findEarlyEnd(arrived, () =>
+        checkService(call.address),
+      );
+      return early ? purify.Left(early) : classifyAnswer(call, response, body);
     } catch (error) {
       return purify.Left(describeError(error));
     } finally {
