Take an answer in a coding other than chunks for one without a framing

What callers saw: an upstream names a transfer coding whose last one isn't chunked (identity, gzip) and is reset or ends in the middle: half of its answer is passed on as a whole one.

Cause: each Transfer-Encoding counted as a framing of the body, so neither a reset was watched for nor the upstream checked. RFC 9112 (6.3) lets only chunks, as the last coding, end a body; the parser of Node.js reads any other until the connection closes. Evidence: three of ten new tests fail before, among them a booking answered 200 with half of its body after a reset.

Change: the framing is chunks only where chunked is the last coding, and the connection otherwise, which is then checked like that of an answer without any framing.

--- a/packages/amaranthknot/tests/gateway/plain-requests.test.ts
+++ b/packages/amaranthknot/tests/gateway/plain-requests.test.ts
@@ -128,6 +128,22 @@
     });
   });
 
+  it('does not treat an answer in a coding other than chunks as framed', async () => {
+    // Guards against half an answer that is passed on after a reset.
+    await gateway.register('i-1', first);
+    first.script = ({request, socket}) => {
+      const [head = ''] = fakes.formatUnframedHead(request).split('\r\n\r\n');
+      socket.write(`${head}\r\nTransfer-Encoding: identity\r\n\r\nhalf of`);
+      socket.resetAndDestroy();
+    };
+    const answer = await gateway.call({
+      path: fixture.PATHS.book,
+      method: 'POST',
+    });
+    chai.expect(answer.status).equal(502);
+    chai.expect(answer.body).not.contain('half of');
+  });
+
   it('forwards an answer without a length when its connection was closed', async () => {
     await gateway.register('i-1', first);
     first.script = ({request, socket}) => {
--- a/packages/decisions/src/answer-framing.ts
+++ b/packages/decisions/src/answer-framing.ts
@@ -17,6 +17,9 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
+/** Codings of which the last one is that in chunks (RFC 9112, section 6.3). */
+const LAST_IS_CHUNKED = /(^|,)\s*chunked\s*$/i;
+
 /** Statuses of answers without a body. */
 const BODILESS: ReadonlySet<number> = new Set([204, 304]);
 
@@ -28,8 +31,10 @@
   if (method === 'HEAD' || BODILESS.has(statusCode)) {
     return 'bodiless';
   }
-  if (headers['transfer-encoding'] !== undefined) {
-    return 'chunks';
+  const codings = headers['transfer-encoding'];
+  if (codings !== undefined) {
+    // The connection ends a body whose last coding is another one.
+    return LAST_IS_CHUNKED.test(String(codings)) ? 'chunks' : 'connection';
   }
   return headers['content-length'] === undefined ? 'connection' : 'length';
 };
--- /dev/null
+++ b/packages/decisions/tests/answer-framing.test.ts
@@ -0,0 +1,62 @@
+import * as chai from 'chai';
+import * as decisions from '../src/index.js';
+
+interface FramingCase {
+  readonly name: string;
+  readonly method?: string;
+  readonly statusCode?: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly framing: decisions.AnswerFraming;
+}
+
+const CASES: readonly FramingCase[] = [
+  {
+    name: 'a length',
+    headers: {'content-length': '5'},
+    framing: 'length',
+  },
+  {
+    name: 'a length of zero',
+    headers: {'content-length': '0'},
+    framing: 'length',
+  },
+  {
+    name: 'chunks',
+    headers: {'transfer-encoding': 'chunked'},
+    framing: 'chunks',
+  },
+  {
+    name: 'chunks as the last coding',
+    headers: {'transfer-encoding': 'gzip, Chunked '},
+    framing: 'chunks',
+  },
+  {
+    name: 'another coding than chunks',
+    headers: {'transfer-encoding': 'identity'},
+    framing: 'connection',
+  },
+  {
+    name: 'chunks before the last coding',
+    headers: {'transfer-encoding': 'chunked, gzip'},
+    framing: 'connection',
+  },
+  {name: 'neither', headers: {}, framing: 'connection'},
+  {
+    name: 'a status without a body',
+    statusCode: 204,
+    headers: {},
+    framing: 'bodiless',
+  },
+  {name: 'an answer to HEAD', method: 'HEAD', headers: {}, framing: 'bodiless'},
+];
+
+describe('findFraming', () => {
+  CASES.forEach(
+    ({name, method = 'GET', statusCode = 200, headers, framing}) => {
+      it(`finds ${framing} for ${name}`, () => {
+        const head = {statusCode, headers};
+        chai.expect(decisions.findFraming(method, head)).equal(framing);
+      });
+    },
+  );
+});
