Reset the connection of a broken stream to a caller that takes no chunks

What callers saw: a caller that speaks HTTP/1.0 gets a stream that ends with its connection. A stream that broke off was closed in order, and looked whole.

Change: an answer that has begun without chunks is broken off with a reset. What stays open: connections that are cut at the end of a planned stop, and an instance that is killed, close in order; only HTTP/1.0 callers can't tell. The users' pages speak HTTP/1.1 alone.

--- a/packages/amaranthknot/tests/gateway/streams.test.ts
+++ b/packages/amaranthknot/tests/gateway/streams.test.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
 import * as fixture from './gateway-fixture.js';
@@ -322,6 +323,40 @@
     chai.expect(all()).length(1);
   });
 
+  it('resets the connection of a broken stream where the caller takes no chunks', async () => {
+    // Guards against a broken stream whose only end marker is a close in order.
+    const cut: fakes.UpstreamScript = ({request, socket}) => {
+      const text = fakes.formatChunk(fakes.formatEvent(1));
+      socket.write(fakes.formatStreamHead(request) + text);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    first.script = cut;
+    second.script = cut;
+    const address = gateway.settings[0]?.listen.callers;
+    if (!address) {
+      throw new Error('no instance');
+    }
+    const socket = net.connect(address);
+    const end = await new Promise<string>(resolve => {
+      socket.once('end', () => {
+        resolve('closed in order');
+      });
+      socket.once('error', ({message}) => {
+        resolve(message);
+      });
+      socket.resume();
+      socket.write(
+        `POST ${fixture.PATHS.once} HTTP/1.0\r\n` +
+          `Host: ${fixture.HOST}\r\n` +
+          'X-Attempt-Id: http-1.0\r\n' +
+          'X-Remaining-Milliseconds: 3000\r\n' +
+          `Api-Key: ${fixture.KEY}\r\n` +
+          'Content-Length: 0\r\n\r\n',
+      );
+    });
+    chai.expect(end).contain('ECONNRESET');
+  });
+
   it('closes the upstream connection when the caller disconnects', async () => {
     // Guards against upstreams that work for callers that are gone, so that
     // queues grow.
--- a/packages/gateway/src/caller-answer.ts
+++ b/packages/gateway/src/caller-answer.ts
@@ -80,10 +80,14 @@
   /**
    * Breaks the answer off: closes the connection without the end marker of the
    * stream, so that the caller does not take a partial answer for a complete
-   * one.
+   * one. A caller that takes no chunks (HTTP/1.0) has no end marker, and sees a
+   * reset.
    */
   breakOff(): void {
     this.finished = true;
+    if (this.begun && !this.response.chunkedEncoding) {
+      this.response.socket?.resetAndDestroy();
+    }
     this.response.destroy();
   }
 }
