Ask who has the address of an upstream that is gone, and wait for the answer

Cause: two holes in the check before. An upstream whose entry was gone by then was only connected to, and its successor accepts connections (accepted after 23 ms: the 20 ms of a check without a request). And 50 ms without an answer counted as busy, while the successor was slow at first (accepted after 54 ms).

Change: one that is gone or leaving is asked too, which the users' pages don't count as work for it; only cold, limited and full ones and those in zones that are out are just connected to. The wait for an answer is 250 ms. The end of an answer from an upstream that leaves its checks unanswered for so long comes as much later; the bytes of streams aren't held.

Both new tests fail before.

--- a/packages/amaranthknot/src/gateway/wiring/answer-end-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/answer-end-factories.ts
@@ -8,20 +8,19 @@
 
 /**
  * The path at which an upstream may be asked for its health; undefined if it is
- * only connected to: it is cold, limited or full, is leaving, or its zone is out.
+ * only connected to: it is cold, limited or full, or its zone is out. One that
+ * is leaving or gone is asked: its address may have a new owner already.
  */
 const findHealthPath = (
   get: gatewayComponents.GatewayResolver,
-  {id, service: name}: routing.Upstream,
+  {id, service: name, zone}: routing.Upstream,
 ): string | undefined => {
   const service = get('state').activeTable()?.table.services.get(name);
-  const known = get('availability')
-    .findInService(name)
-    .find(({upstream}) => upstream.id === id);
-  const mayAsk =
-    service !== undefined &&
-    known !== undefined &&
-    get('availability').takesHealthCheck(known, service);
+  if (!service || get('state').isZoneOut(zone)) {
+    return undefined;
+  }
+  const known = get('catalog').find(id);
+  const mayAsk = !known || get('availability').takesHealthCheck(known, service);
   return mayAsk ? service.healthPath : undefined;
 };
 
--- a/packages/amaranthknot/tests/gateway/answer-ends.test.ts
+++ b/packages/amaranthknot/tests/gateway/answer-ends.test.ts
@@ -20,6 +20,9 @@
 /** Time after a start in which an instance sends nothing to the cold, in ms. */
 const COLD_REFUSAL_MS = fixture.BOUNDS.change.stabilityMs + 500;
 
+/** Time that an upstream takes for its first answer after its start, in ms. */
+const SLOW_START_MS = 120;
+
 const formatEvents = (from: number, to: number): string => {
   let text = '';
   for (let id = from; id <= to; id++) {
@@ -249,6 +252,42 @@
     chai.expect([answer.status, answer.body]).eql([200, WHOLE]);
   });
 
+  it('is not passed on when its entry is gone and another one has its address', async () => {
+    // Guards against a listener that is taken for the upstream without asking.
+    await start();
+    await gateway.register('i-1', first);
+    first.onHalf = () => {
+      void (async () => {
+        const {version} = (
+          await gateway.store.get('servers', 'i-1')
+        ).unsafeCoerce();
+        await gateway.store.delete('servers', 'i-1', version);
+        await fixture.waitUntil(
+          () => !gateway.instances[0]?.knowsUpstream('i-1'),
+        );
+        await ENDINGS[1]?.end(first, next);
+      })();
+    };
+    const answer = await call('book');
+    chai.expect(answer.status).equal(502);
+  });
+
+  it('is not passed on when the one that has its address is slow at first', async () => {
+    await start();
+    await gateway.register('i-1', first);
+    const {script} = next;
+    next.script = exchange => {
+      setTimeout(() => {
+        script(exchange);
+      }, SLOW_START_MS);
+    };
+    first.onHalf = () => {
+      void ENDINGS[1]?.end(first, next);
+    };
+    const answer = await call('book');
+    chai.expect(answer.status).equal(502);
+  });
+
   it('is not passed on when a later start of its upstream is known', async () => {
     // Guards against the health answer of a process that has taken over the
     // address under the same id.
--- a/packages/gateway/src/liveness-check.ts
+++ b/packages/gateway/src/liveness-check.ts
@@ -49,10 +49,10 @@
 const CONNECT_TIMEOUT_MS = 100;
 
 /**
- * Longest wait for an answer, in milliseconds. One that takes longer to answer
- * is busy, and its callers wait for their answers meanwhile.
+ * Longest wait for an answer, in milliseconds. A busy upstream may take longer,
+ * but another process that has taken over the address hardly does.
  */
-const ANSWER_TIMEOUT_MS = 50;
+const ANSWER_TIMEOUT_MS = 250;
 
 /** Longest wait for a reset where nothing is asked, in milliseconds. */
 const RESET_TIMEOUT_MS = 20;
