Play in the soak upstreams that are killed while they answer

A fifth of all answers has no length now, plain ones come in two parts, and a series of kills closes all connections of an upstream in order, with its address free or taken by another one at once; each body is compared with what the upstream wrote. The proxy resets where it was reset.

--- a/packages/fakes/src/loopback-proxy.ts
+++ b/packages/fakes/src/loopback-proxy.ts
@@ -1,5 +1,6 @@
 /** TCP proxy for one address that injects network faults, for all or one client. */
 import * as net from 'node:net';
+import * as ports from '@amaranthknot/ports';
 
 /**
  * Mode of the proxy.
@@ -37,12 +38,23 @@
     return `127.0.0.1:${port}`;
   }
 
-  async start(): Promise<void> {
+  /** Starts to listen, by default at a free port. */
+  async start(port = 0): Promise<void> {
     await new Promise<void>(resolve => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(port, '127.0.0.1', resolve);
     });
   }
 
+  /** Refuses new connections from now on; open ones live on. */
+  refuseConnections(): void {
+    this.server.close();
+  }
+
+  /** Closes all open connections in order. */
+  closeConnections(): void {
+    [...this.sockets.keys()].forEach(socket => socket.destroy());
+  }
+
   async stop(): Promise<void> {
     this.resetAll();
     await new Promise(resolve => this.server.close(resolve));
@@ -130,11 +142,15 @@
     from.on('data', (chunk: Buffer) => {
       schedule(() => !to.destroyed && to.write(chunk));
     });
+    // A reset that comes with the last bytes is reported as an end in order.
+    const wasReset = ports.watchForReset(from);
     from.on('end', () => {
-      schedule(() => to.end());
+      if (!wasReset()) {
+        schedule(() => to.end());
+      }
     });
     from.on('close', () => {
-      if (from.errored) {
+      if (from.errored || wasReset()) {
         to.resetAndDestroy();
       } else {
         schedule(() => {
--- a/packages/soak/src/crash-faults.ts
+++ b/packages/soak/src/crash-faults.ts
@@ -6,7 +6,7 @@
 export const FATAL_PART = 'fa7a1';
 
 /** Time for which an upstream is down after an end, in milliseconds. */
-const DOWN_MS = 1_500;
+export const DOWN_MS = 1_500;
 
 /** Part of the streams that have the part while it is sent. */
 const FATAL_FRACTION = 0.3;
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -31,7 +31,9 @@
   | 'fatal_part'
   | 'upstream_returns_cold'
   | 'upstreams_return_cold'
-  | 'upstream_restarts_cold';
+  | 'upstream_restarts_cold'
+  | 'upstream_killed'
+  | 'upstream_replaced';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -115,6 +117,18 @@
 const COLD_INTERVAL_MS = {min: 2_000, max: 4_500};
 const COLD_AWAY_MS = {min: 1_500, max: 2_500};
 
+/**
+ * Kinds by which the process of an upstream is killed while it answers, and
+ * another one has its address at once or not; drawn apart as well.
+ */
+const KILL_KINDS: readonly FaultKind[] = [
+  'upstream_killed',
+  'upstream_replaced',
+];
+
+/** Time between two of these. */
+const KILL_INTERVAL_MS = {min: 800, max: 2_500};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
@@ -189,6 +203,17 @@
     forMs: COLD_AWAY_MS,
   });
 
+/** Draws upstreams whose processes are killed. */
+export const drawKillFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] =>
+  drawSeries(random, durationMs, {
+    kinds: KILL_KINDS,
+    intervalMs: KILL_INTERVAL_MS,
+    forMs: {min: 0, max: 0},
+  });
+
 /** Draws the time in which a part of prompts ends upstreams. */
 export const drawFatalPart = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -7,6 +7,7 @@
 import * as checkFatalParts from './check-fatal-parts.js';
 import * as checkLinks from './check-links.js';
 import * as checkNotices from './check-notices.js';
+import * as checkWholeAnswers from './check-whole-answers.js';
 
 /** Kinds of request, named after their routes. */
 export type RequestKind = 'read' | 'book' | 'stream' | 'once';
@@ -64,6 +65,8 @@
   readonly links: checkLinks.LinkRecord;
   readonly fatalPart: checkFatalParts.FatalPartRecord;
   readonly cold: checkCold.ColdRecord;
+  /** Undefined where other faults than kills may lose answers. */
+  readonly whole: checkWholeAnswers.WholeAnswerRecord | undefined;
   /** Time from which requests count for recovery; faults ended before. */
   readonly recoveryFromMs: number;
   readonly bounds: InvariantBounds;
@@ -236,5 +239,8 @@
     ),
     ...checkCold.findFloods(record.cold),
     ...checkRecovery(record),
+    ...(record.whole
+      ? checkWholeAnswers.findLostAnswers(record.whole, record.callers)
+      : []),
   ];
 };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -16,6 +16,7 @@
     --links        inject only cuts of links and faults of upstreams
     --parts        inject only a prompt part under which upstreams end
     --cold         inject only upstreams that are away and back cold
+    --kills        inject only upstreams that are killed while they answer
 
   Exit codes
     0 no invariant was violated; 1 some were, their logs are kept
@@ -30,6 +31,7 @@
   links: {type: 'boolean', default: false},
   parts: {type: 'boolean', default: false},
   cold: {type: 'boolean', default: false},
+  kills: {type: 'boolean', default: false},
 } as const;
 
 const MS_PER_MINUTE = 60_000;
@@ -58,7 +60,11 @@
   readonly links: boolean;
   readonly parts: boolean;
   readonly cold: boolean;
+  readonly kills: boolean;
 }): runSoak.SoakOptions['only'] => {
+  if (flags.kills) {
+    return 'kills';
+  }
   if (flags.cold) {
     return 'cold';
   }
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -10,6 +10,7 @@
 import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
 import type * as checkNotices from './check-notices.js';
+import type * as checkWholeAnswers from './check-whole-answers.js';
 import * as loadGenerator from './load-generator.js';
 import * as coldFaults from './cold-faults.js';
 import * as crashFaults from './crash-faults.js';
@@ -28,7 +29,7 @@
   /** Period in which faults start, in milliseconds. */
   readonly durationMs: number;
   /** The only faults, so that no others excuse an instance; all by default. */
-  readonly only?: 'links' | 'fatal_part' | 'cold' | undefined;
+  readonly only?: 'links' | 'fatal_part' | 'cold' | 'kills' | undefined;
 }
 
 /** Result of one run. */
@@ -63,14 +64,24 @@
 /** Starts a server with a proxy before it. */
 const startServer = async (
   script: fakes.UpstreamScript,
+  port = 0,
 ): Promise<Pick<Upstream, 'server' | 'proxy'>> => {
   const server = new fakes.ScriptedUpstream(script);
   await server.start();
   const proxy = new fakes.LoopbackProxy(server.address);
-  await proxy.start();
+  await proxy.start(port);
   return {server, proxy};
 };
 
+/** Closes the connections of a process that was killed, as its kernel does. */
+const closeInOrder = ({
+  server,
+  proxy,
+}: Pick<Upstream, 'server' | 'proxy'>): void => {
+  proxy.closeConnections();
+  server.exit();
+};
+
 interface Instance {
   readonly process: gatewayProcess.GatewayProcess;
   readonly storeProxy: fakes.LoopbackProxy;
@@ -123,6 +134,8 @@
       ),
     writeEntry: upstream => this.writeColdEntry(upstream),
   });
+  private readonly whole: checkWholeAnswers.WholeAnswer[] = [];
+  private readonly kills: checkNotices.Disruption[] = [];
   private readonly failuresMs: number[] = [];
   /** Faults in which an instance may serve nobody. */
   private readonly outages: checkNotices.Disruption[] = [];
@@ -173,6 +186,10 @@
           disruptions: [...this.outages, ...this.disruptions],
         },
         cold: {arrivals: this.arrivals, returns: this.coldFaults.returns},
+        whole:
+          this.options.only === 'kills'
+            ? {answers: this.whole, kills: this.kills}
+            : undefined,
         recoveryFromMs,
         bounds: documents.SOAK_BOUNDS,
       });
@@ -222,7 +239,14 @@
         fakes.createRandom(seed + COLD_SEED_OFFSET),
         durationMs,
       );
+    const kills = () =>
+      faultPlan.drawKillFaults(
+        fakes.createRandom(seed + KILL_SEED_OFFSET),
+        durationMs,
+      );
     switch (only) {
+      case 'kills':
+        return kills();
       case 'cold':
         return cold();
       case 'links':
@@ -230,9 +254,13 @@
       case 'fatal_part':
         return [fatalPart()];
       case undefined:
-        return [...others(), ...links(), fatalPart(), ...cold()].sort(
-          (a, b) => a.atMs - b.atMs,
-        );
+        return [
+          ...others(),
+          ...links(),
+          fatalPart(),
+          ...cold(),
+          ...kills(),
+        ].sort((a, b) => a.atMs - b.atMs);
     }
   }
 
@@ -262,6 +290,7 @@
     const state = soakUpstream.createUpstreamState(`u-${index}.0`);
     const record: soakUpstream.SoakRecorder = {
       run: run => this.runs.push(run),
+      whole: answer => this.whole.push(answer),
       arrival: arrival => this.arrivals.push(arrival),
       findSender: port => {
         const source = upstream.proxy.findSource(port);
@@ -314,6 +343,54 @@
     });
   }
 
+  /** Kills the process of an upstream, which comes back later elsewhere. */
+  private async killUpstream(upstream: Upstream): Promise<void> {
+    const {server, proxy} = upstream;
+    if (this.ended.has(server)) {
+      return;
+    }
+    this.ended.add(server);
+    this.recordKill(upstream);
+    proxy.refuseConnections();
+    closeInOrder(upstream);
+    await this.clock.sleep(crashFaults.DOWN_MS);
+    Object.assign(upstream, await startServer(upstream.script));
+    await this.removeEntry(upstream.state.id);
+    await this.registerAnew(upstream);
+  }
+
+  /** Kills the process of an upstream; another one has its address at once. */
+  private async replaceKilled(upstream: Upstream): Promise<void> {
+    const {server, proxy, script, state} = upstream;
+    if (this.ended.has(server)) {
+      return;
+    }
+    this.ended.add(server);
+    this.recordKill(upstream);
+    const {id} = state;
+    const port = Number(proxy.address.split(':')[1]);
+    proxy.refuseConnections();
+    const next = await startServer(script, port);
+    next.proxy.mode = proxy.mode;
+    Object.assign(upstream, next);
+    await this.registerAnew(upstream);
+    closeInOrder({server, proxy});
+    await this.removeEntry(id);
+  }
+
+  /** Excuses the answers that its callers may not get. */
+  private recordKill({state}: Upstream): void {
+    const atMs = this.clock.now();
+    const fromMs = atMs - KILL_MARGIN_MS;
+    const toMs = atMs + KILL_MARGIN_MS;
+    for (const {address} of this.instances) {
+      const downUntilMs = atMs + crashFaults.DOWN_MS;
+      this.outages.push({target: address, fromMs: atMs, toMs: downUntilMs});
+    }
+    this.kills.push({target: state.id, fromMs, toMs});
+    this.disruptions.push({target: state.id, fromMs, toMs});
+  }
+
   private async register({state, proxy}: Upstream): Promise<void> {
     const entry = documents.createEntry(proxy.address, 'ready');
     await this.storeServer.store.create(UPSTREAMS, state.id, entry);
@@ -471,6 +548,10 @@
           ),
         );
         return;
+      case 'upstream_killed':
+        return this.killUpstream(upstream);
+      case 'upstream_replaced':
+        return this.replaceKilled(upstream);
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -603,6 +684,15 @@
 /** Added to the seed for the time in which a part ends upstreams. */
 const FATAL_SEED_OFFSET = 2_000_000;
 
+/** Added to the seed for the upstreams that are killed. */
+const KILL_SEED_OFFSET = 4_000_000;
+
+/**
+ * Time around a kill in which an answer may be lost, in milliseconds: that of
+ * the check after its end, on a busy machine.
+ */
+const KILL_MARGIN_MS = 500;
+
 /** Last number of the IP address from which the first instance calls upstreams. */
 const FIRST_SOURCE = 10;
 
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -2,6 +2,7 @@
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
 import type * as checkNotices from './check-notices.js';
+import type * as checkWholeAnswers from './check-whole-answers.js';
 import * as crashFaults from './crash-faults.js';
 import * as invariants from './invariants.js';
 import * as documents from './soak-documents.js';
@@ -33,7 +34,7 @@
 const ANSWER_LOST_FRACTION = 0.03;
 const CUT_FRACTION = 0.03;
 
-/** Fraction of the streams that have neither a length nor chunks. */
+/** Fraction of the answers that have neither a length nor chunks. */
 const UNFRAMED_FRACTION = 0.2;
 
 /** Refusals a second that a fragile upstream bears. */
@@ -81,9 +82,19 @@
   return true;
 };
 
+/** Bytes that an answer without a length lacks for the time of `HALF_MS`. */
+const HALF_BYTES = 4;
+
+/** A plain answer that only the end of its connection ends. */
+const formatUnframed: typeof fakes.formatAnswer = (request, body, options) =>
+  fakes.formatUnframedHead(request, options) + body;
+
 /** Processing time of a request, in milliseconds. */
 const WORK_MS = {min: 5, max: 40};
 
+/** Time between the halves of a plain answer without a length, in ms. */
+const HALF_MS = 40;
+
 /** Time between two events of a stream, in milliseconds. */
 const EVENT_MS = 20;
 
@@ -109,6 +120,8 @@
 /** Receives what a script records. */
 export interface SoakRecorder {
   readonly run: (run: invariants.RunRecord) => void;
+  /** The whole of a plain answer has been written. */
+  readonly whole: (whole: checkWholeAnswers.WholeAnswer) => void;
   readonly arrival: (arrival: checkNotices.Arrival) => void;
   /** Address of the instance that opened a connection, by its port here. */
   readonly findSender: (port: number | undefined) => string | undefined;
@@ -214,16 +227,7 @@
         request.target.startsWith('/read') ||
         request.target.startsWith('/book')
       ) {
-        const text = fakes.formatAnswer(
-          request,
-          invariants.formatPlainBody(requestId),
-          {headers: answerHeaders},
-        );
-        socket.write(isCut ? text.slice(0, -3) : text);
-        if (isCut) {
-          socket.resetAndDestroy();
-        }
-        end();
+        writePlain(isUnframed ? formatUnframed : fakes.formatAnswer);
       } else {
         const options = {headers: answerHeaders};
         socket.write(
@@ -240,6 +244,31 @@
       }
     }, workMs + pauseMs);
 
+    const writePlain = (format: typeof fakes.formatAnswer) => {
+      const text = format(request, invariants.formatPlainBody(requestId), {
+        headers: answerHeaders,
+      });
+      if (isCut) {
+        socket.write(text.slice(0, -3));
+        socket.resetAndDestroy();
+        end();
+        return;
+      }
+      const half = isUnframed ? text.length - HALF_BYTES : text.length;
+      socket.write(text.slice(0, half));
+      const endWhole = () => {
+        end();
+        if (socket.destroyed) {
+          return;
+        }
+        if (isUnframed) {
+          socket.end(text.slice(half));
+        }
+        record.whole({id: requestId, upstream: id, atMs: now()});
+      };
+      setTimeout(endWhole, isUnframed ? HALF_MS : 0);
+    };
+
     /** Ends within an event, where nothing else says that more was to come. */
     const breakOff = (name: string, at: number) => {
       if (isUnframed) {
