--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -310,7 +310,7 @@
 
   private logBroken(
     {upstream, forward}: runContext.PlacedAttempt,
-    {status, framing}: upstreamCall.UpstreamAnswer,
+    {status, framing, isBroken, body}: upstreamCall.UpstreamAnswer,
     signal: AbortSignal,
   ): void {
     if (signal.aborted) {
@@ -322,6 +322,8 @@
       reason: 'body_broken',
       status,
       framing,
+      isComplete: body.complete,
+      wasReset: isBroken(),
     });
   }
 }
