--- a/packages/amaranthknot/tests/gateway/streams.test.ts
+++ b/packages/amaranthknot/tests/gateway/streams.test.ts
@@ -50,6 +50,13 @@
   };
 };
 
+/** Resets the connection after the first event. */
+const cutAfterOne: fakes.UpstreamScript = ({request, socket}) => {
+  const text = fakes.formatChunk(fakes.formatEvent(1));
+  socket.write(fakes.formatStreamHead(request) + text);
+  setTimeout(() => socket.resetAndDestroy(), 20);
+};
+
 describe('streams through the gateway', () => {
   let gateway: fixture.GatewayFixture;
   let first: fakes.ScriptedUpstream;
@@ -307,13 +314,8 @@
   it('aborts a broken stream that may not be resumed', async () => {
     // A truncated stream must not look complete: the connection to the caller
     // is closed without the last chunk.
-    const cut: fakes.UpstreamScript = ({request, socket}) => {
-      const text = fakes.formatChunk(fakes.formatEvent(1));
-      socket.write(fakes.formatStreamHead(request) + text);
-      setTimeout(() => socket.resetAndDestroy(), 20);
-    };
-    first.script = cut;
-    second.script = cut;
+    first.script = cutAfterOne;
+    second.script = cutAfterOne;
     const answer = await gateway.call({
       path: fixture.PATHS.once,
       method: 'POST',
@@ -325,13 +327,8 @@
 
   it('resets the connection of a broken stream where the caller takes no chunks', async () => {
     // Guards against a broken stream whose only end marker is a close in order.
-    const cut: fakes.UpstreamScript = ({request, socket}) => {
-      const text = fakes.formatChunk(fakes.formatEvent(1));
-      socket.write(fakes.formatStreamHead(request) + text);
-      setTimeout(() => socket.resetAndDestroy(), 20);
-    };
-    first.script = cut;
-    second.script = cut;
+    first.script = cutAfterOne;
+    second.script = cutAfterOne;
     const address = gateway.settings[0]?.listen.callers;
     if (!address) {
       throw new Error('no instance');
--- a/packages/gateway/tests/liveness-check.test.ts
+++ b/packages/gateway/tests/liveness-check.test.ts
@@ -1,19 +1,9 @@
 import * as chai from 'chai';
 import * as decisions from '@amaranthknot/decisions';
-import type * as routing from '@amaranthknot/routing';
 import * as gateway from '../src/index.js';
+import * as upstreamFixture from './upstream-fixture.js';
 
-const UPSTREAM: routing.Upstream = {
-  id: 'u-1',
-  startedAtMs: 7,
-  service: 'svc',
-  address: {host: '127.0.0.1', port: 1},
-  zone: 'a',
-  version: 'v1',
-  slots: 8,
-  state: 'ready',
-  coldForMs: 0,
-};
+const UPSTREAM = upstreamFixture.createUpstream();
 
 const answer = (
   status: number,
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -17,6 +17,7 @@
 import * as faultPlan from './fault-plan.js';
 import * as gatewayProcess from './gateway-process.js';
 import * as invariants from './invariants.js';
+import * as killFaults from './kill-faults.js';
 import * as linkFaults from './link-faults.js';
 import * as documents from './soak-documents.js';
 import * as soakUpstream from './soak-upstream.js';
@@ -73,15 +74,6 @@
   return {server, proxy};
 };
 
-/** Closes the connections of a process that was killed, as its kernel does. */
-const closeInOrder = ({
-  server,
-  proxy,
-}: Pick<Upstream, 'server' | 'proxy'>): void => {
-  proxy.closeConnections();
-  server.exit();
-};
-
 interface Instance {
   readonly process: gatewayProcess.GatewayProcess;
   readonly storeProxy: fakes.LoopbackProxy;
@@ -125,6 +117,10 @@
     random: () => this.random(),
     instances: () => this.instances.map(({address}) => address),
   });
+  private readonly killFaults = new killFaults.KillFaults({
+    clock: this.clock,
+    instances: () => this.instances.map(({address}) => address),
+  });
   private readonly coldFaults = new coldFaults.ColdFaults({
     clock: this.clock,
     random: () => this.random(),
@@ -135,7 +131,6 @@
     writeEntry: upstream => this.writeColdEntry(upstream),
   });
   private readonly whole: checkWholeAnswers.WholeAnswer[] = [];
-  private readonly kills: checkNotices.Disruption[] = [];
   private readonly failuresMs: number[] = [];
   /** Faults in which an instance may serve nobody. */
   private readonly outages: checkNotices.Disruption[] = [];
@@ -170,25 +165,34 @@
         notices: {
           arrivals: this.arrivals,
           notices: this.notices,
-          disruptions: this.disruptions,
+          disruptions: [...this.disruptions, ...this.killFaults.kills],
         },
         links: {
           cuts: this.linkFaults.cuts,
           fragileTimes: this.linkFaults.fragileTimes,
           failuresMs: this.failuresMs,
           upstreams: this.upstreams.length,
-          disruptions: [...this.outages, ...this.crashFaults.outages],
+          disruptions: [
+            ...this.outages,
+            ...this.crashFaults.outages,
+            ...this.killFaults.outages,
+          ],
           instances: this.instances.map(({address}) => address),
         },
         fatalPart: {
           arrivals: this.crashFaults.arrivals,
           endsMs: this.crashFaults.endsMs,
-          disruptions: [...this.outages, ...this.disruptions],
+          disruptions: [
+            ...this.outages,
+            ...this.disruptions,
+            ...this.killFaults.outages,
+            ...this.killFaults.kills,
+          ],
         },
         cold: {arrivals: this.arrivals, returns: this.coldFaults.returns},
         whole:
           this.options.only === 'kills'
-            ? {answers: this.whole, kills: this.kills}
+            ? {answers: this.whole, kills: this.killFaults.kills}
             : undefined,
         recoveryFromMs,
         bounds: documents.SOAK_BOUNDS,
@@ -343,52 +347,30 @@
     });
   }
 
-  /** Kills the process of an upstream, which comes back later elsewhere. */
-  private async killUpstream(upstream: Upstream): Promise<void> {
-    const {server, proxy} = upstream;
-    if (this.ended.has(server)) {
-      return;
-    }
-    this.ended.add(server);
-    this.recordKill(upstream);
-    proxy.refuseConnections();
-    closeInOrder(upstream);
-    await this.clock.sleep(crashFaults.DOWN_MS);
-    Object.assign(upstream, await startServer(upstream.script));
-    await this.removeEntry(upstream.state.id);
-    await this.registerAnew(upstream);
-  }
-
-  /** Kills the process of an upstream; another one has its address at once. */
-  private async replaceKilled(upstream: Upstream): Promise<void> {
+  /** Kills the process of an upstream, unless it has ended already. */
+  private async killUpstream(
+    upstream: Upstream,
+    how: 'kill' | 'replace',
+  ): Promise<void> {
     const {server, proxy, script, state} = upstream;
     if (this.ended.has(server)) {
       return;
     }
     this.ended.add(server);
-    this.recordKill(upstream);
     const {id} = state;
-    const port = Number(proxy.address.split(':')[1]);
-    proxy.refuseConnections();
-    const next = await startServer(script, port);
-    next.proxy.mode = proxy.mode;
-    Object.assign(upstream, next);
-    await this.registerAnew(upstream);
-    closeInOrder({server, proxy});
-    await this.removeEntry(id);
-  }
-
-  /** Excuses the answers that its callers may not get. */
-  private recordKill({state}: Upstream): void {
-    const atMs = this.clock.now();
-    const fromMs = atMs - KILL_MARGIN_MS;
-    const toMs = atMs + KILL_MARGIN_MS;
-    for (const {address} of this.instances) {
-      const downUntilMs = atMs + crashFaults.DOWN_MS;
-      this.outages.push({target: address, fromMs: atMs, toMs: downUntilMs});
-    }
-    this.kills.push({target: state.id, fromMs, toMs});
-    this.disruptions.push({target: state.id, fromMs, toMs});
+    await this.killFaults[how]({
+      id,
+      current: {server, proxy},
+      start: async port => {
+        const {mode} = proxy;
+        Object.assign(upstream, await startServer(script, port));
+        upstream.proxy.mode = mode;
+      },
+      register: () => this.registerAnew(upstream),
+      unregister: async () => {
+        await this.removeEntry(id);
+      },
+    });
   }
 
   private async register({state, proxy}: Upstream): Promise<void> {
@@ -549,9 +531,9 @@
         );
         return;
       case 'upstream_killed':
-        return this.killUpstream(upstream);
+        return this.killUpstream(upstream, 'kill');
       case 'upstream_replaced':
-        return this.replaceKilled(upstream);
+        return this.killUpstream(upstream, 'replace');
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -687,12 +669,6 @@
 /** Added to the seed for the upstreams that are killed. */
 const KILL_SEED_OFFSET = 4_000_000;
 
-/**
- * Time around a kill in which an answer may be lost, in milliseconds: that of
- * the check after its end, on a busy machine.
- */
-const KILL_MARGIN_MS = 500;
-
 /** Last number of the IP address from which the first instance calls upstreams. */
 const FIRST_SOURCE = 10;
 
