Doubt a listener whose upstream was found away, or has left its address

Its upstream had been killed, and another one had its address.

Cause: 0.17 s before, connections to the upstream had broken, so it was taken for away and cold, got no request for its health, and its successor accepted the connection (accepted after 38 ms). The entry of the successor with the same address had come 30 ms before the end of the check.

Change: where a check shows no more than that something listens, and the upstream was found away without an answer since, or another known upstream has its address, the answer isn't believed (doubted). One that answers the check is believed as before. The new test of the gateway fails before.

--- a/packages/amaranthknot/src/gateway/wiring/answer-end-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/answer-end-factories.ts
@@ -1,6 +1,6 @@
 /** Factories of the components that confirm the ends of answers. */
 import * as gateway from '@amaranthknot/gateway';
-import type * as routing from '@amaranthknot/routing';
+import * as routing from '@amaranthknot/routing';
 import type * as gatewayComponents from '../gateway-components.js';
 
 /** Tokens of the components that are created here. */
@@ -33,6 +33,30 @@
   return known !== undefined && known.upstream.startedAtMs !== startedAtMs;
 };
 
+/**
+ * Whether what listens at an upstream's address may be another process: the
+ * upstream was found away and has not answered since, or another one is known
+ * there.
+ */
+const isDoubted = (
+  get: gatewayComponents.GatewayResolver,
+  upstream: routing.Upstream,
+): boolean => {
+  const absence = get('upstreamAbsences').find(upstream);
+  const isAway = absence !== undefined && absence.answeredAtMs === undefined;
+  const address = routing.formatAddress(upstream.address);
+  return (
+    isAway ||
+    get('catalog')
+      .all()
+      .some(
+        ({upstream: other}) =>
+          other.id !== upstream.id &&
+          routing.formatAddress(other.address) === address,
+      )
+  );
+};
+
 /** Creates the factories by token. */
 export const createAnswerEndFactories =
   (): gatewayComponents.ComponentFactories<AnswerEndComponent> => ({
@@ -43,6 +67,7 @@
           requestHealth: get('requestHealth'),
           findHealthPath: upstream => findHealthPath(get, upstream),
           isReplaced: upstream => isReplaced(get, upstream),
+          isDoubted: upstream => isDoubted(get, upstream),
           onChecked: ({sign, connections, tookMs}) => {
             get('metrics').recordEndCheck(sign, connections, tookMs);
           },
--- a/packages/amaranthknot/src/service-check.ts
+++ b/packages/amaranthknot/src/service-check.ts
@@ -18,6 +18,7 @@
     requestHealth: gateway.createRequestHealth(platform.HEADER_NAMES),
     findHealthPath: () => undefined,
     isReplaced: () => false,
+    isDoubted: () => false,
     onChecked: () => undefined,
   });
   return async text => {
--- a/packages/amaranthknot/tests/gateway/answer-ends.test.ts
+++ b/packages/amaranthknot/tests/gateway/answer-ends.test.ts
@@ -288,6 +288,24 @@
     chai.expect(answer.status).equal(502);
   });
 
+  it('is not passed on when its upstream is cold and another one is known at its address', async () => {
+    // Guards against a listener that is believed without being asked.
+    await start(fixture.createManifest(1, {}, {coldStartS: 60, coldPerS: 2}));
+    await gateway.register('i-1', first, {coldRemainingMs: 60_000});
+    await ports.systemClock.sleep(COLD_REFUSAL_MS);
+    first.onHalf = () => {
+      void (async () => {
+        const port = portOf(first);
+        first.refuseConnections();
+        await next.start(port);
+        await gateway.register('i-next', next);
+        first.closeConnections();
+      })();
+    };
+    const answer = await call('book');
+    chai.expect(answer.status).equal(502);
+  });
+
   it('is not passed on when a later start of its upstream is known', async () => {
     // Guards against the health answer of a process that has taken over the
     // address under the same id.
--- a/packages/decisions/src/answer-end.ts
+++ b/packages/decisions/src/answer-end.ts
@@ -13,13 +13,21 @@
  *
  * - `answered`: it answered a request that was sent after the end.
  * - `accepted`: it accepted a connection after the end, and no more is known.
+ * - `doubted`: the same, but it was found away before, or another upstream is
+ *   known at its address.
  * - `reset`: it accepted connections and reset them, twice in a row.
  * - `replaced`: another upstream, or another start of it, has its address.
  * - `refused`: its address refuses connections.
  * - `unreachable`: no connection was established in time, twice in a row.
  */
 export type LivenessSign =
-  'answered' | 'accepted' | 'reset' | 'replaced' | 'refused' | 'unreachable';
+  | 'answered'
+  | 'accepted'
+  | 'doubted'
+  | 'reset'
+  | 'replaced'
+  | 'refused'
+  | 'unreachable';
 
 /** Whether an answer is whole, or ended before its last byte. */
 export type AnswerEnd = 'whole' | 'early';
@@ -36,6 +44,7 @@
   accepted: 'whole',
   // It has as many connections as it takes; without a process it would refuse.
   reset: 'whole',
+  doubted: 'early',
   replaced: 'early',
   refused: 'early',
   unreachable: 'early',
--- a/packages/gateway/src/liveness-check.ts
+++ b/packages/gateway/src/liveness-check.ts
@@ -38,6 +38,8 @@
   readonly findHealthPath: (upstream: U) => string | undefined;
   /** Whether a later start of the upstream is known. */
   readonly isReplaced: (upstream: U) => boolean;
+  /** Whether its listener may be that of another process, see `doubted`. */
+  readonly isDoubted: (upstream: U) => boolean;
   /** Called at the end of each check. */
   readonly onChecked: (liveness: Liveness) => void;
 }
@@ -98,7 +100,7 @@
 export const createCheckLiveness = <U extends CheckedUpstream>(
   options: CheckLivenessOptions<U>,
 ): CheckLiveness<U> => {
-  const {clock, requestHealth, findHealthPath, isReplaced, onChecked} = options;
+  const {clock, requestHealth, findHealthPath, onChecked} = options;
   const shared = new sharedChecks.SharedChecks<Liveness>(ms => clock.sleep(ms));
 
   const ask = (upstream: U): Promise<healthRequest.HealthResult> => {
@@ -113,6 +115,18 @@
     });
   };
 
+  const judge = (
+    upstream: U,
+    sign: decisions.LivenessSign,
+  ): decisions.LivenessSign => {
+    if (options.isReplaced(upstream)) {
+      return 'replaced';
+    }
+    return sign === 'accepted' && options.isDoubted(upstream)
+      ? 'doubted'
+      : sign;
+  };
+
   const check = async (upstream: U): Promise<Liveness> => {
     const startedAtMs = clock.now();
     let found = await ask(upstream);
@@ -122,7 +136,7 @@
       found = await ask(upstream);
       connections++;
     }
-    const sign = isReplaced(upstream) ? 'replaced' : readSign(upstream, found);
+    const sign = judge(upstream, readSign(upstream, found));
     const liveness = {sign, connections, tookMs: clock.now() - startedAtMs};
     onChecked(liveness);
     return liveness;
--- a/packages/gateway/tests/liveness-check.test.ts
+++ b/packages/gateway/tests/liveness-check.test.ts
@@ -20,6 +20,7 @@
   /** Results of the connections, in order; the last one is repeated. */
   readonly results: readonly gateway.HealthResult[];
   readonly isReplaced?: boolean;
+  readonly isDoubted?: boolean;
   readonly sign: decisions.LivenessSign;
   readonly end: decisions.AnswerEnd;
   readonly connections: number;
@@ -47,6 +48,22 @@
     end: 'whole',
     connections: 1,
   },
+  {
+    name: 'accepts a connection after it was found away',
+    results: [{kind: 'silent'}],
+    isDoubted: true,
+    sign: 'doubted',
+    end: 'early',
+    connections: 1,
+  },
+  {
+    name: 'answers after it was found away',
+    results: [answer(200, 'u-1')],
+    isDoubted: true,
+    sign: 'answered',
+    end: 'whole',
+    connections: 1,
+  },
   {
     name: 'resets all connections beyond its limit',
     results: [{kind: 'reset'}],
@@ -107,7 +124,8 @@
 ];
 
 describe('the check of an upstream that has ended an answer', () => {
-  CASES.forEach(({name, results, isReplaced, sign, end, connections}) => {
+  CASES.forEach(testCase => {
+    const {name, results, sign, end, connections} = testCase;
     it(`takes the answer for ${end} if the upstream ${name}`, async () => {
       const asked: gateway.HealthRequest[] = [];
       const checked: gateway.Liveness[] = [];
@@ -123,7 +141,8 @@
           return Promise.resolve(next ?? {kind: 'silent'});
         },
         findHealthPath: () => '/health',
-        isReplaced: () => isReplaced === true,
+        isReplaced: () => testCase.isReplaced === true,
+        isDoubted: () => testCase.isDoubted === true,
         onChecked: liveness => {
           checked.push(liveness);
         },
