Measure what a peer may add to a time by a clock that never runs ahead

Cause: an instance takes its view of the store for confirmed as of the time it asked its watcher, plus the time for which the watcher held the call. The watcher measured the hold by a clock that adds every jump of the wall clock ahead, as if the machine had been suspended. That errs towards older for ages, and towards younger for a duration that another instance adds to a time of its own: the view was confirmed up to 2.4 s in the future.

Change: the clock has two readings. now() is for ages and never falls behind true time by more than a bound; steadyNow() is for waits and for what a peer may add, and never runs ahead. The hold is measured by steadyNow(), and bounded at the receiver by what it measured itself from asking to the answer. The same in the watch of the store, which counts as held only if it was.

Logs: clock_gap, peer_hold_bounded, and the age of the configuration by which a request was accepted in request_placed.

Test: whole instances, each with clocks of its own, in virtual time, compared with the true time of each write.

--- a/packages/amaranthknot/src/gateway/fleet-change-logger.ts
+++ b/packages/amaranthknot/src/gateway/fleet-change-logger.ts
@@ -43,6 +43,18 @@
     }
   }
 
+  /**
+   * Logs an answer of a peer that says it held the call for longer than the call
+   * took: a sign that the clock of the peer jumped.
+   */
+  logLongHold({address, heldMs, elapsedMs}: fleet.LongHold): void {
+    this.options.log.warn('peer_hold_bounded', {
+      peer: address,
+      heldMs: Math.round(heldMs),
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+
   private logPeerChanges(): void {
     const {members, now} = this.options;
     const serving = new Set(members.serving(now()).map(({id}) => id));
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -30,6 +30,9 @@
 const BOOTSTRAP_WAIT_MS = 2_000;
 const BOOTSTRAP_PAUSE_MS = 200;
 
+/** Shortest gap of the clock that is logged, in milliseconds. */
+const MIN_LOGGED_GAP_MS = 50;
+
 /** Time since the process started, in milliseconds. */
 export const uptimeMs = (): number => Math.round(process.uptime() * 1_000);
 
@@ -45,6 +48,8 @@
 export class InstanceLoops {
   private reloadedAtMs = 0;
   private fleetCheckedAtMs = -Infinity;
+  /** How far the clock for ages is ahead of the one for waits, in ms. */
+  private clockLeadMs = 0;
   private lastLoad = performance.eventLoopUtilization();
 
   constructor(
@@ -137,6 +142,7 @@
       get('upstreamAbsences').expire();
       get('coldStarts').expire();
       this.sampleLoad();
+      this.logClockGap();
       get('rollouts').reportDueEnds();
       this.checkFleetIfDue(clock.now());
       get('log').reportDroppedLines();
@@ -152,6 +158,19 @@
     this.get('forwardAdmission').record(since.utilization);
   }
 
+  /** Logs that the machine was suspended, or that its wall clock was set ahead. */
+  private logClockGap(): void {
+    const {clock} = this.get('options');
+    const leadMs = clock.now() - clock.steadyNow();
+    if (leadMs - this.clockLeadMs >= MIN_LOGGED_GAP_MS) {
+      this.get('log').warn('clock_gap', {
+        gapMs: Math.round(leadMs - this.clockLeadMs),
+        totalMs: Math.round(leadMs),
+      });
+    }
+    this.clockLeadMs = leadMs;
+  }
+
   private dropGonePeers(nowMs: number): void {
     const ids = new Set(
       this.get('members')
--- a/packages/amaranthknot/src/gateway/wiring/store-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/store-factories.ts
@@ -117,6 +117,9 @@
     staleAfterMs: kind => get('watchRole').staleAfterMs(kind),
     onUpdate: get('onViewUpdate'),
     isWatcher: () => get('watchRole').isWatcher(),
+    onLongHold: hold => {
+      get('fleetChangeLogger').logLongHold(hold);
+    },
     onFailure: (peer, error) => {
       get('fleetChangeLogger').logPeerFailure(peer, error);
     },
--- a/packages/amaranthknot/tests/gateway/fleet-shares.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-shares.test.ts
@@ -21,7 +21,7 @@
 };
 
 /** What one instance may use of something that all share. */
-type CountOwn = (instance: virtualFleet.VirtualInstance) => number;
+type CountOwn = (instance: Pick<virtualFleet.VirtualInstance, 'get'>) => number;
 
 interface ShareCase {
   readonly name: string;
@@ -109,7 +109,7 @@
     await fleet.clock.advance(500);
     fleet.live().forEach(({get}) => {
       get('repeatBudget').recordRequest('svc');
-      chai.expect(countRepeats({id: '', zone: '', get})).equal(1);
+      chai.expect(countRepeats({get})).equal(1);
     });
   });
 });
--- a/packages/amaranthknot/tests/gateway/virtual-fleet.ts
+++ b/packages/amaranthknot/tests/gateway/virtual-fleet.ts
@@ -13,6 +13,8 @@
   readonly isBootstrap?: boolean;
   readonly bounds?: configuration.GatewayBounds;
   readonly manifest?: unknown;
+  /** One-way delay of a message between instances, in milliseconds. */
+  readonly linkDelayMs?: () => number;
 }
 
 /** Starts all instances within 0.3 s of each other. */
--- a/packages/amaranthknot/tests/operator-fixture.ts
+++ b/packages/amaranthknot/tests/operator-fixture.ts
@@ -80,6 +80,7 @@
   let time = 0;
   return {
     now: () => time,
+    steadyNow: () => time,
     wallTime: () => time,
     sleep: ms => {
       time += ms;
--- a/packages/bench/src/benches/state.ts
+++ b/packages/bench/src/benches/state.ts
@@ -52,6 +52,7 @@
 const fillDirectory = (): entry.UpstreamDirectory => {
   const clock = {
     now: () => 0,
+    steadyNow: () => 0,
     wallTime: () => 0,
     sleep: () => Promise.resolve(),
   };
--- a/packages/bench/src/histories/process-control.ts
+++ b/packages/bench/src/histories/process-control.ts
@@ -48,6 +48,7 @@
   guardClock(): ports.Clock {
     return {
       now: () => this.clock.now(),
+      steadyNow: () => this.clock.steadyNow(),
       wallTime: () => this.clock.wallTime(),
       sleep: (ms, signal) => this.guard(this.clock.sleep(ms, signal)),
     };
--- a/packages/experiment/src/virtual-fleet.ts
+++ b/packages/experiment/src/virtual-fleet.ts
@@ -7,7 +7,7 @@
 import type * as configuration from '@amaranthknot/configuration';
 import * as fakes from '@amaranthknot/fakes';
 import * as platform from '@amaranthknot/platform';
-import type * as ports from '@amaranthknot/ports';
+import * as ports from '@amaranthknot/ports';
 import type * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 
@@ -30,6 +30,8 @@
   readonly id: string;
   readonly zone: string;
   readonly get: amaranthknot.GatewayResolver;
+  /** The clocks of its machine. */
+  readonly machine: fakes.MachineClock;
 }
 
 /** A running fleet. */
@@ -66,6 +68,8 @@
   readonly manifest: unknown;
   /** Components that replace those of each instance. */
   readonly overrides?: amaranthknot.ComponentOverrides;
+  /** One-way delay of a message, in milliseconds; `LINK_DELAY_MS` by default. */
+  readonly linkDelayMs?: () => number;
 }
 
 const hostOf = (index: number): string =>
@@ -133,9 +137,13 @@
   const running = new Map<string, RunningInstance>();
   const poweredOff = new Set<string>();
   const isolated = new Set<string>();
-  const network = createNetwork(clock, running, host =>
-    poweredOff.has(host) || isolated.has(host) ? 'silent' : 'reached',
-  );
+  const network = createNetwork({
+    clock,
+    running,
+    linkDelayMs: options.linkDelayMs ?? (() => LINK_DELAY_MS),
+    findReachability: host =>
+      poweredOff.has(host) || isolated.has(host) ? 'silent' : 'reached',
+  });
   const manifestCreated = store.create(
     platform.STORE_KINDS.configuration,
     platform.CONFIGURATION_NAME,
@@ -148,11 +156,12 @@
     const settings = createSettings(index, options);
     const stopController = new AbortController();
     const host = hostOf(index);
+    const machine = new fakes.MachineClock(clock);
     const gatewayOptions = {
       settings: createSource(settings),
-      clock,
+      clock: ports.createSuspendAwareClock(machine),
       random: fakes.createRandom(Math.floor(random() * 2 ** 31)),
-      store: withIsolation(store, async () => {
+      store: createInstanceStore(store, machine, async () => {
         if (isolated.has(host)) {
           await clock.sleep(STORE_TIMEOUT_MS);
         }
@@ -162,7 +171,7 @@
     };
     const get = amaranthknot.wireGateway(gatewayOptions, options.overrides);
     const {id, zone} = settings.instance;
-    running.set(host, {id, zone, get, stopController});
+    running.set(host, {id, zone, get, machine, stopController});
     const loops = new amaranthknot.InstanceLoops(get, {
       isReady: () => get('state').isSynced(),
       reload: () => undefined,
@@ -209,17 +218,24 @@
   };
 };
 
-/** The store as one instance reaches it; calls fail while it is isolated. */
-const withIsolation = (
+/**
+ * The store as one instance reaches it: calls fail while it is isolated, and
+ * answers wait while its machine is suspended.
+ */
+const createInstanceStore = (
   store: ports.StatusStore,
+  machine: fakes.MachineClock,
   isIsolated: () => Promise<boolean>,
 ): ports.StatusStore => {
   const call = async <T>(
     reach: () => Promise<ports.StoreResult<T>>,
-  ): Promise<ports.StoreResult<T>> =>
-    (await isIsolated())
+  ): Promise<ports.StoreResult<T>> => {
+    const answer: ports.StoreResult<T> = (await isIsolated())
       ? purify.Left({code: 'unknown', message: 'no answer'})
-      : reach();
+      : await reach();
+    await machine.whenRunning();
+    return answer;
+  };
   return {
     get: (...args) => call(() => store.get(...args)),
     list: (...args) => call(() => store.list(...args)),
@@ -231,12 +247,20 @@
   };
 };
 
-/** Carries messages between running instances, each way in `LINK_DELAY_MS`. */
-const createNetwork = (
-  clock: fakes.VirtualClock,
-  running: ReadonlyMap<string, RunningInstance>,
-  findReachability: (host: string) => 'reached' | 'silent',
-): {
+interface NetworkOptions {
+  readonly clock: fakes.VirtualClock;
+  readonly running: ReadonlyMap<string, RunningInstance>;
+  readonly linkDelayMs: () => number;
+  readonly findReachability: (host: string) => 'reached' | 'silent';
+}
+
+/** Carries messages between running instances. */
+const createNetwork = ({
+  clock,
+  running,
+  linkDelayMs,
+  findReachability,
+}: NetworkOptions): {
   readonly transportOf: (host: string) => protocol.HttpTransport;
   readonly sentBytes: () => number;
 } => {
@@ -248,7 +272,7 @@
     timeoutMs: number,
   ): ReturnType<protocol.PeerTransport> => {
     bytes += text.length;
-    await clock.sleep(LINK_DELAY_MS);
+    await clock.sleep(linkDelayMs());
     const host = address.split(':')[0] ?? '';
     const peer = running.get(host);
     if (
@@ -265,22 +289,34 @@
       });
     }
     const timedOut = clock.sleep(timeoutMs).then(() => undefined);
-    const answer = await Promise.race([
-      peer.get('peerServer').handle(text),
-      timedOut,
-    ]);
+    const answer = await Promise.race([answerOf(peer, text), timedOut]);
     if (answer === undefined || peer.stopController.signal.aborted) {
       return purify.Left({code: 'unknown', message: 'no answer'});
     }
     bytes += answer.length;
-    await clock.sleep(LINK_DELAY_MS);
+    await clock.sleep(linkDelayMs());
     return purify.Right(answer);
   };
   return {
     transportOf: from => ({
-      send: (...message) => send(from, ...message),
+      send: async (...message) => {
+        const answer = await send(from, ...message);
+        await running.get(from)?.machine.whenRunning();
+        return answer;
+      },
       close: () => undefined,
     }),
     sentBytes: () => bytes,
   };
 };
+
+/** The answer of an instance, which handles nothing while it is suspended. */
+const answerOf = async (
+  {get, machine}: RunningInstance,
+  text: string,
+): Promise<string> => {
+  await machine.whenRunning();
+  const answer = await get('peerServer').handle(text);
+  await machine.whenRunning();
+  return answer;
+};
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -2,6 +2,7 @@
 export * from './draw-free-port.js';
 export * from './engine-server.js';
 export * from './loopback-proxy.js';
+export * from './machine-clock.js';
 export * from './memory-object-store.js';
 export * from './platform-server.js';
 export * from './seeded-random.js';
--- a/packages/fakes/src/virtual-clock.ts
+++ b/packages/fakes/src/virtual-clock.ts
@@ -26,6 +26,10 @@
     return this.time;
   }
 
+  steadyNow(): number {
+    return this.time;
+  }
+
   wallTime(): number {
     return this.epochMs + this.time;
   }
--- a/packages/fleet/src/kind-reflector.ts
+++ b/packages/fleet/src/kind-reflector.ts
@@ -146,6 +146,7 @@
   private async watch(mayHold: boolean): Promise<CallOutcome> {
     const {store, view, clock, findWatchTimeoutMs} = this.options;
     const startedAtMs = clock.now();
+    const steadyStartMs = clock.steadyNow();
     const waitMs = mayHold
       ? findWatchTimeoutMs(startedAtMs - view.confirmedAtMs)
       : 0;
@@ -155,7 +156,8 @@
       Right: found => {
         // The store answers without changes only after the whole wait.
         const {length} = found.events;
-        const wasHeld = length === 0 && clock.now() - startedAtMs >= waitMs;
+        const heldMs = clock.steadyNow() - steadyStartMs;
+        const wasHeld = length === 0 && heldMs >= waitMs;
         view.applyChanges(found, wasHeld ? startedAtMs + waitMs : startedAtMs);
         return {error: undefined, changes: length};
       },
--- a/packages/fleet/src/view-relay.ts
+++ b/packages/fleet/src/view-relay.ts
@@ -157,18 +157,21 @@
   }: protocol.Params<'await_views'>): Promise<protocol.Result<'await_views'>> {
     const {clock} = this.options;
     const {releases} = this;
-    const startedAtMs = clock.now();
+    const startedAtMs = clock.steadyNow();
     const endMs = startedAtMs + Math.min(waitMs, MAX_HOLD_MS);
-    const mayHold = () => this.releases === releases && clock.now() < endMs;
+    const mayHold = () =>
+      this.releases === releases && clock.steadyNow() < endMs;
     while (!this.hasUpdates(known) && mayHold()) {
-      await this.waitForUpdate(endMs - clock.now());
+      await this.waitForUpdate(endMs - clock.steadyNow());
     }
     const views = this.states().map(state => ({
       ...state,
       ...this.findDelta(state, known),
     }));
     return {
-      heldMs: clock.now() - startedAtMs,
+      // The caller adds this to the time at which it asked: a hold that is told
+      // too long would make the views look younger than they are.
+      heldMs: clock.steadyNow() - startedAtMs,
       views,
     };
   }
--- a/packages/fleet/src/view-subscription.ts
+++ b/packages/fleet/src/view-subscription.ts
@@ -5,6 +5,14 @@
 import * as protocol from '@amaranthknot/protocol';
 import type * as kindView from './kind-view.js';
 
+/** A hold that a source states, longer than the call took. Times are in ms. */
+export interface LongHold {
+  readonly address: string;
+  readonly heldMs: number;
+  /** From asking to the answer, as measured here; the hold counts as this. */
+  readonly elapsedMs: number;
+}
+
 /** Dependencies and settings of a `ViewSubscription`. */
 export interface ViewSubscriptionOptions {
   readonly clock: ports.Clock;
@@ -39,6 +47,8 @@
   ) => void;
   /** Called when this instance starts, with the upstreams that were away. */
   readonly onAbsences: (absences: readonly protocol.UpstreamAbsence[]) => void;
+  /** Called when a source says that it held a call for longer than possible. */
+  readonly onLongHold: (hold: LongHold) => void;
   /** Called when a source gave no usable answer. */
   readonly onFailure: (address: string, error: protocol.PeerError) => void;
   /** Called when the source changes; undefined when there is none any more. */
@@ -74,8 +84,20 @@
  */
 const AVOIDANCE_MS = 3_000;
 
+/**
+ * By how much a stated hold may exceed the time of the call before it is
+ * reported, in milliseconds: the clocks of two machines differ a little in rate.
+ */
+const HOLD_TOLERANCE_MS = 5;
+
 type Answer = protocol.Result<'await_views'>;
 
+/** When a source was asked, by both readings of the clock of this instance. */
+interface AskingTime {
+  readonly atMs: number;
+  readonly steadyMs: number;
+}
+
 /** Polls one source at a time and applies its changes to the views. */
 export class ViewSubscription {
   private readonly avoidedUntilMs = new Map<string, number>();
@@ -110,8 +132,8 @@
    * most of the calls to the store.
    */
   async fetchInitial(address: string): Promise<void> {
-    const {clock, transport} = this.options;
-    const askedAtMs = clock.now();
+    const {transport} = this.options;
+    const asked = this.readClock();
     const answer = await protocol.callPeer(
       transport,
       address,
@@ -120,7 +142,7 @@
       FIRST_ANSWER_TIMEOUT_MS,
     );
     answer.ifRight(({heldMs, views, suspectParts = [], absences = []}) => {
-      this.applyViews(views, askedAtMs + heldMs);
+      this.applyViews(views, this.findReadTime(address, heldMs, asked));
       this.options.onAbsences(absences);
       this.options.onSuspectParts(suspectParts);
     });
@@ -150,7 +172,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {clock, transport, views} = this.options;
-    const askedAtMs = clock.now();
+    const asked = this.readClock();
     const known = views.flatMap(({kind, version, digest}) =>
       version === undefined || this.wanted.has(kind)
         ? []
@@ -171,7 +193,7 @@
       await clock.sleep(IDLE_MS, signal);
       return;
     }
-    this.applyAnswer(source, answer.unsafeCoerce(), askedAtMs);
+    this.applyAnswer(source, answer.unsafeCoerce(), asked);
     if (this.wanted.size > 0) {
       // A call that asks for a whole view is answered at once. A source that is
       // behind would give the same answer again, without a pause.
@@ -179,27 +201,49 @@
     }
   }
 
-  /**
-   * The ages in the answer count from when the source read its views, which was
-   * no earlier than the time of the call plus the time for which the source
-   * held it.
-   */
   private applyAnswer(
     source: protocol.Member,
     {heldMs, views, summary}: Answer,
-    askedAtMs: number,
+    asked: AskingTime,
   ): void {
     const {staleAfterMs, onSummary} = this.options;
     if (summary) {
       onSummary(source, summary);
     }
-    this.applyViews(views, askedAtMs + heldMs);
+    this.applyViews(views, this.findReadTime(source.peers, heldMs, asked));
     if (views.some(({kind, ageMs}) => ageMs > staleAfterMs(kind))) {
       // The source has lost the store itself; another one may not have.
       this.avoid(source);
     }
   }
 
+  private readClock(): AskingTime {
+    const {clock} = this.options;
+    return {atMs: clock.now(), steadyMs: clock.steadyNow()};
+  }
+
+  /**
+   * Time from which the ages in an answer count, in ms: when the source read its
+   * views. That was no earlier than the time of the call plus the time for which
+   * the source held it.
+   *
+   * The source can't have held the call for longer than the call took here.
+   * Guards against a source whose clock jumps while it holds the call: its views
+   * would look confirmed in the future, and an instance that is then cut off
+   * would act on them for longer than it may.
+   */
+  private findReadTime(
+    address: string,
+    heldMs: number,
+    asked: AskingTime,
+  ): number {
+    const elapsedMs = this.options.clock.steadyNow() - asked.steadyMs;
+    if (heldMs > elapsedMs + HOLD_TOLERANCE_MS) {
+      this.options.onLongHold({address, heldMs, elapsedMs});
+    }
+    return asked.atMs + Math.min(heldMs, elapsedMs);
+  }
+
   private applyViews(views: Answer['views'], readAtMs: number): void {
     for (const state of views) {
       this.applyView(state, readAtMs - state.ageMs);
--- a/packages/fleet/tests/view-subscription.test.ts
+++ b/packages/fleet/tests/view-subscription.test.ts
@@ -97,6 +97,7 @@
     onAbsences: () => undefined,
     onSuspectParts: () => undefined,
     onSourceChange: () => undefined,
+    onLongHold: () => undefined,
     onFailure: () => undefined,
   });
   void subscription.run(new AbortController().signal);
--- a/packages/gateway/src/accept-request.ts
+++ b/packages/gateway/src/accept-request.ts
@@ -109,5 +109,6 @@
     workspace,
     deadlineMs,
     configuration: table.version,
+    configurationAgeMs: ageMs,
   });
 };
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -24,6 +24,11 @@
   readonly deadlineMs: number;
   /** Version of the configuration by which it was accepted. */
   readonly configuration: number;
+  /**
+   * Age of that configuration then, in milliseconds; undefined if another
+   * instance accepted the request.
+   */
+  readonly configurationAgeMs?: number;
   /** Present if another instance forwarded it. */
   readonly forwarded?: protocol.ForwardedRequest;
 }
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -136,6 +136,17 @@
   ...(isModelFixed && model !== undefined ? {model} : {}),
 });
 
+/** The configuration by which a request was accepted, for the log. */
+const describeConfiguration = ({
+  configuration,
+  configurationAgeMs,
+}: runContext.AcceptedRequest): telemetry.Details => ({
+  configuration,
+  ...(configurationAgeMs === undefined
+    ? {}
+    : {configurationAgeMs: Math.round(configurationAgeMs)}),
+});
+
 /** Sends a request. A failed attempt is settled here, others by the caller. */
 export const sendAttempt = async (
   dependencies: runContext.RunDependencies,
@@ -151,7 +162,12 @@
   if (forward) {
     log.step('request_forwarded', {peer: upstream.id, ...forward, ...inputs});
   } else {
-    log.step('request_placed', {upstream: upstream.id, model, ...inputs});
+    log.step('request_placed', {
+      upstream: upstream.id,
+      model,
+      ...inputs,
+      ...describeConfiguration(request),
+    });
   }
   const open = forward ? dependencies.openForward : dependencies.openCall;
   const opened = await open(
--- a/packages/gateway/tests/liveness-check.test.ts
+++ b/packages/gateway/tests/liveness-check.test.ts
@@ -132,6 +132,7 @@
       const check = gateway.createCheckLiveness({
         clock: {
           now: () => 0,
+          steadyNow: () => 0,
           sleep: () => Promise.resolve(),
           wallTime: () => 0,
         },
--- a/packages/membership/tests/lease-history.test.ts
+++ b/packages/membership/tests/lease-history.test.ts
@@ -57,6 +57,10 @@
     return (isStopped ? (this.pausedAt ?? 0) : this.clock.now()) - this.behind;
   }
 
+  steadyNow(): number {
+    return this.now();
+  }
+
   wallTime(): number {
     return this.clock.wallTime();
   }
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -96,6 +96,8 @@
   | 'peer_lost'
   /** A peer refused a message or gave an invalid answer. */
   | 'peer_message_refused'
+  | 'peer_hold_bounded'
+  | 'clock_gap'
   | 'store_lost'
   | 'store_regained'
   | 'log_lines_dropped'
