Measure the age of a rollout by a clock that never runs ahead

What callers would see: a rollout that is decided early on all instances, before there is evidence on its version, because the wall clock of one was set forward.

An instance tells the age of a rollout by the clock that counts jumps ahead, and all take the oldest age that any of them tells. An age that is too long ends the trial early and moves sessions early; one that is too short only makes the trial longer.

Change: the age is measured by steadyNow() at the sender and the receiver, so no instance can tell one that is too long, and the oldest of several is the best. A machine that was suspended tells a shorter one, and takes over that of the others.

Test: six whole instances; one sets its clock ahead by 5 s. After: within a second of the true age on all.

--- a/packages/amaranthknot/tests/gateway/clock-faults.test.ts
+++ b/packages/amaranthknot/tests/gateway/clock-faults.test.ts
@@ -1,5 +1,6 @@
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
+import * as platform from '@amaranthknot/platform';
 import * as fixture from './gateway-fixture.js';
 import * as virtualFleet from './virtual-fleet.js';
 
@@ -139,3 +140,32 @@
     });
   }
 });
+
+describe('the age of a rollout', () => {
+  it('does not grow at any instance because one set its clock', async () => {
+    // Guards against a rollout that ends early on all instances, before there
+    // is evidence on its version, because the clock of one jumped ahead.
+    const fleet = await virtualFleet.startVirtualFleet({
+      instances: 6,
+      zones: 3,
+    });
+    await fleet.clock.advance(SETTLE_MS);
+    const rollout = {service: fixture.SERVICE, to: 'v2', durationS: 20};
+    const writing = fleet.store.create(
+      platform.STORE_KINDS.rollouts,
+      fixture.SERVICE,
+      rollout,
+    );
+    await fleet.clock.advance(1_000);
+    (await writing).unsafeCoerce();
+    fleet.live()[0]!.machine.setWallClock(5_000);
+    await fleet.clock.advance(3_000);
+    const ages = fleet
+      .live()
+      .flatMap(({get}) => get('rollouts').progress())
+      .map(({ageMs}) => ageMs);
+    chai.expect(ages).length(fleet.live().length);
+    chai.expect(Math.max(...ages)).most(4_000);
+    chai.expect(Math.min(...ages)).least(3_000);
+  });
+});
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -25,7 +25,7 @@
   model: '/model/1',
 } as const;
 
-const SERVICE = 'svc';
+export const SERVICE = 'svc';
 
 /** Fields that a test overrides on all routes, or on the service. */
 type Overrides = Readonly<Record<string, unknown>>;
--- a/packages/gateway/src/followed-rollout.ts
+++ b/packages/gateway/src/followed-rollout.ts
@@ -67,7 +67,7 @@
     public rollout: routing.Rollout,
     private readonly options: FollowedRolloutOptions,
   ) {
-    this.startedAtMs = options.clock.now();
+    this.startedAtMs = options.clock.steadyNow();
     this.evidence = new evidenceTable.EvidenceTable(options.incarnation);
   }
 
@@ -79,9 +79,13 @@
     return this.rollout.state === 'running';
   }
 
-  /** Time since the rollout began, as far as is known here, in ms. */
+  /**
+   * Time since the rollout began, as far as is known here, in ms. It is never too
+   * long: a wall clock that is set forward on one instance would otherwise end
+   * the rollout early on all, before there is evidence.
+   */
   get ageMs(): number {
-    return this.options.clock.now() - this.startedAtMs;
+    return this.options.clock.steadyNow() - this.startedAtMs;
   }
 
   /** Number of pinned sessions that this instance knows. */
@@ -184,7 +188,7 @@
 
   private mergeProgress(progress: readonly protocol.RolloutProgress[]): void {
     for (const report of progress.filter(({order}) => order === this.name)) {
-      const startedAtMs = this.options.clock.now() - report.ageMs;
+      const startedAtMs = this.options.clock.steadyNow() - report.ageMs;
       // The instance that saw the rollout first knows its age best.
       this.startedAtMs = Math.min(this.startedAtMs, startedAtMs);
       report.pinned.forEach(session => {
