Complete a version only on evidence that it is not slower

Five answers, one of them with a pace, were enough to complete. - "slower" was measured against the old version at the same time. The typical times moved with the load. - answers that callers left, that were overtaken or still awaited counted nothing. - no answers counted as an unused service, also for an instance that had just started, and up to 20 answers of the old version. - whoever wrote first decided: an instance that knew "bad" waited up to 1.2 s for its turn, one that didn't know it could complete meanwhile.

Change: waits for first bytes and paces are compared with typical times that are fixed when the rollout begins; over twice of them counts as slower, as soon as that much time has passed. Completing needs log odds of 20 to 1 in favour by them, a verdict that has held for 0.5 s, and where there are no answers, an instance that has followed the rollout nearly from its start.

--- a/packages/amaranthknot/src/gateway/peer-server.ts
+++ b/packages/amaranthknot/src/gateway/peer-server.ts
@@ -1,5 +1,6 @@
 /** Answers the messages that other instances send to a gateway instance. */
 import type * as decisions from '@amaranthknot/decisions';
+import type * as gateway from '@amaranthknot/gateway';
 import type * as fleet from '@amaranthknot/fleet';
 import * as protocol from '@amaranthknot/protocol';
 import type * as fleetReports from './fleet-reports.js';
@@ -10,6 +11,7 @@
   readonly reports: fleetReports.FleetReports;
   readonly quarantine: decisions.PartQuarantine;
   readonly absences: decisions.UpstreamAbsences;
+  readonly rollouts: gateway.RolloutTracker;
 }
 
 /** Creates the message handlers of one instance. */
@@ -39,6 +41,10 @@
       known.merge(absences);
       return {};
     },
+    share_rollouts: ({rollouts}) => {
+      options.rollouts.merge(rollouts, []);
+      return {};
+    },
   });
 };
 
--- a/packages/amaranthknot/src/gateway/push-news.ts
+++ b/packages/amaranthknot/src/gateway/push-news.ts
@@ -1,5 +1,5 @@
 /**
- * Tells other instances at once of news about upstreams and prompts.
+ * Tells other instances at once of news about upstreams, versions and prompts.
  *
  * Guards against upstreams that end one after the other, or are flooded when
  * they are back, until the next regular exchange: each instance sees only its
@@ -10,7 +10,7 @@
 import type * as gatewayComponents from './gateway-components.js';
 
 /** Messages that carry news. */
-type NewsMethod = 'share_suspect_parts' | 'share_absences';
+type NewsMethod = 'share_suspect_parts' | 'share_absences' | 'share_rollouts';
 
 /**
  * Time over which news is gathered before it is sent, in milliseconds: the
--- a/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
@@ -102,5 +102,6 @@
       reports: get('reports'),
       quarantine: get('partQuarantine'),
       absences: get('upstreamAbsences'),
+      rollouts: get('rollouts'),
     }),
 });
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -5,6 +5,7 @@
 import type * as routing from '@amaranthknot/routing';
 import * as gatewayState from '../gateway-state.js';
 import type * as gatewayComponents from '../gateway-components.js';
+import * as pushNews from '../push-news.js';
 import * as coldFactories from './cold-factories.js';
 import * as repeatSlack from '../repeat-slack.js';
 import * as upstreamChanges from '../upstream-changes.js';
@@ -89,6 +90,9 @@
       return serving.filter(({id}) => id < self).length;
     },
     log: get('log'),
+    onBad: pushNews.createPushNews(get, 'share_rollouts', () => ({
+      rollouts: [...get('rollouts').badVersions()],
+    })),
   });
 };
 
--- a/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
@@ -80,6 +80,7 @@
     limit: {share: 0.15, slack: 30},
     report: () => Promise.resolve(false),
     reportRank: () => 0,
+    onBad: () => undefined,
     log,
   });
   rollouts.applyRollouts([
--- a/packages/amaranthknot/tests/gateway/gateway-state.test.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-state.test.ts
@@ -38,6 +38,7 @@
       limit: {share: 0.15, slack: 30},
       report: () => Promise.resolve(false),
       reportRank: () => 0,
+      onBad: () => undefined,
       log,
     }),
     log,
--- a/packages/bench/src/benches/state.ts
+++ b/packages/bench/src/benches/state.ts
@@ -84,6 +84,8 @@
   slow: 1e3,
   paced: 1e6,
   dragging: 1e3,
+  compared: 1e3,
+  slower: 1e3,
   rated: 1e5,
   bad: 1e3,
 };
--- a/packages/decisions/src/rollout-evidence.ts
+++ b/packages/decisions/src/rollout-evidence.ts
@@ -16,6 +16,10 @@
   readonly paced: number;
   /** Streams whose events came more slowly than the bound of the rollout. */
   readonly dragging: number;
+  /** Waits for a first byte, and paces, that were compared with typical ones. */
+  readonly compared: number;
+  /** Of these, the ones over twice the typical; see `AnswerTiming`. */
+  readonly slower: number;
   /** Answers rated. */
   readonly rated: number;
   /** Answers rated bad. */
@@ -41,6 +45,8 @@
   slow: 0,
   paced: 0,
   dragging: 0,
+  compared: 0,
+  slower: 0,
   rated: 0,
   bad: 0,
 };
@@ -58,6 +64,8 @@
   slow: combine(a.slow, b.slow),
   paced: combine(a.paced, b.paced),
   dragging: combine(a.dragging, b.dragging),
+  compared: combine(a.compared, b.compared),
+  slower: combine(a.slower, b.slower),
   rated: combine(a.rated, b.rated),
   bad: combine(a.bad, b.bad),
 });
--- a/packages/decisions/src/rollout-schedule.ts
+++ b/packages/decisions/src/rollout-schedule.ts
@@ -26,12 +26,12 @@
  * Verdict on the new version.
  *
  * - `bad`: it is stopped.
- * - `doubtful`: it fails so much more often than the old version that its share
- *   stays at the initial one.
+ * - `doubtful`: it fails so much more often than the old version, or is slower so
+ *   much more often, that its share stays at the initial one.
  * - `unproved`: it may get full traffic, but its rollout can't complete yet.
  * - `unclear`: both versions have too few answers to judge.
  * - `good`: its failures make it more likely that it is as good as the old
- *   version than that it is worse.
+ *   version than that it is worse, and its times show that it isn't slower.
  */
 export type VersionVerdict =
   'bad' | 'doubtful' | 'unproved' | 'unclear' | 'good';
@@ -81,6 +81,15 @@
 const REPORT_FRACTION = 0.04;
 const MIN_REPORT_MS = 600;
 
+/**
+ * Time for which a verdict must have held for a rollout to complete on it, in
+ * ms: an instance that has judged the version bad tells all others within it.
+ */
+const STEADY_VERDICT_MS = 500;
+
+/** Time before the deadline at which a write still takes effect, in ms. */
+const LAST_REPORT_MS = 100;
+
 /**
  * Log odds against a version at which it is stopped. By the sequential test, a
  * version as good as the old one reaches them in at most one rollout in 20.
@@ -108,6 +117,27 @@
  */
 const DOUBT_BOUND = Math.log(4);
 
+/**
+ * Share of the times of a version that are over twice the typical one. A sound
+ * version has some: its upstreams start with empty caches, and load varies.
+ * Callers notice a version for which it is half.
+ */
+const SLOWER_SHARE = {sound: 0.22, bad: 0.53} as const;
+
+/**
+ * Log odds in favour of the new version, by the times of its answers, that its
+ * rollout needs to complete: of versions that are slower, one in 20 at most
+ * reaches it.
+ */
+const PACE_CLEAR_BOUND = Math.log(20);
+
+/**
+ * Log odds by the times of answers on one route at which a version is doubtful.
+ * They are higher, as the few answers of a route are slower together, for
+ * instance while the cache of the one upstream that runs them fills.
+ */
+const ROUTE_DOUBT_BOUND = Math.log(20);
+
 /** Minimum answers of the new version for a verdict in its favour. */
 const MIN_NEW_ANSWERS = 5;
 
@@ -115,7 +145,7 @@
  * Answers of the old version below which the service counts as unused. The
  * rollout of a new version with too few answers may then complete.
  */
-const IDLE_ANSWERS = 20;
+const IDLE_ANSWERS = 3;
 
 /** Evidence of one rollout by route, and by instance within a route. */
 export type EvidenceByRoute = ReadonlyMap<
@@ -191,6 +221,21 @@
   new: n,
 }: rolloutEvidence.RolloutEvidence): number => findLogOdds(compareErrors(o, n));
 
+/**
+ * Log odds that the answers of the new version are slower, against typical times
+ * from before the rollout.
+ *
+ * The old version at the same time is no measure: while a load slows it down, a
+ * new version that is several times slower, but has little to do, looks like it.
+ */
+const findSlowerLogOdds = ({
+  compared,
+  slower,
+}: rolloutEvidence.VersionCounts): number =>
+  slower * Math.log(SLOWER_SHARE.bad / SLOWER_SHARE.sound) +
+  (compared - slower) *
+    Math.log((1 - SLOWER_SHARE.bad) / (1 - SLOWER_SHARE.sound));
+
 /**
  * Judges the new version by all evidence of a rollout.
  *
@@ -202,20 +247,28 @@
 export const judgeVersion = (byRoute: EvidenceByRoute): VersionVerdict => {
   const all = sumEvidence(byRoute);
   const routeMargin = Math.log(Math.max(1, byRoute.size));
-  const routeExcess = [...byRoute.values()].map(
-    evidence =>
-      findExcess(rolloutEvidence.findNewEvidence({}, evidence)) - routeMargin,
+  const routes = [...byRoute.values()].map(evidence =>
+    rolloutEvidence.findNewEvidence({}, evidence),
   );
+  const routeExcess = routes.map(route => findExcess(route) - routeMargin);
   if (Math.max(findExcess(all), ...routeExcess) >= 0) {
     return 'bad';
   }
-  if (findErrorLogOdds(all) >= DOUBT_BOUND) {
+  const routeSlower = routes.map(
+    route => findSlowerLogOdds(route.new) - routeMargin,
+  );
+  const slowerLogOdds = findSlowerLogOdds(all.new);
+  if (
+    Math.max(findErrorLogOdds(all), slowerLogOdds) >= DOUBT_BOUND ||
+    Math.max(...routeSlower) >= ROUTE_DOUBT_BOUND
+  ) {
     return 'doubtful';
   }
   if (all.new.requests < MIN_NEW_ANSWERS) {
     return all.old.requests < IDLE_ANSWERS ? 'unclear' : 'unproved';
   }
-  return findErrorLogOdds(all) > 0 ? 'unproved' : 'good';
+  const isCleared = slowerLogOdds <= -PACE_CLEAR_BOUND;
+  return isCleared && findErrorLogOdds(all) <= 0 ? 'good' : 'unproved';
 };
 
 /** Time from the start of a rollout in which the new version gets nothing. */
@@ -298,10 +351,13 @@
  * its failures. A rollout completes only if its version is more likely to be as
  * good as the old one than to be worse; one that was rolled back can be
  * repeated.
+ *
+ * @param verdictAgeMs time since the verdict last changed.
  */
 export const findRolloutEnd = (
   timing: RolloutTiming,
   verdict: VersionVerdict,
+  verdictAgeMs: number,
 ): 'completed' | 'rolled_back' | undefined => {
   if (verdict === 'bad') {
     return 'rolled_back';
@@ -312,5 +368,9 @@
     return undefined;
   }
   const isProved = verdict === 'good' || verdict === 'unclear';
-  return isProved ? 'completed' : 'rolled_back';
+  if (isProved && verdictAgeMs >= STEADY_VERDICT_MS) {
+    return 'completed';
+  }
+  const mayWait = ageMs < durationMs - LAST_REPORT_MS;
+  return isProved && mayWait ? undefined : 'rolled_back';
 };
--- a/packages/decisions/tests/rollout-schedule.test.ts
+++ b/packages/decisions/tests/rollout-schedule.test.ts
@@ -4,6 +4,9 @@
 const TIMING = {ageMs: 0, durationMs: 24_000, sessionMs: 5_000};
 const LIMIT = {share: 0.15, slack: 30};
 
+/** Time for which a verdict has held in these tests, in milliseconds. */
+const STEADY_MS = 1_000;
+
 /** Time between two evaluations of a rollout, in milliseconds. */
 const STEP_MS = 100;
 
@@ -16,6 +19,8 @@
   requests,
   errors,
   slow,
+  compared: requests,
+  slower: slow,
 });
 
 const evidenceOf = (
@@ -78,6 +83,24 @@
       fresh: countsOf(10, 0, 8),
       verdict: 'bad',
     },
+    {
+      name: 'no times that could be compared',
+      old: countsOf(200, 2),
+      fresh: {...countsOf(40, 0), compared: 0},
+      verdict: 'unproved',
+    },
+    {
+      name: 'half of the times over twice the typical one',
+      old: {...countsOf(200, 2), slower: 100},
+      fresh: {...countsOf(40, 0), slower: 20},
+      verdict: 'doubtful',
+    },
+    {
+      name: 'few answers while the service is little used',
+      old: countsOf(12, 0),
+      fresh: countsOf(1, 0),
+      verdict: 'unproved',
+    },
     {
       name: 'only failures, with no answers of the old version',
       old: countsOf(0, 0),
@@ -110,7 +133,8 @@
     const evidence = evidenceOf(countsOf(440, 43), countsOf(24, 7));
     const verdict = decisions.judgeVersion(evidence);
     const atEnd = {...TIMING, ageMs: 23_300};
-    chai.expect(decisions.findRolloutEnd(atEnd, verdict)).equal('rolled_back');
+    const end = decisions.findRolloutEnd(atEnd, verdict, STEADY_MS);
+    chai.expect(end).equal('rolled_back');
   });
 
   it('does not complete a version that an outage kept from full traffic', () => {
@@ -120,7 +144,8 @@
     const evidence = evidenceOf(countsOf(117, 3), countsOf(21, 2));
     const verdict = decisions.judgeVersion(evidence);
     const atEnd = {...TIMING, ageMs: 23_300};
-    chai.expect(decisions.findRolloutEnd(atEnd, verdict)).equal('rolled_back');
+    const end = decisions.findRolloutEnd(atEnd, verdict, STEADY_MS);
+    chai.expect(end).equal('rolled_back');
   });
 
   it('gives full traffic to a version that has failed slightly more often', () => {
@@ -147,6 +172,8 @@
       slow: 19,
       paced: 45,
       dragging: 13,
+      compared: 132,
+      slower: 38,
     };
     chai.expect(decisions.judgeVersion(evidenceOf(old, fresh))).equal('good');
   });
@@ -282,6 +309,8 @@
     readonly ageMs: number;
     readonly verdict: decisions.VersionVerdict;
     readonly end: 'completed' | 'rolled_back' | undefined;
+    /** Time since the verdict last changed; long by default. */
+    readonly verdictAgeMs?: number;
   }[] = [
     {ageMs: 1_000, verdict: 'unclear', end: undefined},
     {ageMs: 1_000, verdict: 'bad', end: 'rolled_back'},
@@ -290,11 +319,15 @@
     {ageMs: 23_300, verdict: 'unclear', end: 'completed'},
     {ageMs: 22_000, verdict: 'doubtful', end: undefined},
     {ageMs: 23_300, verdict: 'doubtful', end: 'rolled_back'},
+    // Another instance may have just judged the version bad.
+    {ageMs: 23_300, verdict: 'good', end: undefined, verdictAgeMs: 100},
+    {ageMs: 23_950, verdict: 'good', end: 'rolled_back', verdictAgeMs: 100},
   ];
 
-  ends.forEach(({ageMs, verdict, end}) => {
-    it(`is ${end ?? 'in progress'} at ${ageMs} ms when ${verdict}`, () => {
-      const found = decisions.findRolloutEnd({...TIMING, ageMs}, verdict);
+  ends.forEach(({ageMs, verdict, end, verdictAgeMs = STEADY_MS}) => {
+    it(`is ${end ?? 'in progress'} at ${ageMs} ms when ${verdict} for ${verdictAgeMs} ms`, () => {
+      const timing = {...TIMING, ageMs};
+      const found = decisions.findRolloutEnd(timing, verdict, verdictAgeMs);
       chai.expect(found).equal(end);
     });
   });
--- a/packages/gateway/src/followed-rollout.ts
+++ b/packages/gateway/src/followed-rollout.ts
@@ -37,8 +37,16 @@
   readonly sessionMs: number;
   readonly limit: decisions.ExposureLimit;
   readonly log: telemetry.DecisionLog;
+  /** Called when a version is judged bad, here or by another instance. */
+  readonly onBad: (origin: decisions.NewsOrigin) => void;
 }
 
+/**
+ * Fraction of a rollout's time for which an instance must have followed it to
+ * conclude from missing answers that the service is unused.
+ */
+const MIN_FOLLOWED_FRACTION = 0.9;
+
 /** Maximum number of sessions remembered for one rollout. */
 const MAX_PINNED_SESSIONS = 2_000;
 
@@ -57,7 +65,9 @@
 /** One rollout. */
 export class FollowedRollout {
   private startedAtMs: number;
+  private readonly followedFromMs: number;
   private verdict: decisions.VersionVerdict = 'unclear';
+  private judgedAtMs: number;
   /** Hashes of sessions that must stay on the old version. */
   private readonly pinned = new Set<number>();
   private readonly evidence: evidenceTable.EvidenceTable;
@@ -68,6 +78,8 @@
     private readonly options: FollowedRolloutOptions,
   ) {
     this.startedAtMs = options.clock.steadyNow();
+    this.followedFromMs = this.startedAtMs;
+    this.judgedAtMs = this.startedAtMs;
     this.evidence = new evidenceTable.EvidenceTable(options.incarnation);
   }
 
@@ -130,6 +142,7 @@
       order: this.name,
       ageMs: this.ageMs,
       pinned: [...this.pinned].slice(skipCount),
+      ...(this.verdict === 'bad' ? {isBad: true} : {}),
     };
   }
 
@@ -171,7 +184,8 @@
   /** The state in which the rollout should end now; undefined to continue. */
   findEnd(): routing.RolloutState | undefined {
     this.updateVerdict();
-    return decisions.findRolloutEnd(this.timing(), this.verdict);
+    const judgedAgoMs = this.options.clock.steadyNow() - this.judgedAtMs;
+    return decisions.findRolloutEnd(this.timing(), this.verdict, judgedAgoMs);
   }
 
   /**
@@ -194,6 +208,9 @@
       report.pinned.forEach(session => {
         this.pin(session);
       });
+      if (report.isBad === true) {
+        this.setVerdict('bad', 'reported');
+      }
     }
   }
 
@@ -255,32 +272,61 @@
     if (this.verdict === 'bad') {
       return;
     }
-    const evidence = this.currentEvidence();
-    const verdict = decisions.judgeVersion(evidence);
-    if (verdict !== this.verdict) {
-      this.verdict = verdict;
-      this.logVerdict(decisions.sumEvidence(evidence));
-    }
+    const verdict = decisions.judgeVersion(this.currentEvidence());
+    const isUninformed = verdict === 'unclear' && !this.hasFollowed();
+    this.setVerdict(isUninformed ? 'unproved' : verdict, 'own');
   }
 
-  private logVerdict({
-    new: newCounts,
-    old: oldCounts,
-  }: decisions.RolloutEvidence): void {
+  /**
+   * Whether this instance has followed the rollout for most of its time. One that
+   * has just started knows of no answers, which is no evidence.
+   */
+  private hasFollowed(): boolean {
+    const followedMs = this.options.clock.steadyNow() - this.followedFromMs;
+    return followedMs >= MIN_FOLLOWED_FRACTION * this.ageMs;
+  }
+
+  private setVerdict(
+    verdict: decisions.VersionVerdict,
+    origin: decisions.NewsOrigin,
+  ): void {
+    if (verdict === this.verdict || this.verdict === 'bad') {
+      return;
+    }
+    this.verdict = verdict;
+    this.judgedAtMs = this.options.clock.steadyNow();
     this.options.log.info('rollout_judged', {
       order: this.name,
-      verdict: this.verdict,
+      verdict,
+      origin,
+      ...this.describeEvidence(),
+    });
+    if (verdict === 'bad') {
+      this.options.onBad(origin);
+    }
+  }
+
+  /** What verdicts rest on, for the log. */
+  describeEvidence(): telemetry.Details {
+    const {new: newCounts, old: oldCounts} = decisions.sumEvidence(
+      this.currentEvidence(),
+    );
+    return {
       ageMs: Math.round(this.ageMs),
       newRequests: newCounts.requests,
       newErrors: newCounts.errors,
       newSlow: newCounts.slow,
       newPaced: newCounts.paced,
       newDragging: newCounts.dragging,
+      newCompared: newCounts.compared,
+      newSlower: newCounts.slower,
       oldRequests: oldCounts.requests,
       oldErrors: oldCounts.errors,
       oldSlow: oldCounts.slow,
       oldPaced: oldCounts.paced,
       oldDragging: oldCounts.dragging,
-    });
+      oldCompared: oldCounts.compared,
+      oldSlower: oldCounts.slower,
+    };
   }
 }
--- a/packages/gateway/src/rollout-tracker.ts
+++ b/packages/gateway/src/rollout-tracker.ts
@@ -3,6 +3,8 @@
 import type * as routing from '@amaranthknot/routing';
 import * as followedRollout from './followed-rollout.js';
 import type * as evidenceTable from './evidence-table.js';
+import * as answerTiming from './answer-timing.js';
+import type * as runContext from './run-context.js';
 import * as versionLatencies from './version-latencies.js';
 
 /** The observed pace of one stream. */
@@ -30,12 +32,25 @@
   readonly reportRank: () => number;
 }
 
-/** Interval between two instances' attempts to report an end, in ms. */
-const REPORT_STAGGER_MS = 300;
+/**
+ * Interval between two instances' attempts to report an end, in ms. A bad version
+ * is withdrawn sooner: all instances learn of the verdict at once, and the first
+ * may be gone.
+ */
+const REPORT_STAGGER_MS = {good: 300, bad: 100} as const;
 
 /** A rollout, with the state of the report of its end. */
 interface TrackedRollout {
   readonly followed: followedRollout.FollowedRollout;
+  /**
+   * Typical times by kind of answer, as of the first one since the rollout began:
+   * what slows both versions later must not become typical.
+   */
+  readonly typicalTimes: Map<string, answerTiming.TypicalTimes>;
+  /** Answers that are awaited, whose times are compared. */
+  readonly awaited: Set<answerTiming.AnswerTiming>;
+  /** The end that is due; undefined while there is none. */
+  dueEnd: routing.RolloutState | undefined;
   /** When this instance may report the end; undefined until it is due. */
   reportAtMs: number | undefined;
   isReporting: boolean;
@@ -74,6 +89,9 @@
     }
     this.byService.set(service, {
       followed: new followedRollout.FollowedRollout(rollout, this.options),
+      typicalTimes: new Map(),
+      awaited: new Set(),
+      dueEnd: undefined,
       reportAtMs: undefined,
       isReporting: false,
     });
@@ -118,6 +136,60 @@
     this.count(observation, {paced: 1, dragging: isDragging ? 1 : 0});
   }
 
+  /**
+   * Begins to compare the times of an answer with typical ones; undefined if the
+   * service has no running rollout.
+   */
+  beginAnswer(
+    requestClass: versionLatencies.RequestClass,
+  ): answerTiming.AnswerTiming | undefined {
+    const tracked = this.byService.get(requestClass.service);
+    if (!tracked?.followed.isRunning) {
+      return undefined;
+    }
+    const timing = new answerTiming.AnswerTiming(
+      this.options.clock.now(),
+      this.findTypicalTimes(tracked, requestClass),
+      isSlower => {
+        this.count(requestClass, {compared: 1, slower: isSlower ? 1 : 0});
+      },
+    );
+    tracked.awaited.add(timing);
+    return timing;
+  }
+
+  /**
+   * Ends the comparison of an answer. One that was given up is slower if it took
+   * long enough by then.
+   */
+  endAnswer(
+    {service}: versionLatencies.RequestClass,
+    timing: answerTiming.AnswerTiming,
+    outcome: runContext.AttemptOutcome,
+  ): void {
+    this.byService.get(service)?.awaited.delete(timing);
+    if (outcome === 'answered') {
+      timing.complete();
+    } else if (outcome === 'cancelled' || outcome === 'failed') {
+      timing.checkOverdue(this.options.clock.now());
+    }
+  }
+
+  private findTypicalTimes(
+    {typicalTimes}: TrackedRollout,
+    requestClass: versionLatencies.RequestClass,
+  ): answerTiming.TypicalTimes {
+    const name = versionLatencies.classKeyOf(requestClass);
+    const known = typicalTimes.get(name);
+    const current = this.latencies.typicalTimes(requestClass);
+    const typical = {
+      firstByteMs: known?.firstByteMs ?? current.firstByteMs,
+      paceMs: known?.paceMs ?? current.paceMs,
+    };
+    typicalTimes.set(name, typical);
+    return typical;
+  }
+
   /** Whether a running rollout introduces the version. */
   private isOnTrial({
     service,
@@ -155,6 +227,13 @@
     );
   }
 
+  /** Running rollouts of versions that are judged bad, without sessions. */
+  badVersions(): readonly protocol.RolloutProgress[] {
+    return this.running()
+      .map(followed => followed.progress(Infinity))
+      .filter(({isBad}) => isBad === true);
+  }
+
   /** Number of pinned sessions known here, by name of the running rollout. */
   pinnedCounts(): Readonly<Record<string, number>> {
     return Object.fromEntries(
@@ -194,7 +273,11 @@
 
   /** Reports the ends that are due. */
   reportDueEnds(): void {
+    const now = this.options.clock.now();
     for (const tracked of this.byService.values()) {
+      tracked.awaited.forEach(timing => {
+        timing.checkOverdue(now);
+      });
       const end = tracked.followed.isRunning
         ? tracked.followed.findEnd()
         : undefined;
@@ -217,7 +300,13 @@
   private reportEnd(tracked: TrackedRollout, end: routing.RolloutState): void {
     const {reportRank, report, clock} = this.options;
     const now = clock.now();
-    tracked.reportAtMs ??= now + reportRank() * REPORT_STAGGER_MS;
+    const staggerMs =
+      end === 'rolled_back' ? REPORT_STAGGER_MS.bad : REPORT_STAGGER_MS.good;
+    if (tracked.dueEnd !== end) {
+      tracked.dueEnd = end;
+      tracked.reportAtMs = undefined;
+    }
+    tracked.reportAtMs ??= now + reportRank() * staggerMs;
     if (now < tracked.reportAtMs || tracked.isReporting) {
       return;
     }
@@ -228,10 +317,10 @@
         order: followed.name,
         end,
         isWritten,
-        ageMs: Math.round(followed.ageMs),
+        ...followed.describeEvidence(),
       });
       tracked.isReporting = false;
-      tracked.reportAtMs = clock.now() + REPORT_STAGGER_MS;
+      tracked.reportAtMs = clock.now() + staggerMs;
     });
   }
 }
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -274,6 +274,7 @@
       isStream: toPlace.request.route.kind === 'stream',
       model: toPlace.model,
     };
+    const timing = rollouts.beginAnswer(requestClass);
     const pace = new decisions.StreamPace();
     const recordPace = (paceMs: number | undefined) => {
       if (paceMs !== undefined) {
@@ -302,9 +303,11 @@
         watch.recordAnswer();
         availability.recordAlive(known);
         recordPace(pace.record(this.options.now()));
+        timing?.recordEvent(this.options.now());
       },
       recordHead: () => {
         firstByteMs ??= this.options.now() - startedAtMs;
+        timing?.recordFirstByte(this.options.now());
         availability.recordAnswer(known);
         ticket.recordFirstByte();
       },
@@ -318,6 +321,9 @@
         if (isOpen) {
           recordEndOfWait(outcome);
         }
+        if (isOpen && timing) {
+          rollouts.endAnswer(requestClass, timing, outcome);
+        }
         if (isOpen && outcome === 'refused') {
           availability.recordRefusal(known);
         }
--- a/packages/gateway/src/version-latencies.ts
+++ b/packages/gateway/src/version-latencies.ts
@@ -1,5 +1,6 @@
 /** Detects answers of a version that are far slower than typical ones. */
 import * as decisions from '@amaranthknot/decisions';
+import type * as answerTiming from './answer-timing.js';
 
 /** Kind of a request; latencies compare by service, route and model. */
 export interface RequestClass {
@@ -29,7 +30,7 @@
 const SLOW_STREAM_FACTOR = 8;
 
 /** Key of requests whose latencies are comparable. */
-const classKeyOf = ({service, route, model}: RequestClass): string =>
+export const classKeyOf = ({service, route, model}: RequestClass): string =>
   `${service}/${route}/${model ?? ''}`;
 
 /** Latencies that this instance observed, by kind of request. */
@@ -58,6 +59,15 @@
     return this.exceedsTypical(this.paces, requestClass, paceMs, SLOW_FACTOR);
   }
 
+  /** Typical times of the kind of answer on the old version, as of now. */
+  typicalTimes(requestClass: RequestClass): answerTiming.TypicalTimes {
+    const name = classKeyOf(requestClass);
+    return {
+      firstByteMs: this.firstBytes.medianMs(name),
+      paceMs: this.paces.medianMs(name),
+    };
+  }
+
   /** A version on trial is compared but not recorded: it is not typical. */
   private exceedsTypical(
     medians: decisions.MedianLatencies,
--- a/packages/gateway/tests/rollout-tracker.test.ts
+++ b/packages/gateway/tests/rollout-tracker.test.ts
@@ -14,7 +14,10 @@
 };
 
 interface Setup {
+  readonly clock: fakes.VirtualClock;
   readonly tracker: rolloutTracker.RolloutTracker;
+  /** Ends of the rollout that were reported. */
+  readonly reported: readonly string[];
   /** Records a successful answer of a version with this first-byte time. */
   readonly answer: (version: string, firstByteMs: number) => void;
   /** Records the pace of a stream of a version, in ms between its events. */
@@ -30,13 +33,18 @@
     level: 'error',
     now: () => clock.now(),
   });
+  const reported: string[] = [];
   const tracker = new rolloutTracker.RolloutTracker({
     clock,
     incarnation: 'a.1',
     sessionMs: SESSION_MS,
     limit: {share: 0.15, slack: 30},
-    report: () => Promise.resolve(false),
+    report: (_, state) => {
+      reported.push(state);
+      return Promise.resolve(false);
+    },
     reportRank: () => 0,
+    onBad: () => undefined,
     log,
   });
   tracker.applyRollouts([
@@ -50,7 +58,9 @@
   ]);
   await clock.advance(SESSION_MS + 2_000);
   return {
+    clock,
     tracker,
+    reported,
     answer: (version, firstByteMs) => {
       tracker.recordAttempt({
         ...REQUEST_CLASS,
@@ -119,4 +129,71 @@
     }
     chai.expect(isExposed()).equal(false);
   });
+
+  /** Plays one streamed answer of a version, with this wait and pace. */
+  const play = async (
+    {clock, tracker, answer, stream}: Setup,
+    version: string,
+    timeMs: number,
+  ): Promise<void> => {
+    const requestClass = {...REQUEST_CLASS, version};
+    const timing = tracker.beginAnswer(requestClass);
+    await clock.advance(timeMs);
+    timing?.recordFirstByte(clock.now());
+    answer(version, timeMs);
+    for (let event = 0; event < 5; event++) {
+      timing?.recordEvent(clock.now());
+      await clock.advance(timeMs);
+    }
+    stream(version, timeMs);
+    if (timing) {
+      tracker.endAnswer(requestClass, timing, 'answered');
+    }
+  };
+
+  /** Time of a typical answer, in milliseconds. */
+  const TYPICAL_MS = 20;
+
+  /** Lets the rollout end after answers of the new version. */
+  const finish = async (setup: Setup, newMs: number): Promise<string> => {
+    for (let i = 0; i < 20; i++) {
+      await play(setup, 'v2', newMs);
+    }
+    while (setup.reported.length === 0) {
+      await setup.clock.advance(50);
+      setup.tracker.reportDueEnds();
+    }
+    return setup.reported[0]!;
+  };
+
+  for (const [oldMs, newMs, end] of [
+    [TYPICAL_MS, TYPICAL_MS, 'completed'],
+    [5 * TYPICAL_MS, TYPICAL_MS, 'completed'],
+    [5 * TYPICAL_MS, 4 * TYPICAL_MS, 'rolled_back'],
+  ] as const) {
+    it(`is ${end} where old answers take ${oldMs} ms and new ones ${newMs} ms, ${TYPICAL_MS} before`, async () => {
+      // Guards against a slow version that looks sound beside an old one which
+      // a load slows down.
+      const setup = await createTracker();
+      for (let i = 0; i < 5; i++) {
+        await play(setup, 'v1', TYPICAL_MS);
+      }
+      for (let i = 0; i < 20; i++) {
+        await play(setup, 'v1', oldMs);
+      }
+      chai.expect(await finish(setup, newMs)).equal(end);
+    });
+  }
+
+  it('does not complete a version that another instance judged bad', async () => {
+    // Guards against an instance that completes a version by what it knows while
+    // another one is about to report that it is bad.
+    const setup = await createTracker();
+    for (let i = 0; i < 30; i++) {
+      await play(setup, 'v1', TYPICAL_MS);
+    }
+    const order = 'engines/v2';
+    setup.tracker.merge([{order, ageMs: 0, pinned: [], isBad: true}], []);
+    chai.expect(await finish(setup, TYPICAL_MS)).equal('rolled_back');
+  });
 });
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -201,6 +201,8 @@
   ageMs: shapes.milliseconds,
   /** Hashes of the sessions that must stay with the old version. */
   pinned: zod.array(shapes.count).max(shapes.MAX_ITEMS),
+  /** Whether the instance has judged the version bad. */
+  isBad: zod.boolean().optional(),
 });
 
 /** Counts of a rollout's versions on one route, summed over all instances. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -284,6 +284,13 @@
     params: zod.object({absences: fleetMessages.upstreamAbsences}),
     result: zod.object({}),
   },
+  /** Tells at once of versions that an instance has judged bad. */
+  share_rollouts: {
+    params: zod.object({
+      rollouts: zod.array(fleetMessages.rolloutProgress).max(shapes.MAX_ITEMS),
+    }),
+    result: zod.object({}),
+  },
   /** Announces that an instance leaves and must not be offered to callers. */
   leaving: {
     params: zod.object({from: peer}),
--- a/packages/protocol/src/shapes.ts
+++ b/packages/protocol/src/shapes.ts
@@ -34,6 +34,8 @@
   // Releases that do not measure these leave them out.
   paced: count.default(0),
   dragging: count.default(0),
+  compared: count.default(0),
+  slower: count.default(0),
   rated: count,
   bad: count,
 });
