Count waits and windows by a clock that never runs ahead

What callers would see: cold upstreams that fall over, upstreams that asked for a rest and are called, limits and repeats beyond what all instances may use, for up to as long as the wall clock of one machine is set forward.

The clock that counts each jump ahead is right for ages, which then look too old. A wait that must be over (the end of a cold start or of a backoff, a held part, the time until an instance may know the fleet) and a window in which sends are counted end too early by it.

Change: cold starts, absences and their signs, backoffs, leaving notices, limits, shares of fragile upstreams, repeats, held parts and ends of upstreams, and the time since the start by which an instance may know the fleet use steadyNow(). A suspended machine waits longer than it has to.

Test: one instance whose clock is set ahead by 2.9 s of 3 s: three of three waits were over at once before, none now.

--- a/packages/amaranthknot/src/gateway/known-fleet.ts
+++ b/packages/amaranthknot/src/gateway/known-fleet.ts
@@ -12,7 +12,8 @@
 /** Dependencies of a `KnownFleet`. */
 export interface KnownFleetOptions {
   readonly now: () => number;
-  readonly startedAtMs: number;
+  /** Time since this instance started, in ms; never too long. */
+  readonly uptimeMs: () => number;
   readonly members: fleet.MemberTable;
   /** Whether the settings name other instances as seeds. */
   readonly hasOtherSeeds: () => boolean;
@@ -36,13 +37,12 @@
    * watcher that knows the fleet has listed them.
    */
   get knowableForMs(): number {
-    const {now, startedAtMs, members, hasOtherSeeds} = this.options;
+    const {now, uptimeMs, members, hasOtherSeeds} = this.options;
     if (this.isListed || !hasOtherSeeds()) {
       return Infinity;
     }
-    const uptimeMs = now() - startedAtMs;
     const isAlone = members.idsForShares(now()).length === 1;
-    return isAlone && uptimeMs < ALONE_MS ? 0 : uptimeMs;
+    return isAlone && uptimeMs() < ALONE_MS ? 0 : uptimeMs();
   }
 
   /**
@@ -50,11 +50,11 @@
    * instance has just started and may not know all.
    */
   get sharers(): readonly string[] | undefined {
-    const {now, startedAtMs, members, hasOtherSeeds} = this.options;
+    const {now, uptimeMs, members, hasOtherSeeds} = this.options;
     const isSettled =
       this.isListed ||
       !hasOtherSeeds() ||
-      now() - startedAtMs >= decisions.NEW_INSTANCE_MS;
+      uptimeMs() >= decisions.NEW_INSTANCE_MS;
     return isSettled ? members.idsForShares(now()) : undefined;
   }
 
--- a/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
@@ -1,4 +1,7 @@
-/** Factories of the components that follow the cold starts of upstreams. */
+/**
+ * Factories of the components that follow the cold starts of upstreams. What they
+ * wait for must be over, so they use the clock that never runs ahead.
+ */
 import * as decisions from '@amaranthknot/decisions';
 import type * as gateway from '@amaranthknot/gateway';
 import type * as gatewayComponents from '../gateway-components.js';
@@ -83,7 +86,7 @@
 ): gatewayComponents.ComponentFactories<ColdComponent> => ({
   coldStarts: get =>
     new decisions.ColdStarts({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       findColdStartMs: id => findColdStartMs(get, id),
       findAbsence: start => get('upstreamAbsences').find(start),
       onAnswered: start => {
@@ -101,7 +104,7 @@
     }),
   upstreamAbsences: get =>
     new decisions.UpstreamAbsences({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       findColdStartMs: id => findColdStartMs(get, id),
       findSiblings: id => findSiblings(get, id),
       isAliveAround: (...around) =>
@@ -117,5 +120,5 @@
       })),
     }),
   absenceSigns: () =>
-    new decisions.AbsenceSigns({now: () => options.clock.now()}),
+    new decisions.AbsenceSigns({now: () => options.clock.steadyNow()}),
 });
--- a/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/fleet-factories.ts
@@ -70,7 +70,7 @@
   const own = get('members').self.peers;
   return new knownFleet.KnownFleet({
     now: () => clock.now(),
-    startedAtMs,
+    uptimeMs: () => clock.steadyNow() - startedAtMs,
     members: get('members'),
     hasOtherSeeds: () =>
       settings.current.seeds
@@ -82,7 +82,7 @@
 /** Creates the factories by token. */
 export const createFleetFactories = (
   options: gatewayComponents.GatewayOptions,
-  startedAtMs = options.clock.now(),
+  startedAtMs = options.clock.steadyNow(),
 ): gatewayComponents.ComponentFactories<FleetComponent> => ({
   transport: () => options.transport ?? protocol.createHttpTransport({}),
   members: createMembers,
--- a/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/quarantine-factories.ts
@@ -70,7 +70,7 @@
     requests: unanswered.slice(0, MAX_IDS).map(({request}) => request),
     parts: [...new Set(parts.map(({part}) => part))].slice(0, MAX_IDS),
     coincident,
-    agoMs: Math.round(get('options').clock.now() - atMs),
+    agoMs: Math.round(get('options').clock.steadyNow() - atMs),
   });
   get('partQuarantine').recordEnd(
     gateway.nameStart(upstream),
@@ -86,7 +86,7 @@
 ): gatewayComponents.ComponentFactories<QuarantineComponent> => ({
   partQuarantine: get =>
     new decisions.PartQuarantine({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       self: options.settings.current.instance.id,
       findInstances: () =>
         get('members')
@@ -99,7 +99,7 @@
     }),
   upstreamEnds: get =>
     new gateway.UpstreamEnds({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       sleep: ms => options.clock.sleep(ms),
       checkRefusal: gateway.createCheckRefusal(
         options.settings.current.sourceAddress,
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -118,7 +118,7 @@
 ): decisions.ConcurrencyShares => {
   const {clock, settings} = get('options');
   return new decisions.ConcurrencyShares({
-    now: () => clock.now(),
+    now: () => clock.steadyNow(),
     self: settings.current.instance.id,
     findInstances: service => findSenders(get, service),
     findService: id => get('catalog').find(id)?.upstream.service,
@@ -142,7 +142,7 @@
     absenceSigns: get('absenceSigns'),
     absences: get('upstreamAbsences'),
     inFlightOf: id => get('picker').inFlightOf(id),
-    now: () => clock.now(),
+    now: () => clock.steadyNow(),
     isZoneOut: zone => get('state').isZoneOut(zone),
     coldShare: (upstream, service) =>
       decisions.findColdShare(
@@ -243,7 +243,11 @@
   });
 };
 
-/** Creates the factories by token. */
+/**
+ * Creates the factories by token. Components that count within a window, or wait
+ * for as long as an upstream said, use the clock that never runs ahead: where the
+ * wall clock is set forward, they would send what other instances count on.
+ */
 export const createRequestFactories = (
   options: gatewayComponents.GatewayOptions,
 ): gatewayComponents.ComponentFactories<RequestComponent> => ({
@@ -286,12 +290,12 @@
     return new decisions.RepeatBudget({
       ratio: repeatSlack.REPEAT_BUDGET_FRACTION * ratio,
       windowMs,
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
     });
   },
   limits: get =>
     new decisions.RateLimits({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       self: options.settings.current.instance.id,
       findInstances: () => get('knownFleet').sharers,
       onChange: (upstream, perSecond) => {
@@ -300,7 +304,7 @@
     }),
   backoffs: get =>
     new decisions.UpstreamBackoffs({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       onBegin: (upstream, forMs) => {
         get('log').info('upstream_backoff', {
           upstream,
@@ -310,7 +314,7 @@
     }),
   leavingNotices: get =>
     new decisions.LeavingNotices({
-      now: () => options.clock.now(),
+      now: () => options.clock.steadyNow(),
       onFirst: upstream => {
         get('log').info('upstream_leaving', {upstream});
       },
--- a/packages/amaranthknot/tests/gateway/clock-faults.test.ts
+++ b/packages/amaranthknot/tests/gateway/clock-faults.test.ts
@@ -169,3 +169,57 @@
     chai.expect(Math.min(...ages)).least(3_000);
   });
 });
+
+describe('a wait', () => {
+  /** What an upstream said, in milliseconds, and by how much the clock jumps. */
+  const WAIT_MS = 3_000;
+  const JUMP_MS = 2_900;
+
+  const start = {id: 'i-1', startedAtMs: 1};
+
+  for (const [name, begin, isOver] of [
+    [
+      'for the end of a cold start',
+      get => {
+        get('coldStarts').record(start, {
+          source: 'entry',
+          coldForMs: WAIT_MS,
+          ageMs: 0,
+        });
+      },
+      get => !get('coldStarts').describe(start).isCold,
+    ],
+    [
+      'that an upstream asked for',
+      get => {
+        get('backoffs').record(start, WAIT_MS);
+      },
+      get => get('backoffs').findRemainingMs(start) === 0,
+    ],
+    [
+      'until this instance may know the fleet',
+      () => undefined,
+      get => get('knownFleet').sharers !== undefined,
+    ],
+  ] as readonly (readonly [
+    string,
+    (get: virtualFleet.VirtualInstance['get']) => void,
+    (get: virtualFleet.VirtualInstance['get']) => boolean,
+  ])[]) {
+    it(`${name} is not over because this machine set its clock`, async () => {
+      // Guards against one instance that floods a cold or a resting upstream, as
+      // its wall clock was set forward.
+      const fleet = await virtualFleet.startVirtualFleet({
+        instances: 1,
+        zones: 1,
+      });
+      await fleet.clock.advance(400);
+      const {get, machine} = fleet.live()[0]!;
+      begin(get);
+      await fleet.clock.advance(100);
+      machine.setWallClock(JUMP_MS);
+      await fleet.clock.advance(300);
+      chai.expect(isOver(get)).equal(false);
+    });
+  }
+});
--- a/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
@@ -69,7 +69,7 @@
   });
   const knownFleet = new fleetKnowledge.KnownFleet({
     now,
-    startedAtMs: 0,
+    uptimeMs: () => clock.now(),
     members,
     hasOtherSeeds: () => false,
   });
