Let upstreams of the soak go on with bytes that are no answer

Half of the plain answers that an upstream of the soak breaks off now go on without end in one of eight forms, which moved from the test into the fakes.

--- a/packages/amaranthknot/tests/endless-answers.test.ts
+++ b/packages/amaranthknot/tests/endless-answers.test.ts
@@ -1,4 +1,3 @@
-import type * as net from 'node:net';
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
 import * as gateway from '@amaranthknot/gateway';
@@ -18,74 +17,16 @@
  */
 const MAX_SENT_BYTES = 16 * 1024 * 1024;
 
-const PIECE_BYTES = 16 * 1024;
-
-/** Begin of an answer, and the bytes that follow without end. */
-interface EndlessForm {
-  readonly name: string;
-  readonly begin: string;
-  readonly piece: string;
-}
-
-const FORMS: readonly EndlessForm[] = [
-  {
-    name: 'interim heads',
-    begin: '',
-    piece: 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n',
-  },
-  {
-    name: 'interim heads of 100',
-    begin: '',
-    piece: 'HTTP/1.1 100 Continue\r\n\r\n',
-  },
-  {name: 'header lines', begin: 'HTTP/1.1 200 OK\r\n', piece: 'X-More: 1\r\n'},
-  {name: 'one header line', begin: 'HTTP/1.1 200 OK\r\nX-Long: ', piece: 'a'},
-  {name: 'bytes that are no head', begin: '', piece: '\u0000junk'},
-  {
-    name: 'digits of the size of a chunk',
-    begin: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
-    piece: '0',
-  },
-  {
-    name: 'an extension of a chunk',
-    begin: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=',
-    piece: 'b',
-  },
-  {
-    name: 'trailers',
-    begin: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
-    piece: 'X-More: 1\r\n',
-  },
-];
-
 /** A server that sends one form of bytes for as long as it may. */
 interface EndlessServer {
   readonly upstream: fakes.ScriptedUpstream;
   readonly sentBytes: () => number;
 }
 
-const sendWithoutEnd = (
-  socket: net.Socket,
-  {begin, piece}: EndlessForm,
-  onSent: (bytes: number) => void,
-): void => {
-  const pieces = Buffer.from(
-    piece.repeat(Math.ceil(PIECE_BYTES / piece.length)),
-    'latin1',
-  );
-  const send = (): void => {
-    if (!socket.destroyed) {
-      onSent(pieces.length);
-      socket.write(pieces, send);
-    }
-  };
-  socket.write(begin, 'latin1', send);
-};
-
-const startServer = async (form: EndlessForm): Promise<EndlessServer> => {
+const startServer = async (form: fakes.EndlessForm): Promise<EndlessServer> => {
   let sentBytes = 0;
   const upstream = new fakes.ScriptedUpstream(({socket}) => {
-    sendWithoutEnd(socket, form, bytes => {
+    fakes.sendWithoutEnd(socket, form, bytes => {
       sentBytes += bytes;
       // Ends a test that would fail, in place of filling the memory.
       if (sentBytes > MAX_SENT_BYTES) {
@@ -161,12 +102,14 @@
 ];
 
 /** Forms that end within a head, which is all that a health check reads. */
-const HEAD_FORMS = FORMS.filter(({begin}) => !begin.includes('\r\n\r\n'));
+const HEAD_FORMS = fakes.ENDLESS_FORMS.filter(
+  ({begin}) => !begin.includes('\r\n\r\n'),
+);
 
 describe('an answer without end', () => {
   // Guards against callers that read bytes which can't become an answer until
   // their timeout, with the processor time of all other requests.
-  FORMS.forEach(form => {
+  fakes.ENDLESS_FORMS.forEach(form => {
     CALLERS.forEach(({name, call}) => {
       it(`of ${form.name} is left by ${name}`, async () => {
         const {upstream, sentBytes} = await startServer(form);
@@ -196,7 +139,7 @@
 });
 
 describe('a request whose upstream answers without end', () => {
-  FORMS.forEach(form => {
+  fakes.ENDLESS_FORMS.forEach(form => {
     it(`of ${form.name} is answered by another one, or 502`, async () => {
       // Guards against requests that wait for their deadline, one after the
       // other, at an upstream that is not set aside.
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -9,6 +9,7 @@
 export * from './service-server.js';
 export * from './fake-deployment.js';
 export * from './virtual-clock.js';
+export * from './gateway/endless-answer.js';
 export * from './gateway/object-api-server.js';
 export * from './gateway/request-parser.js';
 export * from './gateway/scripted-upstream.js';
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -249,8 +249,7 @@
         headers: answerHeaders,
       });
       if (isCut) {
-        socket.write(text.slice(0, -3));
-        socket.resetAndDestroy();
+        breakOffPlain(text);
         end();
         return;
       }
@@ -269,6 +268,20 @@
       setTimeout(endWhole, isUnframed ? HALF_MS : 0);
     };
 
+    /** Breaks off a plain answer, or goes on with bytes that are none. */
+    const breakOffPlain = (text: string) => {
+      if (state.inProgress % 2 === 0) {
+        const forms = fakes.ENDLESS_FORMS;
+        const form = forms[Math.floor(workMs) % forms.length];
+        if (form) {
+          fakes.sendWithoutEnd(socket, form);
+        }
+        return;
+      }
+      socket.write(text.slice(0, -3));
+      socket.resetAndDestroy();
+    };
+
     /** Ends within an event, where nothing else says that more was to come. */
     const breakOff = (name: string, at: number) => {
       if (isUnframed) {
