Time the answers of a rollout by a clock that never runs ahead

A wall clock that is set forward made all awaited answers of its instance look over twice as slow as usual, those of a sound version on trial too. The tracker now hands out an answer that times itself by steadyNow(); placement no longer passes a time.

--- a/packages/gateway/src/rollout-tracker.ts
+++ b/packages/gateway/src/rollout-tracker.ts
@@ -20,6 +20,19 @@
   readonly firstByteMs: number | undefined;
 }
 
+/** An answer whose times are compared with typical ones. */
+export interface TimedAnswer {
+  /** Call it when the head of the answer has arrived. */
+  readonly recordFirstByte: () => void;
+  /** Call it when an event of the answer has arrived. */
+  readonly recordEvent: () => void;
+  /**
+   * Call it when the attempt has ended. One that was given up is slower if it
+   * took long enough by then.
+   */
+  readonly end: (outcome: runContext.AttemptOutcome) => void;
+}
+
 /** What the tracker needs. */
 export interface RolloutTrackerOptions
   extends followedRollout.FollowedRolloutOptions {
@@ -138,41 +151,41 @@
 
   /**
    * Begins to compare the times of an answer with typical ones; undefined if the
-   * service has no running rollout.
+   * service has no running rollout. A clock that is set forward must not make
+   * answers slower, so the times are those of `steadyNow`.
    */
   beginAnswer(
     requestClass: versionLatencies.RequestClass,
-  ): answerTiming.AnswerTiming | undefined {
+  ): TimedAnswer | undefined {
     const tracked = this.byService.get(requestClass.service);
     if (!tracked?.followed.isRunning) {
       return undefined;
     }
+    const {clock} = this.options;
     const timing = new answerTiming.AnswerTiming(
-      this.options.clock.now(),
+      clock.steadyNow(),
       this.findTypicalTimes(tracked, requestClass),
       isSlower => {
         this.count(requestClass, {compared: 1, slower: isSlower ? 1 : 0});
       },
     );
     tracked.awaited.add(timing);
-    return timing;
-  }
-
-  /**
-   * Ends the comparison of an answer. One that was given up is slower if it took
-   * long enough by then.
-   */
-  endAnswer(
-    {service}: versionLatencies.RequestClass,
-    timing: answerTiming.AnswerTiming,
-    outcome: runContext.AttemptOutcome,
-  ): void {
-    this.byService.get(service)?.awaited.delete(timing);
-    if (outcome === 'answered') {
-      timing.complete();
-    } else if (outcome === 'cancelled' || outcome === 'failed') {
-      timing.checkOverdue(this.options.clock.now());
-    }
+    return {
+      recordFirstByte: () => {
+        timing.recordFirstByte(clock.steadyNow());
+      },
+      recordEvent: () => {
+        timing.recordEvent(clock.steadyNow());
+      },
+      end: outcome => {
+        tracked.awaited.delete(timing);
+        if (outcome === 'answered') {
+          timing.complete();
+        } else if (outcome === 'cancelled' || outcome === 'failed') {
+          timing.checkOverdue(clock.steadyNow());
+        }
+      },
+    };
   }
 
   private findTypicalTimes(
@@ -273,10 +286,10 @@
 
   /** Reports the ends that are due. */
   reportDueEnds(): void {
-    const now = this.options.clock.now();
+    const steadyMs = this.options.clock.steadyNow();
     for (const tracked of this.byService.values()) {
       tracked.awaited.forEach(timing => {
-        timing.checkOverdue(now);
+        timing.checkOverdue(steadyMs);
       });
       const end = tracked.followed.isRunning
         ? tracked.followed.findEnd()
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -274,7 +274,7 @@
       isStream: toPlace.request.route.kind === 'stream',
       model: toPlace.model,
     };
-    const timing = rollouts.beginAnswer(requestClass);
+    const timed = rollouts.beginAnswer(requestClass);
     const pace = new decisions.StreamPace();
     const recordPace = (paceMs: number | undefined) => {
       if (paceMs !== undefined) {
@@ -303,11 +303,11 @@
         watch.recordAnswer();
         availability.recordAlive(known);
         recordPace(pace.record(this.options.now()));
-        timing?.recordEvent(this.options.now());
+        timed?.recordEvent();
       },
       recordHead: () => {
         firstByteMs ??= this.options.now() - startedAtMs;
-        timing?.recordFirstByte(this.options.now());
+        timed?.recordFirstByte();
         availability.recordAnswer(known);
         ticket.recordFirstByte();
       },
@@ -321,8 +321,8 @@
         if (isOpen) {
           recordEndOfWait(outcome);
         }
-        if (isOpen && timing) {
-          rollouts.endAnswer(requestClass, timing, outcome);
+        if (isOpen) {
+          timed?.end(outcome);
         }
         if (isOpen && outcome === 'refused') {
           availability.recordRefusal(known);
--- a/packages/gateway/tests/rollout-tracker.test.ts
+++ b/packages/gateway/tests/rollout-tracker.test.ts
@@ -137,18 +137,16 @@
     timeMs: number,
   ): Promise<void> => {
     const requestClass = {...REQUEST_CLASS, version};
-    const timing = tracker.beginAnswer(requestClass);
+    const timed = tracker.beginAnswer(requestClass);
     await clock.advance(timeMs);
-    timing?.recordFirstByte(clock.now());
+    timed?.recordFirstByte();
     answer(version, timeMs);
     for (let event = 0; event < 5; event++) {
-      timing?.recordEvent(clock.now());
+      timed?.recordEvent();
       await clock.advance(timeMs);
     }
     stream(version, timeMs);
-    if (timing) {
-      tracker.endAnswer(requestClass, timing, 'answered');
-    }
+    timed?.end('answered');
   };
 
   /** Time of a typical answer, in milliseconds. */
