Refuse requests that arrive while a stopped instance closes its connections

Cause: once the last request has ended, the instance leaves its open connections 50 ms to end, and node closes only those that have had a request. What came on the others was still accepted by the rule of the drain, which compares deadlines with the end of the drain, some seconds later.

Change: from that moment every request is refused as stopping, to be sent again at once, to callers and to instances that forward.

--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -137,6 +137,11 @@
       await clock.sleep(DRAIN_CHECK_INTERVAL_MS);
     }
     this.shutdown.abort();
+    // Connections stay open for a moment, and may bring new requests.
+    get('gateway').beginStop({
+      acceptsAllUntilMs: clock.now(),
+      endsAtMs: clock.now(),
+    });
     await get('callerServer').stop(DRAIN_CHECK_INTERVAL_MS);
     get('log').info('instance_stopped', {
       tookMs: Math.round(clock.now() - startedAtMs),
