Believe a kept connection against an absence that one instance reports

Callers saw: while one of 16 instances could not reach an upstream, all others held back from it for its whole cold start (3 s), and sent it a third of its usual requests.

Where an instance sends an upstream two requests a second or fewer, none of them has; then nothing refutes it, as all hold back from then on. A busy machine only makes these gaps longer. With hundreds of instances they always are.

Change: a request that was sent after the absence and answered over a connection that was known for a second before it refutes it as well, as a restart ends all connections. Not after a silence of 2 s: what came back then may be cold although it did not restart.

--- a/packages/decisions/src/absence-signs.ts
+++ b/packages/decisions/src/absence-signs.ts
@@ -16,6 +16,14 @@
   /** It was not awaited any longer. */
   | 'cancelled';
 
+/** How an answer came. */
+export interface AnswerArrival {
+  /** When its attempt began, in milliseconds. */
+  readonly sentAtMs: number;
+  /** Identifies the connection over which it came. */
+  readonly connection: object;
+}
+
 /** Options of `AbsenceSigns`. */
 export interface AbsenceSignsOptions {
   readonly now: () => number;
@@ -33,11 +41,35 @@
  */
 const MAX_GAP_MS = 400;
 
+/**
+ * Longest time between two answers over one connection that show that the
+ * upstream was there meanwhile, in milliseconds.
+ */
+const MAX_KEPT_GAP_MS = 2_000;
+
+/**
+ * Time that a connection is known for before an absence at least, in
+ * milliseconds: the age of a reported absence leaves out its transmission.
+ */
+const MIN_KEPT_MS = 1_000;
+
+/** A connection that still served a later request. */
+interface KeptConnection {
+  /** Since when it has brought answers. */
+  readonly sinceMs: number;
+  /** When the attempt began that it answered last. */
+  readonly sentAtMs: number;
+}
+
 interface Row {
   /** Last part of an answer. */
   answeredAtMs: number;
-  /** Since when such parts came without a longer gap. */
+  /** Since when such parts came without a gap above `MAX_GAP_MS`. */
   aliveSinceMs: number;
+  /** Since when such parts came without a gap above `MAX_KEPT_GAP_MS`. */
+  usedSinceMs: number;
+  /** The connection of the last answer; undefined if it was new. */
+  kept: KeptConnection | undefined;
   /** Ends of attempts without an answer since then, the latest ones. */
   unansweredMs: readonly number[];
 }
@@ -45,31 +77,50 @@
 /** The signs that one instance sees itself, by id of the upstream. */
 export class AbsenceSigns {
   private readonly rows = new Map<string, Row>();
+  /** When each connection brought its first answer. */
+  private readonly firstAnswers = new WeakMap<object, number>();
 
   constructor(private readonly options: AbsenceSignsOptions) {}
 
-  /** Records a part of an answer of an upstream, or a refusal. */
-  recordAnswer(id: string): void {
+  /**
+   * Records a part of an answer of an upstream, or a refusal.
+   *
+   * @param arrival undefined for the later parts of an answer.
+   */
+  recordAnswer(id: string, arrival?: AnswerArrival): void {
     const now = this.options.now();
-    const row = this.rows.get(id);
-    if (!row) {
-      const times = {answeredAtMs: now, aliveSinceMs: now};
-      this.rows.set(id, {...times, unansweredMs: []});
-      return;
-    }
-    if (now - row.answeredAtMs > MAX_GAP_MS) {
+    const row = this.rows.get(id) ?? createRow();
+    this.rows.set(id, row);
+    const gapMs = now - row.answeredAtMs;
+    if (gapMs > MAX_GAP_MS) {
       row.aliveSinceMs = now;
     }
+    if (gapMs > MAX_KEPT_GAP_MS) {
+      row.usedSinceMs = now;
+    }
+    if (arrival) {
+      row.kept = this.findKept(arrival, row.usedSinceMs);
+    }
     row.answeredAtMs = now;
     row.unansweredMs = [];
   }
 
-  /** Whether answers came shortly before and after a time. */
+  /**
+   * Whether the upstream was there at a time: answers came shortly before and
+   * after it, or a connection from before served a request that was sent later.
+   * The latter tells it also to instances that send only a few requests there.
+   */
   isAliveAround(id: string, atMs: number): boolean {
     const row = this.rows.get(id);
-    return (
-      row !== undefined && row.aliveSinceMs < atMs && row.answeredAtMs > atMs
-    );
+    if (!row) {
+      return false;
+    }
+    const {aliveSinceMs, answeredAtMs, kept} = row;
+    const isKept =
+      kept !== undefined &&
+      kept.sinceMs < atMs - MIN_KEPT_MS &&
+      kept.sentAtMs > atMs;
+    return isKept || (aliveSinceMs < atMs && answeredAtMs > atMs);
   }
 
   /**
@@ -93,11 +144,7 @@
     if (isEarly || !this.isSilent(id, waitedMs)) {
       return false;
     }
-    const row = this.rows.get(id) ?? {
-      answeredAtMs: -Infinity,
-      aliveSinceMs: Infinity,
-      unansweredMs: [],
-    };
+    const row = this.rows.get(id) ?? createRow();
     const recent = [...row.unansweredMs, now].filter(
       atMs => now - atMs <= UNANSWERED_WINDOW_MS,
     );
@@ -120,4 +167,24 @@
       }
     }
   }
+
+  private findKept(
+    {connection, sentAtMs}: AnswerArrival,
+    usedSinceMs: number,
+  ): KeptConnection | undefined {
+    const firstAtMs = this.firstAnswers.get(connection);
+    if (firstAtMs === undefined) {
+      this.firstAnswers.set(connection, this.options.now());
+      return undefined;
+    }
+    return {sinceMs: Math.max(firstAtMs, usedSinceMs), sentAtMs};
+  }
 }
+
+const createRow = (): Row => ({
+  answeredAtMs: -Infinity,
+  aliveSinceMs: Infinity,
+  usedSinceMs: Infinity,
+  kept: undefined,
+  unansweredMs: [],
+});
--- a/packages/decisions/tests/absence-signs.test.ts
+++ b/packages/decisions/tests/absence-signs.test.ts
@@ -98,4 +98,65 @@
     chai.expect(signs.isAliveAround('u-1', 1_700)).equal(false);
     chai.expect(signs.isAliveAround('u-2', 1_550)).equal(false);
   });
+
+  interface KeptCase {
+    readonly name: string;
+    /** When each answer comes, when its request was sent, and over what. */
+    readonly answers: readonly (readonly [number, number, 'a' | 'b'])[];
+    readonly awayAtMs: number;
+    readonly isAlive: boolean;
+  }
+
+  const EARLIER = [
+    [1_000, 900, 'a'],
+    [2_500, 2_400, 'a'],
+  ] as const;
+
+  const KEPT: readonly KeptCase[] = [
+    {
+      name: 'a connection from before serves a later request',
+      answers: [...EARLIER, [4_200, 4_100, 'a']],
+      awayAtMs: 3_000,
+      isAlive: true,
+    },
+    {
+      name: 'a new connection serves a later request',
+      answers: [...EARLIER, [4_200, 4_100, 'b']],
+      awayAtMs: 3_000,
+      isAlive: false,
+    },
+    {
+      name: 'the answer to an earlier request comes late',
+      answers: [...EARLIER, [4_200, 2_900, 'a']],
+      awayAtMs: 3_000,
+      isAlive: false,
+    },
+    {
+      name: 'the connection may be younger than the absence',
+      answers: [...EARLIER, [4_200, 4_100, 'a']],
+      awayAtMs: 1_500,
+      isAlive: false,
+    },
+    {
+      name: 'a connection outlasts a long silence',
+      answers: [...EARLIER, [6_000, 5_900, 'a'], [6_500, 6_400, 'a']],
+      awayAtMs: 5_000,
+      isAlive: false,
+    },
+  ];
+
+  KEPT.forEach(({name, answers, awayAtMs, isAlive}) => {
+    it(`${isAlive ? 'refutes' : 'does not refute'} an absence: ${name}`, () => {
+      // Guards against all instances that hold back as one lost its link.
+      let now = 0;
+      const signs = new decisions.AbsenceSigns({now: () => now});
+      const connections = {a: {}, b: {}};
+      answers.forEach(([atMs, sentAtMs, over]) => {
+        now = atMs;
+        const connection = connections[over];
+        signs.recordAnswer('u-1', {sentAtMs, connection});
+      });
+      chai.expect(signs.isAliveAround('u-1', awayAtMs)).equal(isAlive);
+    });
+  });
 });
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -62,8 +62,12 @@
   readonly forward?: ForwardAttempt;
   /** Inputs of the choice, for the log. */
   readonly inputs: telemetry.Details;
-  /** Call it when the head of the answer has arrived. */
-  readonly recordHead: () => void;
+  /**
+   * Call it when the head of the answer has arrived.
+   *
+   * @param connection identifies the connection that brought it, if known.
+   */
+  readonly recordHead: (connection?: object) => void;
   /** Call it when an event of the answer has arrived. */
   readonly recordEvent: () => void;
   /**
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -187,8 +187,8 @@
         tookMs,
       });
     },
-    Right: () => {
-      placed.recordHead();
+    Right: ({body}) => {
+      placed.recordHead(body.socket);
     },
   });
   await whenChecked;
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -131,14 +131,14 @@
   }
 
   /** Records that an upstream has begun to answer. */
-  recordAnswer(known: Known): void {
-    this.recordAlive(known);
+  recordAnswer(known: Known, arrival?: decisions.AnswerArrival): void {
+    this.recordAlive(known, arrival);
     this.options.absences.recordAnswer(known.upstream);
   }
 
   /** Records a part of an answer of an upstream. */
-  recordAlive({upstream}: Known): void {
-    this.options.absenceSigns.recordAnswer(upstream.id);
+  recordAlive({upstream}: Known, arrival?: decisions.AnswerArrival): void {
+    this.options.absenceSigns.recordAnswer(upstream.id, arrival);
     this.options.absences.recordAlive(upstream);
   }
 
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -305,10 +305,13 @@
         recordPace(pace.record(this.options.now()));
         timed?.recordEvent();
       },
-      recordHead: () => {
+      recordHead: connection => {
         firstByteMs ??= this.options.now() - startedAtMs;
         timed?.recordFirstByte();
-        availability.recordAnswer(known);
+        availability.recordAnswer(
+          known,
+          connection && {sentAtMs: startedAtMs, connection},
+        );
         ticket.recordFirstByte();
       },
       settle: outcome => {
