Let the tests say how busy an instance is

It refuses from 0.7 of its event loop on, as it should, but in a test all instances, upstreams and callers share one event loop: a busy machine decides. That holds for virtual time too.

Change: how busy an instance is can be passed in; by default it is still its event loop. The tests pass it, and a new one covers the refusal itself: a busy instance turns away what others forward, and serves its own callers.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -25,8 +25,16 @@
   readonly callerListener?: gateway.OpenedListener | undefined;
   /** Sends messages to peers; over HTTP by default. */
   readonly transport?: protocol.HttpTransport;
+  /** How busy this instance is; by default as its event loop is. */
+  readonly readUtilization?: ReadUtilization;
 }
 
+/**
+ * Returns the part of the time since the last call in which an instance was
+ * busy, 0 to 1.
+ */
+export type ReadUtilization = () => number;
+
 /** The reflector of each followed kind. */
 export type Reflectors = Readonly<
   Record<gatewayState.FollowedKind, fleet.KindReflector>
--- a/packages/amaranthknot/src/gateway/instance-loops.ts
+++ b/packages/amaranthknot/src/gateway/instance-loops.ts
@@ -36,6 +36,17 @@
 /** Time since the process started, in milliseconds. */
 export const uptimeMs = (): number => Math.round(process.uptime() * 1_000);
 
+/** Reads how busy the event loop of this process was since the last call. */
+const createReadLoopUtilization = (): gatewayComponents.ReadUtilization => {
+  let last = performance.eventLoopUtilization();
+  return () => {
+    const load = performance.eventLoopUtilization();
+    const {utilization} = performance.eventLoopUtilization(load, last);
+    last = load;
+    return utilization;
+  };
+};
+
 /** Callbacks from the loops to their instance. */
 export interface LoopCallbacks {
   /** Whether the instance is synced and is not stopping. */
@@ -50,12 +61,15 @@
   private fleetCheckedAtMs = -Infinity;
   /** How far the clock for ages is ahead of the one for waits, in ms. */
   private clockLeadMs = 0;
-  private lastLoad = performance.eventLoopUtilization();
+  private readonly readUtilization: gatewayComponents.ReadUtilization;
 
   constructor(
     private readonly get: gatewayComponents.GatewayResolver,
     private readonly callbacks: LoopCallbacks,
-  ) {}
+  ) {
+    this.readUtilization =
+      get('options').readUtilization ?? createReadLoopUtilization();
+  }
 
   /** Fetches the views of a peer, if there is a seed, then follows the store. */
   async followStore(signal: AbortSignal): Promise<void> {
@@ -152,10 +166,7 @@
   }
 
   private sampleLoad(): void {
-    const load = performance.eventLoopUtilization();
-    const since = performance.eventLoopUtilization(load, this.lastLoad);
-    this.lastLoad = load;
-    this.get('forwardAdmission').record(since.utilization);
+    this.get('forwardAdmission').record(this.readUtilization());
   }
 
   /** Logs that the machine was suspended, or that its wall clock was set ahead. */
--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -288,10 +288,14 @@
 /**
  * Starts a store with a manifest and `count` instances; resolves when all
  * serve.
+ *
+ * @param utilizations how busy each instance is, 0 to 1; idle by default, as
+ *     the event loop that they share here is no measure of one instance.
  */
 export const startGateway = async (
   count = 1,
   manifest = createManifest(1),
+  utilizations: readonly number[] = [],
 ): Promise<GatewayFixture> => {
   const clock = ports.systemClock;
   const storeServer = new fakes.ObjectApiServer(clock);
@@ -313,6 +317,7 @@
       settings: createSource(own),
       clock,
       random: fakes.createRandom(index + 1),
+      readUtilization: () => utilizations[index] ?? 0,
     });
   const instances = settings.map(createInstance);
   await Promise.all(instances.map(instance => instance.start()));
--- a/packages/amaranthknot/tests/gateway/links-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/links-fixture.ts
@@ -81,12 +81,18 @@
   }, EVENTS * WORK_MS);
 };
 
-/** Starts instances and upstreams with a proxy before each upstream. */
+/**
+ * Starts instances and upstreams with a proxy before each upstream.
+ *
+ * @param utilizations see `startGateway`.
+ */
 export const startLinkedGateway = async (
   instances: number,
   upstreamCount = 3,
+  utilizations: readonly number[] = [],
 ): Promise<LinkedGateway> => {
-  const gateway = await fixture.startGateway(instances);
+  const manifest = fixture.createManifest(1);
+  const gateway = await fixture.startGateway(instances, manifest, utilizations);
   const upstreams: fakes.ScriptedUpstream[] = [];
   const proxies: fakes.LoopbackProxy[] = [];
   for (let i = 0; i < upstreamCount; i++) {
--- a/packages/amaranthknot/tests/gateway/lost-links.test.ts
+++ b/packages/amaranthknot/tests/gateway/lost-links.test.ts
@@ -92,4 +92,28 @@
     expectServed(first, third);
     expectServed(second, third);
   });
+
+  it('is turned away by an instance that is busy, and by no other', async () => {
+    // Guards against the few with links, overloaded with the requests of all.
+    linked = await links.startLinkedGateway(3, 3, [0, 0.9, 0.3]);
+    await linked.load(0, 2_000);
+    linked.cut(0, 'reset');
+    await linked.load(0, STABILITY_MS);
+    const [there, busy] = await Promise.all([
+      linked.load(0, MEASURED_MS),
+      linked.load(1, MEASURED_MS),
+    ]);
+    expectServed(there, busy);
+    linked.cut(2, 'reset');
+    await Promise.all([
+      linked.load(0, STABILITY_MS),
+      linked.load(2, STABILITY_MS),
+    ]);
+    const [refused, own] = await Promise.all([
+      linked.load(0, MEASURED_MS),
+      linked.load(1, MEASURED_MS),
+    ]);
+    chai.expect(refused.some(({isServed}) => isServed)).equal(false);
+    chai.expect(own.every(({isServed}) => isServed)).equal(true);
+  });
 });
--- a/packages/experiment/src/virtual-fleet.ts
+++ b/packages/experiment/src/virtual-fleet.ts
@@ -168,6 +168,8 @@
         return isolated.has(host);
       }),
       transport: network.transportOf(host),
+      // The event loop of this process is no measure of one instance.
+      readUtilization: () => 0,
     };
     const get = amaranthknot.wireGateway(gatewayOptions, options.overrides);
     const {id, zone} = settings.instance;
