Log why a reported absence is not believed

Change: absence_refuted has the upstream, the age of the absence and what shows that it was none: answers around it, a kept connection, or another instance. Before, only upstream_warm without a duration hinted at it. No decision changes.

--- a/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/cold-factories.ts
@@ -107,8 +107,12 @@
       now: () => options.clock.steadyNow(),
       findColdStartMs: id => findColdStartMs(get, id),
       findSiblings: id => findSiblings(get, id),
-      isAliveAround: (...around) =>
-        get('absenceSigns').isAliveAround(...around),
+      findSignOfLife: (id, atMs) =>
+        get('absenceSigns').findSignOfLife(id, atMs),
+      onRefute: ({upstream, ageMs, by}) => {
+        const age = Math.round(ageMs);
+        get('log').info('absence_refuted', {upstream, ageMs: age, by});
+      },
       onChange: start => {
         get('coldStarts').updateAbsence(start);
       },
--- a/packages/decisions/src/absence-signs.ts
+++ b/packages/decisions/src/absence-signs.ts
@@ -16,6 +16,13 @@
   /** It was not awaited any longer. */
   | 'cancelled';
 
+/** What shows that an upstream was there at a time. */
+export type SignOfLife =
+  /** Answers shortly before and after it. */
+  | 'answers'
+  /** A connection from before that served a request which was sent later. */
+  | 'kept_connection';
+
 /** How an answer came. */
 export interface AnswerArrival {
   /** Time since its attempt began, in milliseconds; not too short. */
@@ -106,21 +113,24 @@
   }
 
   /**
-   * Whether the upstream was there at a time: answers came shortly before and
-   * after it, or a connection from before served a request that was sent later.
-   * The latter tells it also to instances that send only a few requests there.
+   * What shows that an upstream was there at a time; undefined if nothing does.
+   * Instances that send only a few requests there mostly know it by a kept
+   * connection.
    */
-  isAliveAround(id: string, atMs: number): boolean {
+  findSignOfLife(id: string, atMs: number): SignOfLife | undefined {
     const row = this.rows.get(id);
     if (!row) {
-      return false;
+      return undefined;
     }
     const {aliveSinceMs, answeredAtMs, kept} = row;
+    if (aliveSinceMs < atMs && answeredAtMs > atMs) {
+      return 'answers';
+    }
     const isKept =
       kept !== undefined &&
       kept.sinceMs < atMs - MIN_KEPT_MS &&
       kept.sentAtMs > atMs;
-    return isKept || (aliveSinceMs < atMs && answeredAtMs > atMs);
+    return isKept ? 'kept_connection' : undefined;
   }
 
   /**
--- a/packages/decisions/src/upstream-absences.ts
+++ b/packages/decisions/src/upstream-absences.ts
@@ -8,6 +8,7 @@
  * an upstream makes all others believe that it is gone. Pure: the clock is an
  * option.
  */
+import type * as absenceSigns from './absence-signs.js';
 import type * as newsOrigin from './news-origin.js';
 import type * as upstreamBackoffs from './upstream-backoffs.js';
 
@@ -35,6 +36,15 @@
   readonly origin: newsOrigin.NewsOrigin;
 }
 
+/** An absence that was none. */
+export interface RefutedAbsence {
+  readonly upstream: string;
+  /** Time since it was found, in milliseconds. */
+  readonly ageMs: number;
+  /** What shows it; another instance may know it. */
+  readonly by: absenceSigns.SignOfLife | 'reported';
+}
+
 /** Options of `UpstreamAbsences`. */
 export interface UpstreamAbsencesOptions {
   readonly now: () => number;
@@ -45,10 +55,15 @@
   readonly findColdStartMs: (id: string) => number;
   /** Other upstreams of its service that this instance knows. */
   readonly findSiblings: (id: string) => readonly string[];
-  /** Whether this instance had answers shortly before and after a time. */
-  readonly isAliveAround: (id: string, atMs: number) => boolean;
+  /** What shows this instance that an upstream was there at a time. */
+  readonly findSignOfLife: (
+    id: string,
+    atMs: number,
+  ) => absenceSigns.SignOfLife | undefined;
   /** Called when an absence begins, is answered or turns out to be none. */
   readonly onChange: (start: UpstreamStart) => void;
+  /** Called when an absence is first found to be none. */
+  readonly onRefute: (refuted: RefutedAbsence) => void;
   /** Called when an upstream that was away answers again. */
   readonly onReturn: (id: string) => void;
   /** Called when other instances should learn of it at once. */
@@ -189,7 +204,7 @@
       const row = this.followedRowOf(start);
       const foundAtMs = now - awayAgeMs;
       if (row && isRefuted === true) {
-        this.refute(start, row, foundAtMs);
+        this.refute(start, row, foundAtMs, 'reported');
       } else if (row && !this.refuteIfAlive(start, row, foundAtMs)) {
         const answeredAtMs =
           answeredAgeMs === undefined ? undefined : now - answeredAgeMs;
@@ -283,27 +298,34 @@
     row: Row,
     foundAtMs: number,
   ): boolean {
-    const isAlive = this.options.isAliveAround(start.id, foundAtMs);
-    if (isAlive) {
-      this.refute(start, row, foundAtMs);
+    const sign = this.options.findSignOfLife(start.id, foundAtMs);
+    if (sign) {
+      this.refute(start, row, foundAtMs, sign);
     }
-    return isAlive;
+    return sign !== undefined;
   }
 
   /**
    * Regular reports carry this on: all that use the upstream find the same at
    * the same time, and would flood each other with messages.
    */
-  private refute(start: UpstreamStart, row: Row, foundAtMs: number): void {
+  private refute(
+    start: UpstreamStart,
+    row: Row,
+    foundAtMs: number,
+    by: RefutedAbsence['by'],
+  ): void {
+    const now = this.options.now();
     const isNews = foundAtMs > row.refutedAtMs + SAME_TIME_MS;
     row.refutedAtMs = Math.max(row.refutedAtMs, foundAtMs);
     if (isNews) {
-      row.announcedAtMs = this.options.now();
+      row.announcedAtMs = now;
+      this.options.onRefute({upstream: start.id, ageMs: now - foundAtMs, by});
     }
     const {absence} = row;
     if (absence && absence.foundAtMs <= row.refutedAtMs + SAME_TIME_MS) {
       if (absence.origin === 'own') {
-        row.heldUntilMs = this.options.now() + REFUTED_HOLD_MS;
+        row.heldUntilMs = now + REFUTED_HOLD_MS;
       }
       row.absence = undefined;
       this.unconfirmed.delete(start.id);
--- a/packages/decisions/tests/absence-signs.test.ts
+++ b/packages/decisions/tests/absence-signs.test.ts
@@ -93,10 +93,10 @@
       now = atMs;
       signs.recordAnswer('u-1');
     });
-    chai.expect(signs.isAliveAround('u-1', 1_550)).equal(true);
-    chai.expect(signs.isAliveAround('u-1', 1_000)).equal(false);
-    chai.expect(signs.isAliveAround('u-1', 1_700)).equal(false);
-    chai.expect(signs.isAliveAround('u-2', 1_550)).equal(false);
+    chai.expect(signs.findSignOfLife('u-1', 1_550)).equal('answers');
+    chai.expect(signs.findSignOfLife('u-1', 1_000)).equal(undefined);
+    chai.expect(signs.findSignOfLife('u-1', 1_700)).equal(undefined);
+    chai.expect(signs.findSignOfLife('u-2', 1_550)).equal(undefined);
   });
 
   interface KeptCase {
@@ -156,7 +156,8 @@
         const connection = connections[over];
         signs.recordAnswer('u-1', {waitedMs: atMs - sentAtMs, connection});
       });
-      chai.expect(signs.isAliveAround('u-1', awayAtMs)).equal(isAlive);
+      const sign = isAlive ? 'kept_connection' : undefined;
+      chai.expect(signs.findSignOfLife('u-1', awayAtMs)).equal(sign);
     });
   });
 });
--- a/packages/decisions/tests/upstream-absences.test.ts
+++ b/packages/decisions/tests/upstream-absences.test.ts
@@ -10,6 +10,7 @@
   readonly absences: decisions.UpstreamAbsences;
   readonly returns: string[];
   readonly news: decisions.NewsOrigin[];
+  readonly refutations: decisions.RefutedAbsence[];
   readonly setTime: (ms: number) => void;
   /** Sets a time in which this instance had answers without a gap. */
   readonly setAlive: (fromMs: number, toMs: number) => void;
@@ -20,11 +21,14 @@
   let alive = {fromMs: Infinity, toMs: -Infinity};
   const returns: string[] = [];
   const news: decisions.NewsOrigin[] = [];
+  const refutations: decisions.RefutedAbsence[] = [];
   const absences = new decisions.UpstreamAbsences({
     now: () => now,
     findColdStartMs: () => COLD_START_MS,
     findSiblings: id => service.filter(other => other !== id),
-    isAliveAround: (_id, atMs) => alive.fromMs < atMs && atMs < alive.toMs,
+    findSignOfLife: (_id, atMs) =>
+      alive.fromMs < atMs && atMs < alive.toMs ? 'answers' : undefined,
+    onRefute: refuted => refutations.push(refuted),
     onChange: () => undefined,
     onReturn: id => returns.push(id),
     onNews: origin => news.push(origin),
@@ -33,6 +37,7 @@
     absences,
     returns,
     news,
+    refutations,
     setTime: ms => {
       now = ms;
     },
@@ -111,6 +116,12 @@
     there.setTime(2_000);
     there.absences.recordOwn(START);
     chai.expect(there.news, 'keeps the next for itself').eql(['own']);
+    chai
+      .expect(here.refutations)
+      .eql([{upstream: 'u-1', ageMs: 50, by: 'answers'}]);
+    chai
+      .expect(there.refutations)
+      .eql([{upstream: 'u-1', ageMs: 50, by: 'reported'}]);
   });
 
   it('refutes its own when an answer goes on', () => {
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -82,6 +82,8 @@
   | 'upstream_cold'
   /** It counts as cold no longer. */
   | 'upstream_warm'
+  /** An upstream that was reported as away was not. */
+  | 'absence_refuted'
   /** An upstream said in an answer that it is leaving. */
   | 'upstream_leaving'
   /** This instance reaches no upstream of a service any more. */
