--- a/packages/amaranthknot/tests/gateway/clock-faults.test.ts
+++ b/packages/amaranthknot/tests/gateway/clock-faults.test.ts
@@ -104,15 +104,18 @@
   return maxErrorMs;
 };
 
+/** Starts a fleet in which all instances know each other. */
+const startSettledFleet = async (): Promise<virtualFleet.VirtualFleet> => {
+  const fleet = await virtualFleet.startVirtualFleet({instances: 6, zones: 3});
+  await fleet.clock.advance(SETTLE_MS);
+  return fleet;
+};
+
 describe('the age of a configuration', () => {
   it('is not too short at an instance whose watcher set its clock', async () => {
     // Guards against revoked keys that an instance which is cut off accepts for
     // longer than allowed, as its watcher's clock jumped while it held a call.
-    const fleet = await virtualFleet.startVirtualFleet({
-      instances: 6,
-      zones: 3,
-    });
-    await fleet.clock.advance(SETTLE_MS);
+    const fleet = await startSettledFleet();
     const written = new WrittenConfigurations(fleet);
     const followers = fleet
       .live()
@@ -145,11 +148,7 @@
   it('does not grow at any instance because one set its clock', async () => {
     // Guards against a rollout that ends early on all instances, before there
     // is evidence on its version, because the clock of one jumped ahead.
-    const fleet = await virtualFleet.startVirtualFleet({
-      instances: 6,
-      zones: 3,
-    });
-    await fleet.clock.advance(SETTLE_MS);
+    const fleet = await startSettledFleet();
     const rollout = {service: fixture.SERVICE, to: 'v2', durationS: 20};
     const writing = fleet.store.create(
       platform.STORE_KINDS.rollouts,
--- a/packages/decisions/src/slot-pool.ts
+++ b/packages/decisions/src/slot-pool.ts
@@ -37,10 +37,8 @@
 
 /**
  * Standard deviations of demand that are reserved on top of its mean
- * (square-root staffing, with roughly Poisson demand). With 2.3 for door
- * checks, at which 1 in 100 has to wait, interactive requests lost a tenth of
- * their answers. Door checks gained nothing, because slots become free often
- * enough.
+ * (square-root staffing, with roughly Poisson demand). More for door checks would
+ * take slots from interactive requests, and slots become free often enough.
  */
 const STAFFING: Readonly<Record<Priority, number>> = {
   door_check: 1,
--- a/packages/gateway/src/version-latencies.ts
+++ b/packages/gateway/src/version-latencies.ts
@@ -15,17 +15,15 @@
 /**
  * Multiple of the median, over the old version's answers of the same route and
  * model, above which the pace of a stream or the first byte of a buffered
- * answer counts as slow. Under high load one stream in nine took over three
- * times the median, and three in ten of a new version while its caches filled;
- * the streams of a bad version took four to fifteen times the median.
+ * answer counts as slow: above what load and empty caches add to a sound
+ * version's.
  */
 const SLOW_FACTOR = 4;
 
 /**
- * The same for the first byte of a stream. The first prompts of a new version
- * find empty caches and wait for each other: four of the first five answers
- * took over three times the median, and a good version was rolled back. A slow
- * version is still detected by its pace.
+ * The same for the first byte of a stream: the first prompts of a new version
+ * find empty caches and wait for each other. A slow version is still detected by
+ * its pace.
  */
 const SLOW_STREAM_FACTOR = 8;
 
