Trust a kept connection only over a silence of 1.5 s

An upstream that lost its power and came back cold may have been silent for 2 s. A connection that outlasts that proves nothing about its caches, so the longest silence is shorter now: above the 1.1 s at which an instance may send a cold upstream its next request, and below the shortest absence that matters.

--- a/packages/decisions/src/absence-signs.ts
+++ b/packages/decisions/src/absence-signs.ts
@@ -49,10 +49,11 @@
 const MAX_GAP_MS = 400;
 
 /**
- * Longest time between two answers over one connection that show that the
- * upstream was there meanwhile, in milliseconds.
+ * Longest time between two answers after which a connection from before still
+ * shows that the upstream was there meanwhile, in milliseconds. One that was
+ * silent for longer may be cold, whatever became of its connections.
  */
-const MAX_KEPT_GAP_MS = 2_000;
+const MAX_KEPT_GAP_MS = 1_500;
 
 /**
  * Time that a connection is known for before an absence at least, in
--- a/packages/decisions/tests/absence-signs.test.ts
+++ b/packages/decisions/tests/absence-signs.test.ts
@@ -109,38 +109,38 @@
 
   const EARLIER = [
     [1_000, 900, 'a'],
-    [2_500, 2_400, 'a'],
+    [1_900, 1_800, 'a'],
   ] as const;
 
   const KEPT: readonly KeptCase[] = [
     {
       name: 'a connection from before serves a later request',
-      answers: [...EARLIER, [4_200, 4_100, 'a']],
-      awayAtMs: 3_000,
+      answers: [...EARLIER, [2_800, 2_700, 'a']],
+      awayAtMs: 2_400,
       isAlive: true,
     },
     {
       name: 'a new connection serves a later request',
-      answers: [...EARLIER, [4_200, 4_100, 'b']],
-      awayAtMs: 3_000,
+      answers: [...EARLIER, [2_800, 2_700, 'b']],
+      awayAtMs: 2_400,
       isAlive: false,
     },
     {
       name: 'the answer to an earlier request comes late',
-      answers: [...EARLIER, [4_200, 2_900, 'a']],
-      awayAtMs: 3_000,
+      answers: [...EARLIER, [2_800, 2_300, 'a']],
+      awayAtMs: 2_400,
       isAlive: false,
     },
     {
       name: 'the connection may be younger than the absence',
-      answers: [...EARLIER, [4_200, 4_100, 'a']],
-      awayAtMs: 1_500,
+      answers: [...EARLIER, [2_800, 2_700, 'a']],
+      awayAtMs: 1_950,
       isAlive: false,
     },
     {
       name: 'a connection outlasts a long silence',
-      answers: [...EARLIER, [6_000, 5_900, 'a'], [6_500, 6_400, 'a']],
-      awayAtMs: 5_000,
+      answers: [...EARLIER, [3_500, 3_400, 'a'], [4_000, 3_900, 'a']],
+      awayAtMs: 2_500,
       isAlive: false,
     },
   ];
