Send nothing on for a caller that left before its request was accepted

Callers saw nothing; upstreams worked for nobody (GONE), on requests whose callers had left while an instance that had just started waited for its configuration, or asked for it anew as it was too old.

Cause: the close of the caller's connection was listened for only after that wait, and a close is told once.

Change: after the wait, a request on whose answer nothing more can be sent ends with caller_left, also one that another instance forwarded.

Callers of two tests that write to a connection of their own share a module.

--- a/packages/amaranthknot/tests/gateway/plain-requests.test.ts
+++ b/packages/amaranthknot/tests/gateway/plain-requests.test.ts
@@ -1,7 +1,9 @@
 import * as http from 'node:http';
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
+import * as ports from '@amaranthknot/ports';
 import * as fixture from './gateway-fixture.js';
+import * as rawConnection from './raw-connection.js';
 
 /** Answers every request at once; the body names its target. */
 const answerAll: fakes.UpstreamScript = ({request, socket}) => {
@@ -67,6 +69,28 @@
     chai.expect(first.requests).length(0);
   });
 
+  it('sends nothing on for a caller that left before an instance had synced', async () => {
+    // Guards against work for nobody: a close that is not noticed while the
+    // configuration is awaited.
+    const address = gateway.settings[0]?.listen.callers;
+    if (!address) {
+      throw new Error('no instance');
+    }
+    await gateway.register('i-1', first);
+    gateway.store.fault = () => 'down';
+    const restarting = gateway.restart(0);
+    const {socket} = await rawConnection.connectSoon(address);
+    socket.write(rawConnection.formatRead('left'));
+    await ports.systemClock.sleep(150);
+    socket.destroy();
+    await ports.systemClock.sleep(50);
+    gateway.store.fault = () => 'none';
+    await restarting;
+    await gateway.call({path: fixture.PATHS.read, id: 'stayed'});
+    const ids = first.requests.map(({headers}) => headers['x-attempt-id']);
+    chai.expect(ids).eql(['stayed']);
+  });
+
   it('never returns a late second answer to the next caller', async () => {
     // Guards against a caller that gets the answer of another. The upstream
     // answers a request twice; the second copy arrives while the kept
--- a/packages/amaranthknot/tests/gateway/planned-stop.test.ts
+++ b/packages/amaranthknot/tests/gateway/planned-stop.test.ts
@@ -1,9 +1,9 @@
-import * as net from 'node:net';
 import type * as configuration from '@amaranthknot/configuration';
 import * as ports from '@amaranthknot/ports';
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
 import * as fixture from './gateway-fixture.js';
+import * as rawConnection from './raw-connection.js';
 
 const answerAtOnce: fakes.UpstreamScript = ({request, socket}) => {
   socket.write(fakes.formatAnswer(request, 'fine'));
@@ -18,49 +18,14 @@
   }, WORK_MS);
 };
 
-/** A connection on which a caller has sent nothing yet. */
-interface OpenConnection {
-  readonly socket: net.Socket;
-  /** Resolves to what came back, once the connection is closed. */
-  readonly received: Promise<string>;
-}
-
-/** Opens a connection; rejects if it is refused. */
-const connect = ({
-  host,
-  port,
-}: configuration.Address): Promise<OpenConnection> =>
-  new Promise((resolve, reject) => {
-    const socket = net.connect({host, port});
-    socket.once('error', reject);
-    const chunks: string[] = [];
-    socket.on('data', chunk => chunks.push(chunk.toString()));
-    const received = new Promise<string>(done => {
-      socket.once('close', () => {
-        done(chunks.join(''));
-      });
-    });
-    socket.once('connect', () => {
-      resolve({socket, received});
-    });
-  });
-
-const formatRead = (id: string): string =>
-  [
-    `GET ${fixture.PATHS.read} HTTP/1.1`,
-    `Host: ${fixture.HOST}`,
-    `X-Attempt-Id: ${id}`,
-    'X-Remaining-Milliseconds: 3000',
-    `Api-Key: ${fixture.KEY}`,
-    '\r\n',
-  ].join('\r\n');
-
 /** Resolves once an instance accepts no connection any more. */
 const waitUntilClosing = async (
   address: configuration.Address,
 ): Promise<void> => {
   for (;;) {
-    const connection = await connect(address).catch(() => undefined);
+    const connection = await rawConnection
+      .connect(address)
+      .catch(() => undefined);
     if (!connection) {
       return;
     }
@@ -131,12 +96,14 @@
     if (!address) {
       throw new Error('no instance');
     }
-    const opened = Array.from({length: 8}, () => connect(address));
+    const opened = Array.from({length: 8}, () =>
+      rawConnection.connect(address),
+    );
     const connections = await Promise.all(opened);
     const stopped = gateway.instances[0]?.stop();
     await waitUntilClosing(address);
     connections.forEach(({socket}, index) => {
-      socket.write(formatRead(`late-${index}`));
+      socket.write(rawConnection.formatRead(`late-${index}`));
     });
     const answers = await Promise.all(connections.map(c => c.received));
     await stopped;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -213,6 +213,11 @@
     log: telemetry.RequestLog,
   ): Promise<void> {
     const accepted = await accept(caller, message);
+    // A close before `onClose` listens below is never told again.
+    if (answer.isOver) {
+      log.step('caller_left', {});
+      return;
+    }
     if (accepted.isLeft()) {
       this.refuse(answer, log, accepted.extract());
       return;
