Send nothing after a request's deadline when timers are late

Cause: whether a run may send again was asked of its abort signal alone, and the timer that aborts it waits behind all that one round of the event loop has to do. On a small, busy instance that is hundreds of milliseconds.

Change: before each attempt the clock is read too; a run whose time is up ends as by its timer. The deadline and the caller's close of a run are in a module of their own, run-end.ts, out of gateway.ts. Two tests share the stand-ins of a run's dependencies.

--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/late-timers.test.ts
@@ -0,0 +1,67 @@
+import * as events from 'node:events';
+import * as chai from 'chai';
+import * as gateway from '@amaranthknot/gateway';
+import * as purify from 'purify-ts';
+import * as placementFixture from './placement-fixture.js';
+import * as placementLoad from './placement-load.js';
+import * as runFixture from './run-fixture.js';
+
+/** Time that a request has left, in milliseconds. */
+const LEFT_MS = 1_000;
+
+const KINDS = ['idempotent', 'stream'] as const;
+
+const REFUSED: gateway.CallFailure = {ran: 'not_run', reason: 'refused'};
+
+describe('a run in a process whose timers are late', () => {
+  KINDS.forEach(kind => {
+    it(`sends nothing after its deadline: ${kind}`, async () => {
+      // Guards against upstreams that work for callers who have left: the timer
+      // of a deadline waits behind what a busy process does first.
+      const instance = placementLoad.getOnlyInstance(
+        await placementLoad.startPlacementLoad({
+          instances: 1,
+          upstreams: ['u-1', 'u-2', 'u-3'],
+          answer: () => undefined,
+        }),
+      );
+      const {request} = placementFixture.createPlacementRequest(instance, 'r', {
+        kind,
+        isResumable: true,
+      });
+      let now = 0;
+      let calls = 0;
+      const dependencies = runFixture.createRunDependencies(instance, () => {
+        calls++;
+        now += LEFT_MS;
+        return Promise.resolve(purify.Left(REFUSED));
+      });
+      const {signal, isOver, stop} = gateway.awaitRunEnd(
+        new events.EventEmitter(),
+        {now: () => now},
+        LEFT_MS,
+      );
+      const context = {request, log: runFixture.NO_LOG, signal, isOver};
+      const answer = {} as gateway.CallerAnswer;
+      const run =
+        kind === 'stream'
+          ? new gateway.StreamRun(dependencies, context, answer)
+          : new gateway.BufferedRun(dependencies, context);
+      await run.run();
+      stop();
+      chai.expect(calls).equal(1);
+      chai.expect(signal.reason).equal('time_up');
+    });
+  });
+
+  it('ends when its caller leaves', () => {
+    // Guards against work that goes on for nobody.
+    const response = new events.EventEmitter();
+    const end = gateway.awaitRunEnd(response, {now: () => 0}, LEFT_MS);
+    chai.expect(end.isOver()).equal(false);
+    response.emit('close');
+    end.stop();
+    chai.expect(end.isOver()).equal(true);
+    chai.expect(end.signal.reason).equal('caller_left');
+  });
+});
--- a/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
+++ b/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
@@ -1,11 +1,9 @@
 import * as chai from 'chai';
-import * as decisions from '@amaranthknot/decisions';
 import * as gateway from '@amaranthknot/gateway';
-import * as platform from '@amaranthknot/platform';
-import * as ports from '@amaranthknot/ports';
 import * as purify from 'purify-ts';
 import * as placementFixture from './placement-fixture.js';
 import * as placementLoad from './placement-load.js';
+import * as runFixture from './run-fixture.js';
 
 const UPSTREAMS = ['u-1', 'u-2', 'u-3', 'u-4'];
 
@@ -49,41 +47,20 @@
       const instance = await startInstance();
       const {request} = placementFixture.createPlacementRequest(instance, 'r');
       const placed: gateway.PlacementRequest[] = [];
+      const {signal} = new AbortController();
+      const place: gateway.PlaceAttempt = toPlace => {
+        placed.push(toPlace);
+        return placed.length > 2
+          ? purify.Left({reason: 'no_upstream', waitMs: undefined, inputs: {}})
+          : instance.get('placement').place(toPlace);
+      };
       const run = new gateway.BufferedRun(
-        {
-          clock: ports.systemClock,
-          random: () => 0.5,
-          headerConventions: {
-            headers: platform.HEADER_NAMES,
-            instanceOnlyHeaders: [],
-          },
-          place: toPlace => {
-            placed.push(toPlace);
-            return placed.length > 2
-              ? purify.Left({
-                  reason: 'no_upstream',
-                  waitMs: undefined,
-                  inputs: {},
-                })
-              : instance.get('placement').place(toPlace);
-          },
-          openCall: () => Promise.resolve(purify.Left(failure)),
-          openForward: () => Promise.resolve(purify.Left(failure)),
-          links: {
-            isLost: () => false,
-            whenLost: () => new Promise(() => undefined),
-          },
-          latencies: new decisions.LatencyEstimates(),
-          probe: () => Promise.resolve(true),
-          probePeer: () => Promise.resolve(true),
-          escalation: instance.get('escalationPolicy'),
-          confirmEnd: instance.get('confirmEnd'),
-        },
-        {
-          request,
-          log: {step: () => undefined, failure: () => undefined},
-          signal: new AbortController().signal,
-        },
+        runFixture.createRunDependencies(
+          instance,
+          () => Promise.resolve(purify.Left(failure)),
+          place,
+        ),
+        {request, log: runFixture.NO_LOG, signal, isOver: () => signal.aborted},
       );
       await run.run();
       chai.expect(placed[1]?.history.sends).equal(1);
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -186,7 +186,7 @@
   private maySend(): boolean {
     const {maxAttempts} = this.context.request.route;
     return (
-      !this.context.signal.aborted &&
+      !this.context.isOver() &&
       !this.history.isExhausted() &&
       this.history.sends < maxAttempts + MAX_REFUSED_SENDS
     );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type * as runContext from './run-context.js';
 import * as bufferedRun from './buffered-run.js';
 import type * as refusals from './refusal.js';
+import * as runEnd from './run-end.js';
 import * as streamRun from './stream-run.js';
 
 /** What the gateway needs. */
@@ -213,7 +214,7 @@
     log: telemetry.RequestLog,
   ): Promise<void> {
     const accepted = await accept(caller, message);
-    // A close before `onClose` listens below is never told again.
+    // A close before `awaitRunEnd` is never told again.
     if (answer.isOver) {
       log.step('caller_left', {});
       return;
@@ -230,28 +231,21 @@
       this.refuse(answer, log, {reason: 'stopping', retryAfterMs: 0});
       return;
     }
-    const leftMs =
-      request.deadlineMs - this.dependencies.clock.now() - ANSWER_MARGIN_MS;
-    if (leftMs <= 0) {
+    const {clock} = this.dependencies;
+    const endsAtMs = request.deadlineMs - ANSWER_MARGIN_MS;
+    if (clock.now() >= endsAtMs) {
       this.refuse(answer, log, {reason: 'expired', retryAfterMs: 0});
       return;
     }
-    const abortController = new AbortController();
-    const end = (reason: runContext.AbortReason) => {
-      abortController.abort(reason);
-    };
-    const timer = setTimeout(() => {
-      end('time_up');
-    }, leftMs);
-    const onClose = () => {
-      end('caller_left');
-    };
-    response.once('close', onClose);
+    const {signal, isOver, stop} = runEnd.awaitRunEnd(
+      response,
+      clock,
+      endsAtMs,
+    );
     try {
-      await this.run({request, log, signal: abortController.signal}, answer);
+      await this.run({request, log, signal, isOver}, answer);
     } finally {
-      clearTimeout(timer);
-      response.off('close', onClose);
+      stop();
       this.recordEnd(request, times);
     }
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from './gateway.js';
 export * from './followed-rollout.js';
 export * from './run-context.js';
+export * from './run-end.js';
 export * from './header-names.js';
 export * from './buffered-run.js';
 export * from './health-request.js';
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -139,6 +139,8 @@
   readonly log: telemetry.RequestLog;
   /** Aborts, with an `AbortReason`, when no answer is awaited any longer. */
   readonly signal: AbortSignal;
+  /** Whether it has aborted, or is due to; asked before each attempt. */
+  readonly isOver: () => boolean;
 }
 
 /** The reason with which a signal of a run or an attempt was aborted. */
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -96,12 +96,12 @@
     model: string | undefined,
     isModelFixed: boolean,
   ): Promise<OpenStream | refusals.Refusal> {
-    const {request, signal} = this.context;
+    const {request, isOver} = this.context;
     const {maxAttempts, isResumable} = request.route;
     const maxSends = this.history.sends + maxAttempts + MAX_REFUSED_SENDS;
     this.isModelFixed = isModelFixed;
     let maySend = true;
-    while (maySend && !signal.aborted && this.history.sends < maxSends) {
+    while (maySend && !isOver() && this.history.sends < maxSends) {
       const found = this.takeReserved() ?? this.place(model, this.excluded);
       if (!found) {
         break;
