Count what ran before the links were lost

Cause: with lost links no run of this instance was counted, as what is sent into a cut has not run; but those from before the cut have.

Change: the head of an answer shows that the links were there, so what was sent until then counts from then on.

--- a/packages/gateway/src/attempt-history.ts
+++ b/packages/gateway/src/attempt-history.ts
@@ -20,6 +20,8 @@
   private unreachedCount = 0;
   /** Upstreams that this instance called and that may have run the request. */
   private directRuns = 0;
+  /** Those of them that were called while the links to them were there. */
+  private linkedRuns = 0;
   /** Upstreams that other instances may have called for it. */
   private forwardedRuns = 0;
 
@@ -41,7 +43,7 @@
 
   /**
    * Whether the route allows no further run. Upstreams that have been cut off
-   * from this instance do not count.
+   * from this instance do not count, unless one has answered since.
    */
   isExhausted(): boolean {
     const {maxAttempts} = this.request.route;
@@ -58,6 +60,16 @@
     }
   }
 
+  /**
+   * Records that the head of an answer has arrived: the links were there, so
+   * what was sent until then may have run.
+   */
+  recordHead({forward}: runContext.PlacedAttempt): void {
+    if (!forward) {
+      this.linkedRuns = this.directRuns;
+    }
+  }
+
   /** Records that an attempt failed. */
   recordFailure(
     {forward}: runContext.PlacedAttempt,
@@ -90,6 +102,10 @@
   }
 
   private countedRuns(): number {
-    return this.isLost() ? this.forwardedRuns : this.runs;
+    if (!this.isLost()) {
+      return this.runs;
+    }
+    // An attempt beside the answered one may turn out not to have run.
+    return this.forwardedRuns + Math.min(this.linkedRuns, this.directRuns);
   }
 }
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -266,6 +266,7 @@
       }
       return {kind: failure.ran};
     }
+    this.history.recordHead(placed);
     const answer = opened.unsafeCoerce();
     const body = await readBody.readBody(answer);
     const tookMs = this.dependencies.clock.now() - startedAtMs;
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -255,6 +255,7 @@
       }
       return failure.ran;
     }
+    this.history.recordHead(placed);
     const answer = opened.unsafeCoerce();
     if (answer.status >= 300) {
       abortController.abort('not_needed' satisfies runContext.AbortReason);
