--- a/packages/decisions/src/upstream-absences.ts
+++ b/packages/decisions/src/upstream-absences.ts
@@ -174,7 +174,7 @@
     }
   }
 
-  /** Ends an absence, as the upstream itself said what came of it. */
+  /** Ends an absence, as the upstream itself has said whether it is cold. */
   clear({id}: UpstreamStart): void {
     const row = this.rows.get(id);
     if (row) {
@@ -184,7 +184,7 @@
 
   /**
    * Absences to report to other instances now, for as long as the upstream may be
-   * cold: one that was paused, or has just started, would miss what is told once.
+   * cold: one that was paused, or has just started, would miss a message sent once.
    */
   report(): readonly ReportedAbsence[] {
     const now = this.options.now();
--- a/packages/ports/src/clock.ts
+++ b/packages/ports/src/clock.ts
@@ -8,7 +8,7 @@
   now(): number;
   /**
    * Monotonic time in milliseconds, for waits that must be over and for times
-   * that a peer is told it may add: a difference of two readings is never longer
+   * that a peer may add to its own: a difference of two readings is never longer
    * than the time that has passed. It may be shorter.
    */
   steadyNow(): number;
--- a/packages/soak/src/crash-faults.ts
+++ b/packages/soak/src/crash-faults.ts
@@ -35,7 +35,7 @@
   readonly comeBack: () => Promise<void>;
 }
 
-/** Injects these faults and records what came of them. */
+/** Injects these faults and records their outcomes. */
 export class CrashFaults {
   readonly arrivals: checkNotices.Arrival[] = [];
   readonly endsMs: number[] = [];
