Log how late the event loop is, and the time that a sent request has left

Callers saw work go on after they had left (GONE). The logs could not tell apart whether an instance had read a request late, had held it, or had counted its deadline wrongly: none said how long a turn of the event loop takes, nor how much time a request had left when it was placed.

A beat each 50 ms bounds how long what is read now may have lain unread (ReadLateness, pure). A turn over 0.2 s is logged as loop_late with its length, at most once a beat; a histogram counts all turns; request_placed says leftMs. No decision uses it yet.

Tests: five cases of the bound; telemetry and startup-imports pass. What it costs on a calm instance is not measured yet.

--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -93,6 +93,7 @@
   readonly placement: gateway.UpstreamPlacement;
   readonly gateway: gateway.Gateway;
   readonly callerServer: gateway.CallerServer;
+  readonly loopMonitor: gateway.LoopMonitor;
 }
 
 /** Resolves a component by its token. */
--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -61,6 +61,7 @@
   async start(): Promise<void> {
     const {get} = this;
     get('log').info('instance_started', {uptimeMs: instanceLoops.uptimeMs()});
+    get('loopMonitor').start();
     const {signal} = this.shutdown;
     // The calls to the store are sent before this instance listens, so that
     // their answers arrive meanwhile.
@@ -168,6 +169,7 @@
   /** Ends without a graceful stop, as a process that is killed does. */
   async kill(): Promise<void> {
     this.shutdown.abort();
+    this.get('loopMonitor').stop();
     this.get('transport').close();
     await Promise.all([
       this.get('callerServer').stop(0),
--- a/packages/amaranthknot/src/gateway/gateway-wiring.ts
+++ b/packages/amaranthknot/src/gateway/gateway-wiring.ts
@@ -3,6 +3,7 @@
  * registered with a factory and created once, when it is first resolved.
  */
 import 'reflect-metadata';
+import * as gateway from '@amaranthknot/gateway';
 import * as telemetry from '@amaranthknot/telemetry';
 import * as tsyringe from 'tsyringe';
 import type * as gatewayComponents from './gateway-components.js';
@@ -38,6 +39,16 @@
         get('metrics').recordEvent(event, reason);
       },
     }),
+  loopMonitor: get =>
+    new gateway.LoopMonitor({
+      clock: options.clock,
+      onBeat: (turnMs, lateMs) => {
+        get('metrics').recordLoopTurn(turnMs);
+        if (lateMs > 0) {
+          get('log').warn('loop_late', {lateMs: Math.round(lateMs)});
+        }
+      },
+    }),
   metrics: get =>
     new telemetry.GatewayMetrics(() => ({
       inProgress: get('gateway').inProgress,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -46,6 +46,7 @@
 export * from './rate-limits.js';
 export * from './prefill-backlog.js';
 export * from './prefill-priority.js';
+export * from './read-lateness.js';
 export * from './rendezvous.js';
 export * from './repeat-budget.js';
 export * from './retry-after.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,6 +18,7 @@
 export * from './health-request.js';
 export * from './link-check.js';
 export * from './link-monitor.js';
+export * from './loop-monitor.js';
 export * from './liveness-check.js';
 export * from './open-forward.js';
 export * from './peer-forwarder.js';
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -166,6 +166,7 @@
     log.step('request_placed', {
       upstream: upstream.id,
       model,
+      leftMs: Math.round(timeLeftMs),
       ...inputs,
       ...describeConfiguration(request),
     });
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -100,6 +100,8 @@
   | 'peer_message_refused'
   | 'peer_hold_bounded'
   | 'clock_gap'
+  /** A turn of the event loop took long; what it read had waited as long. */
+  | 'loop_late'
   | 'store_lost'
   | 'store_regained'
   | 'log_lines_dropped'
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -11,6 +11,9 @@
 /** The same for checks of upstreams, which take a few round trips. */
 const CHECK_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25];
 
+/** The same for turns of the event loop. */
+const LOOP_BUCKETS = [0.06, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 5];
+
 const MS_PER_S = 1_000;
 
 /** Measurements of one accepted request, taken when it ends. */
@@ -91,6 +94,13 @@
     registers: [this.registry],
   });
 
+  private readonly loopTurn = new client.Histogram({
+    name: 'amaranthknot_loop_turn_seconds',
+    help: 'Seconds between two beats of the event loop, which are 0.05 apart.',
+    buckets: LOOP_BUCKETS,
+    registers: [this.registry],
+  });
+
   private readonly endCheckConnections = new client.Counter({
     name: 'amaranthknot_answer_end_check_connections_total',
     help: 'Connections opened to check upstreams that ended an answer.',
@@ -178,6 +188,11 @@
     this.endCheckConnections.inc(connections);
   }
 
+  /** Records the time between two beats of the event loop. */
+  recordLoopTurn(tookMs: number): void {
+    this.loopTurn.observe(tookMs / MS_PER_S);
+  }
+
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string> {
     return this.registry.metrics();
