--- a/packages/amaranthknot/tests/gateway/gateway-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/gateway-fixture.ts
@@ -359,6 +359,9 @@
   };
 };
 
+/** Resolves after `ms` milliseconds. */
+export const pause = (ms: number): Promise<void> => ports.systemClock.sleep(ms);
+
 /** Time after which a wait for a condition fails, in milliseconds. */
 const CONDITION_TIMEOUT_MS = 10_000;
 
--- a/packages/amaranthknot/tests/gateway/raw-connection.ts
+++ b/packages/amaranthknot/tests/gateway/raw-connection.ts
@@ -31,17 +31,21 @@
     });
   });
 
-/** A request for the fixture's idempotent route. */
-export const formatRead = (id: string): string =>
+/** A request whose caller waits for `timeLeftMs` milliseconds. */
+export const format = (id: string, path: string, timeLeftMs: number): string =>
   [
-    `GET ${fixture.PATHS.read} HTTP/1.1`,
+    `GET ${path} HTTP/1.1`,
     `Host: ${fixture.HOST}`,
     `X-Attempt-Id: ${id}`,
-    'X-Remaining-Milliseconds: 3000',
+    `X-Remaining-Milliseconds: ${timeLeftMs}`,
     `Api-Key: ${fixture.KEY}`,
     '\r\n',
   ].join('\r\n');
 
+/** A request for the fixture's idempotent route. */
+export const formatRead = (id: string): string =>
+  format(id, fixture.PATHS.read, 3_000);
+
 /** Pause between two tries to connect, in milliseconds. */
 const RETRY_MS = 5;
 
