Count the time for which a request may have waited unread

Callers saw upstreams work after their deadlines (GONE): an instance that gets no processor time reads a request a second or more after it was written, and counted the time left from the reading. Upstreams were given that second too.

Cause: only connections that had waited for the start of the process counted as having waited. Now LoopMonitor bounds how long what is read may have lain in a receive buffer, and ArrivalWaits how long connections may have been in the accept queue, of which a turn of the loop accepts one. Both hold for callers and for instances that forward. The time counts as used up; a request without any left is refused at once as expired, which is true.

Log line request_waited, with waitedMs.

--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -98,7 +98,10 @@
         listen.peers,
         protocol.INNER_PATH,
         text => get('peerServer').handle(text),
-        (...exchange) => get('gateway').handleForwarded(...exchange),
+        {
+          handle: (...exchange) => get('gateway').handleForwarded(...exchange),
+          loop: get('loopMonitor'),
+        },
       ),
       ...(listen.metrics
         ? [
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -330,6 +330,7 @@
     new gateway.CallerServer(
       options.settings.current.listen.callers,
       (...exchange) => get('gateway').handle(...exchange),
+      get('loopMonitor'),
       options.callerListener,
     ),
 });
--- a/packages/gateway/src/auxiliary-server.ts
+++ b/packages/gateway/src/auxiliary-server.ts
@@ -10,6 +10,8 @@
 import * as zlib from 'node:zlib';
 import * as protocol from '@amaranthknot/protocol';
 import type * as configuration from '@amaranthknot/configuration';
+import * as arrivalWaits from './arrival-waits.js';
+import type * as callerServer from './caller-server.js';
 import * as httpListener from './http-listener.js';
 
 /** Largest message of another instance, in bytes, compressed or not. */
@@ -62,21 +64,22 @@
 
 const NOT_FOUND: Answer = {status: 404};
 
-/** Handles a request that another instance forwards. */
-export type HandleForwarded = (
-  message: http.IncomingMessage,
-  response: http.ServerResponse,
-) => Promise<void>;
+/** What handles the requests that other instances forward. */
+export interface ForwardedHandling {
+  readonly handle: callerServer.HandleRequest;
+  /** The event loop that reads their connections. */
+  readonly loop: arrivalWaits.ReadingLoop;
+}
 
 /**
  * Creates a server for other instances. `handle` answers their messages,
- * `handleForwarded` the requests that they forward for their callers.
+ * `forwarded` the requests that they forward for their callers.
  */
 export const createPeerServer = (
   address: configuration.Address,
   path: string,
   handle: (text: string) => Promise<string>,
-  handleForwarded: HandleForwarded,
+  forwarded: ForwardedHandling,
 ): AuxiliaryServer =>
   createServer(
     address,
@@ -90,7 +93,7 @@
           : {status: 200, type: JSON_TYPE, body: await handle(text)};
       },
     },
-    handleForwarded,
+    forwarded,
   );
 
 /** Creates a server that answers whether this instance accepts requests. */
@@ -150,18 +153,21 @@
 const createServer = (
   address: configuration.Address,
   endpoint: Endpoint,
-  handleForwarded?: HandleForwarded,
+  forwarded?: ForwardedHandling,
 ): AuxiliaryServer => {
+  const waits = forwarded && new arrivalWaits.ArrivalWaits(forwarded.loop);
   const options = {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0};
   const server = http.createServer(options, (request, response) => {
-    if (handleForwarded && FORWARDED_NAME in request.headers) {
-      void handleForwarded(request, response);
+    if (waits && FORWARDED_NAME in request.headers) {
+      const waitedMs = waits.findWaitMs(request.socket);
+      void forwarded.handle(request, response, waitedMs);
       return;
     }
     void findAnswer(endpoint, request).then(answer => {
       send(request, response, answer);
     });
   });
+  waits?.watch(server);
   return {
     start: () => httpListener.listen(server, address),
     stop: () => httpListener.stopListening(server, 0),
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import type * as configuration from '@amaranthknot/configuration';
 import type * as routing from '@amaranthknot/routing';
+import * as arrivalWaits from './arrival-waits.js';
 import * as httpListener from './http-listener.js';
 
 /**
@@ -37,12 +38,6 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
-/**
- * Time after the start in which accepted connections count as having waited, in
- * milliseconds: those that wait are accepted in the first turns of the loop.
- */
-const BACKLOG_MS = 50;
-
 const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 /**
@@ -53,18 +48,20 @@
  */
 export class CallerServer {
   private readonly listener: http.Server;
-  /** Waiting time of connections whose first request has not been read. */
-  private readonly waits = new WeakMap<net.Socket, number>();
+  private readonly waits: arrivalWaits.ArrivalWaits;
 
   /**
+   * @param loop the event loop that reads the connections.
    * @param opened listens at `address`; by default the address is opened at the
    *     start.
    */
   constructor(
     private readonly address: configuration.Address,
     handle: HandleRequest,
+    loop: arrivalWaits.ReadingLoop,
     private readonly opened?: OpenedListener,
   ) {
+    this.waits = new arrivalWaits.ArrivalWaits(loop);
     this.listener = http.createServer(
       {
         maxHeaderSize: INITIAL_MAX_HEADER_BYTES,
@@ -73,7 +70,7 @@
         keepAliveTimeout: 60_000,
       },
       (message, response) =>
-        void handle(message, response, this.takeWaitMs(message.socket)),
+        void handle(message, response, this.waits.findWaitMs(message.socket)),
     );
     this.listener.on('clientError', (_error, socket) => {
       refuseMalformed(socket as net.Socket);
@@ -89,30 +86,14 @@
   /** Starts to listen; rejects if the address is not available. */
   start(): Promise<void> {
     if (!this.opened) {
+      this.waits.watch(this.listener);
       return httpListener.listen(this.listener, this.address);
     }
     const {server, openedAtMs} = this.opened;
-    this.recordWaits(performance.now() - openedAtMs);
+    this.waits.watch(this.listener, performance.now() - openedAtMs);
     return httpListener.takeOver(this.listener, server);
   }
 
-  /** Records how long the connections of the backlog may have waited. */
-  private recordWaits(waitedMs: number): void {
-    const record = (socket: net.Socket) => {
-      this.waits.set(socket, waitedMs);
-    };
-    this.listener.on('connection', record);
-    setTimeout(() => {
-      this.listener.off('connection', record);
-    }, BACKLOG_MS);
-  }
-
-  private takeWaitMs(socket: net.Socket): number {
-    const waitedMs = this.waits.get(socket) ?? 0;
-    this.waits.delete(socket);
-    return waitedMs;
-  }
-
   /**
    * Stops listening and closes idle connections; those still in use after
    * `timeoutMs` are cut.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,7 +45,10 @@
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly answer: callerAnswer.CallerAnswer;
+  /** When it arrived at the latest that is possible, by the clock. */
   readonly receivedAtMs: number;
+  /** Longest time for which it may have waited before it was read. */
+  readonly waitedMs: number;
   readonly times: AnswerTimes;
   readonly accept: Accept;
 }
@@ -109,8 +112,9 @@
   handleForwarded(
     message: http.IncomingMessage,
     response: http.ServerResponse,
+    waitedMs = 0,
   ): Promise<void> {
-    return this.handleExchange(message, response, 0, true);
+    return this.handleExchange(message, response, waitedMs, true);
   }
 
   private async handleExchange(
@@ -139,6 +143,7 @@
         response,
         answer,
         receivedAtMs,
+        waitedMs,
         times,
         accept,
       });
@@ -210,7 +215,7 @@
 
   private async serve(
     caller: callerRequest.CallerRequest,
-    {message, response, answer, times, accept}: Exchange,
+    {message, response, answer, waitedMs, times, accept}: Exchange,
     log: telemetry.RequestLog,
   ): Promise<void> {
     const accepted = await accept(caller, message);
@@ -224,6 +229,9 @@
       return;
     }
     const request = accepted.unsafeCoerce();
+    if (waitedMs > 0) {
+      log.step('request_waited', {waitedMs: Math.round(waitedMs)});
+    }
     if (request.forwarded) {
       log.step('forward_accepted', describeForwarded(request.forwarded));
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from './accept-forwarded.js';
 export * from './accept-request.js';
 export * from './answer-ends.js';
+export * from './arrival-waits.js';
 export * from './attempt-history.js';
 export * from './caller-answer.js';
 export * from './caller-request.js';
--- a/packages/gateway/tests/auxiliary-server.test.ts
+++ b/packages/gateway/tests/auxiliary-server.test.ts
@@ -66,9 +66,12 @@
     {host: HOST, port},
     PATH,
     text => Promise.resolve(text + text),
-    (_, response) => {
-      response.end(FORWARDED);
-      return Promise.resolve();
+    {
+      handle: (_, response) => {
+        response.end(FORWARDED);
+        return Promise.resolve();
+      },
+      loop: {maxWaitMs: () => 0},
     },
   );
   await server.start();
--- a/packages/gateway/tests/caller-server.test.ts
+++ b/packages/gateway/tests/caller-server.test.ts
@@ -57,6 +57,7 @@
         response.end('served');
         return Promise.resolve();
       },
+      {maxWaitMs: () => 0},
       opened,
     );
     const first = ask(address.port);
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -14,6 +14,8 @@
 
 /** Decisions about a request, and how it ended. */
 export type RequestEvent =
+  /** An accepted request may have waited before it was read. */
+  | 'request_waited'
   /** An upstream was chosen for an attempt. */
   | 'request_placed'
   /** An attempt goes to another instance, as this one reaches no upstream. */
