Send a request only if its caller waits, by all that has arrived

Callers that left while an instance was busy had their requests run for nobody (GONE). Cause: the end of a connection is read a turn of the event loop after its last bytes, and told as a close later still. In a late instance a request was placed and written upstream before the instance could know.

Before each attempt, first or repeated, while the loop is late or the request has waited: the connections are read for one whole turn, and the run ends if the caller's connection has ended (isAwaited, in the place of isOver). All kinds of sends pass it. What many requests do after one reading takes time, so each asks whether its reading is recent (200 ms), at most three times. The end of the connection ends work at upstreams too, a turn before the close did. A run that was never sent says expired.

--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -199,6 +199,7 @@
   const {change} = settings.current.bounds;
   return new gateway.Gateway({
     clock,
+    loop: get('loopMonitor'),
     random,
     log: get('log'),
     latencies: get('latencies'),
--- a/packages/amaranthknot/tests/gateway/late-timers.test.ts
+++ b/packages/amaranthknot/tests/gateway/late-timers.test.ts
@@ -36,12 +36,12 @@
         now += LEFT_MS;
         return Promise.resolve(purify.Left(REFUSED));
       });
-      const {signal, isOver, stop} = gateway.awaitRunEnd(
+      const {signal, isAwaited, stop} = runFixture.awaitRunEnd(
         new events.EventEmitter(),
-        {now: () => now},
+        () => now,
         LEFT_MS,
       );
-      const context = {request, log: runFixture.NO_LOG, signal, isOver};
+      const context = {request, log: runFixture.NO_LOG, signal, isAwaited};
       const answer = {} as gateway.CallerAnswer;
       const run =
         kind === 'stream'
@@ -54,14 +54,14 @@
     });
   });
 
-  it('ends when its caller leaves', () => {
+  it('ends when its caller leaves', async () => {
     // Guards against work that goes on for nobody.
     const response = new events.EventEmitter();
-    const end = gateway.awaitRunEnd(response, {now: () => 0}, LEFT_MS);
-    chai.expect(end.isOver()).equal(false);
+    const end = runFixture.awaitRunEnd(response, () => 0, LEFT_MS);
+    chai.expect(await end.isAwaited()).equal(true);
     response.emit('close');
     end.stop();
-    chai.expect(end.isOver()).equal(true);
+    chai.expect(await end.isAwaited()).equal(false);
     chai.expect(end.signal.reason).equal('caller_left');
   });
 });
--- a/packages/amaranthknot/tests/gateway/run-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/run-fixture.ts
@@ -1,6 +1,7 @@
 /** Runs of requests whose calls of upstreams a test answers itself. */
+import * as events from 'node:events';
 import * as decisions from '@amaranthknot/decisions';
-import type * as gateway from '@amaranthknot/gateway';
+import * as gateway from '@amaranthknot/gateway';
 import * as platform from '@amaranthknot/platform';
 import * as ports from '@amaranthknot/ports';
 import type * as virtualFleet from './virtual-fleet.js';
@@ -11,6 +12,27 @@
   failure: () => undefined,
 };
 
+/** An event loop that reads everything as it arrives. */
+export const PUNCTUAL_LOOP: gateway.LoopState = {
+  maxWaitMs: () => 0,
+  whenRead: () => Promise.resolve(Infinity),
+};
+
+/** Waits for the end of a run that has just been read. */
+export const awaitRunEnd = (
+  response: events.EventEmitter,
+  now: () => number,
+  endsAtMs: number,
+): gateway.RunEnd =>
+  gateway.awaitRunEnd({
+    response,
+    connection: new events.EventEmitter(),
+    clock: {now},
+    loop: PUNCTUAL_LOOP,
+    endsAtMs,
+    waitedMs: 0,
+  });
+
 /** Dependencies of runs at an instance, with the calls replaced. */
 export const createRunDependencies = (
   {get}: virtualFleet.VirtualInstance,
--- a/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
+++ b/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
@@ -60,7 +60,12 @@
           () => Promise.resolve(purify.Left(failure)),
           place,
         ),
-        {request, log: runFixture.NO_LOG, signal, isOver: () => signal.aborted},
+        {
+          request,
+          log: runFixture.NO_LOG,
+          signal,
+          isAwaited: () => Promise.resolve(!signal.aborted),
+        },
       );
       await run.run();
       chai.expect(placed[1]?.history.sends).equal(1);
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -84,8 +84,7 @@
   /** Sends the request again only if it has certainly not run. */
   private async runAtMostOnce(): Promise<WholeAnswer | undefined> {
     for (;;) {
-      const pending = this.startAttempt(this.context.signal);
-      const result = await pending;
+      const result = await this.startAttempt(this.context.signal);
       if (result === undefined || result.kind === 'unknown') {
         return undefined;
       }
@@ -107,14 +106,10 @@
     ]);
     const pending = new Set<Promise<FinishedAttempt>>();
     const startAnother = (): void => {
-      const attempt = this.startAttempt(signal);
-      if (attempt) {
-        const finished: Promise<FinishedAttempt> = attempt.then(result => ({
-          result,
-          attempt: finished,
-        }));
-        pending.add(finished);
-      }
+      const finished: Promise<FinishedAttempt> = this.startAttempt(signal).then(
+        result => ({result, attempt: finished}),
+      );
+      pending.add(finished);
     };
     startAnother();
     while (pending.size > 0) {
@@ -125,6 +120,9 @@
       }
       pending.delete(next.attempt);
       const {result} = next;
+      if (!result) {
+        continue;
+      }
       if (result.kind === 'answer' && !isFailure(result.head.status)) {
         abortController.abort('not_needed' satisfies runContext.AbortReason);
         return result;
@@ -186,7 +184,7 @@
   private maySend(): boolean {
     const {maxAttempts} = this.context.request.route;
     return (
-      !this.context.isOver() &&
+      !this.context.signal.aborted &&
       !this.history.isExhausted() &&
       this.history.sends < maxAttempts + MAX_REFUSED_SENDS
     );
@@ -196,6 +194,7 @@
     return refusals.explainRun(
       {
         runs: this.history.runs,
+        sends: this.history.sends,
         isTimeUp: this.context.signal.aborted,
         notPlaced: this.notPlaced,
         waitMs: this.waitMs,
@@ -205,11 +204,12 @@
     );
   }
 
-  /** Starts an attempt; undefined if none may be sent or placed. */
-  private startAttempt(
+  /** Makes an attempt; undefined if none may be sent or placed. */
+  private async startAttempt(
     signal: AbortSignal,
-  ): Promise<AttemptResult> | undefined {
-    if (!this.maySend()) {
+  ): Promise<AttemptResult | undefined> {
+    const maySend = this.maySend() && (await this.context.isAwaited());
+    if (!maySend || signal.aborted) {
       return undefined;
     }
     const placed = this.dependencies.place({
@@ -218,7 +218,7 @@
       excluded: this.excluded,
       history: this.history.summarize(),
     });
-    return placed.caseOf({
+    return placed.caseOf<Promise<AttemptResult> | undefined>({
       Left: ({reason, waitMs, inputs}) => {
         this.waitMs = waitMs ?? this.waitMs;
         this.notPlaced = reason;
@@ -331,6 +331,7 @@
 
 /** An attempt's result, with the promise that identifies the attempt. */
 interface FinishedAttempt {
-  readonly result: AttemptResult;
+  /** Undefined if the attempt was not sent. */
+  readonly result: AttemptResult | undefined;
   readonly attempt: Promise<FinishedAttempt>;
 }
--- a/packages/gateway/src/caller-answer.ts
+++ b/packages/gateway/src/caller-answer.ts
@@ -32,7 +32,8 @@
 
   /** Whether nothing more can be sent: answered, broken off or disconnected. */
   get isOver(): boolean {
-    return this.finished || this.response.destroyed;
+    const {destroyed, socket} = this.response;
+    return this.finished || destroyed || socket?.readableEnded === true;
   }
 
   /** Sends a complete answer. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import * as acceptRequest from './accept-request.js';
 import * as callerAnswer from './caller-answer.js';
 import * as callerRequest from './caller-request.js';
+import type * as loopMonitor from './loop-monitor.js';
 import * as rawHeaders from './raw-headers.js';
 import type * as runContext from './run-context.js';
 import * as bufferedRun from './buffered-run.js';
@@ -20,6 +21,8 @@
   readonly activeTable: () => acceptRequest.ActiveTable | undefined;
   /** Resolves when this instance has synced, or after a time limit. */
   readonly whenSynced: () => Promise<void>;
+  /** The event loop that reads callers' connections. */
+  readonly loop: loopMonitor.LoopState;
   /** Resolves when the configuration is confirmed, or cannot be for now. */
   readonly refreshTable: () => Promise<void>;
   readonly tableAgeLimits: acceptRequest.TableAgeLimits;
@@ -239,19 +242,22 @@
       this.refuse(answer, log, {reason: 'stopping', retryAfterMs: 0});
       return;
     }
-    const {clock} = this.dependencies;
+    const {clock, loop} = this.dependencies;
     const endsAtMs = request.deadlineMs - ANSWER_MARGIN_MS;
     if (clock.now() >= endsAtMs) {
       this.refuse(answer, log, {reason: 'expired', retryAfterMs: 0});
       return;
     }
-    const {signal, isOver, stop} = runEnd.awaitRunEnd(
+    const {signal, isAwaited, stop} = runEnd.awaitRunEnd({
       response,
+      connection: message.socket,
       clock,
+      loop,
       endsAtMs,
-    );
+      waitedMs,
+    });
     try {
-      await this.run({request, log, signal, isOver}, answer);
+      await this.run({request, log, signal, isAwaited}, answer);
     } finally {
       stop();
       this.recordEnd(request, times);
@@ -365,7 +371,7 @@
     refusal: refusals.Refusal,
   ): void {
     if (answer.isOver) {
-      log.step('caller_left', {});
+      log.step('caller_left', {reason: refusal.reason});
       return;
     }
     const activeTable = this.dependencies.activeTable();
--- a/packages/gateway/src/loop-monitor.ts
+++ b/packages/gateway/src/loop-monitor.ts
@@ -9,8 +9,11 @@
    * milliseconds; 0 while the loop is on time.
    */
   readonly maxWaitMs: () => number;
-  /** Resolves once all that had arrived before the call has been read. */
-  readonly whenRead: () => Promise<void>;
+  /**
+   * Resolves once all that had arrived before the call has been read, to a time
+   * by the clock: what arrived before that time has been read.
+   */
+  readonly whenRead: () => Promise<number>;
 }
 
 /** What a `LoopMonitor` needs. */
@@ -60,9 +63,14 @@
    * A turn of the loop reads from each connection once, and learns of its end
    * in the next turn. Of two immediates the second runs after a whole turn.
    */
-  whenRead(): Promise<void> {
+  whenRead(): Promise<number> {
     return new Promise(resolve => {
-      setImmediate(() => setImmediate(resolve));
+      setImmediate(() => {
+        const readFromMs = this.options.clock.now();
+        setImmediate(() => {
+          resolve(readFromMs);
+        });
+      });
     });
   }
 }
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -70,6 +70,8 @@
 export interface UnansweredRun {
   /** Number of upstreams on which the request may have run. */
   readonly runs: number;
+  /** Number of times it was sent. */
+  readonly sends: number;
   /** Whether its deadline has passed. */
   readonly isTimeUp: boolean;
   /** Why its last attempt was not placed; undefined if it was. */
@@ -82,12 +84,15 @@
 
 /** The refusal of a request whose run gave no answer. */
 export const explainRun = (
-  {runs, isTimeUp, notPlaced, waitMs, minRetryAfterMs}: UnansweredRun,
+  {runs, sends, isTimeUp, notPlaced, waitMs, minRetryAfterMs}: UnansweredRun,
   random: () => number,
 ): Refusal => {
   if (runs > 0) {
     return {reason: isTimeUp ? 'timeout' : 'failed'};
   }
+  if (sends === 0 && isTimeUp) {
+    return {reason: 'expired', retryAfterMs: 0};
+  }
   const drawnMs = decisions.drawRetryAfterMs(waitMs ?? 0, random);
   return {
     reason: notPlaced === 'quarantined' ? 'quarantined' : 'no_upstream',
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -139,8 +139,11 @@
   readonly log: telemetry.RequestLog;
   /** Aborts, with an `AbortReason`, when no answer is awaited any longer. */
   readonly signal: AbortSignal;
-  /** Whether it has aborted, or is due to; asked before each attempt. */
-  readonly isOver: () => boolean;
+  /**
+   * Resolves to whether an answer is still awaited, by all that has arrived;
+   * asked before each attempt.
+   */
+  readonly isAwaited: () => Promise<boolean>;
 }
 
 /** The reason with which a signal of a run or an attempt was aborted. */
--- a/packages/gateway/src/run-end.ts
+++ b/packages/gateway/src/run-end.ts
@@ -1,6 +1,7 @@
 /** Ends the run of a request at its deadline, or when its caller leaves. */
 import type * as events from 'node:events';
 import type * as ports from '@amaranthknot/ports';
+import type * as loopMonitor from './loop-monitor.js';
 import type * as runContext from './run-context.js';
 
 /** The end of one run. */
@@ -8,27 +9,66 @@
   /** Aborts, with an `AbortReason`, when no answer is awaited any longer. */
   readonly signal: AbortSignal;
   /**
-   * Whether no answer is awaited any longer.
+   * Resolves to whether an answer is still awaited, by all that had arrived.
    *
-   * Guards against requests that a busy process sends after their deadline: its
-   * timers are late, so the clock is read too.
+   * Guards against requests that are sent for callers who have left: in a
+   * process that is late, the end of a connection lies unread behind the
+   * request, and the timer of the deadline behind what is handled first.
    */
-  readonly isOver: () => boolean;
+  readonly isAwaited: () => Promise<boolean>;
   /** Stops to wait for the end. */
   readonly stop: () => void;
 }
 
+/** A run, and what shows its end. */
+export interface AwaitedRun {
+  /** Emits `close` when the caller leaves. */
+  readonly response: events.EventEmitter;
+  /** The caller's connection; emits `end` earlier, once its end is read. */
+  readonly connection: events.EventEmitter;
+  readonly clock: Pick<ports.Clock, 'now'>;
+  readonly loop: loopMonitor.LoopState;
+  /** Time at which it ends, by `clock.now`. */
+  readonly endsAtMs: number;
+  /** Longest time for which the request may have waited unread. */
+  readonly waitedMs: number;
+}
+
+/**
+ * Longest time for which the end of a caller's connection may lie unread when a
+ * request is sent, in milliseconds.
+ */
+const MAX_UNREAD_MS = 200;
+
 /**
- * Waits for the end of a run.
- *
- * @param response emits `close` when the caller leaves.
- * @param endsAtMs time at which it ends, by `clock.now`.
+ * Times that the connections are read again for one send. What many requests do
+ * after one such reading may take longer than `MAX_UNREAD_MS`, and in a process
+ * that is late in each turn no reading is recent enough.
  */
-export const awaitRunEnd = (
-  response: events.EventEmitter,
+const MAX_READINGS = 3;
+
+/** Resolves once all that arrived a short time ago has been read. */
+const whenRecentlyRead = async (
+  loop: loopMonitor.LoopState,
   clock: Pick<ports.Clock, 'now'>,
-  endsAtMs: number,
-): RunEnd => {
+): Promise<void> => {
+  for (let readings = 0; readings < MAX_READINGS; readings++) {
+    const readFromMs = await loop.whenRead();
+    if (clock.now() - readFromMs <= MAX_UNREAD_MS) {
+      return;
+    }
+  }
+};
+
+/** Waits for the end of a run. */
+export const awaitRunEnd = ({
+  response,
+  connection,
+  clock,
+  loop,
+  endsAtMs,
+  waitedMs,
+}: AwaitedRun): RunEnd => {
   const abortController = new AbortController();
   const {signal} = abortController;
   const end = (reason: runContext.AbortReason) => {
@@ -37,21 +77,28 @@
   const timer = setTimeout(() => {
     end('time_up');
   }, endsAtMs - clock.now());
-  const onClose = () => {
+  const onLeave = () => {
     end('caller_left');
   };
-  response.once('close', onClose);
+  response.once('close', onLeave);
+  connection.once('end', onLeave);
+  let mustRead = waitedMs > 0;
   return {
     signal,
-    isOver: () => {
+    isAwaited: async () => {
+      if (mustRead || loop.maxWaitMs() > 0) {
+        mustRead = false;
+        await whenRecentlyRead(loop, clock);
+      }
       if (clock.now() >= endsAtMs) {
         end('time_up');
       }
-      return signal.aborted;
+      return !signal.aborted;
     },
     stop: () => {
       clearTimeout(timer);
-      response.off('close', onClose);
+      response.off('close', onLeave);
+      connection.off('end', onLeave);
     },
   };
 };
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -96,12 +96,12 @@
     model: string | undefined,
     isModelFixed: boolean,
   ): Promise<OpenStream | refusals.Refusal> {
-    const {request, isOver} = this.context;
+    const {request, isAwaited} = this.context;
     const {maxAttempts, isResumable} = request.route;
     const maxSends = this.history.sends + maxAttempts + MAX_REFUSED_SENDS;
     this.isModelFixed = isModelFixed;
     let maySend = true;
-    while (maySend && !isOver() && this.history.sends < maxSends) {
+    while (maySend && this.history.sends < maxSends && (await isAwaited())) {
       const found = this.takeReserved() ?? this.place(model, this.excluded);
       if (!found) {
         break;
@@ -209,6 +209,7 @@
     return refusals.explainRun(
       {
         runs: this.history.runs,
+        sends: this.history.sends,
         isTimeUp: this.context.signal.aborted,
         notPlaced: this.notPlaced,
         waitMs: this.waitMs,
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -149,9 +149,9 @@
   private async resume(
     model: string | undefined,
   ): Promise<streamOpener.OpenStream | undefined> {
-    const {request, isOver} = this.context;
+    const {request} = this.context;
     const {opener} = this;
-    if (!request.route.isResumable || opener.isExhausted() || isOver()) {
+    if (!request.route.isResumable || opener.isExhausted()) {
       return undefined;
     }
     const open = await opener.open(model, true);
