Take no lateness of this process for silence of an upstream

A process that was busy for longer than a timeout acts on its timer before it has read what came in time: the upstream counted as unreachable or silent, its link as lost, its stream was moved, and repeats were spent. Health checks had a guard against that, others had none.

As a connect timeout no longer stops a connection that is noticed late, a request is written only once its connection is established, and not at all 250 ms later: the caller may have left, and the time that it states is not left. Such a call is made again with the time that is left (try_failed, reason late).

--- a/packages/amaranthknot/tests/gateway/held-loop.test.ts
+++ b/packages/amaranthknot/tests/gateway/held-loop.test.ts
@@ -19,14 +19,6 @@
 const ROUTES = ['read', 'book', 'stream'] as const;
 const CONNECTIONS = ['kept', 'new'] as const;
 
-/** Keeps this process busy, as one is that waits for its processor. */
-const holdLoop = (ms: number): void => {
-  const endMs = performance.now() + ms;
-  while (performance.now() < endMs) {
-    // Nothing is read meanwhile.
-  }
-};
-
 /** Resolves after the events of the current turn of the loop. */
 const nextTurn = (): Promise<void> =>
   new Promise(resolve => {
@@ -93,7 +85,7 @@
             rawConnection.format(`left-${index}`, path, 2 * HELD_MS),
           );
         });
-        holdLoop(HELD_MS);
+        fakes.holdLoop(HELD_MS);
         end(sockets);
         await gateway.call({path: fixture.PATHS.read, id: 'stayed'});
         await fixture.pause(50);
@@ -109,7 +101,7 @@
           const path = fixture.PATHS[route];
           socket.write(rawConnection.format(`late-${index}`, path, SHORT_MS));
         });
-        holdLoop(HELD_MS);
+        fakes.holdLoop(HELD_MS);
         await gateway.call({path: fixture.PATHS.read, id: 'stayed'});
         end(callers.map(({socket}) => socket));
         const answers = await Promise.all(
@@ -131,7 +123,7 @@
         const path = fixture.PATHS.read;
         socket.write(rawConnection.format(`waits-${index}`, path, 3_000));
       });
-      holdLoop(HELD_MS);
+      fakes.holdLoop(HELD_MS);
       await fixture.waitUntil(() => upstream.requests.length === CALLERS);
       const times = upstream.requests.map(({headers}) =>
         Number(headers['x-remaining-milliseconds']),
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,6 +1,7 @@
 /** Fakes of external systems, for tests, benchmarks and the demo. */
 export * from './draw-free-port.js';
 export * from './engine-server.js';
+export * from './hold-loop.js';
 export * from './loopback-proxy.js';
 export * from './machine-clock.js';
 export * from './memory-object-store.js';
--- a/packages/gateway/src/health-request.ts
+++ b/packages/gateway/src/health-request.ts
@@ -74,14 +74,6 @@
   };
 };
 
-/**
- * Calls `act` after `delayMs`, and after the event loop has read what has
- * arrived: an instance that was busy for longer than a timeout has not yet seen
- * an answer that came in time.
- */
-const startTimeout = (act: () => void, delayMs: number): NodeJS.Timeout =>
-  setTimeout(() => setImmediate(act), delayMs);
-
 /**
  * Creates the function that asks upstreams for their health.
  *
@@ -106,20 +98,18 @@
       });
       ports.boundAnswer(request);
       const finish = (result: HealthResult) => {
-        clearTimeout(timer);
+        cancelTimeout();
         request.destroy();
         resolve(result);
       };
-      let timer = startTimeout(() => {
-        if (!isConnected) {
-          finish({kind: 'unreachable'});
-        }
+      let cancelTimeout = ports.startTimeout(() => {
+        finish({kind: 'unreachable'});
       }, connectTimeoutMs);
       request.once('socket', socket => {
         socket.once('connect', () => {
           isConnected = true;
-          clearTimeout(timer);
-          timer = startTimeout(() => {
+          cancelTimeout();
+          cancelTimeout = ports.startTimeout(() => {
             finish({kind: 'silent'});
           }, answerTimeoutMs);
         });
--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -51,29 +51,32 @@
         headers: request.headers as string[],
       });
       ports.boundAnswer(sending);
-      const tracker = trackConnection(sending, request.connectTimeoutMs);
+      const tracker = trackConnection(sending, request.connectTimeoutMs, () => {
+        sending.end(body);
+      });
       const cancel = () => sending.destroy();
       signal.addEventListener('abort', cancel);
       let isSilent = false;
-      const headTimer = setTimeout(() => {
+      const cancelHead = ports.startTimeout(() => {
         isSilent = true;
         sending.destroy();
       }, request.headTimeoutMs);
-      const suspectTimer = setTimeout(() => {
+      const cancelSuspicion = ports.startTimeout(() => {
         links.recordSilence(upstream, request.suspectAfterMs);
       }, request.suspectAfterMs);
       const clearTimers = () => {
-        clearTimeout(headTimer);
-        clearTimeout(suspectTimer);
+        cancelHead();
+        cancelSuspicion();
       };
       let hasFailed = false;
       let hasAnswered = false;
       const fail = () => {
         clearTimers();
-        if (!hasAnswered && !signal.aborted) {
+        const failure = tracker.describe(isSilent, signal);
+        if (!hasAnswered && !signal.aborted && failure.reason !== 'late') {
           links.record(upstream, 'failed');
         }
-        resolve(purify.Left(tracker.describe(isSilent, signal)));
+        resolve(purify.Left(failure));
       };
       sending.once('response', response => {
         clearTimers();
@@ -103,34 +106,60 @@
         fail();
       });
       sending.once('close', fail);
-      sending.end(body);
     });
 
-/** Tracks whether a connection was established, so that bytes may have left. */
-const trackConnection = (
-  sending: http.ClientRequest,
-  connectTimeoutMs: number,
-): {
+/** What is known of the connection of one call. */
+interface TrackedConnection {
   readonly recordError: (error: Error) => void;
   readonly describe: (
     isSilent: boolean,
     signal: AbortSignal,
   ) => upstreamCall.CallFailure;
-} => {
-  let wasConnected = false;
+}
+
+/**
+ * Longest time between the decision to send a request and the send, in
+ * milliseconds.
+ */
+const MAX_UNSENT_MS = 250;
+
+/**
+ * Calls `send` once the connection is established, and tracks whether bytes may
+ * have left. Nothing is sent after `MAX_UNSENT_MS`: in a process that was busy
+ * meanwhile the end of the caller's connection may lie unread, and the request
+ * states too much time.
+ */
+const trackConnection = (
+  sending: http.ClientRequest,
+  connectTimeoutMs: number,
+  send: () => void,
+): TrackedConnection => {
+  let hasLeft = false;
+  let isLate = false;
   let isEndless = false;
+  const sendNow = () => {
+    hasLeft = true;
+    send();
+  };
   sending.once('socket', (socket: net.Socket) => {
     if (!socket.connecting) {
-      wasConnected = true;
+      sendNow();
       return;
     }
-    const timer = setTimeout(() => sending.destroy(), connectTimeoutMs);
-    sending.once('close', () => {
-      clearTimeout(timer);
-    });
+    const startedAtMs = performance.now();
+    const cancelTimeout = ports.startTimeout(
+      () => sending.destroy(),
+      connectTimeoutMs,
+    );
+    sending.once('close', cancelTimeout);
     socket.once('connect', () => {
-      wasConnected = true;
-      clearTimeout(timer);
+      cancelTimeout();
+      isLate = performance.now() - startedAtMs > MAX_UNSENT_MS;
+      if (isLate) {
+        sending.destroy();
+      } else {
+        sendNow();
+      }
     });
   });
   return {
@@ -138,7 +167,10 @@
       isEndless ||= ports.isEndlessAnswer(error);
     },
     describe: (isSilent, signal) => {
-      if (!wasConnected) {
+      if (isLate) {
+        return {ran: 'not_run', reason: 'late'};
+      }
+      if (!hasLeft) {
         return {ran: 'not_run', reason: 'unreachable'};
       }
       if (isEndless) {
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -45,6 +45,7 @@
     case 'other_upstream':
       return 'unreachable';
     case 'no_upstream':
+    case 'late':
       return 'cancelled';
     case 'refused':
       return 'refused';
@@ -151,31 +152,27 @@
 /** Sends a request. A failed attempt is settled here, others by the caller. */
 export const sendAttempt = async (
   dependencies: runContext.RunDependencies,
-  {request, log}: runContext.RunContext,
+  context: runContext.RunContext,
   attempt: UpstreamAttempt,
 ): Promise<
   purify.Either<upstreamCall.CallFailure, upstreamCall.UpstreamAnswer>
 > => {
+  const {request, log} = context;
   const {placed, model, signal} = attempt;
   const {upstream, forward, inputs} = placed;
   const startedAtMs = dependencies.clock.now();
-  const timeLeftMs = request.deadlineMs - startedAtMs;
   if (forward) {
     log.step('request_forwarded', {peer: upstream.id, ...forward, ...inputs});
   } else {
     log.step('request_placed', {
       upstream: upstream.id,
       model,
-      leftMs: Math.round(timeLeftMs),
+      leftMs: Math.round(request.deadlineMs - startedAtMs),
       ...inputs,
       ...describeConfiguration(request),
     });
   }
-  const open = forward ? dependencies.openForward : dependencies.openCall;
-  const opened = await open(
-    createCall(dependencies, request, attempt, timeLeftMs),
-    signal,
-  );
+  const opened = await openInTime(dependencies, context, attempt);
   const tookMs = Math.round(dependencies.clock.now() - startedAtMs);
   const isBroken = opened.isLeft() && opened.extract().reason === 'broken';
   const whenChecked = isBroken ? placed.recordBreak() : undefined;
@@ -195,3 +192,30 @@
   await whenChecked;
   return opened;
 };
+
+/** Times that a call is made whose connection was noticed too late. */
+const MAX_LATE_CALLS = 3;
+
+/**
+ * Opens a call, and again with the time that is left if this process was too
+ * late to send it.
+ */
+const openInTime = async (
+  dependencies: runContext.RunDependencies,
+  {request, isAwaited}: runContext.RunContext,
+  attempt: UpstreamAttempt,
+): Promise<
+  purify.Either<upstreamCall.CallFailure, upstreamCall.UpstreamAnswer>
+> => {
+  const {clock, openForward, openCall} = dependencies;
+  const open = attempt.placed.forward ? openForward : openCall;
+  for (let calls = 1; ; calls++) {
+    const timeLeftMs = request.deadlineMs - clock.now();
+    const call = createCall(dependencies, request, attempt, timeLeftMs);
+    const opened = await open(call, attempt.signal);
+    const isLate = opened.isLeft() && opened.extract().reason === 'late';
+    if (!isLate || calls >= MAX_LATE_CALLS || !(await isAwaited())) {
+      return opened;
+    }
+  }
+};
--- a/packages/gateway/src/stall-watchdog.ts
+++ b/packages/gateway/src/stall-watchdog.ts
@@ -60,9 +60,22 @@
       probeTimer.refresh();
     }
   };
-  const probeTimer = setTimeout(() => void probe(), probeAfterMs);
+  /** Acts once this process has read what came in time, if nothing did. */
+  const actIfSilent = (act: () => void) => {
+    const resetsBefore = resets;
+    setImmediate(() => {
+      if (!isOver && resets === resetsBefore) {
+        act();
+      }
+    });
+  };
+  const probeTimer = setTimeout(() => {
+    actIfSilent(() => void probe());
+  }, probeAfterMs);
   const stallTimer = setTimeout(() => {
-    tryFailOver(stallTimer);
+    actIfSilent(() => {
+      tryFailOver(stallTimer);
+    });
   }, stallAfterMs);
   return {
     reset: () => {
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -56,6 +56,8 @@
         | 'unreachable'
         | 'refused'
         | 'other_upstream'
+        /** This process noticed the connection too late, and sent nothing. */
+        | 'late'
         /** An instance that it was forwarded to found no upstream. */
         | 'no_upstream';
       readonly load?: UpstreamLoad;
--- a/packages/gateway/src/upstream-probe.ts
+++ b/packages/gateway/src/upstream-probe.ts
@@ -1,6 +1,6 @@
 /** Checks whether an upstream can still be reached. */
 import * as net from 'node:net';
-import type * as ports from '@amaranthknot/ports';
+import * as ports from '@amaranthknot/ports';
 import type * as routing from '@amaranthknot/routing';
 import type * as upstreamEnds from './upstream-ends.js';
 
@@ -34,11 +34,11 @@
       ...(localAddress === undefined ? {} : {localAddress}),
     });
     const finish = (result: ConnectResult) => {
-      clearTimeout(timer);
+      cancelTimeout();
       socket.destroy();
       resolve(result);
     };
-    const timer = setTimeout(() => {
+    const cancelTimeout = ports.startTimeout(() => {
       finish('silent');
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
--- a/packages/gateway/tests/caller-server.test.ts
+++ b/packages/gateway/tests/caller-server.test.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 import * as http from 'node:http';
 import * as chai from 'chai';
+import * as fakes from '@amaranthknot/fakes';
 import * as gateway from '@amaranthknot/gateway';
 
 /** Time for which the program loads while callers wait, in milliseconds. */
@@ -21,15 +22,6 @@
   return {opened, address: {host, port}};
 };
 
-/** Keeps the loop from accepting connections, as loading a program does. */
-const blockLoop = (forMs: number): void => {
-  const endMs = performance.now() + forMs;
-  let nowMs = performance.now();
-  while (nowMs < endMs) {
-    nowMs = performance.now();
-  }
-};
-
 /** Sends one request, and returns the body of its answer. */
 const ask = (port: number): Promise<string> =>
   new Promise((resolve, reject) => {
@@ -61,7 +53,7 @@
       opened,
     );
     const first = ask(address.port);
-    blockLoop(LOAD_MS);
+    fakes.holdLoop(LOAD_MS);
     await server.start();
     chai.expect(await first).equal('served');
     await new Promise(resolve => setTimeout(resolve, 100));
--- a/packages/gateway/tests/stall-watchdog.test.ts
+++ b/packages/gateway/tests/stall-watchdog.test.ts
@@ -1,4 +1,6 @@
+import * as net from 'node:net';
 import * as chai from 'chai';
+import * as fakes from '@amaranthknot/fakes';
 import * as stallWatchdog from '../src/stall-watchdog.js';
 
 /** Runs a watchdog until its fail-over succeeds; resolves to its attempts. */
@@ -64,4 +66,39 @@
     });
     chai.expect(failedOver).equal(false);
   });
+
+  it('stays with an upstream whose bytes this process has not read', async () => {
+    // Guards against a stream that is moved, and an upstream that is blamed,
+    // because this process was busy.
+    const upstream = new fakes.ScriptedUpstream(() => undefined);
+    await upstream.start();
+    const [host, port] = upstream.address.split(':');
+    const socket = net.connect(Number(port), host);
+    upstream.script = exchange => {
+      exchange.socket.write('bytes');
+      fakes.holdLoop(100);
+    };
+    let failedOver = false;
+    const read = new Promise<void>(resolve => {
+      socket.once('data', () => {
+        watchdog.reset();
+        resolve();
+      });
+    });
+    const watchdog = stallWatchdog.startStallWatchdog({
+      probeAfterMs: NEVER_MS,
+      stallAfterMs: 50,
+      isReachable: () => Promise.resolve(true),
+      failOver: () => {
+        failedOver = true;
+        return true;
+      },
+    });
+    socket.write('GET / HTTP/1.1\r\n\r\n');
+    await read;
+    watchdog.stop();
+    socket.destroy();
+    await upstream.stop();
+    chai.expect(failedOver).equal(false);
+  });
 });
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -8,4 +8,5 @@
 export * from './object-store.js';
 export * from './http-rating-service.js';
 export * from './rating-service.js';
+export * from './timeout.js';
 export * from './watch-for-reset.js';
