--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -33,7 +33,8 @@
   | 'upstreams_return_cold'
   | 'upstream_restarts_cold'
   | 'upstream_killed'
-  | 'upstream_replaced';
+  | 'upstream_replaced'
+  | 'callers_leave_pause';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -129,6 +130,13 @@
 /** Time between two of these. */
 const KILL_INTERVAL_MS = {min: 800, max: 2_500};
 
+/** The kind by which an instance is paused while callers write and leave. */
+const LEAVE_KINDS: readonly FaultKind[] = ['callers_leave_pause'];
+
+/** Time between two of these, and their duration. */
+const LEAVE_INTERVAL_MS = {min: 1_500, max: 3_500};
+const LEAVE_DURATION_MS = {min: 1_000, max: 1_800};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
@@ -214,6 +222,17 @@
     forMs: {min: 0, max: 0},
   });
 
+/** Draws pauses of instances in which callers write and leave. */
+export const drawLeaveFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] =>
+  drawSeries(random, durationMs, {
+    kinds: LEAVE_KINDS,
+    intervalMs: LEAVE_INTERVAL_MS,
+    forMs: LEAVE_DURATION_MS,
+  });
+
 /** Draws the time in which a part of prompts ends upstreams. */
 export const drawFatalPart = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -5,6 +5,7 @@
 
 import * as checkCold from './check-cold.js';
 import * as checkFatalParts from './check-fatal-parts.js';
+import * as checkLeft from './check-left.js';
 import * as checkLinks from './check-links.js';
 import * as checkNotices from './check-notices.js';
 import * as checkWholeAnswers from './check-whole-answers.js';
@@ -65,6 +66,7 @@
   readonly links: checkLinks.LinkRecord;
   readonly fatalPart: checkFatalParts.FatalPartRecord;
   readonly cold: checkCold.ColdRecord;
+  readonly left: checkLeft.LeftRecord;
   /** Undefined where other faults than kills may lose answers. */
   readonly whole: checkWholeAnswers.WholeAnswerRecord | undefined;
   /** Time from which requests count for recovery; faults ended before. */
@@ -238,6 +240,7 @@
       record.bounds.stabilityMs,
     ),
     ...checkCold.findFloods(record.cold),
+    ...checkLeft.findWorkForNobody(record.left),
     ...checkRecovery(record),
     ...(record.whole
       ? checkWholeAnswers.findLostAnswers(record.whole, record.callers)
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -17,6 +17,7 @@
     --parts        inject only a prompt part under which upstreams end
     --cold         inject only upstreams that are away and back cold
     --kills        inject only upstreams that are killed while they answer
+    --leaving      inject only pauses in which callers write and leave
 
   Exit codes
     0 no invariant was violated; 1 some were, their logs are kept
@@ -32,6 +33,7 @@
   parts: {type: 'boolean', default: false},
   cold: {type: 'boolean', default: false},
   kills: {type: 'boolean', default: false},
+  leaving: {type: 'boolean', default: false},
 } as const;
 
 const MS_PER_MINUTE = 60_000;
@@ -61,7 +63,11 @@
   readonly parts: boolean;
   readonly cold: boolean;
   readonly kills: boolean;
+  readonly leaving: boolean;
 }): runSoak.SoakOptions['only'] => {
+  if (flags.leaving) {
+    return 'leaving_callers';
+  }
   if (flags.kills) {
     return 'kills';
   }
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -18,6 +18,7 @@
 import * as gatewayProcess from './gateway-process.js';
 import * as invariants from './invariants.js';
 import * as killFaults from './kill-faults.js';
+import * as leaveFaults from './leave-faults.js';
 import * as linkFaults from './link-faults.js';
 import * as documents from './soak-documents.js';
 import * as soakUpstream from './soak-upstream.js';
@@ -30,7 +31,8 @@
   /** Period in which faults start, in milliseconds. */
   readonly durationMs: number;
   /** The only faults, so that no others excuse an instance; all by default. */
-  readonly only?: 'links' | 'fatal_part' | 'cold' | 'kills' | undefined;
+  readonly only?:
+    'links' | 'fatal_part' | 'cold' | 'kills' | 'leaving_callers' | undefined;
 }
 
 /** Result of one run. */
@@ -121,6 +123,10 @@
     clock: this.clock,
     instances: () => this.instances.map(({address}) => address),
   });
+  private readonly leaveFaults = new leaveFaults.LeaveFaults({
+    clock: this.clock,
+    findKey: () => this.keys.at(-1) ?? '',
+  });
   private readonly coldFaults = new coldFaults.ColdFaults({
     clock: this.clock,
     random: () => this.random(),
@@ -190,6 +196,7 @@
           ],
         },
         cold: {arrivals: this.arrivals, returns: this.coldFaults.returns},
+        left: {callers: this.leaveFaults.left, arrivals: this.arrivals},
         whole:
           this.options.only === 'kills'
             ? {answers: this.whole, kills: this.killFaults.kills}
@@ -248,7 +255,14 @@
         fakes.createRandom(seed + KILL_SEED_OFFSET),
         durationMs,
       );
+    const leavingCallers = () =>
+      faultPlan.drawLeaveFaults(
+        fakes.createRandom(seed + LEAVE_SEED_OFFSET),
+        durationMs,
+      );
     switch (only) {
+      case 'leaving_callers':
+        return leavingCallers();
       case 'kills':
         return kills();
       case 'cold':
@@ -264,6 +278,7 @@
           fatalPart(),
           ...cold(),
           ...kills(),
+          ...leavingCallers(),
         ].sort((a, b) => a.atMs - b.atMs);
     }
   }
@@ -534,6 +549,8 @@
         return this.killUpstream(upstream, 'kill');
       case 'upstream_replaced':
         return this.killUpstream(upstream, 'replace');
+      case 'callers_leave_pause':
+        return this.leaveFaults.pause(instance, forMs);
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -669,6 +686,9 @@
 /** Added to the seed for the upstreams that are killed. */
 const KILL_SEED_OFFSET = 4_000_000;
 
+/** Added to the seed for the pauses in which callers leave. */
+const LEAVE_SEED_OFFSET = 5_000_000;
+
 /** Last number of the IP address from which the first instance calls upstreams. */
 const FIRST_SOURCE = 10;
 
@@ -683,6 +703,7 @@
   'kill',
   'planned_stop',
   'pause',
+  'callers_leave_pause',
   'store_silent',
   'store_refusing',
   'store_cut',
@@ -694,6 +715,7 @@
   'kill',
   'planned_stop',
   'pause',
+  'callers_leave_pause',
   // Answers come by way of another instance, which gets the notices.
   'links_hang',
   'links_reset',
--- a/packages/soak/tests/invariants.test.ts
+++ b/packages/soak/tests/invariants.test.ts
@@ -44,6 +44,7 @@
     },
     fatalPart: {arrivals: [], endsMs: [], disruptions: []},
     cold: {arrivals: [], returns: []},
+    left: {callers: [], arrivals: []},
     whole: undefined,
     bounds: {revocationMs: 3_000, leavingMs: 2_000, stabilityMs: 3_000},
   };
