Take no lateness of this process for silence of the store or a peer

boundWait destroys a request a turn after its timeout. http-transport.test.ts: a loop held for three times the timeout; the answer that lay in the socket counted as none before. Silent peers, and those that stop within an answer, time out as before.

--- a/packages/ports/src/http-client.ts
+++ b/packages/ports/src/http-client.ts
@@ -3,6 +3,7 @@
 import * as purify from 'purify-ts';
 import * as wreck from '@hapi/wreck';
 import * as boundAnswer from './bound-answer.js';
+import * as boundWait from './bound-wait.js';
 import type * as objectStore from './object-store.js';
 
 /** Timeout of a request to the platform, in milliseconds. */
@@ -60,7 +61,6 @@
     const agent = new http.Agent({keepAlive: true, maxSockets: 64});
     this.client = wreck.default.defaults({
       agent,
-      timeout: endpoint.timeoutMs ?? DEFAULT_TIMEOUT_MS,
       ...(endpoint.key
         ? {headers: {authorization: `Bearer ${endpoint.key}`}}
         : {}),
@@ -82,7 +82,6 @@
       (options.extraTimeoutMs ?? 0);
     try {
       const sending = this.client.request(method, this.endpoint.url + path, {
-        timeout,
         headers: {
           'content-type': 'application/json',
           ...options.headers,
@@ -92,12 +91,13 @@
           : {payload: JSON.stringify(options.body)}),
       });
       boundAnswer.boundAnswer(sending.req);
-      const response = await sending;
-      const body: unknown = await wreck.default.read(response, {
+      const {req: request} = sending;
+      const response = await boundWait.boundWait(request, sending, timeout);
+      const reading: Promise<unknown> = wreck.default.read(response, {
         json: true,
-        timeout,
         maxBytes: MAX_RESPONSE_BYTES,
       });
+      const body = await boundWait.boundWait(request, reading, timeout);
       return purify.Right({status: response.statusCode ?? 0, body});
     } catch (failure) {
       return purify.Left(toStoreError(failure));
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,5 +1,6 @@
 /** Ports to the platform and the rating service, with their HTTP adapters. */
 export * from './bound-answer.js';
+export * from './bound-wait.js';
 export * from './clock.js';
 export * from './http-client.js';
 export * from './http-instance-list.js';
--- a/packages/protocol/src/http-transport.ts
+++ b/packages/protocol/src/http-transport.ts
@@ -88,17 +88,17 @@
               level: zlib.constants.Z_BEST_SPEED,
             }),
             headers: {'content-encoding': 'gzip'},
-            timeout,
           }
-        : {payload, timeout},
+        : {payload},
     );
     ports.boundAnswer(sending.req);
-    const response = await sending;
-    const body = await wreck.default.read(response, {
-      timeout,
+    const {req: request} = sending;
+    const response = await ports.boundWait(request, sending, timeout);
+    const reading = wreck.default.read(response, {
       maxBytes: MAX_ANSWER_BYTES,
       gunzip: true,
     });
+    const body = await ports.boundWait(request, reading, timeout);
     if (response.statusCode !== 200) {
       return purify.Left({
         code: 'refused',
