--- a/packages/soak/tests/run-soak.test.ts
+++ b/packages/soak/tests/run-soak.test.ts
@@ -26,4 +26,22 @@
     chai.expect(violations).eql([]);
     chai.expect(result.served).above(0);
   });
+
+  it('sends nothing on for callers that leave while an instance is paused', async () => {
+    // Guards against work for nobody: requests and the ends of their
+    // connections lie unread side by side when the process goes on.
+    const result = await soak.runSoak({
+      seed: 1,
+      instances: 3,
+      upstreams: 3,
+      durationMs: 5_000,
+      only: 'leaving_callers',
+    });
+    const violations = result.violations.filter(
+      ({invariant}) =>
+        invariant === 'nothing is sent on for callers that have left',
+    );
+    chai.expect(result.faults.length).above(0);
+    chai.expect(violations).eql([]);
+  });
 });
