Check a route's attempts again after the connections were read

Since a plain attempt waits for a reading of the connections before it is placed, a hedged one could start while the first waited: both passed the check of the route's attempts, and a route that allows one run got two (BUDGET). The check is made after the wait as well.

late-timers.test.ts: two calls before, one now. Found by reading the change.

--- a/packages/amaranthknot/tests/gateway/late-timers.test.ts
+++ b/packages/amaranthknot/tests/gateway/late-timers.test.ts
@@ -1,6 +1,7 @@
 import * as events from 'node:events';
 import * as chai from 'chai';
 import * as gateway from '@amaranthknot/gateway';
+import * as ports from '@amaranthknot/ports';
 import * as purify from 'purify-ts';
 import * as placementFixture from './placement-fixture.js';
 import * as placementLoad from './placement-load.js';
@@ -9,6 +10,9 @@
 /** Time that a request has left, in milliseconds. */
 const LEFT_MS = 1_000;
 
+/** Time of a reading of the connections, in milliseconds. */
+const READING_MS = 200;
+
 const KINDS = ['idempotent', 'stream'] as const;
 
 const REFUSED: gateway.CallFailure = {ran: 'not_run', reason: 'refused'};
@@ -64,4 +68,34 @@
     chai.expect(await end.isAwaited()).equal(false);
     chai.expect(end.signal.reason).equal('caller_left');
   });
+
+  it('sends no more often than its route allows while connections are read', async () => {
+    // Guards against a hedged attempt that starts although the first one, which
+    // waits for a late process to read, takes the last that is allowed.
+    const instance = placementLoad.getOnlyInstance(
+      await placementLoad.startPlacementLoad({
+        instances: 1,
+        upstreams: ['u-1', 'u-2'],
+        answer: () => undefined,
+      }),
+    );
+    const {request} = placementFixture.createPlacementRequest(instance, 'r', {
+      maxAttempts: 1,
+      latencyTargetMs: 1,
+    });
+    let calls = 0;
+    const dependencies = runFixture.createRunDependencies(instance, () => {
+      calls++;
+      return new Promise(() => undefined);
+    });
+    const {signal} = new AbortController();
+    const isAwaited = async () => {
+      await ports.systemClock.sleep(READING_MS);
+      return true;
+    };
+    const context = {request, log: runFixture.NO_LOG, signal, isAwaited};
+    void new gateway.BufferedRun(dependencies, context).run();
+    await ports.systemClock.sleep(4 * READING_MS);
+    chai.expect(calls).equal(1);
+  });
 });
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -208,8 +208,9 @@
   private async startAttempt(
     signal: AbortSignal,
   ): Promise<AttemptResult | undefined> {
-    const maySend = this.maySend() && (await this.context.isAwaited());
-    if (!maySend || signal.aborted) {
+    const isAwaited = this.maySend() && (await this.context.isAwaited());
+    // Another attempt may have begun or been answered meanwhile.
+    if (!isAwaited || !this.maySend() || signal.aborted) {
       return undefined;
     }
     const placed = this.dependencies.place({
