--- a/packages/gateway/tests/caller-server.test.ts
+++ b/packages/gateway/tests/caller-server.test.ts
@@ -36,6 +36,21 @@
       .on('error', reject);
   });
 
+/** Holds each turn of the loop for `forMs`, until it is stopped. */
+const holdTurns = (forMs: number): (() => void) => {
+  let isStopped = false;
+  const hold = () => {
+    fakes.holdLoop(forMs);
+    if (!isStopped) {
+      setImmediate(hold);
+    }
+  };
+  hold();
+  return () => {
+    isStopped = true;
+  };
+};
+
 describe('CallerServer', () => {
   it('tells how long a request may have waited while the program loaded', async () => {
     // Guards against a booking that runs after its caller has left: to the
@@ -62,4 +77,29 @@
     chai.expect(waits[0]).at.least(LOAD_MS);
     chai.expect(waits[1]).equal(0);
   });
+
+  it('tells it of all that waited, though one is accepted in each turn', async () => {
+    // Guards against work for callers who left while others were accepted.
+    const {opened, address} = await openAddress();
+    const waits: number[] = [];
+    const server = new gateway.CallerServer(
+      address,
+      (_message, response, waitedMs) => {
+        waits.push(waitedMs);
+        response.end('served');
+        return Promise.resolve();
+      },
+      {maxWaitMs: () => 0},
+      opened,
+    );
+    const asked = Array.from({length: 10}, () => ask(address.port));
+    fakes.holdLoop(LOAD_MS);
+    await server.start();
+    const stopHolding = holdTurns(15);
+    await Promise.all(asked);
+    stopHolding();
+    await server.stop(0);
+    chai.expect(waits).lengthOf(10);
+    chai.expect(Math.min(...waits)).at.least(LOAD_MS);
+  });
 });
