Open the connection of a request before it is written

Now the connection is opened first. Once it is open, it is asked whether the caller waits and the upstream is still in service (DRAIN: an attempt that was placed before the news left after it); then the headers are made, with the time that is left, and the request is written. One that is withdrawn was sent nowhere: it takes no repeat and blames nobody.

The case of a connection that is noticed late is replaced by two: nothing is sent where nobody waits, and the time left is stated when it is sent.

--- a/packages/gateway/src/attempt-history.ts
+++ b/packages/gateway/src/attempt-history.ts
@@ -79,6 +79,7 @@
     const isUnreached =
       reason === 'unreachable' || (forward && reason === 'refused');
     this.unreachedCount += isUnreached ? 1 : 0;
+    this.sendCount -= reason === 'withdrawn' ? 1 : 0;
     if (ran === 'unknown') {
       return;
     }
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,6 +1,6 @@
 /** Keeps connections to upstreams open between requests. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import type * as routing from '@amaranthknot/routing';
 
 /**
@@ -16,12 +16,24 @@
  */
 const MAX_IDLE_MS = 4_000;
 
+/** Options of a request for which a connection was opened before. */
+interface OpenedOptions extends net.TcpNetConnectOpts {
+  readonly opened?: net.Socket;
+}
+
+/** An agent that takes a connection that was opened for the request. */
+class OpenedAgent extends http.Agent {
+  override createConnection(options: OpenedOptions): net.Socket {
+    return options.opened ?? net.connect(options);
+  }
+}
+
 /**
  * An agent that closes an idle connection as soon as bytes arrive on it. An
  * upstream may send a second answer after a complete one, which would be taken
  * for the answer to the next request.
  */
-class GuardedAgent extends http.Agent {
+class GuardedAgent extends OpenedAgent {
   /** Returns whether the connection is kept; the library's types omit that. */
   override keepSocketAlive(socket: net.Socket): boolean {
     const keep = super.keepSocketAlive.bind(this) as (
@@ -61,11 +73,11 @@
 /** One agent for each upstream, and one that keeps no connections. */
 export class ConnectionPool {
   private readonly agents = new Map<string, GuardedAgent>();
-  private readonly unpooledAgent: http.Agent;
+  private readonly unpooledAgent: OpenedAgent;
 
   /** @param localAddress IP address from which connections are opened. */
   constructor(private readonly localAddress?: string) {
-    this.unpooledAgent = new http.Agent({
+    this.unpooledAgent = new OpenedAgent({
       keepAlive: false,
       ...findSource(localAddress),
     });
@@ -94,6 +106,23 @@
     return agent;
   }
 
+  /** Whether `agentOf` has an open connection that no request uses. */
+  hasIdle({id}: routing.Upstream, connection: 'fresh' | 'kept'): boolean {
+    const agent = connection === 'kept' ? this.agents.get(id) : undefined;
+    return Object.values(agent?.freeSockets ?? {}).some(sockets =>
+      sockets?.some(socket => !socket.destroyed),
+    );
+  }
+
+  /** Opens a connection to pass to an agent as `opened`. */
+  connect({address}: routing.Upstream): net.Socket {
+    return net.connect({
+      ...address,
+      ...findSource(this.localAddress),
+      noDelay: true,
+    });
+  }
+
   /** Closes idle connections to upstreams that are no longer known. */
   retain(ids: ReadonlySet<string>): void {
     for (const [id, agent] of this.agents) {
--- a/packages/gateway/src/peer-forwarder.ts
+++ b/packages/gateway/src/peer-forwarder.ts
@@ -125,6 +125,7 @@
         attempts: findAttempts(request.route, history.runs),
       },
       inputs: {zone: peer.zone, inFlight: state.inFlight},
+      isInService: () => true,
       recordHead: () => undefined,
       recordEvent: () => undefined,
       recordBreak: () => Promise.resolve(),
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -62,6 +62,8 @@
   readonly forward?: ForwardAttempt;
   /** Inputs of the choice, for the log. */
   readonly inputs: telemetry.Details;
+  /** Whether the upstream is still in service. */
+  readonly isInService: () => boolean;
   /**
    * Call it when the head of the answer has arrived.
    *
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -38,14 +38,11 @@
 ): runContext.AttemptOutcome => {
   switch (failure.reason) {
     case 'unreachable':
-      // A caller that leaves while a connection is opened shows nothing.
-      return signal.aborted
-        ? outcomeOfAbort(runContext.abortReasonOf(signal))
-        : 'unreachable';
+      return outcomeOfUnsent(signal);
     case 'other_upstream':
       return 'unreachable';
     case 'no_upstream':
-    case 'late':
+    case 'withdrawn':
       return 'cancelled';
     case 'refused':
       return 'refused';
@@ -59,6 +56,12 @@
   }
 };
 
+/** What is given up while its connection is opened was not sent. */
+const outcomeOfUnsent = (signal: AbortSignal): runContext.AttemptOutcome =>
+  signal.aborted && runContext.abortReasonOf(signal) !== 'upstream_lost'
+    ? 'cancelled'
+    : 'unreachable';
+
 const outcomeOfAbort = (
   reason: runContext.AbortReason,
 ): runContext.AttemptOutcome => {
@@ -86,35 +89,38 @@
 
 /** Creates the call of an attempt: to an upstream, or to another instance. */
 const createCall = (
-  {headerConventions}: runContext.RunDependencies,
-  request: runContext.AcceptedRequest,
+  {headerConventions, clock}: runContext.RunDependencies,
+  {request, isAwaited}: runContext.RunContext,
   attempt: UpstreamAttempt,
-  timeLeftMs: number,
 ): upstreamCall.UpstreamRequest => {
   const {placed, model, lastEventId} = attempt;
   const {upstream, forward} = placed;
   const {caller, route} = request;
-  const headers = forward
-    ? forwardHeaders.createForwardHeaders(
-        request,
-        {
-          request: describeForwarded(request, attempt, forward),
-          timeLeftMs,
-          lastEventId,
-        },
-        headerConventions,
-      )
-    : upstreamHeaders.createUpstreamHeaders(
-        request,
-        {upstreamId: upstream.id, timeLeftMs, model, lastEventId},
-        headerConventions,
-      );
+  const createHeaders = () => {
+    const timeLeftMs = request.deadlineMs - clock.now();
+    return forward
+      ? forwardHeaders.createForwardHeaders(
+          request,
+          {
+            request: describeForwarded(request, attempt, forward),
+            timeLeftMs,
+            lastEventId,
+          },
+          headerConventions,
+        )
+      : upstreamHeaders.createUpstreamHeaders(
+          request,
+          {upstreamId: upstream.id, timeLeftMs, model, lastEventId},
+          headerConventions,
+        );
+  };
   return {
     upstream,
     requestId: caller.id,
     method: caller.method,
     target: caller.target,
-    headers,
+    createHeaders,
+    maySend: async () => (await isAwaited()) && placed.isInService(),
     body: caller.body,
     connection: attempt.connection,
     connectTimeoutMs: attempt.connectTimeoutMs,
@@ -172,7 +178,8 @@
       ...describeConfiguration(request),
     });
   }
-  const opened = await openInTime(dependencies, context, attempt);
+  const open = forward ? dependencies.openForward : dependencies.openCall;
+  const opened = await open(createCall(dependencies, context, attempt), signal);
   const tookMs = Math.round(dependencies.clock.now() - startedAtMs);
   const isBroken = opened.isLeft() && opened.extract().reason === 'broken';
   const whenChecked = isBroken ? placed.recordBreak() : undefined;
@@ -192,30 +199,3 @@
   await whenChecked;
   return opened;
 };
-
-/** Times that a call is made whose connection was noticed too late. */
-const MAX_LATE_CALLS = 3;
-
-/**
- * Opens a call, and again with the time that is left if this process was too
- * late to send it.
- */
-const openInTime = async (
-  dependencies: runContext.RunDependencies,
-  {request, isAwaited}: runContext.RunContext,
-  attempt: UpstreamAttempt,
-): Promise<
-  purify.Either<upstreamCall.CallFailure, upstreamCall.UpstreamAnswer>
-> => {
-  const {clock, openForward, openCall} = dependencies;
-  const open = attempt.placed.forward ? openForward : openCall;
-  for (let calls = 1; ; calls++) {
-    const timeLeftMs = request.deadlineMs - clock.now();
-    const call = createCall(dependencies, request, attempt, timeLeftMs);
-    const opened = await open(call, attempt.signal);
-    const isLate = opened.isLeft() && opened.extract().reason === 'late';
-    if (!isLate || calls >= MAX_LATE_CALLS || !(await isAwaited())) {
-      return opened;
-    }
-  }
-};
--- a/packages/gateway/src/upstream-availability.ts
+++ b/packages/gateway/src/upstream-availability.ts
@@ -63,18 +63,28 @@
    * leaving by their entry or by an answer.
    */
   findInService(service: string): readonly Known[] {
-    const {catalog, leaving, isZoneOut} = this.options;
-    return catalog
+    return this.options.catalog
       .all()
       .filter(
-        ({upstream}) =>
-          upstream.service === service &&
-          upstream.state === 'ready' &&
-          !leaving.has(upstream) &&
-          !isZoneOut(upstream.zone),
+        ({upstream}) => upstream.service === service && this.isReady(upstream),
       );
   }
 
+  /** Whether an upstream that was chosen before is still in service. */
+  isInService({id, startedAtMs}: routing.Upstream): boolean {
+    const known = this.options.catalog.find(id)?.upstream;
+    return known?.startedAtMs === startedAtMs && this.isReady(known);
+  }
+
+  private isReady(upstream: routing.Upstream): boolean {
+    const {leaving, isZoneOut} = this.options;
+    return (
+      upstream.state === 'ready' &&
+      !leaving.has(upstream) &&
+      !isZoneOut(upstream.zone)
+    );
+  }
+
   /** Why an upstream takes no request now; undefined if it takes one. */
   findWaitReason(
     known: Known,
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -23,8 +23,11 @@
   readonly requestId: string;
   readonly method: string;
   readonly target: string;
-  /** Without hop-by-hop headers; `Host` included. */
-  readonly headers: rawHeaders.RawHeaders;
+  /**
+   * Without hop-by-hop headers; `Host` included. Called when it is sent, as they
+   * state the time that is left.
+   */
+  readonly createHeaders: () => rawHeaders.RawHeaders;
   readonly body: Buffer;
   /**
    * `fresh` uses a connection of its own, for requests that may run at most
@@ -33,6 +36,8 @@
    * unknown.
    */
   readonly connection: 'fresh' | 'kept';
+  /** Resolves to whether to send it, once its connection is established. */
+  readonly maySend: () => Promise<boolean>;
   /** Longest wait for a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
   /** Longest wait for the head of the answer, in milliseconds. */
@@ -56,8 +61,8 @@
         | 'unreachable'
         | 'refused'
         | 'other_upstream'
-        /** This process noticed the connection too late, and sent nothing. */
-        | 'late'
+        /** It was not to be sent any more once its connection was open. */
+        | 'withdrawn'
         /** An instance that it was forwarded to found no upstream. */
         | 'no_upstream';
       readonly load?: UpstreamLoad;
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -298,6 +298,7 @@
     };
     return {
       upstream,
+      isInService: () => availability.isInService(upstream),
       recordBreak: watch.recordBreak,
       recordEvent: () => {
         watch.recordAnswer();
--- a/packages/gateway/tests/attempt-history.test.ts
+++ b/packages/gateway/tests/attempt-history.test.ts
@@ -37,6 +37,7 @@
   inputs: {},
   recordHead: () => undefined,
   recordEvent: () => undefined,
+  isInService: () => true,
   recordBreak: () => Promise.resolve(),
   settle: () => undefined,
 });
--- a/packages/gateway/tests/open-exchange.test.ts
+++ b/packages/gateway/tests/open-exchange.test.ts
@@ -26,10 +26,14 @@
 
 const NAMES = platform.HEADER_NAMES;
 
-/** Times that one call allows, in milliseconds. */
-interface CallTimes {
+/** What is special of one call. */
+interface CallOptions {
   readonly connectTimeoutMs: number;
   readonly headTimeoutMs: number;
+  /** Called once its connection is open; sends it by default. */
+  readonly maySend?: () => Promise<boolean>;
+  /** Called when its headers are created. */
+  readonly onHeaders?: () => void;
 }
 
 describe('calls of a process whose event loop is held', () => {
@@ -46,7 +50,7 @@
 
   const call = (
     {links}: LinkSigns,
-    {connectTimeoutMs, headTimeoutMs}: CallTimes,
+    {connectTimeoutMs, headTimeoutMs, maySend, onHeaders}: CallOptions,
   ): ReturnType<gateway.OpenCall> => {
     const open = gateway.createOpenCall(new gateway.ConnectionPool(), NAMES, {
       recordNotices: () => undefined,
@@ -62,7 +66,11 @@
       requestId: 'r-1',
       method: 'GET',
       target: '/',
-      headers: ['Host', 'svc.example', NAMES.requestId, 'r-1'],
+      createHeaders: () => {
+        onHeaders?.();
+        return ['Host', 'svc.example', NAMES.requestId, 'r-1'];
+      },
+      maySend: maySend ?? (() => Promise.resolve(true)),
       body: Buffer.alloc(0),
       connection: 'fresh',
       connectTimeoutMs,
@@ -79,18 +87,42 @@
     });
   };
 
-  it('sends nothing over a connection that it noticed late', async () => {
+  it('sends nothing over a connection that opens for nobody', async () => {
     // Guards against requests that leave whenever their connection opens, for
-    // callers that have left and with too much time.
+    // callers that have left.
     const signs = createSigns();
-    const opened = call(signs, {connectTimeoutMs: 100, headTimeoutMs: 3_000});
+    const opened = call(signs, {
+      connectTimeoutMs: 100,
+      headTimeoutMs: 3_000,
+      maySend: () => Promise.resolve(false),
+    });
     holdNext();
     const failure = (await opened).swap().unsafeCoerce();
-    chai.expect(failure).eql({ran: 'not_run', reason: 'late'});
+    chai.expect(failure).eql({ran: 'not_run', reason: 'withdrawn'});
     chai.expect(server.requests).length(0);
     chai.expect(signs.signs).eql([]);
   });
 
+  it('states the time that is left when a connection has opened late', async () => {
+    // Guards against upstreams that are given the time in which their connection
+    // was waiting to be noticed.
+    const steps: string[] = [];
+    const opened = call(createSigns(), {
+      connectTimeoutMs: 100,
+      headTimeoutMs: 3_000,
+      maySend: () => {
+        steps.push('asked');
+        return Promise.resolve(true);
+      },
+      onHeaders: () => steps.push('headers'),
+    });
+    holdNext();
+    const answer = await opened;
+    chai.expect(answer.isRight()).equal(true);
+    chai.expect(steps).eql(['asked', 'headers']);
+    answer.ifRight(({body}) => body.resume());
+  });
+
   it('reads an answer that came in time before it counts as silent', async () => {
     // Guards against an upstream that counts as silent for what this process
     // has not read yet.
