Refuse no caller for the age of the load, and read before limits act

One turn that accepts nothing ends the queue, and beside a hold at most 500 ms count; a late beat is followed by one after its turn; deadlines and hedges act a turn after their timers, hedges count from the send; boundWait rejects at once. A reading counts from its end, so that a process with turns of 400 ms goes on after one.

--- a/packages/gateway/src/arrival-waits.ts
+++ b/packages/gateway/src/arrival-waits.ts
@@ -6,10 +6,37 @@
 import type * as loopMonitor from './loop-monitor.js';
 
 /**
- * Turns of the event loop without a new connection after which the accept queue
- * is known to have been empty. A turn accepts one connection.
+ * Turns without a new connection after which the accept queue counts as empty
+ * at the start: the first turn may end before the server listens. Later one is
+ * enough, as a turn accepts a connection if there is one.
  */
-const QUIET_TURNS = 2;
+const QUIET_TURNS_AT_START = 2;
+
+/**
+ * Turns in which what is read of a new connection may have come before it was
+ * accepted.
+ */
+const FRESH_TURNS = 2;
+
+/**
+ * Longest wait in the accept queue that is counted beside a hold of the loop, in
+ * milliseconds. Where one connection comes in each turn, the queue seems never
+ * to be empty though none waits for long.
+ */
+const MAX_TURNS_MS = 500;
+
+/**
+ * Time after a hold of the loop in which connections from before it may lie in
+ * the accept queue, in milliseconds. Callers whose connection isn't read for a
+ * second leave.
+ */
+const HOLD_TTL_MS = 1_000;
+
+/** A time in which the loop accepted nothing. */
+interface Hold {
+  readonly endedAtMs: number;
+  readonly lengthMs: number;
+}
 
 /** Time below which a request counts as not having waited, in milliseconds. */
 const MIN_WAIT_MS = 20;
@@ -21,10 +48,15 @@
 export class ArrivalWaits {
   /** Earliest arrival of connections of which nothing has been read. */
   private readonly arrivals = new WeakMap<net.Socket, number>();
-  /** Connections accepted in the last `QUIET_TURNS` turns, by turn. */
+  /** Connections accepted in the last turns, by turn. */
   private recent: net.Socket[][] = [];
-  /** Earliest arrival in the accept queue; undefined while it is empty. */
+  /** Turns in a row without a new connection. */
+  private quietTurns = 0;
+  private hasAccepted = false;
+  /** Since when the accept queue may hold connections, after `hold`. */
   private queuedSinceMs: number | undefined;
+  /** The last hold since then, or before. */
+  private hold: Hold = {endedAtMs: -Infinity, lengthMs: 0};
 
   /** @param loop the event loop that reads the connections. */
   constructor(
@@ -42,8 +74,10 @@
   watch(server: net.Server, waitedMs = 0): void {
     this.beginQueue(waitedMs);
     server.on('connection', (socket: net.Socket) => {
-      this.beginQueue(this.loop.maxWaitMs());
-      this.arrivals.set(socket, this.queuedSinceMs ?? this.now());
+      const lateMs = this.loop.maxWaitMs();
+      this.beginQueue(lateMs);
+      this.hasAccepted = true;
+      this.arrivals.set(socket, this.now() - this.findQueuedMs());
       this.recent.at(-1)?.push(socket);
     });
   }
@@ -59,13 +93,30 @@
     return waitMs < MIN_WAIT_MS ? 0 : waitMs;
   }
 
+  /** Longest time for which a connection that is accepted now has waited. */
+  private findQueuedMs(): number {
+    const now = this.now();
+    const {endedAtMs, lengthMs} = this.hold;
+    const heldMs = now - endedAtMs <= HOLD_TTL_MS ? lengthMs : 0;
+    const turnsMs = now - (this.queuedSinceMs ?? now);
+    return heldMs + Math.min(turnsMs, MAX_TURNS_MS);
+  }
+
   /** Begins a run of turns in which the accept queue may hold connections. */
-  private beginQueue(waitedMs: number): void {
-    if (this.queuedSinceMs !== undefined) {
+  private beginQueue(lateMs: number): void {
+    if (this.queuedSinceMs !== undefined && lateMs <= this.hold.lengthMs) {
       return;
     }
-    this.queuedSinceMs = this.now() - waitedMs;
-    this.recent = [[]];
+    this.hold = {endedAtMs: this.now(), lengthMs: lateMs};
+    this.queuedSinceMs = this.now();
+    this.quietTurns = 0;
+    if (this.recent.length === 0) {
+      this.beginTurn();
+    }
+  }
+
+  private beginTurn(): void {
+    this.recent.push([]);
     setImmediate(() => {
       this.endTurn();
     });
@@ -77,16 +128,18 @@
    */
   private endTurn(): void {
     const {recent} = this;
-    if (recent.length > QUIET_TURNS) {
+    this.quietTurns = recent.at(-1)?.length === 0 ? this.quietTurns + 1 : 0;
+    if (this.quietTurns >= (this.hasAccepted ? 1 : QUIET_TURNS_AT_START)) {
+      this.queuedSinceMs = undefined;
+    }
+    if (recent.length > FRESH_TURNS) {
       recent.shift()?.forEach(socket => this.arrivals.delete(socket));
     }
-    if (recent.every(accepted => accepted.length === 0) && recent.length > 1) {
-      this.queuedSinceMs = undefined;
-      return;
+    if (recent.every(accepted => accepted.length === 0)) {
+      this.recent = this.queuedSinceMs === undefined ? [] : recent;
+    }
+    if (this.recent.length > 0) {
+      this.beginTurn();
     }
-    recent.push([]);
-    setImmediate(() => {
-      this.endTurn();
-    });
   }
 }
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -3,6 +3,7 @@
  * complete one and a broken answer can be requested again.
  */
 import type * as decisions from '@amaranthknot/decisions';
+import * as ports from '@amaranthknot/ports';
 import * as attemptHistory from './attempt-history.js';
 import type * as callerAnswer from './caller-answer.js';
 import * as forwardHeaders from './forward-headers.js';
@@ -84,7 +85,8 @@
   /** Sends the request again only if it has certainly not run. */
   private async runAtMostOnce(): Promise<WholeAnswer | undefined> {
     for (;;) {
-      const result = await this.startAttempt(this.context.signal);
+      const started = await this.startAttempt(this.context.signal);
+      const result = await started?.result;
       if (result === undefined || result.kind === 'unknown') {
         return undefined;
       }
@@ -105,30 +107,30 @@
       abortController.signal,
     ]);
     const pending = new Set<Promise<FinishedAttempt>>();
-    const startAnother = (): void => {
-      const finished: Promise<FinishedAttempt> = this.startAttempt(signal).then(
-        result => ({result, attempt: finished}),
-      );
-      pending.add(finished);
+    const startAnother = async (): Promise<void> => {
+      const started = await this.startAttempt(signal);
+      if (started) {
+        const finished: Promise<FinishedAttempt> = started.result.then(
+          result => ({result, attempt: finished}),
+        );
+        pending.add(finished);
+      }
     };
-    startAnother();
+    await startAnother();
     while (pending.size > 0) {
       const next = await this.waitForNext(pending);
       if (next === 'late') {
-        startAnother();
+        await startAnother();
         continue;
       }
       pending.delete(next.attempt);
       const {result} = next;
-      if (!result) {
-        continue;
-      }
       if (result.kind === 'answer' && !isFailure(result.head.status)) {
         abortController.abort('not_needed' satisfies runContext.AbortReason);
         return result;
       }
       if (pending.size === 0) {
-        startAnother();
+        await startAnother();
       }
     }
     return undefined;
@@ -162,6 +164,7 @@
       route.latencyTargetMs,
     );
     await this.dependencies.clock.sleep(waitMs, signal);
+    await ports.whenTurnRead();
     return 'late';
   }
 
@@ -204,10 +207,10 @@
     );
   }
 
-  /** Makes an attempt; undefined if none may be sent or placed. */
+  /** Starts an attempt; undefined if none may be sent or placed. */
   private async startAttempt(
     signal: AbortSignal,
-  ): Promise<AttemptResult | undefined> {
+  ): Promise<StartedAttempt | undefined> {
     const isAwaited = this.maySend() && (await this.context.isAwaited());
     // Another attempt may have begun or been answered meanwhile.
     if (!isAwaited || !this.maySend() || signal.aborted) {
@@ -219,7 +222,7 @@
       excluded: this.excluded,
       history: this.history.summarize(),
     });
-    return placed.caseOf<Promise<AttemptResult> | undefined>({
+    return placed.caseOf<StartedAttempt | undefined>({
       Left: ({reason, waitMs, inputs}) => {
         this.waitMs = waitMs ?? this.waitMs;
         this.notPlaced = reason;
@@ -230,7 +233,7 @@
         });
         return undefined;
       },
-      Right: found => this.runAttempt(found, signal),
+      Right: found => ({result: this.runAttempt(found, signal)}),
     });
   }
 
@@ -330,9 +333,13 @@
   }
 }
 
+/** An attempt in progress. */
+interface StartedAttempt {
+  readonly result: Promise<AttemptResult>;
+}
+
 /** An attempt's result, with the promise that identifies the attempt. */
 interface FinishedAttempt {
-  /** Undefined if the attempt was not sent. */
-  readonly result: AttemptResult | undefined;
+  readonly result: AttemptResult;
   readonly attempt: Promise<FinishedAttempt>;
 }
--- a/packages/gateway/src/loop-monitor.ts
+++ b/packages/gateway/src/loop-monitor.ts
@@ -10,8 +10,8 @@
    */
   readonly maxWaitMs: () => number;
   /**
-   * Resolves once all that had arrived before the call has been read, to a time
-   * by the clock: what arrived before that time has been read.
+   * Resolves once all that had arrived before the call has been read, to the
+   * time by the clock at which that reading ended.
    */
   readonly whenRead: () => Promise<number>;
 }
@@ -28,11 +28,18 @@
   readonly onBeat: (turnMs: number, lateMs: number) => void;
 }
 
+/** One reading of all connections, for those that wait for it. */
+interface Reading {
+  /** When it ended; undefined before. */
+  endedAtMs: number | undefined;
+}
+
 /** Watches the event loop while it is started. */
 export class LoopMonitor implements LoopState {
   /** Undefined while it is not started. */
   private lateness: decisions.ReadLateness | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private reading: Reading | undefined;
 
   constructor(private readonly options: LoopMonitorOptions) {}
 
@@ -45,11 +52,25 @@
     this.timer = setInterval(() => {
       const beatMs = this.options.clock.now();
       lateness.beat(beatMs);
-      this.options.onBeat(beatMs - lastMs, lateness.maxWaitMs(beatMs));
+      const lateMs = lateness.maxWaitMs(beatMs);
+      this.options.onBeat(beatMs - lastMs, lateMs);
       lastMs = beatMs;
+      if (lateMs > 0) {
+        this.beatAfterTurn(lateness);
+      }
     }, decisions.BEAT_INTERVAL_MS).unref();
   }
 
+  /**
+   * Records that a turn has ended. After a late one the next beat would come
+   * some turns later, and what is read until then would count as old.
+   */
+  private beatAfterTurn(lateness: decisions.ReadLateness): void {
+    setImmediate(() => {
+      lateness.beat(this.options.clock.now());
+    });
+  }
+
   stop(): void {
     clearInterval(this.timer);
     this.lateness = undefined;
@@ -66,11 +87,19 @@
   whenRead(): Promise<number> {
     return new Promise(resolve => {
       setImmediate(() => {
-        const readFromMs = this.options.clock.now();
+        const reading = this.joinReading();
         setImmediate(() => {
-          resolve(readFromMs);
+          this.reading = undefined;
+          reading.endedAtMs ??= this.options.clock.now();
+          resolve(reading.endedAtMs);
         });
       });
     });
   }
+
+  /** The reading in the next turn, which all share that wait for it. */
+  private joinReading(): Reading {
+    this.reading ??= {endedAtMs: undefined};
+    return this.reading;
+  }
 }
--- a/packages/gateway/src/run-end.ts
+++ b/packages/gateway/src/run-end.ts
@@ -1,6 +1,6 @@
 /** Ends the run of a request at its deadline, or when its caller leaves. */
 import type * as events from 'node:events';
-import type * as ports from '@amaranthknot/ports';
+import * as ports from '@amaranthknot/ports';
 import type * as loopMonitor from './loop-monitor.js';
 import type * as runContext from './run-context.js';
 
@@ -35,15 +35,15 @@
 }
 
 /**
- * Longest time for which the end of a caller's connection may lie unread when a
- * request is sent, in milliseconds.
+ * Longest time between a reading of the connections and a send that relies on
+ * it, in milliseconds.
  */
 const MAX_UNREAD_MS = 200;
 
 /**
- * Times that the connections are read again for one send. What many requests do
- * after one such reading may take longer than `MAX_UNREAD_MS`, and in a process
- * that is late in each turn no reading is recent enough.
+ * Times that the connections are read for one send: what many requests do after
+ * one reading may take longer than `MAX_UNREAD_MS`, and a saturated process has
+ * to go on.
  */
 const MAX_READINGS = 3;
 
@@ -53,8 +53,8 @@
   clock: Pick<ports.Clock, 'now'>,
 ): Promise<void> => {
   for (let readings = 0; readings < MAX_READINGS; readings++) {
-    const readFromMs = await loop.whenRead();
-    if (clock.now() - readFromMs <= MAX_UNREAD_MS) {
+    const readAtMs = await loop.whenRead();
+    if (clock.now() - readAtMs <= MAX_UNREAD_MS) {
       return;
     }
   }
@@ -74,7 +74,7 @@
   const end = (reason: runContext.AbortReason) => {
     abortController.abort(reason);
   };
-  const timer = setTimeout(() => {
+  const cancelTimeout = ports.startTimeout(() => {
     end('time_up');
   }, endsAtMs - clock.now());
   const onLeave = () => {
@@ -96,7 +96,7 @@
       return !signal.aborted;
     },
     stop: () => {
-      clearTimeout(timer);
+      cancelTimeout();
       response.off('close', onLeave);
       connection.off('end', onLeave);
     },
--- a/packages/gateway/tests/arrival-waits.test.ts
+++ b/packages/gateway/tests/arrival-waits.test.ts
@@ -104,3 +104,88 @@
     chai.expect(waits.findWaitMs(accept())).equal(900);
   });
 });
+
+describe('ArrivalWaits of a machine that is suspended', () => {
+  it('counts a suspension while connections lie in the accept queue', async () => {
+    // Guards against callers of a machine that was suspended: its monotonic time
+    // stood still, and only the loop knows.
+    const {waits, accept, setTime, setLate} = createQueue();
+    await passTurns(5);
+    accept();
+    await nextTurn();
+    setTime(10);
+    setLate(5_000);
+    accept();
+    await nextTurn();
+    setTime(60);
+    setLate(0);
+    const last = accept();
+    await nextTurn();
+    setTime(70);
+    chai.expect(waits.findWaitMs(last)).least(5_000);
+  });
+});
+
+/** A caller server in this process, and how long its requests waited. */
+interface MeasuredServer {
+  readonly port: number;
+  /** By request: the bound, and how long ago its caller connected, in ms. */
+  readonly waits: readonly {boundMs: number; actualMs: number}[];
+  readonly connect: () => void;
+  readonly stop: () => Promise<void>;
+}
+
+const startMeasuredServer = async (): Promise<MeasuredServer> => {
+  const opened = net.createServer();
+  await new Promise<void>(resolve => opened.listen(0, '127.0.0.1', resolve));
+  const {port} = opened.address() as net.AddressInfo;
+  const waits: {boundMs: number; actualMs: number}[] = [];
+  const server = new gateway.CallerServer(
+    {host: '127.0.0.1', port},
+    (message, response, boundMs) => {
+      const sinceMs = Number(message.headers['x-since']);
+      waits.push({boundMs, actualMs: performance.now() - sinceMs});
+      response.end();
+      return Promise.resolve();
+    },
+    {maxWaitMs: () => 0},
+    {server: opened, openedAtMs: performance.now()},
+  );
+  await server.start();
+  return {
+    port,
+    waits,
+    connect: () => {
+      const socket = net.connect(port, '127.0.0.1');
+      socket.on('error', () => undefined);
+      socket.resume();
+      socket.write(
+        `GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Since: ${performance.now()}\r\n\r\n`,
+      );
+    },
+    stop: () => server.stop(0),
+  };
+};
+
+describe('a caller server that accepts one connection in each turn', () => {
+  it('knows that those who connect now have not waited for seconds', async () => {
+    // Guards against callers refused by the age of the load, not of their wait.
+    const server = await startMeasuredServer();
+    await passTurns(5);
+    const endMs = performance.now() + 2_500;
+    while (performance.now() < endMs) {
+      const turnEndMs = performance.now() + 4;
+      // What other requests take in a turn.
+      while (performance.now() < turnEndMs) {
+        // Busy.
+      }
+      server.connect();
+      await nextTurn();
+    }
+    await server.stop();
+    const last = server.waits.slice(-50);
+    const actual = Math.max(...last.map(({actualMs}) => actualMs));
+    const bound = Math.min(...last.map(({boundMs}) => boundMs));
+    chai.expect(bound - actual, `${bound} of ${actual}`).most(500);
+  });
+});
--- a/packages/ports/src/bound-wait.ts
+++ b/packages/ports/src/bound-wait.ts
@@ -19,11 +19,17 @@
   step: Promise<T>,
   timeoutMs: number,
 ): Promise<T> => {
-  const cancel = timeouts.startTimeout(() => {
-    request.destroy(new TimedOut(timeoutMs));
-  }, timeoutMs);
+  let cancel: timeouts.CancelTimeout = () => undefined;
+  const timeout = new Promise<never>((_resolve, reject) => {
+    cancel = timeouts.startTimeout(() => {
+      const error = new TimedOut(timeoutMs);
+      request.destroy(error);
+      // One that waits for a connection fails only once it gets one.
+      reject(error);
+    }, timeoutMs);
+  });
   try {
-    return await step;
+    return await Promise.race([step, timeout]);
   } finally {
     cancel();
   }
--- a/packages/ports/src/timeout.ts
+++ b/packages/ports/src/timeout.ts
@@ -25,3 +25,9 @@
     clearTimeout(timer);
   };
 };
+
+/** Resolves once the event loop has read what has arrived. */
+export const whenTurnRead = (): Promise<void> =>
+  new Promise(resolve => {
+    setImmediate(resolve);
+  });
