Stop instances that are late from announcing the same refuted absence for ever

Cause: each receiver dates a report by its reading. A hop that takes over 0.2 s looks like a later absence, is announced for another 2 s, and comes back later still. Now an instance announces a refuted absence under the time at which it first learned of it, and another one only if it is over a second later. What clears the belief in an absence here is as before.

upstream-absences.test.ts: three instances whose reports take 0.3 s still announce after 9 s on the code before, none now. The tests of cold upstreams pass (11).

--- a/packages/decisions/src/upstream-absences.ts
+++ b/packages/decisions/src/upstream-absences.ts
@@ -75,6 +75,8 @@
   absence: Absence | undefined;
   /** Latest time at which it was found away although it was not. */
   refutedAtMs: number;
+  /** The same when it was last announced. */
+  announcedRefutedAtMs: number;
   /** Until then, what this instance finds is kept from others. */
   heldUntilMs: number;
   /** When it was last news; -Infinity while it is kept from others. */
@@ -108,6 +110,15 @@
  */
 const SAME_TIME_MS = 200;
 
+/**
+ * Time by which a refuted absence must be later than the last one that was
+ * announced to be announced as well, in ms. Each report dates it later by the
+ * time for which it lay unread; a shorter time would keep instances that are
+ * late announcing the same one to each other. Less than `ANNOUNCE_MS`, in which
+ * an earlier one is carried on.
+ */
+const REFUTED_NEWS_MS = 1_000;
+
 /** Absences in one report at most. */
 const MAX_REPORTED = 128;
 
@@ -230,12 +241,12 @@
 
   private isReported(
     id: string,
-    {absence, refutedAtMs, announcedAtMs}: Row,
+    {absence, announcedRefutedAtMs, announcedAtMs}: Row,
     now: number,
   ): boolean {
     if (!absence) {
       const isRecent = now - announcedAtMs <= ANNOUNCE_MS;
-      return Number.isFinite(refutedAtMs) && isRecent;
+      return Number.isFinite(announcedRefutedAtMs) && isRecent;
     }
     const {answeredAtMs = now} = absence;
     const mayBeCold = now - answeredAtMs < this.options.findColdStartMs(id);
@@ -316,10 +327,11 @@
     by: RefutedAbsence['by'],
   ): void {
     const now = this.options.now();
-    const isNews = foundAtMs > row.refutedAtMs + SAME_TIME_MS;
+    const isNews = foundAtMs > row.announcedRefutedAtMs + REFUTED_NEWS_MS;
     row.refutedAtMs = Math.max(row.refutedAtMs, foundAtMs);
     if (isNews) {
       row.announcedAtMs = now;
+      row.announcedRefutedAtMs = foundAtMs;
       this.options.onRefute({upstream: start.id, ageMs: now - foundAtMs, by});
     }
     const {absence} = row;
@@ -354,6 +366,7 @@
       startedAtMs,
       absence: undefined,
       refutedAtMs: -Infinity,
+      announcedRefutedAtMs: -Infinity,
       heldUntilMs: -Infinity,
       announcedAtMs: -Infinity,
     };
@@ -368,11 +381,11 @@
 
 const describeRow = (
   id: string,
-  {startedAtMs, absence, refutedAtMs}: Row,
+  {startedAtMs, absence, announcedRefutedAtMs}: Row,
   now: number,
 ): ReportedAbsence => {
   if (!absence) {
-    const awayAgeMs = Math.max(0, now - refutedAtMs);
+    const awayAgeMs = Math.max(0, now - announcedRefutedAtMs);
     return {id, startedAtMs, awayAgeMs, isRefuted: true};
   }
   const {foundAtMs, answeredAtMs} = absence;
--- a/packages/decisions/tests/upstream-absences.test.ts
+++ b/packages/decisions/tests/upstream-absences.test.ts
@@ -175,4 +175,31 @@
     absences.expire();
     chai.expect(absences.find(START)).equal(undefined);
   });
+
+  it('stops to announce a refuted absence among instances that are late', () => {
+    // Guards against instances that keep each other busy with old news, which
+    // each dates later by the time for which it lay unread.
+    const LATE_MS = 300;
+    const fixtures = [createFixture(), createFixture(), createFixture()];
+    const [first] = fixtures;
+    first?.setTime(1_000);
+    first?.setAlive(0, 2_000);
+    first?.absences.merge([{...START, awayAgeMs: 10}]);
+    for (let ms = 1_000; ms < 10_000; ms += LATE_MS) {
+      const sent = fixtures.map(fixture => {
+        fixture.setTime(ms);
+        return fixture.absences.report();
+      });
+      fixtures.forEach((fixture, index) => {
+        fixture.setTime(ms + LATE_MS);
+        sent.forEach((reports, from) => {
+          if (from !== index) {
+            fixture.absences.merge(reports);
+          }
+        });
+      });
+    }
+    const announced = fixtures.flatMap(({absences}) => absences.report());
+    chai.expect(announced).eql([]);
+  });
 });
