--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,7 +48,7 @@
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly answer: callerAnswer.CallerAnswer;
-  /** When it arrived at the latest that is possible, by the clock. */
+  /** Earliest time at which it may have arrived, by the clock. */
   readonly receivedAtMs: number;
   /** Longest time for which it may have waited before it was read. */
   readonly waitedMs: number;
