Log by which budget a repeat is granted or refused, and what for

A placement now carries its purpose (first, retry, hedge, escalation, resumption); a granted or refused repeat logs it with the own first sends, the own repeats and the share of the slack, and amaranthknot_repeats_total counts the decisions by purpose. No decision is changed.

--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -165,6 +165,9 @@
     picker: get('picker'),
     latencies: get('latencies'),
     repeats: get('repeatBudget'),
+    onRepeat: (purpose, isGranted) => {
+      get('metrics').recordRepeat(purpose, isGranted);
+    },
     rollouts: get('rollouts'),
     forwarder: get('peerForwarder'),
     ends: get('upstreamEnds'),
--- a/packages/amaranthknot/tests/gateway/placement-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/placement-fixture.ts
@@ -44,6 +44,7 @@
       deadlineMs: now + 3_000,
       configuration: 1,
     },
+    purpose: 'first',
     model: undefined,
     excluded: new Set(),
     history: {sends: 0, isRepeat: false, hasUnreached: false, runs: 0},
--- a/packages/amaranthknot/tests/gateway/placement-load.ts
+++ b/packages/amaranthknot/tests/gateway/placement-load.ts
@@ -104,7 +104,7 @@
           const repeat = () => {
             const sends = request.history.sends + 1;
             const history = {...request.history, sends, isRepeat: true};
-            send(instance, {...request, excluded, history});
+            send(instance, {...request, purpose: 'retry', excluded, history});
           };
           answer({instance, placed, repeat});
         },
--- a/packages/decisions/src/repeat-budget.ts
+++ b/packages/decisions/src/repeat-budget.ts
@@ -33,6 +33,16 @@
   readonly repeats: slidingCount.SlidingCount;
 }
 
+/** What a decision on a repeat depends on, over the window that ends now. */
+export interface RepeatInputs {
+  /** First sends of this instance. */
+  readonly ownRequests: number;
+  /** Repeats that this instance was granted. */
+  readonly ownRepeats: number;
+  /** This instance's share of the repeats allowed on top of the ratio. */
+  readonly repeatSlack: number;
+}
+
 /** Repeat budget of one instance, kept separately for each service. */
 export class RepeatBudget {
   private readonly byService = new Map<string, Counts>();
@@ -69,6 +79,17 @@
     return true;
   }
 
+  /** What the next decision on a repeat depends on. */
+  describe(service: string): RepeatInputs {
+    const {requests, repeats} = this.countsOf(service);
+    const at = this.options.now();
+    return {
+      ownRequests: requests.count(at),
+      ownRepeats: repeats.count(at),
+      repeatSlack: this.slack,
+    };
+  }
+
   private leftFor({requests, repeats}: Counts): number {
     const {now, ratio} = this.options;
     const at = now();
--- a/packages/experiment/src/run-simulation.ts
+++ b/packages/experiment/src/run-simulation.ts
@@ -165,6 +165,7 @@
   const sends = isRepeat ? 1 : 0;
   return {
     request,
+    purpose: isRepeat ? 'escalation' : 'first',
     model,
     excluded: new Set(),
     history: {sends, isRepeat, hasUnreached: false, runs: sends},
--- a/packages/gateway/src/buffered-run.ts
+++ b/packages/gateway/src/buffered-run.ts
@@ -85,7 +85,8 @@
   /** Sends the request again only if it has certainly not run. */
   private async runAtMostOnce(): Promise<WholeAnswer | undefined> {
     for (;;) {
-      const started = await this.startAttempt(this.context.signal);
+      const purpose = this.history.sends === 0 ? 'first' : 'retry';
+      const started = await this.startAttempt(this.context.signal, purpose);
       const result = await started?.result;
       if (result === undefined || result.kind === 'unknown') {
         return undefined;
@@ -107,8 +108,10 @@
       abortController.signal,
     ]);
     const pending = new Set<Promise<FinishedAttempt>>();
-    const startAnother = async (): Promise<void> => {
-      const started = await this.startAttempt(signal);
+    const startAnother = async (
+      purpose: runContext.SendPurpose,
+    ): Promise<void> => {
+      const started = await this.startAttempt(signal, purpose);
       if (started) {
         const finished: Promise<FinishedAttempt> = started.result.then(
           result => ({result, attempt: finished}),
@@ -116,11 +119,11 @@
         pending.add(finished);
       }
     };
-    await startAnother();
+    await startAnother('first');
     while (pending.size > 0) {
       const next = await this.waitForNext(pending);
       if (next === 'late') {
-        await startAnother();
+        await startAnother('hedge');
         continue;
       }
       pending.delete(next.attempt);
@@ -130,7 +133,7 @@
         return result;
       }
       if (pending.size === 0) {
-        await startAnother();
+        await startAnother('retry');
       }
     }
     return undefined;
@@ -210,6 +213,7 @@
   /** Starts an attempt; undefined if none may be sent or placed. */
   private async startAttempt(
     signal: AbortSignal,
+    purpose: runContext.SendPurpose,
   ): Promise<StartedAttempt | undefined> {
     const isAwaited = this.maySend() && (await this.context.isAwaited());
     // Another attempt may have begun or been answered meanwhile.
@@ -218,6 +222,7 @@
     }
     const placed = this.dependencies.place({
       request: this.context.request,
+      purpose,
       model: undefined,
       excluded: this.excluded,
       history: this.history.summarize(),
--- a/packages/gateway/src/run-context.ts
+++ b/packages/gateway/src/run-context.ts
@@ -81,9 +81,18 @@
   readonly settle: (outcome: AttemptOutcome) => void;
 }
 
+/**
+ * Why a request is sent: for the first time, again after a failure, beside an
+ * attempt that is late, by the capable model after the cheap one, or to go on
+ * with a stream that broke off.
+ */
+export type SendPurpose =
+  'first' | 'retry' | 'hedge' | 'escalation' | 'resumption';
+
 /** An attempt that needs an upstream. */
 export interface PlacementRequest {
   readonly request: AcceptedRequest;
+  readonly purpose: SendPurpose;
   readonly model: string | undefined;
   /** Ids of upstreams that already failed for this request. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/gateway/src/stream-opener.ts
+++ b/packages/gateway/src/stream-opener.ts
@@ -89,10 +89,12 @@
   /**
    * Tries upstreams until one of them begins a stream.
    *
+   * @param purpose why the first of these attempts is sent.
    * @param isModelFixed whether an instance that the request is forwarded to
    *     must use `model` too.
    */
   async open(
+    purpose: runContext.SendPurpose,
     model: string | undefined,
     isModelFixed: boolean,
   ): Promise<OpenStream | refusals.Refusal> {
@@ -100,12 +102,15 @@
     const {maxAttempts, isResumable} = request.route;
     const maxSends = this.history.sends + maxAttempts + MAX_REFUSED_SENDS;
     this.isModelFixed = isModelFixed;
+    let nextPurpose = purpose;
     let maySend = true;
     while (maySend && this.history.sends < maxSends && (await isAwaited())) {
-      const found = this.takeReserved() ?? this.place(model, this.excluded);
+      const found =
+        this.takeReserved() ?? this.place(nextPurpose, model, this.excluded);
       if (!found) {
         break;
       }
+      nextPurpose = 'retry';
       const result = await this.runAttempt(found, model);
       if (typeof result === 'object') {
         return result;
@@ -118,10 +123,11 @@
 
   /** Places the next attempt, see `reserved`; false if it can't be placed. */
   reserve(
+    purpose: runContext.SendPurpose,
     model: string | undefined,
     excluded: ReadonlySet<string> = this.excluded,
   ): boolean {
-    this.reserved ??= this.place(model, excluded);
+    this.reserved ??= this.place(purpose, model, excluded);
     return this.reserved !== undefined;
   }
 
@@ -151,6 +157,7 @@
   }
 
   private place(
+    purpose: runContext.SendPurpose,
     model: string | undefined,
     excluded: ReadonlySet<string>,
   ): runContext.PlacedAttempt | undefined {
@@ -158,6 +165,7 @@
     return this.dependencies
       .place({
         request,
+        purpose,
         model,
         excluded,
         history: this.history.summarize(),
@@ -198,7 +206,7 @@
     reason: runContext.AbortReason,
   ): boolean {
     const excluded = new Set([...this.excluded, upstream.id]);
-    if (!this.reserve(model, excluded)) {
+    if (!this.reserve('retry', model, excluded)) {
       return false;
     }
     abortController.abort(reason);
--- a/packages/gateway/src/stream-run.ts
+++ b/packages/gateway/src/stream-run.ts
@@ -100,11 +100,11 @@
     const {route, forwarded} = this.context.request;
     const {models} = route;
     if (forwarded?.model !== undefined) {
-      return opener.open(forwarded.model, true);
+      return opener.open('first', forwarded.model, true);
     }
     const cheapest = models[0];
     const capable = models.at(-1);
-    const open = await opener.open(cheapest, false);
+    const open = await opener.open('first', cheapest, false);
     if (
       !streamOpener.isOpenStream(open) ||
       // The other instance has decided on an escalation.
@@ -122,12 +122,12 @@
       confidence,
     );
     this.context.log.step('model_judged', {...decision, model: capable});
-    if (!decision.runs || !opener.reserve(capable)) {
+    if (!decision.runs || !opener.reserve('escalation', capable)) {
       return open;
     }
     open.abortController.abort('not_needed' satisfies runContext.AbortReason);
     open.placed.settle('answered');
-    return opener.open(capable, true);
+    return opener.open('escalation', capable, true);
   }
 
   private nextLastEventId(): string | undefined {
@@ -154,7 +154,7 @@
     if (!request.route.isResumable || opener.isExhausted()) {
       return undefined;
     }
-    const open = await opener.open(model, true);
+    const open = await opener.open('resumption', model, true);
     return streamOpener.isOpenStream(open) ? open : undefined;
   }
 }
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -24,6 +24,11 @@
   readonly picker: decisions.UpstreamPicker;
   readonly latencies: decisions.LatencyEstimates;
   readonly repeats: decisions.RepeatBudget;
+  /** Called with each decision on a repeat. */
+  readonly onRepeat: (
+    purpose: runContext.SendPurpose,
+    isGranted: boolean,
+  ) => void;
   readonly rollouts: rolloutTracker.RolloutTracker;
   readonly forwarder: peerForwarder.PeerForwarder;
   readonly ends: upstreamEnds.UpstreamEnds;
@@ -126,12 +131,15 @@
     if (!known) {
       return this.placeElsewhere(toPlace);
     }
+    const repeatInputs = this.describeRepeat(toPlace);
     if (!this.takeRepeat(toPlace)) {
-      return purify.Left(this.createRefusal('no_budget', toPlace));
+      const refusal = this.createRefusal('no_budget', toPlace);
+      const inputs = {...refusal.inputs, ...repeatInputs};
+      return purify.Left({...refusal, inputs});
     }
     const attempt = this.beginAttempt(known, toPlace, pickRequest);
-    const inputs = this.describeChoice(known, candidates.length, toPlace);
-    return purify.Right({...attempt, inputs});
+    const choice = this.describeChoice(known, candidates.length, toPlace);
+    return purify.Right({...attempt, inputs: {...choice, ...repeatInputs}});
   }
 
   /** Forwards a request if some upstreams were out of reach, or refuses it. */
@@ -182,12 +190,18 @@
   }
 
   /** A request is recorded once, and takes a repeat only if it had arrived. */
-  private takeRepeat({request, history}: runContext.PlacementRequest): boolean {
-    const {repeats} = this.options;
+  private takeRepeat({
+    request,
+    purpose,
+    history,
+  }: runContext.PlacementRequest): boolean {
+    const {repeats, onRepeat} = this.options;
     const {name} = request.service;
     const {sends, isRepeat} = history;
     if (isRepeat) {
-      return repeats.take(name);
+      const isGranted = repeats.take(name);
+      onRepeat(purpose, isGranted);
+      return isGranted;
     }
     if (sends === 0) {
       repeats.recordRequest(name);
@@ -195,6 +209,17 @@
     return true;
   }
 
+  /** What a decision on a repeat depends on; empty for other sends. */
+  private describeRepeat({
+    request,
+    purpose,
+    history,
+  }: runContext.PlacementRequest): telemetry.Details {
+    return history.isRepeat
+      ? {purpose, ...this.options.repeats.describe(request.service.name)}
+      : {};
+  }
+
   private chooseVersion({
     caller,
     service,
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -70,6 +70,13 @@
     registers: [this.registry],
   });
 
+  private readonly repeats = new client.Counter({
+    name: 'amaranthknot_repeats_total',
+    help: 'Further sends of requests, by purpose and whether they were granted.',
+    labelNames: ['purpose', 'outcome'],
+    registers: [this.registry],
+  });
+
   private readonly firstByteLatency = new client.Histogram({
     name: 'amaranthknot_first_byte_seconds',
     help: 'Seconds from a request to the first byte of its answer.',
@@ -174,6 +181,12 @@
     this.storeCalls.inc({kind, outcome});
   }
 
+  /** Counts a decision on a further send of a request. */
+  recordRepeat(purpose: string, isGranted: boolean): void {
+    const outcome = isGranted ? 'granted' : 'refused';
+    this.repeats.inc({purpose, outcome});
+  }
+
   /** Records the latencies of a request that ended. */
   recordRequest({kind, firstByteMs, tookMs}: RequestSample): void {
     this.requestDuration.observe({kind}, tookMs / MS_PER_S);
