--- /dev/null
+++ b/packages/amaranthknot/tests/gateway/repeat-sums.test.ts
@@ -0,0 +1,152 @@
+import * as chai from 'chai';
+import * as drawnRepeatLoad from './drawn-repeat-load.js';
+import * as repeatLoad from './repeat-load.js';
+
+const INSTANCES = 6;
+
+const ALL = Array.from({length: INSTANCES}, (_, index) => index);
+
+const PER_SECOND = 52;
+
+const LENGTH_MS = 40_000;
+
+/** Time at which answers begin to break off, after a time without trouble. */
+const ONSET_MS = 20_000;
+
+const breakFromOnset = (atMs: number): number => (atMs < ONSET_MS ? 0.02 : 0.9);
+
+const restartAll = (atMs: number): readonly repeatLoad.FleetEvent[] =>
+  ALL.flatMap(index => repeatLoad.restartAt(index, atMs, 700));
+
+const restartInTurn = (
+  fromMs: number,
+  gapMs: number,
+  rounds: number,
+): readonly repeatLoad.FleetEvent[] =>
+  Array.from({length: rounds * INSTANCES}, (_, place) =>
+    repeatLoad.restartAt(
+      place % INSTANCES,
+      fromMs + place * gapMs,
+      0.6 * gapMs,
+    ),
+  ).flat();
+
+const restartHalf = (
+  half: 'first' | 'second',
+  atMs: number,
+): readonly repeatLoad.FleetEvent[] =>
+  ALL.filter(index => index < INSTANCES / 2 === (half === 'first')).flatMap(
+    index => repeatLoad.restartAt(index, atMs, 700),
+  );
+
+interface MoveCase {
+  readonly name: string;
+  readonly load: Partial<repeatLoad.RepeatLoadOptions>;
+}
+
+const CASES: readonly MoveCase[] = [
+  {name: 'nothing else happens', load: {}},
+  {
+    name: 'they break off from the start',
+    load: {brokenFraction: () => 0.9},
+  },
+  {
+    name: 'all instances are restarted in turn',
+    load: {events: restartInTurn(15_000, 1_300, 1)},
+  },
+  {
+    name: 'all instances are restarted in turn, twice',
+    load: {events: restartInTurn(18_000, 700, 2)},
+  },
+  {
+    name: 'all instances are killed at once, again and again',
+    load: {
+      brokenFraction: () => 0.9,
+      events: [15_000, 19_000, 23_000].flatMap(restartAll),
+    },
+  },
+  {
+    name: 'one half of the instances is killed, then the other',
+    load: {
+      events: [
+        ...restartHalf('first', 24_000),
+        ...restartHalf('second', 28_000),
+        ...restartHalf('first', 32_000),
+      ],
+    },
+  },
+  {
+    name: 'half of the instances are cut off from the others',
+    load: {
+      events: [
+        {
+          atMs: 21_000,
+          apply: ({isolate}) => {
+            [0, 1, 2].forEach(index => {
+              isolate(`instance-${index}`);
+            });
+          },
+        },
+        {
+          atMs: 27_000,
+          apply: ({heal}) => {
+            heal();
+          },
+        },
+      ],
+    },
+  },
+  {
+    name: 'all callers move from one half of the instances to the other',
+    load: {
+      choose: repeatLoad.chooseAmong(atMs =>
+        atMs < ONSET_MS + 5_000 ? [0, 1, 2] : [3, 4, 5],
+      ),
+    },
+  },
+  {
+    name: 'all callers move to another pair of instances every two seconds',
+    load: {
+      choose: repeatLoad.chooseAmong(atMs => {
+        const pair = Math.floor(atMs / 2_000) % 3;
+        return [2 * pair, 2 * pair + 1];
+      }),
+    },
+  },
+];
+
+/** Seeds of drawn loads, by the number of instances; more are run by hand. */
+const DRAWN: readonly {readonly instances: number; readonly seeds: number}[] = [
+  {instances: 7, seeds: 10},
+  {instances: 24, seeds: 2},
+];
+
+describe('repeats of all instances while most answers break off', () => {
+  CASES.forEach(({name, load}) => {
+    it(`stay within what a window allows: ${name}`, async () => {
+      // Guards against budgets that each instance keeps, and their sum does not.
+      const {worst} = await repeatLoad.playRepeatLoad({
+        instances: INSTANCES,
+        perSecond: PER_SECOND,
+        forMs: LENGTH_MS,
+        brokenFraction: breakFromOnset,
+        ...load,
+      });
+      chai.expect(worst.repeats, JSON.stringify(worst)).most(worst.allowed);
+    });
+  });
+
+  DRAWN.forEach(({instances, seeds}) => {
+    const count = Number(process.env['REPEAT_SEEDS'] ?? seeds);
+    it(`stay within it in drawn loads of ${instances} instances`, async () => {
+      // Guards against moves, restarts and cuts that nobody thought of.
+      for (let seed = 1; seed <= count; seed++) {
+        const {worst} = await repeatLoad.playRepeatLoad(
+          drawnRepeatLoad.drawRepeatLoad(seed, instances),
+        );
+        const description = `seed ${seed}: ${JSON.stringify(worst)}`;
+        chai.expect(worst.repeats, description).most(worst.allowed);
+      }
+    }).timeout(count * 30_000);
+  });
+});
