Count a request whose attempt was withdrawn once

A request whose connection opened too late is taken back: its next attempt is the first one again.

A request's history now says whether it was counted, apart from the number of its sends. The new test of the history failed to compile before (there was no such field); with the old condition the second placement counts once more.

--- a/packages/amaranthknot/tests/gateway/placement-fixture.ts
+++ b/packages/amaranthknot/tests/gateway/placement-fixture.ts
@@ -47,6 +47,12 @@
     purpose: 'first',
     model: undefined,
     excluded: new Set(),
-    history: {sends: 0, isRepeat: false, hasUnreached: false, runs: 0},
+    history: {
+      sends: 0,
+      isCounted: false,
+      isRepeat: false,
+      hasUnreached: false,
+      runs: 0,
+    },
   };
 };
--- a/packages/amaranthknot/tests/gateway/quarantine-spread.test.ts
+++ b/packages/amaranthknot/tests/gateway/quarantine-spread.test.ts
@@ -90,25 +90,32 @@
   readonly isLost: boolean;
   readonly history: {
     readonly sends: number;
+    readonly isCounted: boolean;
     readonly isRepeat: boolean;
     readonly hasUnreached: boolean;
     readonly runs: number;
   };
 }
 
-const FIRST = {sends: 0, isRepeat: false, hasUnreached: false, runs: 0};
+const FIRST = {
+  sends: 0,
+  isCounted: false,
+  isRepeat: false,
+  hasUnreached: false,
+  runs: 0,
+};
 
 const SENDS: readonly SendCase[] = [
   {name: 'a first send', isLost: false, history: FIRST},
   {
     name: 'a repeat',
     isLost: false,
-    history: {...FIRST, sends: 1, isRepeat: true, runs: 1},
+    history: {...FIRST, sends: 1, isCounted: true, isRepeat: true, runs: 1},
   },
   {
     name: 'a send after one that reached nothing',
     isLost: false,
-    history: {...FIRST, sends: 1, hasUnreached: true},
+    history: {...FIRST, sends: 1, isCounted: true, hasUnreached: true},
   },
   {
     name: 'a send by way of another instance',
--- a/packages/experiment/src/run-simulation.ts
+++ b/packages/experiment/src/run-simulation.ts
@@ -168,7 +168,13 @@
     purpose: isRepeat ? 'escalation' : 'first',
     model,
     excluded: new Set(),
-    history: {sends, isRepeat, hasUnreached: false, runs: sends},
+    history: {
+      sends,
+      isCounted: isRepeat,
+      isRepeat,
+      hasUnreached: false,
+      runs: sends,
+    },
   };
 };
 
--- a/packages/gateway/src/attempt-history.ts
+++ b/packages/gateway/src/attempt-history.ts
@@ -6,6 +6,8 @@
 export interface AttemptSummary {
   /** Number of attempts so far. */
   readonly sends: number;
+  /** Whether it has been counted as a request, also if nothing was sent. */
+  readonly isCounted: boolean;
   /** Whether one of them may have reached an upstream. */
   readonly isRepeat: boolean;
   /** Whether one of them found its upstream out of reach. */
@@ -17,6 +19,7 @@
 /** The attempts of one request at this instance, and at the one before it. */
 export class AttemptHistory {
   private sendCount = 0;
+  private hasBegun = false;
   private unreachedCount = 0;
   /** Upstreams that this instance called and that may have run the request. */
   private directRuns = 0;
@@ -53,6 +56,7 @@
   /** Records an attempt that is sent. */
   begin({forward}: runContext.PlacedAttempt): void {
     this.sendCount++;
+    this.hasBegun = true;
     if (forward) {
       this.forwardedRuns += forward.attempts;
     } else {
@@ -96,6 +100,7 @@
     const hasArrived = this.sendCount > this.unreachedCount;
     return {
       sends: this.sendCount + (forwarded?.sends ?? 0),
+      isCounted: this.hasBegun || (forwarded?.sends ?? 0) > 0,
       isRepeat: hasArrived || forwarded?.isRepeat === true,
       hasUnreached: this.unreachedCount > 0,
       runs: this.countedRuns(),
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -197,13 +197,13 @@
   }: runContext.PlacementRequest): boolean {
     const {repeats, onRepeat} = this.options;
     const {name} = request.service;
-    const {sends, isRepeat} = history;
+    const {isCounted, isRepeat} = history;
     if (isRepeat) {
       const isGranted = repeats.take(name);
       onRepeat(purpose, isGranted);
       return isGranted;
     }
-    if (sends === 0) {
+    if (!isCounted) {
       repeats.recordRequest(name);
     }
     return true;
--- a/packages/gateway/tests/attempt-history.test.ts
+++ b/packages/gateway/tests/attempt-history.test.ts
@@ -75,3 +75,20 @@
     });
   });
 });
+
+describe('a request whose attempt is withdrawn before it is sent', () => {
+  it('counts as one request, and its next attempt as no repeat', () => {
+    // Guards against requests that fill the repeat budget twice.
+    const history = new gateway.AttemptHistory(
+      {route: {maxAttempts: 3}} as gateway.AcceptedRequest,
+      () => false,
+    );
+    chai.expect(history.summarize().isCounted).equal(false);
+    const placed = createPlaced();
+    history.begin(placed);
+    history.recordFailure(placed, {ran: 'not_run', reason: 'withdrawn'});
+    chai
+      .expect(history.summarize())
+      .include({sends: 0, isCounted: true, isRepeat: false});
+  });
+});
