Bound the repeats of all instances by what all are known to have sent

Cause: a bound on the sum of all instances was kept by each for itself, by the window of its own last ten seconds. What an instance had saved was spent before it was killed or its callers left, and the instances that its callers went to earned for the same callers within the same window; a successor got its share of the slack again. The sum of the windows is not the window of the sum.

Why it works: instances tell each other what they sent, in the messages that they exchange anyway. A repeat is taken from an allowance, which own requests fill by 0.684 each and which lives for 2 s (whoever has the callers, 0.684 * 12 s of requests is below 0.9 * 10 s), or from what all leave unused: the limit, less what all sent, less what the allowances may still grant in each window to come, so that a fleet whose knowledge is lost stays within the limit by its allowances. Each takes no more than its part of it within the time in which the others learn of it, and nothing if it has not heard of them for 1.5 s. Sends that are told late count by when they were sent.

--- a/packages/amaranthknot/src/gateway/fleet-reports.ts
+++ b/packages/amaranthknot/src/gateway/fleet-reports.ts
@@ -7,6 +7,7 @@
  * watcher: two that reported an instance as live to each other would keep it
  * live for ever, and sums that circulate would grow with each round.
  */
+import type * as decisions from '@amaranthknot/decisions';
 import type * as protocol from '@amaranthknot/protocol';
 import type * as gatewayComponents from './gateway-components.js';
 
@@ -31,6 +32,9 @@
     readonly protocol.GroupState[]
   >();
 
+  /** For how long watchers know all sends, in ms, by peer address. */
+  private readonly knownPasts = new Map<string, number>();
+
   constructor(private readonly get: gatewayComponents.GatewayResolver) {}
 
   /** Creates the report for the peer at `address`. */
@@ -52,6 +56,7 @@
       upstreams: isFollower ? [] : [...this.collectReportedStats()],
       limits: [...get('limits').report()],
       ...this.createOptionalLists(),
+      ...(isWatcher ? {sends: this.createWatcherSends(address)} : {}),
       evidence: isFollower ? [] : [...get('rollouts').evidence()],
       rollouts: isFollower ? [] : [...get('rollouts').progress()],
     };
@@ -67,6 +72,11 @@
     get('partQuarantine').merge(report.suspectParts ?? []);
     get('upstreamAbsences').merge(report.absences ?? []);
     get('rollouts').merge(report.rollouts, report.evidence);
+    // A follower has its watcher's totals, which count the same sends.
+    if (report.sends && !this.isFollower()) {
+      get('fleetSends').mergeWatcher(report.sends);
+    }
+    this.recordPast(report.from.peers, report.sends);
     if (!this.isFollower()) {
       // A follower has its watcher's sums, which count the same requests. With
       // both, engines would look twice as busy as they are, and capable models
@@ -108,6 +118,8 @@
       upstreams: isWatcher ? [] : [...get('picker').report()],
       limits: [...get('limits').report()],
       ...this.createOptionalLists(),
+      // Watchers count their own sends to their groups.
+      ...(isWatcher ? {} : {sends: this.createFollowerSends(watcher)}),
       evidence: [...get('rollouts').evidence('own')],
       rollouts: [...get('rollouts').progress(exchanged.sent)],
       membersVersion: get('members').watcherListVersion(name),
@@ -129,6 +141,9 @@
     }
     get('members').recordCaller(report.from, now);
     get('picker').merge(report.from.id, report.upstreams, 'itself');
+    if (report.sends) {
+      get('fleetSends').addFollower(report.sends);
+    }
     get('rollouts').merge(report.rollouts, report.evidence);
   }
 
@@ -147,6 +162,7 @@
       ],
       limits: [...get('limits').report()],
       ...this.createOptionalLists(),
+      sends: get('fleetSends').createTotals(report.sends?.knownForMs),
       evidence: [...get('rollouts').evidenceSums()],
       rollouts: [...get('rollouts').progress(report.pinnedKnown)],
       pinnedCounts: {...get('rollouts').pinnedCounts()},
@@ -156,9 +172,12 @@
   /** Applies a watcher's summary, unless this instance is a watcher itself. */
   applySummary(watcher: protocol.Member, summary: protocol.FleetSummary): void {
     const {get} = this;
+    get('fleetSends').confirmReport();
     if (get('watchRole').isWatcher()) {
       return;
     }
+    get('fleetSends').applyTotals(summary.sends);
+    this.recordPast(watcher.peers, summary.sends);
     const {membersVersion, members, upstreams, evidence, rollouts} = summary;
     const {limits, refusalLimits, suspectParts, absences} = summary;
     const now = get('options').clock.now();
@@ -178,6 +197,29 @@
     };
   }
 
+  private createWatcherSends(address: string): decisions.WatcherSends {
+    const knownForMs = this.knownPasts.get(address);
+    return this.get('fleetSends').createWatcherReport(knownForMs);
+  }
+
+  private createFollowerSends({
+    peers,
+  }: protocol.Member): decisions.FollowerSends {
+    return this.get('fleetSends').createReport(this.knownPasts.get(peers));
+  }
+
+  /** Records for how long a peer knows all sends. */
+  private recordPast(
+    address: string,
+    sends: decisions.ToldSends | undefined,
+  ): void {
+    if (sends) {
+      this.knownPasts.set(address, sends.knownForMs);
+    } else {
+      this.knownPasts.delete(address);
+    }
+  }
+
   /** Lists that are left out of messages while they are empty. */
   private createOptionalLists(): Pick<
     protocol.FleetReport,
--- a/packages/amaranthknot/src/gateway/gateway-components.ts
+++ b/packages/amaranthknot/src/gateway/gateway-components.ts
@@ -66,6 +66,7 @@
   readonly peerServer: protocol.PeerServer;
   readonly catalog: gateway.UpstreamCatalog;
   readonly picker: decisions.UpstreamPicker;
+  readonly fleetSends: decisions.FleetSends;
   readonly repeatBudget: decisions.RepeatBudget;
   readonly limits: decisions.RateLimits;
   readonly backoffs: decisions.UpstreamBackoffs;
--- a/packages/amaranthknot/src/gateway/repeat-slack.ts
+++ b/packages/amaranthknot/src/gateway/repeat-slack.ts
@@ -19,7 +19,9 @@
   const {ratio, slack} = get('options').settings.current.bounds.retry;
   const leastSlack = Math.max(0, 1 - REPEAT_BUDGET_FRACTION * ratio);
   const count = get('knownFleet').sharers?.length ?? Infinity;
-  get('repeatBudget').setSlack(
-    Math.max(leastSlack, (REPEAT_BUDGET_FRACTION * slack) / count),
-  );
+  const total = REPEAT_BUDGET_FRACTION * slack;
+  get('repeatBudget').setSlack({
+    total,
+    share: Math.max(leastSlack, total / count),
+  });
 };
--- a/packages/amaranthknot/src/gateway/wiring/request-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/request-factories.ts
@@ -16,6 +16,7 @@
   | 'escalationPolicy'
   | 'catalog'
   | 'picker'
+  | 'fleetSends'
   | 'repeatBudget'
   | 'limits'
   | 'backoffs'
@@ -165,8 +166,8 @@
     picker: get('picker'),
     latencies: get('latencies'),
     repeats: get('repeatBudget'),
-    onRepeat: (purpose, isGranted) => {
-      get('metrics').recordRepeat(purpose, isGranted);
+    onRepeat: (purpose, decision) => {
+      get('metrics').recordRepeat(purpose, decision);
     },
     rollouts: get('rollouts'),
     forwarder: get('peerForwarder'),
@@ -289,12 +290,20 @@
       now: () => options.clock.now(),
       random: options.random,
     }),
-  repeatBudget: () => {
+  fleetSends: get =>
+    new decisions.FleetSends({
+      self: formatIncarnation(get),
+      windowMs: options.settings.current.bounds.retry.windowMs,
+      now: () => options.clock.steadyNow(),
+      isAlone: () => get('knownFleet').sharers?.length === 1,
+    }),
+  repeatBudget: get => {
     const {ratio, windowMs} = options.settings.current.bounds.retry;
     return new decisions.RepeatBudget({
       ratio: repeatSlack.REPEAT_BUDGET_FRACTION * ratio,
       windowMs,
       now: () => options.clock.steadyNow(),
+      fleet: get('fleetSends'),
     });
   },
   limits: get =>
--- a/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-reports.test.ts
@@ -74,6 +74,12 @@
     members,
     hasOtherSeeds: () => false,
   });
+  const fleetSends = new decisions.FleetSends({
+    self: `${id}.1`,
+    windowMs: 10_000,
+    now,
+    isAlone: () => false,
+  });
   const rollouts = new gateway.RolloutTracker({
     clock,
     incarnation: `${id}.1`,
@@ -98,6 +104,7 @@
     options: {clock},
     members,
     picker,
+    fleetSends,
     limits,
     concurrencyShares,
     partQuarantine,
--- a/packages/amaranthknot/tests/gateway/fleet-shares.test.ts
+++ b/packages/amaranthknot/tests/gateway/fleet-shares.test.ts
@@ -34,7 +34,7 @@
 
 const countRepeats: CountOwn = ({get}) => {
   let count = 0;
-  while (count < 1_000 && get('repeatBudget').take('svc')) {
+  while (count < 1_000 && get('repeatBudget').take('svc').isGranted) {
     count++;
   }
   return count;
--- a/packages/amaranthknot/tests/gateway/repeat-inputs.test.ts
+++ b/packages/amaranthknot/tests/gateway/repeat-inputs.test.ts
@@ -50,9 +50,11 @@
     const count = outcomes.filter(({outcome}) => outcome === 'placed').length;
     chai.expect(refused?.inputs).include({ownRepeats: count});
     const metrics = await get('metrics').format();
-    const line = (outcome: string, value: number): string =>
-      `amaranthknot_repeats_total{purpose="retry",outcome="${outcome}"} ${value}`;
-    chai.expect(metrics).contain(line('granted', count));
-    chai.expect(metrics).contain(line('refused', outcomes.length - count));
+    const countOf = (outcome: string): number =>
+      [...metrics.matchAll(/^amaranthknot_repeats_total\{(.*)\} (\d+)$/gm)]
+        .filter(([, labels]) => labels?.includes(`outcome="${outcome}"`))
+        .reduce((sum, [, , value]) => sum + Number(value), 0);
+    chai.expect(countOf('granted')).equal(count);
+    chai.expect(countOf('refused')).equal(outcomes.length - count);
   });
 });
--- a/packages/gateway/src/upstream-placement.ts
+++ b/packages/gateway/src/upstream-placement.ts
@@ -27,7 +27,7 @@
   /** Called with each decision on a repeat. */
   readonly onRepeat: (
     purpose: runContext.SendPurpose,
-    isGranted: boolean,
+    decision: decisions.RepeatDecision,
   ) => void;
   readonly rollouts: rolloutTracker.RolloutTracker;
   readonly forwarder: peerForwarder.PeerForwarder;
@@ -131,8 +131,9 @@
     if (!known) {
       return this.placeElsewhere(toPlace);
     }
-    const repeatInputs = this.describeRepeat(toPlace);
-    if (!this.takeRepeat(toPlace)) {
+    const repeat = this.countSend(toPlace);
+    const repeatInputs = describeRepeat(toPlace, repeat);
+    if (repeat?.isGranted === false) {
       const refusal = this.createRefusal('no_budget', toPlace);
       const inputs = {...refusal.inputs, ...repeatInputs};
       return purify.Left({...refusal, inputs});
@@ -189,35 +190,27 @@
     return Math.round(this.options.upstreamsAgeMs() ?? -1);
   }
 
-  /** A request is recorded once, and takes a repeat only if it had arrived. */
-  private takeRepeat({
+  /**
+   * A request is recorded once, and takes a repeat only if it had arrived.
+   * Returns the decision on a repeat; undefined for other sends.
+   */
+  private countSend({
     request,
     purpose,
     history,
-  }: runContext.PlacementRequest): boolean {
+  }: runContext.PlacementRequest): decisions.RepeatDecision | undefined {
     const {repeats, onRepeat} = this.options;
     const {name} = request.service;
     const {isCounted, isRepeat} = history;
     if (isRepeat) {
-      const isGranted = repeats.take(name);
-      onRepeat(purpose, isGranted);
-      return isGranted;
+      const decision = repeats.take(name);
+      onRepeat(purpose, decision);
+      return decision;
     }
     if (!isCounted) {
       repeats.recordRequest(name);
     }
-    return true;
-  }
-
-  /** What a decision on a repeat depends on; empty for other sends. */
-  private describeRepeat({
-    request,
-    purpose,
-    history,
-  }: runContext.PlacementRequest): telemetry.Details {
-    return history.isRepeat
-      ? {purpose, ...this.options.repeats.describe(request.service.name)}
-      : {};
+    return undefined;
   }
 
   private chooseVersion({
@@ -368,6 +361,34 @@
   }
 }
 
+/** What a decision on a repeat depended on, for the log. */
+const describeRepeat = (
+  {purpose}: runContext.PlacementRequest,
+  decision: decisions.RepeatDecision | undefined,
+): telemetry.Details => {
+  if (!decision) {
+    return {};
+  }
+  const {budget, inputs} = decision;
+  return {
+    purpose,
+    budget,
+    ownRequests: inputs.ownRequests,
+    ownRepeats: inputs.ownRepeats,
+    ownLeft: roundToTenth(inputs.ownLeft),
+    repeatSlack: roundToTenth(inputs.repeatSlack),
+    fleetRequests: roundToTenth(inputs.fleetRequests),
+    fleetRepeats: roundToTenth(inputs.fleetRepeats),
+    fleetAgeMs: roundToTenth(inputs.fleetAgeMs),
+    fleetKnownForMs: roundToTenth(inputs.fleetKnownForMs),
+    unusedLeft: roundToTenth(inputs.unusedLeft),
+  };
+};
+
+/** Rounds a number, if it is known. */
+const roundToTenth = (value: number | undefined): number | undefined =>
+  value === undefined ? undefined : Math.round(10 * value) / 10;
+
 /** Maximum number of parts in one log line. */
 const MAX_LOGGED_PARTS = 16;
 
--- a/packages/protocol/src/fleet-messages.ts
+++ b/packages/protocol/src/fleet-messages.ts
@@ -164,6 +164,76 @@
 /** A list of such evidence. */
 export const suspectParts = zod.array(suspectPart).max(shapes.MAX_ITEMS);
 
+/** Longest list of sends by their age. */
+const MAX_SLOTS = 20;
+
+/** Number of first sends and of repeats. */
+const sendCounts = zod.object({requests: shapes.count, repeats: shapes.count});
+
+/**
+ * Sends within a part of the window. Not whole: what was sent over some time
+ * counts as spread over the parts.
+ */
+const spreadSends = zod.object({
+  requests: zod.number().nonnegative(),
+  repeats: zod.number().nonnegative(),
+});
+
+/** Sends for one service. */
+export const serviceSends = sendCounts.extend({service: shapes.name});
+
+/**
+ * Sends for one service of a watcher and the instances that report to it,
+ * since the watcher keeps its group.
+ */
+export const groupSends = serviceSends.extend({
+  /** Identifies the watcher and its start. */
+  keeper: shapes.name,
+  /** Time since the watcher told them. */
+  ageMs: shapes.milliseconds,
+  /**
+   * Those within the window in which operators count repeats, by age: equal
+   * parts of the window, the present one first.
+   */
+  recent: zod.array(spreadSends).max(MAX_SLOTS).readonly(),
+});
+
+/** What all messages about sends have. */
+const toldSends = zod.object({
+  /** For how long the sender has known of all sends. */
+  knownForMs: shapes.milliseconds,
+  /** All sends that it knows, for one that knows less of the past. */
+  history: zod
+    .array(
+      zod.object({
+        service: shapes.name,
+        recent: zod.array(spreadSends).max(MAX_SLOTS).readonly(),
+      }),
+    )
+    .max(shapes.MAX_ITEMS)
+    .readonly()
+    .optional(),
+});
+
+/** The sends in a follower's report. */
+const followerSends = toldSends.extend({
+  /** What it sent since its last report that was answered. */
+  sent: zod.array(serviceSends).max(shapes.MAX_ITEMS).readonly(),
+  /** Time over which it sent them. */
+  overMs: shapes.milliseconds,
+});
+
+/** What a watcher tells a follower of the sends of all instances. */
+const fleetTotals = toldSends.extend({
+  /** What the window holds in which operators count repeats. */
+  totals: zod.array(serviceSends).max(shapes.MAX_ITEMS).readonly(),
+});
+
+/** What a watcher tells another one of the sends of all groups. */
+const watcherSends = toldSends.extend({
+  groups: zod.array(groupSends).max(shapes.MAX_ITEMS).readonly(),
+});
+
 /** An upstream that was away, and may be in cold start since it is back. */
 export const upstreamAbsence = zod.object({
   id: shapes.name,
@@ -224,6 +294,7 @@
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   suspectParts: suspectParts.optional(),
   absences: upstreamAbsences.optional(),
+  sends: followerSends.optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
   /** Version of the member list that the instance has. */
@@ -243,6 +314,7 @@
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   suspectParts: suspectParts.optional(),
   absences: upstreamAbsences.optional(),
+  sends: fleetTotals.optional(),
   /** Sums over all instances. */
   evidence: zod.array(evidenceSum).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
@@ -266,6 +338,8 @@
   refusalLimits: zod.array(refusalLimit).max(shapes.MAX_OBJECTS).optional(),
   suspectParts: suspectParts.optional(),
   absences: upstreamAbsences.optional(),
+  /** Absent if the sender is no watcher. */
+  sends: watcherSends.optional(),
   evidence: zod.array(orderEvidence).max(shapes.MAX_ITEMS),
   rollouts: zod.array(rolloutProgress).max(shapes.MAX_ITEMS),
 });
--- a/packages/telemetry/src/gateway-metrics.ts
+++ b/packages/telemetry/src/gateway-metrics.ts
@@ -72,8 +72,8 @@
 
   private readonly repeats = new client.Counter({
     name: 'amaranthknot_repeats_total',
-    help: 'Further sends of requests, by purpose and whether they were granted.',
-    labelNames: ['purpose', 'outcome'],
+    help: 'Decisions on further sends of requests, by purpose and budget.',
+    labelNames: ['purpose', 'outcome', 'budget'],
     registers: [this.registry],
   });
 
@@ -182,9 +182,12 @@
   }
 
   /** Counts a decision on a further send of a request. */
-  recordRepeat(purpose: string, isGranted: boolean): void {
+  recordRepeat(
+    purpose: string,
+    {isGranted, budget}: {readonly isGranted: boolean; readonly budget: string},
+  ): void {
     const outcome = isGranted ? 'granted' : 'refused';
-    this.repeats.inc({purpose, outcome});
+    this.repeats.inc({purpose, outcome, budget});
   }
 
   /** Records the latencies of a request that ended. */
