Give a restarted instance its share of an announced limit as its first window passes

A restart forgot the count, and the successor had the whole share again. What callers would see: an overloaded upstream that gets more than it asked for while instances are restarted in turn.

Why it works: in its first window an instance has its share only as the window passes, whatever its predecessor sent. An instance that runs for longer has it as before. The tests of RateLimits now set up an instance that has run for a window, as they did without saying so.

--- a/packages/decisions/src/rate-limits.ts
+++ b/packages/decisions/src/rate-limits.ts
@@ -55,8 +55,10 @@
   private readonly sends = new Map<string, slidingCount.SlidingCount>();
   private readonly lastSendMs = new Map<string, number>();
   private readonly shares = new Map<string, Share>();
+  private readonly startedAtMs: number;
 
   constructor(private readonly options: RateLimitsOptions) {
+    this.startedAtMs = options.now();
     this.limits = new announcedValues.AnnouncedValues(options);
   }
 
@@ -106,12 +108,28 @@
     }
     const intervalMs = findSendIntervalMs(perSecond);
     if (intervalMs <= WINDOW_MS) {
-      return this.sends.get(id)?.findWaitMs(now, requests) ?? 0;
+      return this.findWindowWaitMs(id, requests, now);
     }
     const lastMs = this.lastSendMs.get(id) ?? -Infinity;
     return Math.max(0, lastMs + intervalMs - now);
   }
 
+  /**
+   * Time until a window has room for another request. In its first window an
+   * instance has its share only as the window passes: an earlier process of it
+   * may have used the whole.
+   */
+  private findWindowWaitMs(id: string, requests: number, now: number): number {
+    const uptimeMs = now - this.startedAtMs;
+    const sent = this.sends.get(id);
+    const sentInWindow = sent?.count(now) ?? 0;
+    const startWaitMs = ((sentInWindow + 1) * WINDOW_MS) / requests - uptimeMs;
+    const roomWaitMs = sent?.findWaitMs(now, requests) ?? 0;
+    return uptimeMs < WINDOW_MS
+      ? Math.max(0, startWaitMs, roomWaitMs)
+      : roomWaitMs;
+  }
+
   /** Current limit of an upstream in requests a second, if it has one. */
   find(id: string): number | undefined {
     return this.limits.find(id);
--- a/packages/decisions/tests/rate-limits.test.ts
+++ b/packages/decisions/tests/rate-limits.test.ts
@@ -8,8 +8,15 @@
   readonly changes: (number | undefined)[];
 }
 
-const setUp = (instances: readonly string[] = ['a']): Setup => {
-  let nowMs = 0;
+/** Time after which the window before an instance's start is over, in ms. */
+const WINDOW_MS = 4_000;
+
+/** The limits of an instance that has run for a window, or for less. */
+const setUp = (
+  instances: readonly string[] = ['a'],
+  uptimeMs = WINDOW_MS,
+): Setup => {
+  let nowMs = -uptimeMs;
   const changes: (number | undefined)[] = [];
   const limits = new decisions.RateLimits({
     now: () => nowMs,
@@ -17,6 +24,7 @@
     findInstances: () => instances,
     onChange: (_id, perSecond) => changes.push(perSecond),
   });
+  nowMs = 0;
   return {
     limits,
     changes,
@@ -52,6 +60,18 @@
     chai.expect(countFree(setup, 'other')).equal(1_000);
   });
 
+  it('uses its share only as its first window passes', () => {
+    // Guards against a restart that forgets what was sent within the window.
+    const setup = setUp(['a', 'b', 'c', 'd'], 0);
+    setup.limits.record('u', 10);
+    chai.expect(countFree(setup, 'u')).equal(0);
+    chai.expect(setup.limits.findWaitMs('u')).equal(400);
+    setup.wait(2_000);
+    chai.expect(countFree(setup, 'u')).equal(5);
+    setup.wait(2_000);
+    chai.expect(countFree(setup, 'u')).equal(5);
+  });
+
   it('divides a limit among all instances', () => {
     const setup = setUp(['a', 'b', 'c', 'd']);
     setup.limits.record('u', 10);
