--- a/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
+++ b/packages/amaranthknot/tests/gateway/unreached-sends.test.ts
@@ -22,9 +22,10 @@
     const instance = await startInstance();
     const first = placementFixture.createPlacementRequest(instance, 'r');
     const place = (sends: number, isRepeat: boolean) =>
-      instance
-        .get('placement')
-        .place({...first, history: {...first.history, sends, isRepeat}});
+      instance.get('placement').place({
+        ...first,
+        history: {...first.history, sends, isCounted: sends > 0, isRepeat},
+      });
     while (place(1, true).isRight()) {
       // Spends the repeat budget.
     }
