Count the repeats of all instances in the soak, while callers move

Every run of the soak now checks what upstreams got beyond the first arrival of each request, over all instances, in any ten seconds; the requests are those that reached an upstream, which is stricter than the operators' rule. Its settings allow fewer repeats (0.25 and 10), as its callers would not ask for 0.9.

--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -34,7 +34,11 @@
   | 'upstream_restarts_cold'
   | 'upstream_killed'
   | 'upstream_replaced'
-  | 'callers_leave_pause';
+  | 'callers_leave_pause'
+  | 'upstreams_break_off'
+  | 'instances_killed_in_turn'
+  | 'instances_stopped_in_turn'
+  | 'half_of_instances_killed';
 
 const KINDS: readonly FaultKind[] = [
   'kill',
@@ -137,6 +141,26 @@
 const LEAVE_INTERVAL_MS = {min: 1_500, max: 3_500};
 const LEAVE_DURATION_MS = {min: 1_000, max: 1_800};
 
+/**
+ * Time without faults before most answers break off, in milliseconds: what
+ * instances have not repeated until then may be repeated when callers move.
+ */
+const CALM_MS = {min: 8_000, max: 10_000};
+
+/** Kinds by which callers move between instances meanwhile. */
+const MOVE_KINDS: readonly FaultKind[] = [
+  'instances_killed_in_turn',
+  'instances_stopped_in_turn',
+  'half_of_instances_killed',
+  'half_of_instances_killed',
+  'configuration_change',
+  'pause',
+];
+
+/** Time between two of these, and for how long instances pause. */
+const MOVE_INTERVAL_MS = {min: 700, max: 2_500};
+const MOVE_PAUSE_MS = {min: 500, max: 2_000};
+
 /** Probability that a fault is injected two or three times in succession. */
 const REPEAT_PROBABILITY = 0.3;
 const REPEAT_INTERVAL_MS = 300;
@@ -244,6 +268,24 @@
   target: 0,
 });
 
+/** Draws a time in which most answers break off while callers move. */
+export const drawRepeatFaults = (
+  random: () => number,
+  durationMs: number,
+): readonly Fault[] => {
+  const calmMs = drawBetween(random, CALM_MS);
+  const forMs = durationMs - calmMs;
+  const moves = drawSeries(random, forMs, {
+    kinds: MOVE_KINDS,
+    intervalMs: MOVE_INTERVAL_MS,
+    forMs: MOVE_PAUSE_MS,
+  });
+  return [
+    {kind: 'upstreams_break_off', atMs: calmMs, forMs, target: 0},
+    ...moves.map(fault => ({...fault, atMs: calmMs + fault.atMs})),
+  ];
+};
+
 /** Draws faults for a run of `durationMs`, ordered by start. */
 export const drawFaults = (
   random: () => number,
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -8,6 +8,7 @@
 import * as checkLeft from './check-left.js';
 import * as checkLinks from './check-links.js';
 import * as checkNotices from './check-notices.js';
+import * as checkRepeats from './check-repeats.js';
 import * as checkWholeAnswers from './check-whole-answers.js';
 
 /** Kinds of request, named after their routes. */
@@ -67,6 +68,7 @@
   readonly fatalPart: checkFatalParts.FatalPartRecord;
   readonly cold: checkCold.ColdRecord;
   readonly left: checkLeft.LeftRecord;
+  readonly repeats: checkRepeats.RepeatRecord;
   /** Undefined where other faults than kills may lose answers. */
   readonly whole: checkWholeAnswers.WholeAnswerRecord | undefined;
   /** Time from which requests count for recovery; faults ended before. */
@@ -241,6 +243,7 @@
     ),
     ...checkCold.findFloods(record.cold),
     ...checkLeft.findWorkForNobody(record.left),
+    ...checkRepeats.findRepeatExcess(record.repeats),
     ...checkRecovery(record),
     ...(record.whole
       ? checkWholeAnswers.findLostAnswers(record.whole, record.callers)
--- a/packages/soak/src/load-generator.ts
+++ b/packages/soak/src/load-generator.ts
@@ -11,6 +11,8 @@
   readonly keys: readonly string[];
   readonly random: () => number;
   readonly now: () => number;
+  /** Kinds of request; all by default. */
+  readonly kinds?: readonly invariants.RequestKind[];
   /** Whether the next stream has the part that ends upstreams. */
   readonly drawIsFatal: () => boolean;
 }
@@ -77,8 +79,8 @@
   }
 
   private send(agent: http.Agent): Promise<invariants.CallerRecord> {
-    const {addresses, keys, now} = this.options;
-    const kind = this.draw(KINDS);
+    const {addresses, keys, kinds = KINDS, now} = this.options;
+    const kind = this.draw(kinds);
     const key = this.draw(keys);
     const id = `r-${++this.lastId}`;
     const instance = this.draw(addresses);
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -18,6 +18,7 @@
     --cold         inject only upstreams that are away and back cold
     --kills        inject only upstreams that are killed while they answer
     --leaving      inject only pauses in which callers write and leave
+    --repeats      inject only broken answers while callers move
 
   Exit codes
     0 no invariant was violated; 1 some were, their logs are kept
@@ -34,6 +35,7 @@
   cold: {type: 'boolean', default: false},
   kills: {type: 'boolean', default: false},
   leaving: {type: 'boolean', default: false},
+  repeats: {type: 'boolean', default: false},
 } as const;
 
 const MS_PER_MINUTE = 60_000;
@@ -41,8 +43,14 @@
 /** Period in which faults start, in milliseconds. */
 const DURATION_MS = 8_000;
 
+/** The same with `--repeats`: half of it passes without faults. */
+const REPEATS_DURATION_MS = 20_000;
+
 const UPSTREAMS = 3;
 
+/** The same with `--repeats`: a request is sent to another one each time. */
+const REPEATS_UPSTREAMS = 8;
+
 const print = (result: runSoak.SoakResult): void => {
   const {seed, requests, served, faults, violations, folder} = result;
   process.stdout.write(
@@ -64,7 +72,11 @@
   readonly cold: boolean;
   readonly kills: boolean;
   readonly leaving: boolean;
+  readonly repeats: boolean;
 }): runSoak.SoakOptions['only'] => {
+  if (flags.repeats) {
+    return 'repeats';
+  }
   if (flags.leaving) {
     return 'leaving_callers';
   }
@@ -93,8 +105,8 @@
       const result = await runSoak.runSoak({
         seed: next++,
         instances,
-        upstreams: UPSTREAMS,
-        durationMs: DURATION_MS,
+        upstreams: flags.repeats ? REPEATS_UPSTREAMS : UPSTREAMS,
+        durationMs: flags.repeats ? REPEATS_DURATION_MS : DURATION_MS,
         only: findOnly(flags),
       });
       print(result);
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -32,7 +32,13 @@
   readonly durationMs: number;
   /** The only faults, so that no others excuse an instance; all by default. */
   readonly only?:
-    'links' | 'fatal_part' | 'cold' | 'kills' | 'leaving_callers' | undefined;
+    | 'links'
+    | 'fatal_part'
+    | 'cold'
+    | 'kills'
+    | 'leaving_callers'
+    | 'repeats'
+    | undefined;
 }
 
 /** Result of one run. */
@@ -149,6 +155,12 @@
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'amaranthknot-soak-'));
   }
 
+  private get retryLimit(): documents.RetryLimit {
+    return this.options.only === 'repeats'
+      ? documents.LOW_RETRY_LIMIT
+      : documents.RETRY_LIMIT;
+  }
+
   async run(): Promise<SoakResult> {
     const {seed} = this.options;
     const faults = this.drawFaults();
@@ -197,6 +209,7 @@
         },
         cold: {arrivals: this.arrivals, returns: this.coldFaults.returns},
         left: {callers: this.leaveFaults.left, arrivals: this.arrivals},
+        repeats: {arrivals: this.arrivals, limit: this.retryLimit},
         whole:
           this.options.only === 'kills'
             ? {answers: this.whole, kills: this.killFaults.kills}
@@ -260,7 +273,14 @@
         fakes.createRandom(seed + LEAVE_SEED_OFFSET),
         durationMs,
       );
+    const repeats = () =>
+      faultPlan.drawRepeatFaults(
+        fakes.createRandom(seed + REPEAT_SEED_OFFSET),
+        durationMs,
+      );
     switch (only) {
+      case 'repeats':
+        return repeats();
       case 'leaving_callers':
         return leavingCallers();
       case 'kills':
@@ -301,6 +321,7 @@
       random: this.random,
       now: () => this.clock.now(),
       drawIsFatal: () => this.crashFaults.drawIsFatal(),
+      ...(this.options.only === 'repeats' ? {kinds: REPEATABLE_KINDS} : {}),
     });
     this.load.start();
   }
@@ -412,7 +433,13 @@
       const file = path.join(this.folder, `${id}.toml`);
       fs.writeFileSync(
         file,
-        documents.formatSettings(id, listen, storeProxy.address, seeds),
+        documents.formatSettings(
+          id,
+          listen,
+          storeProxy.address,
+          seeds,
+          this.retryLimit,
+        ),
       );
       const log = path.join(this.folder, `${id}.log`);
       const process = new gatewayProcess.GatewayProcess(id, file, log);
@@ -551,6 +578,18 @@
         return this.killUpstream(upstream, 'replace');
       case 'callers_leave_pause':
         return this.leaveFaults.pause(instance, forMs);
+      case 'upstreams_break_off':
+        for (const {state} of this.upstreams) {
+          state.breaksOffUntilMs = this.clock.now() + forMs;
+        }
+        return this.clock.sleep(forMs);
+      case 'instances_killed_in_turn':
+        return this.signalInTurn('SIGKILL');
+      case 'instances_stopped_in_turn':
+        return this.signalInTurn('SIGTERM');
+      case 'half_of_instances_killed':
+        this.killHalf(target);
+        return;
       case 'configuration_change':
         return this.changeConfiguration(this.keys);
       case 'key_revoked':
@@ -558,6 +597,23 @@
     }
   }
 
+  /** Sends a signal to one instance after the other. */
+  private async signalInTurn(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    for (const {process} of this.instances) {
+      process.signal(signal);
+      await this.clock.sleep(TURN_MS);
+    }
+  }
+
+  /** Kills every other instance, beginning with the first or the second. */
+  private killHalf(target: number): void {
+    this.instances
+      .filter((_, index) => index % 2 === target % 2)
+      .forEach(({process}) => {
+        process.signal('SIGKILL');
+      });
+  }
+
   private async disruptProxy(
     proxy: fakes.LoopbackProxy,
     mode: fakes.ProxyMode,
@@ -689,12 +745,21 @@
 /** Added to the seed for the pauses in which callers leave. */
 const LEAVE_SEED_OFFSET = 5_000_000;
 
+/** Added to the seed for callers that move while answers break off. */
+const REPEAT_SEED_OFFSET = 6_000_000;
+
 /** Last number of the IP address from which the first instance calls upstreams. */
 const FIRST_SOURCE = 10;
 
 /** Time for which an upstream that pauses answers nothing, in milliseconds. */
 const PAUSE_MS = 1_000;
 
+/** Kinds of request that may be sent again. */
+const REPEATABLE_KINDS: readonly invariants.RequestKind[] = ['read', 'stream'];
+
+/** Time between the signals to two instances, in milliseconds. */
+const TURN_MS = 600;
+
 /** Time that an instance takes at most to serve again, in milliseconds. */
 const RESTART_MS = 4_000;
 
--- a/packages/soak/src/soak-documents.ts
+++ b/packages/soak/src/soak-documents.ts
@@ -21,6 +21,28 @@
 export const COLD_MOST_PER_S =
   COLD_PER_S * COLD_LIMIT.overrun + COLD_LIMIT.slack;
 
+/** Repeats of all instances that are allowed within a window. */
+export interface RetryLimit {
+  /** For each request. */
+  readonly ratio: number;
+  /** In addition. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+export const RETRY_LIMIT: RetryLimit = {
+  ratio: 0.9,
+  slack: 50,
+  windowMs: 10_000,
+};
+
+/** Fewer than callers want while most answers break off. */
+export const LOW_RETRY_LIMIT: RetryLimit = {
+  ratio: 0.25,
+  slack: 10,
+  windowMs: 10_000,
+};
+
 /** Requests that an upstream says it processes at a time. */
 export const UPSTREAM_SLOTS = 2;
 
@@ -104,6 +126,7 @@
   listen: InstanceAddresses,
   store: string,
   seeds: readonly string[],
+  retry: RetryLimit,
 ): string => `
 seeds = ${JSON.stringify(seeds)}
 source_address = "${listen.source}"
@@ -132,9 +155,9 @@
 stop_grace_s = ${SOAK_BOUNDS.stopGraceS}
 stability_ms = ${SOAK_BOUNDS.stabilityMs}
 [retry]
-ratio = 0.9
-slack = 50
-window_s = 10
+ratio = ${retry.ratio}
+slack = ${retry.slack}
+window_s = ${retry.windowMs / 1_000}
 [exposure]
 share = 0.15
 slack = 30
--- a/packages/soak/src/soak-upstream.ts
+++ b/packages/soak/src/soak-upstream.ts
@@ -34,6 +34,9 @@
 const ANSWER_LOST_FRACTION = 0.03;
 const CUT_FRACTION = 0.03;
 
+/** Fraction of the answers that are broken off while it breaks off most. */
+const MOST_BROKEN_FRACTION = 0.97;
+
 /** Fraction of the answers that have neither a length nor chunks. */
 const UNFRAMED_FRACTION = 0.2;
 
@@ -55,6 +58,7 @@
   isLeaving: false,
   coldUntilMs: -Infinity,
   pausedUntilMs: -Infinity,
+  breaksOffUntilMs: -Infinity,
   fragileSinceMs: undefined,
   downUntilMs: -Infinity,
   inProgress: 0,
@@ -109,6 +113,8 @@
   coldUntilMs: number;
   /** Until then it answers nothing, and then goes on. */
   pausedUntilMs: number;
+  /** Until then it breaks off most answers. */
+  breaksOffUntilMs: number;
   /** Since when it has said how many refusals it bears; undefined if not. */
   fragileSinceMs: number | undefined;
   /** Until then it is down, as it refused too much. */
@@ -212,7 +218,9 @@
       state.inProgress--;
     };
     const isLost = random() < ANSWER_LOST_FRACTION;
-    const isCut = random() < CUT_FRACTION;
+    const cutFraction =
+      now() < state.breaksOffUntilMs ? MOST_BROKEN_FRACTION : CUT_FRACTION;
+    const isCut = random() < cutFraction;
     const isUnframed = random() < UNFRAMED_FRACTION;
     setTimeout(() => {
       if (isLost) {
--- a/packages/soak/tests/held-instances.test.ts
+++ b/packages/soak/tests/held-instances.test.ts
@@ -83,7 +83,13 @@
     const {address} = this.storeServer;
     fs.writeFileSync(
       file,
-      documents.formatSettings('held', listen, address, []),
+      documents.formatSettings(
+        'held',
+        listen,
+        address,
+        [],
+        documents.RETRY_LIMIT,
+      ),
     );
     this.process = new gatewayProcess.GatewayProcess(
       'held',
--- a/packages/soak/tests/invariants.test.ts
+++ b/packages/soak/tests/invariants.test.ts
@@ -1,5 +1,6 @@
 import * as chai from 'chai';
 import * as invariants from '../src/invariants.js';
+import * as documents from '../src/soak-documents.js';
 
 /** Records of one served request and its runs; no violation by default. */
 const createRecord = (
@@ -45,6 +46,7 @@
     fatalPart: {arrivals: [], endsMs: [], disruptions: []},
     cold: {arrivals: [], returns: []},
     left: {callers: [], arrivals: []},
+    repeats: {arrivals: [], limit: documents.RETRY_LIMIT},
     whole: undefined,
     bounds: {revocationMs: 3_000, leavingMs: 2_000, stabilityMs: 3_000},
   };
--- a/packages/soak/tests/run-soak.test.ts
+++ b/packages/soak/tests/run-soak.test.ts
@@ -44,4 +44,21 @@
     chai.expect(result.faults.length).above(0);
     chai.expect(violations).eql([]);
   });
+
+  it('sends no more again than all instances may while callers move', async () => {
+    // Guards against budgets that each instance keeps, and their sum does not.
+    const result = await soak.runSoak({
+      seed: 1,
+      instances: 6,
+      upstreams: 8,
+      durationMs: 20_000,
+      only: 'repeats',
+    });
+    const violations = result.violations.filter(
+      ({invariant}) =>
+        invariant === 'all instances together repeat no more than is allowed',
+    );
+    chai.expect(result.faults.length).above(1);
+    chai.expect(violations).eql([]);
+  });
 });
