--- a/packages/amaranthknot/tests/gateway/repeat-sums.test.ts
+++ b/packages/amaranthknot/tests/gateway/repeat-sums.test.ts
@@ -115,14 +115,100 @@
   },
 ];
 
-/** Seeds of drawn loads, by the number of instances; more are run by hand. */
-const DRAWN: readonly {readonly instances: number; readonly seeds: number}[] = [
-  {instances: 7, seeds: 10},
-  {instances: 24, seeds: 2},
+const allOf = (instances: number): readonly number[] =>
+  Array.from({length: instances}, (_, index) => index);
+
+const chooseHalfUntil = (
+  instances: number,
+  untilMs: number,
+): repeatLoad.ChooseInstance =>
+  repeatLoad.chooseAmong(atMs =>
+    allOf(instances).filter(index => index < instances / 2 === atMs < untilMs),
+  );
+
+const chooseThirds = (
+  instances: number,
+  stayMs: number,
+): repeatLoad.ChooseInstance =>
+  repeatLoad.chooseAmong(atMs =>
+    allOf(instances).filter(
+      index => index % 3 === Math.floor(atMs / stayMs) % 3,
+    ),
+  );
+
+const cutOff = (
+  indexes: readonly number[],
+  fromMs: number,
+  toMs: number,
+): readonly repeatLoad.FleetEvent[] => [
+  {
+    atMs: fromMs,
+    apply: ({isolate}) => {
+      indexes.forEach(index => {
+        isolate(`instance-${index}`);
+      });
+    },
+  },
+  {
+    atMs: toMs,
+    apply: ({heal}) => {
+      heal();
+    },
+  },
+];
+
+/** Cases with other fleets, or in which what is known is lost at the worst time. */
+const LOST_KNOWLEDGE_CASES: readonly MoveCase[] = [
+  {
+    name: 'all are killed three seconds after the onset, and again',
+    load: {events: [23_000, 27_000].flatMap(restartAll)},
+  },
+  {
+    name: 'half are cut off, and the callers move to the others',
+    load: {
+      choose: chooseHalfUntil(INSTANCES, 23_000),
+      events: cutOff([0, 1, 2], 19_000, 29_000),
+    },
+  },
+  {
+    name: 'one of six is cut off before the onset',
+    load: {events: cutOff([5], 19_000, 28_000)},
+  },
+  {
+    name: 'callers of 24 instances move to the other half',
+    load: {instances: 24, choose: chooseHalfUntil(24, 25_000)},
+  },
+  {
+    name: 'callers of 24 instances with ten requests a second each',
+    load: {
+      instances: 24,
+      perSecond: 240,
+      choose: chooseHalfUntil(24, 23_000),
+    },
+  },
+  {
+    name: 'callers of 60 instances move between thirds',
+    load: {instances: 60, perSecond: 120, choose: chooseThirds(60, 2_000)},
+  },
+];
+
+interface DrawnCase {
+  readonly instances: number;
+  /** Factor on the drawn rate, 2 to 12 requests a second an instance. */
+  readonly rateFactor: number;
+  readonly seeds: number;
+}
+
+/** Drawn loads and their seeds; more are run by hand with `REPEAT_SEEDS`. */
+const DRAWN: readonly DrawnCase[] = [
+  {instances: 7, rateFactor: 1, seeds: 10},
+  {instances: 24, rateFactor: 1, seeds: 2},
+  {instances: 24, rateFactor: 1 / 6, seeds: 2},
+  {instances: 90, rateFactor: 1 / 6, seeds: 1},
 ];
 
 describe('repeats of all instances while most answers break off', () => {
-  CASES.forEach(({name, load}) => {
+  [...CASES, ...LOST_KNOWLEDGE_CASES].forEach(({name, load}) => {
     it(`stay within what a window allows: ${name}`, async () => {
       // Guards against budgets that each instance keeps, and their sum does not.
       const {worst} = await repeatLoad.playRepeatLoad({
@@ -136,14 +222,17 @@
     });
   });
 
-  DRAWN.forEach(({instances, seeds}) => {
+  DRAWN.forEach(({instances, rateFactor, seeds}) => {
     const count = Number(process.env['REPEAT_SEEDS'] ?? seeds);
-    it(`stay within it in drawn loads of ${instances} instances`, async () => {
+    const rate = rateFactor === 1 ? '' : ' with few requests';
+    it(`stay within it in drawn loads of ${instances} instances${rate}`, async () => {
       // Guards against moves, restarts and cuts that nobody thought of.
       for (let seed = 1; seed <= count; seed++) {
-        const {worst} = await repeatLoad.playRepeatLoad(
-          drawnRepeatLoad.drawRepeatLoad(seed, instances),
-        );
+        const load = drawnRepeatLoad.drawRepeatLoad(seed, instances);
+        const {worst} = await repeatLoad.playRepeatLoad({
+          ...load,
+          perSecond: rateFactor * load.perSecond,
+        });
         const description = `seed ${seed}: ${JSON.stringify(worst)}`;
         chai.expect(worst.repeats, description).most(worst.allowed);
       }
