Divide the slack of repeats among parts of a fleet that do not hear of each other

What all leave unused held the whole slack on each side of a cut, so that each part of a divided fleet could use it once. It now holds as much of it as the part's instances are of all, silent ones included, which count for 30 s.

--- a/packages/amaranthknot/src/gateway/repeat-slack.ts
+++ b/packages/amaranthknot/src/gateway/repeat-slack.ts
@@ -12,16 +12,21 @@
  * Each has at least what lets it repeat the first request after a pause. One
  * that has just started has no more: it may not know all others. Call it
  * periodically: the number of instances changes.
+ *
+ * Instances that hear of each other have as large a part of the total as they
+ * are of all: those that are silent may have the rest among themselves.
  */
 export const updateRepeatSlack = (
   get: gatewayComponents.GatewayResolver,
 ): void => {
-  const {ratio, slack} = get('options').settings.current.bounds.retry;
+  const {clock, settings} = get('options');
+  const {ratio, slack} = settings.current.bounds.retry;
   const leastSlack = Math.max(0, 1 - REPEAT_BUDGET_FRACTION * ratio);
   const count = get('knownFleet').sharers?.length ?? Infinity;
-  const total = REPEAT_BUDGET_FRACTION * slack;
+  const liveCount = get('members').live(clock.now()).length;
+  const share = (REPEAT_BUDGET_FRACTION * slack) / count;
   get('repeatBudget').setSlack({
-    total,
-    share: Math.max(leastSlack, total / count),
+    total: liveCount * share,
+    share: Math.max(leastSlack, share),
   });
 };
--- a/packages/amaranthknot/tests/gateway/repeat-sums.test.ts
+++ b/packages/amaranthknot/tests/gateway/repeat-sums.test.ts
@@ -157,6 +157,32 @@
   },
 ];
 
+/** Four parts of a fleet that don't hear of each other. */
+const divide = (
+  instances: number,
+  fromMs: number,
+  toMs: number,
+): readonly repeatLoad.FleetEvent[] => [
+  {
+    atMs: fromMs,
+    apply: ({separate}) => {
+      separate(
+        [0, 1, 2].map(part =>
+          allOf(instances)
+            .filter(index => index % 4 === part)
+            .map(index => `instance-${index}`),
+        ),
+      );
+    },
+  },
+  {
+    atMs: toMs,
+    apply: ({heal}) => {
+      heal();
+    },
+  },
+];
+
 /** Cases with other fleets, or in which what is known is lost at the worst time. */
 const LOST_KNOWLEDGE_CASES: readonly MoveCase[] = [
   {
@@ -174,6 +200,15 @@
     name: 'one of six is cut off before the onset',
     load: {events: cutOff([5], 19_000, 28_000)},
   },
+  {
+    name: 'four parts with few requests do not hear of each other',
+    load: {
+      instances: 8,
+      perSecond: 12,
+      brokenFraction: () => 0.95,
+      events: divide(8, 8_000, 38_000),
+    },
+  },
   {
     name: 'callers of 24 instances move to the other half',
     load: {instances: 24, choose: chooseHalfUntil(24, 25_000)},
--- a/packages/experiment/src/virtual-fleet.ts
+++ b/packages/experiment/src/virtual-fleet.ts
@@ -48,6 +48,11 @@
   readonly isolate: (id: string) => void;
   /** Ends all isolation. */
   readonly heal: () => void;
+  /**
+   * Divides the fleet into parts that don't reach each other, but the store:
+   * one for each list, and one for all that are in none.
+   */
+  readonly separate: (parts: readonly (readonly string[])[]) => void;
   /** Starts a stopped instance again. */
   readonly restart: (id: string) => void;
   /** Sets the fault of all calls to the store from now on. */
@@ -137,12 +142,15 @@
   const running = new Map<string, RunningInstance>();
   const poweredOff = new Set<string>();
   const isolated = new Set<string>();
+  /** Parts of a divided fleet, by host. */
+  const parts = new Map<string, number>();
   const network = createNetwork({
     clock,
     running,
     linkDelayMs: options.linkDelayMs ?? (() => LINK_DELAY_MS),
     findReachability: host =>
       poweredOff.has(host) || isolated.has(host) ? 'silent' : 'reached',
+    isSeparated: (a, b) => parts.get(a) !== parts.get(b),
   });
   const manifestCreated = store.create(
     platform.STORE_KINDS.configuration,
@@ -208,6 +216,12 @@
     },
     heal: () => {
       isolated.clear();
+      parts.clear();
+    },
+    separate: lists => {
+      lists.forEach((ids, part) => {
+        ids.forEach(id => parts.set(hostOf(indexOf(id)), part));
+      });
     },
     restart: id => {
       poweredOff.delete(hostOf(indexOf(id)));
@@ -254,6 +268,7 @@
   readonly running: ReadonlyMap<string, RunningInstance>;
   readonly linkDelayMs: () => number;
   readonly findReachability: (host: string) => 'reached' | 'silent';
+  readonly isSeparated: (host: string, other: string) => boolean;
 }
 
 /** Carries messages between running instances. */
@@ -262,6 +277,7 @@
   running,
   linkDelayMs,
   findReachability,
+  isSeparated,
 }: NetworkOptions): {
   readonly transportOf: (host: string) => protocol.HttpTransport;
   readonly sentBytes: () => number;
@@ -279,7 +295,8 @@
     const peer = running.get(host);
     if (
       findReachability(from) === 'silent' ||
-      findReachability(host) === 'silent'
+      findReachability(host) === 'silent' ||
+      isSeparated(from, host)
     ) {
       await clock.sleep(timeoutMs);
       return purify.Left({code: 'unknown', message: 'no answer'});
