--- a/review/stand-ins-2/case-6.ts
+++ b/review/stand-ins-2/case-6.ts
@@ -1,20 +1,21 @@
 /**
- * Case 6: one of four runners of a service answers some swaps with bytes that
- * are no answer, in chunks of one byte, without end. The stand-in for the
- * platform kills a process that uses more memory than it may. Drafts that sound
- * engines run are judged: their callers use kept channels.
+ * Case 6: one of four runners of a service refuses some swaps, truthfully, with
+ * answers whose body has no end. Swaps are judged, which three sound runners
+ * could serve.
  */
 import * as deployment from './deployment.js';
+import * as judgeSwaps from './judge-swaps.js';
 import * as runCase from './run-case.js';
 
-const ENGINES = 4;
+const ENGINES = 2;
 const CORES = 4;
 
+/** Refusals without end; the bytes a second are those of one machine's link. */
 const HARM = {
   path: '/swap/',
-  head: 'success',
+  head: 'refusal',
   afterMs: 0,
-  answers: 40,
+  answers: 25,
   chunkBytes: 1,
   bytesPerS: 12_000_000,
 };
@@ -22,19 +23,13 @@
 /** Time for which the deployment runs before the load, in milliseconds. */
 const SETTLE_MS = 3_500;
 
-/** Time for which only drafts are sent: their channels are kept then. */
-const WARM_UP_MS = 6_000;
-
 const LOAD_MS = 20_000;
 
-/** `KILL=0` shows how much memory is used if nothing ends the process. */
-const KILLS = process.env['KILL'] !== '0';
-
-/** Interval at which the platform reads the memory of its processes, in ms. */
-const MEMORY_CHECK_MS = 20;
+/** Time between two swaps: one machine has the swaps of the whole small site. */
+const SWAP_INTERVAL_MS = 80;
 
-/** Answers that may be lost on kept channels. */
-const MAX_LOST = 3;
+/** Time from which swaps are judged: the runner has refused some. */
+const JUDGED_FROM_MS = 4_000;
 
 runCase.runCase(async (system, hasTrouble) => {
   await system.startStore();
@@ -48,39 +43,21 @@
   if (!(await system.startGateway())) {
     return undefined;
   }
-  let peakMb = 0;
-  let killedAtMb: number | undefined;
-  const memoryTimer = setInterval(() => {
-    const mb = Math.round(system.readGatewayMb());
-    peakMb = Math.max(peakMb, mb);
-    if (mb > deployment.MEMORY_MB && killedAtMb === undefined) {
-      system.record({event: 'over_memory', mb});
-      killedAtMb = KILLS ? mb : undefined;
-      system.gateway?.kill(KILLS ? 'SIGKILL' : 'SIGCONT');
-    }
-  }, MEMORY_CHECK_MS);
   await deployment.sleep(SETTLE_MS);
-  const stopDrafts = system.sendEvery(200, '/draft/', 25_000);
-  await deployment.sleep(WARM_UP_MS);
   const beganAtMs = performance.now();
-  const stopSwaps = system.sendEvery(50, '/swap/', 1_000);
-  while (performance.now() < beganAtMs + LOAD_MS && killedAtMb === undefined) {
-    await deployment.sleep(50);
-  }
-  stopDrafts();
+  const stopSwaps = system.sendEvery(
+    SWAP_INTERVAL_MS,
+    '/swap/',
+    judgeSwaps.SWAP_BUDGET_MS,
+    'new',
+  );
+  await deployment.sleep(LOAD_MS);
   stopSwaps();
-  await deployment.sleep(4_000);
-  clearInterval(memoryTimer);
-  // Their engines are sound, and each had begun to answer.
-  const lost = system.sent.filter(
-    ({target, isOnKeptChannel, status, isComplete, tookMs, error}) =>
-      target.startsWith('/draft/') &&
-      isOnKeptChannel &&
-      status === 200 &&
-      tookMs !== undefined &&
-      !isComplete &&
-      error !== 'time budget',
-  ).length;
-  const isBroken = killedAtMb !== undefined && lost > MAX_LOST;
-  return {isBroken, details: {peakMb, killedAtMb, lost}};
+  await deployment.sleep(judgeSwaps.SWAP_BUDGET_MS + 200);
+  const {isBroken, ...counts} = judgeSwaps.judgeSwaps(
+    system.sent,
+    beganAtMs + JUDGED_FROM_MS,
+    beganAtMs + LOAD_MS,
+  );
+  return {isBroken, details: counts};
 });
--- a/review/stand-ins-2/deployment.ts
+++ b/review/stand-ins-2/deployment.ts
@@ -79,7 +79,7 @@
   readonly id: string;
   readonly service: string;
   readonly port: number;
-  process: childProcess.ChildProcess;
+  readonly process: childProcess.ChildProcess;
 }
 
 /** One request of a caller, and its answer as far as it has come. */
@@ -142,23 +142,31 @@
   ): Promise<Runner> {
     const port = await drawFreePort.drawFreePort();
     const child = await this.spawnRunner(id, port, behaviour);
-    await this.store.store.create('servers', id, createEntry(service, port));
-    return {id, service, port, process: child};
+    const runner = {id, service, port, process: child};
+    await this.register(runner);
+    return runner;
   }
 
-  /** Starts a runner again under its id and address; it isn't registered yet. */
-  async restartRunner(runner: Runner, behaviour: object): Promise<void> {
-    const {id, port} = runner;
-    runner.process = await this.spawnRunner(id, port, behaviour);
+  /** Starts a runner at the address of one that ended; it isn't registered. */
+  async startSuccessor(
+    {service, port}: Runner,
+    id: string,
+    behaviour: object,
+  ): Promise<Runner> {
+    const child = await this.spawnRunner(id, port, behaviour);
+    return {id, service, port, process: child};
   }
 
-  /** Writes the entry of the runner's newest start. */
-  async registerAgain({id, service, port}: Runner): Promise<void> {
-    const known = await this.store.store.get('servers', id);
-    const {version} = known.unsafeCoerce();
+  /** Writes a runner's first entry, or that of a new start under its id. */
+  async register({id, service, port}: Runner): Promise<void> {
+    const {store} = this.store;
     const entry = createEntry(service, port);
-    await this.store.store.update('servers', id, entry, version);
-    this.record({event: 'registered_again', id});
+    const known = await store.get('servers', id);
+    await known.caseOf({
+      Left: () => store.create('servers', id, entry),
+      Right: ({version}) => store.update('servers', id, entry, version),
+    });
+    this.record({event: 'registered', id});
   }
 
   /** Starts the gateway; resolves to whether it says that it is ready. */
--- a/review/stand-ins-2/runner.ts
+++ b/review/stand-ins-2/runner.ts
@@ -15,6 +15,8 @@
 interface Behaviour {
   /** Streams have neither a length nor chunks and end with their channel. */
   readonly unframed?: boolean;
+  /** Time by which each answer is late in the first seconds, in milliseconds. */
+  readonly slowMs?: number;
   /** How the body of a harmed answer goes on without end. */
   readonly harm?: Harm;
 }
@@ -45,8 +47,11 @@
 /** Bytes of a plain answer, as the sheet of the small site has them. */
 const PLAIN_BYTES = 800;
 
+/** Time for which a runner that has just started is slow, in milliseconds. */
+const SLOW_FOR_MS = 3_000;
+
 /** Bytes that are written at a time to an answer without end. */
-const WRITE_BYTES = 32 * 1024;
+const WRITE_BYTES = 256 * 1024;
 
 const [id = '', portText = '', behaviourText = '{}'] = process.argv.slice(2);
 const behaviour = JSON.parse(behaviourText) as Behaviour;
@@ -198,13 +203,18 @@
   }
 };
 
+const findDelayMs = (): number =>
+  performance.now() - startedAtMs < SLOW_FOR_MS ? (behaviour.slowMs ?? 0) : 0;
+
 const server = net.createServer(socket => {
   const parser = new requestParser.RequestParser();
   // A channel that its caller resets is dropped.
   socket.on('error', () => undefined);
   socket.on('data', bytes => {
     parser.push(bytes).forEach(request => {
-      answer(socket, request);
+      setTimeout(() => {
+        answer(socket, request);
+      }, findDelayMs());
     });
   });
 });
