Hold bodies that come in more pieces than an instance can afford

Cause: the parser hands over each chunk by itself, some 11,000 of one read where they have one byte. Each was kept as an object of some hundred bytes and counted as one, and each cost a turn through the readers of the body; nothing bounded how much of the process that took.

One mechanism for all bodies, of answers, callers and other instances: - pieces of one turn are gathered before a reader gets them (gather-body.ts), and what is kept until the end of a body is copied into blocks (byte-blocks.ts), so that what is held is what is counted; - small pieces and events are counted as work (read-pace.ts).

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -48,6 +48,7 @@
 export * from './prefill-backlog.js';
 export * from './prefill-priority.js';
 export * from './read-lateness.js';
+export * from './read-pace.js';
 export * from './rendezvous.js';
 export * from './repeat-allowance.js';
 export * from './repeat-budget.js';
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as ports from '@amaranthknot/ports';
 import * as apiError from './api-error.js';
 
 /** Limits on the head of a request. */
@@ -96,6 +97,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
+    ports.gatherRequest(request);
     const {socket} = request;
     this.activeRequests.set(socket, request);
     response.once('close', () => {
--- a/packages/gateway/src/auxiliary-server.ts
+++ b/packages/gateway/src/auxiliary-server.ts
@@ -9,6 +9,7 @@
 import * as http from 'node:http';
 import * as zlib from 'node:zlib';
 import * as protocol from '@amaranthknot/protocol';
+import * as ports from '@amaranthknot/ports';
 import type * as configuration from '@amaranthknot/configuration';
 import * as arrivalWaits from './arrival-waits.js';
 import type * as callerServer from './caller-server.js';
@@ -193,6 +194,7 @@
   let isStopping = false;
   const options = {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0};
   const server = http.createServer(options, (request, response) => {
+    ports.gatherRequest(request);
     if (!connections.begin(request, response)) {
       return;
     }
@@ -276,20 +278,20 @@
   request: http.IncomingMessage,
 ): Promise<Buffer | undefined> =>
   new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const bytes = new ports.ByteBlocks();
+    let isTooLong = false;
     request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAX_MESSAGE_BYTES) {
+      isTooLong ||= bytes.length + chunk.length > MAX_MESSAGE_BYTES;
+      if (isTooLong) {
         // The rest is discarded: unread, it would reset the answer away.
-        chunks.length = 0;
+        bytes.clear();
         resolve(undefined);
         return;
       }
-      chunks.push(chunk);
+      bytes.add(chunk);
     });
     request.once('end', () => {
-      resolve(Buffer.concat(chunks, size));
+      resolve(bytes.concat());
     });
     request.once('close', () => {
       resolve(undefined);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers. */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as ports from '@amaranthknot/ports';
 import type * as configuration from '@amaranthknot/configuration';
 import type * as routing from '@amaranthknot/routing';
 import * as arrivalWaits from './arrival-waits.js';
@@ -74,6 +75,7 @@
         keepAliveTimeout: 60_000,
       },
       (message, response) => {
+        ports.gatherRequest(message);
         if (this.connections.begin(message, response)) {
           const waitedMs = this.waits.findWaitMs(message.socket);
           void handle(message, response, waitedMs);
--- a/packages/gateway/src/event-relay.ts
+++ b/packages/gateway/src/event-relay.ts
@@ -4,6 +4,7 @@
  */
 import type * as stream from 'node:stream';
 import type * as decisions from '@amaranthknot/decisions';
+import * as ports from '@amaranthknot/ports';
 import type * as answerEnds from './answer-ends.js';
 import type * as callerAnswer from './caller-answer.js';
 import * as eventSplitter from './event-splitter.js';
@@ -97,10 +98,15 @@
         watchdog.reset();
         bytes += chunk.length;
         // Nothing after a gap is relayed, not even the end of the stream.
-        isInOrder &&= splitter.push(chunk).every(event => {
-          placed.recordEvent();
-          return this.forward(event);
-        });
+        if (isInOrder) {
+          const events = splitter.push(chunk);
+          // An empty event costs as much as one of some tokens.
+          ports.countPieces(body, events.length);
+          events.forEach(() => {
+            placed.recordEvent();
+          });
+          isInOrder = this.forward(events);
+        }
         if (!isInOrder || splitter.isOverlong) {
           abort();
         } else if (this.caller.isBehind) {
@@ -154,19 +160,34 @@
   }
 
   /**
-   * Relays one event; false if its number does not follow the previous one. A
-   * gap or a repeat would reach the caller in a stream that looks complete.
+   * Relays events up to the first whose number does not follow the previous one;
+   * false if there is one. A gap or a repeat would reach the caller in a stream
+   * that looks complete.
    */
-  private forward({id, bytes}: eventSplitter.StreamEvent): boolean {
-    if (id !== undefined) {
-      const previous = this.lastId ?? Number(this.initialLastEventId ?? 0);
-      if (id !== previous + 1) {
-        return false;
-      }
-      this.lastId = id;
+  private forward(events: readonly eventSplitter.StreamEvent[]): boolean {
+    const gapAt = events.findIndex(event => !this.follows(event));
+    const inOrder = gapAt === -1 ? events : events.slice(0, gapAt);
+    const [first] = inOrder;
+    if (first) {
+      this.hasBegun = true;
+      const pieces = inOrder.map(({bytes}) => bytes);
+      this.caller.write(
+        pieces.length === 1 ? first.bytes : Buffer.concat(pieces),
+      );
+    }
+    return gapAt === -1;
+  }
+
+  /** Whether an event follows the last one, which it then is. */
+  private follows({id}: eventSplitter.StreamEvent): boolean {
+    if (id === undefined) {
+      return true;
+    }
+    const previous = this.lastId ?? Number(this.initialLastEventId ?? 0);
+    if (id !== previous + 1) {
+      return false;
     }
-    this.hasBegun = true;
-    this.caller.write(bytes);
+    this.lastId = id;
     return true;
   }
 }
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -1,6 +1,7 @@
 /** Reads an upstream's body to its end. */
 import type * as stream from 'node:stream';
 import type * as decisions from '@amaranthknot/decisions';
+import * as ports from '@amaranthknot/ports';
 import type * as upstreamCall from './upstream-call.js';
 
 /**
@@ -18,12 +19,10 @@
   memory?: decisions.MemoryLease,
 ): Promise<Buffer | undefined> =>
   new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const bytes = new ports.ByteBlocks();
     message.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > MAX_BUFFERED_BYTES) {
+      bytes.add(chunk);
+      if (bytes.length > MAX_BUFFERED_BYTES) {
         message.destroy();
       } else if (memory) {
         pauseUntilGranted(message, memory, chunk.length);
@@ -31,7 +30,7 @@
     });
     message.once('end', () => {
       const isWhole = message.complete && !isBroken();
-      resolve(isWhole ? Buffer.concat(chunks, size) : undefined);
+      resolve(isWhole ? bytes.concat() : undefined);
     });
     message.once('error', () => {
       resolve(undefined);
--- a/packages/gateway/src/read-request-body.ts
+++ b/packages/gateway/src/read-request-body.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http';
 import type * as decisions from '@amaranthknot/decisions';
+import * as ports from '@amaranthknot/ports';
 import type * as notice from './notice.js';
 
 /**
@@ -48,29 +49,27 @@
       resolve('no_memory');
       return;
     }
-    let chunks: Buffer[] = [];
-    let size = 0;
+    const bytes = new ports.ByteBlocks();
     let unsubscribe = (): void => undefined;
     const finish = (outcome: Buffer | UnreadReason) => {
-      chunks = [];
+      bytes.clear();
       message.off('data', read);
-      message.resume();
       unsubscribe();
+      message.resume();
       resolve(outcome);
     };
     const read = (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
+      if (bytes.length + chunk.length > maxBytes) {
         finish('too_large');
       } else if (!memory.takeBody(chunk.length)) {
         finish('no_memory');
       } else {
-        chunks.push(chunk);
+        bytes.add(chunk);
       }
     };
     message.on('data', read);
     message.once('end', () => {
-      finish(Buffer.concat(chunks, size));
+      finish(bytes.concat());
     });
     message.once('error', () => {
       finish('gone');
--- a/packages/ports/src/bound-answer.ts
+++ b/packages/ports/src/bound-answer.ts
@@ -9,6 +9,7 @@
  */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as gatherBody from './gather-body.js';
 
 /**
  * Bytes of an answer that need not be part of its body: several heads of the
@@ -42,7 +43,8 @@
 
 /**
  * Destroys `request` with an `EndlessAnswer` when too many of the bytes that
- * arrive are no part of the answer's body. Call it before the request is sent.
+ * arrive are no part of the answer's body, and gathers and paces the body. Call
+ * it before the request is sent.
  */
 export const boundAnswer = (request: http.ClientRequest): void => {
   let bytes = 0;
@@ -54,6 +56,7 @@
     }
   };
   request.once('response', response => {
+    gatherBody.gatherAnswer(response);
     countBody(response, length => {
       bodyBytes += length;
     });
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,7 +1,9 @@
 /** Ports to the platform and the rating service, with their HTTP adapters. */
 export * from './bound-answer.js';
 export * from './bound-wait.js';
+export * from './byte-blocks.js';
 export * from './clock.js';
+export * from './gather-body.js';
 export * from './http-client.js';
 export * from './http-instance-list.js';
 export * from './http-object-store.js';
--- a/packages/soak/tests/memory-peak.test.ts
+++ b/packages/soak/tests/memory-peak.test.ts
@@ -1,20 +1,11 @@
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as chai from 'chai';
 import * as fakes from '@amaranthknot/fakes';
 import * as ports from '@amaranthknot/ports';
 import * as soak from '@amaranthknot/soak';
-import * as soakDocuments from '../src/soak-documents.js';
+import * as oneProcess from './one-process.js';
 
-const IP = '127.0.0.85';
 const METRICS_PORT = 9_464;
-const KEY = 'key-of-north';
-const MEMORY_MB = 350;
-const BYTES_PER_MB = 1_048_576;
-
-/** Part of the allowed memory that must stay free, for what is not counted. */
-const MARGIN = 0.1;
-const MAX_RESIDENT_BYTES = MEMORY_MB * (1 - MARGIN) * BYTES_PER_MB;
 
 /** Largest body that the manifest allows, but for a margin. */
 const LARGE_BODY = Buffer.alloc(900_000, 'b');
@@ -26,8 +17,7 @@
 
 const WORK_MS = 600;
 
-/** Time that callers give a request, and in which it is broken off after that. */
-const CALLER_TIME_MS = 3_000;
+/** Time in which an answer is broken off after its request's time, in ms. */
 const UNREAD_MS = 4_000;
 
 /** Pause after each piece of an answer that is read slowly, in ms. */
@@ -39,79 +29,6 @@
   }
 };
 
-/** A caller on a connection of its own. */
-interface RawCaller {
-  readonly socket: net.Socket;
-  /** Resolves to the status of the answer; 0 if the connection ended without. */
-  readonly status: Promise<number>;
-}
-
-interface CallerOptions {
-  /** Whether it never reads its answer. */
-  readonly isSlow?: boolean;
-  readonly body?: Buffer;
-  readonly isChunked?: boolean;
-  /** Length that the head declares; that of the body by default. */
-  readonly declaredBytes?: number;
-}
-
-let lastId = 0;
-
-const formatHead = (
-  method: string,
-  path: string,
-  {body, isChunked = false, declaredBytes}: CallerOptions,
-): string =>
-  [
-    `${method} ${path} HTTP/1.1`,
-    'Host: svc.example',
-    `X-Attempt-Id: id-${++lastId}`,
-    `X-Remaining-Milliseconds: ${CALLER_TIME_MS}`,
-    `Api-Key: ${KEY}`,
-    ...(body && isChunked ? ['Transfer-Encoding: chunked'] : []),
-    ...(body && !isChunked
-      ? [`Content-Length: ${declaredBytes ?? body.length}`]
-      : []),
-    '\r\n',
-  ].join('\r\n');
-
-const formatBody = ({body, isChunked = false}: CallerOptions): Buffer => {
-  if (!body || !isChunked) {
-    return body ?? Buffer.alloc(0);
-  }
-  const size = Buffer.from(`${body.length.toString(16)}\r\n`);
-  return Buffer.concat([size, body, Buffer.from('\r\n0\r\n\r\n')]);
-};
-
-const call = (
-  port: number,
-  method: string,
-  path: string,
-  options: CallerOptions = {},
-): RawCaller => {
-  const socket = net.connect({host: IP, port});
-  const status = new Promise<number>(resolve => {
-    let text = '';
-    socket.on('data', (chunk: Buffer) => {
-      text = (text + chunk.toString('latin1')).slice(0, 100);
-      const found = /^HTTP\/1.1 (\d+)/.exec(text)?.[1];
-      if (found !== undefined) {
-        resolve(Number(found));
-        if (options.isSlow) {
-          socket.pause();
-        }
-      }
-    });
-    socket.on('error', () => undefined);
-    socket.on('close', () => {
-      resolve(0);
-    });
-  });
-  socket.write(formatHead(method, path, options));
-  socket.write(formatBody(options));
-  return {socket, status};
-};
-
 /** Sends a request over the connection of `agent`; resolves to the status. */
 const callKept = (
   port: number,
@@ -120,15 +37,15 @@
 ): Promise<number> =>
   new Promise((resolve, reject) => {
     const request = http.request({
-      host: IP,
+      host: oneProcess.IP,
       port,
       agent,
       method: 'POST',
       path: '/read/quick',
       headers: {
         Host: 'svc.example',
-        'X-Attempt-Id': `id-${++lastId}`,
-        'Api-Key': KEY,
+        'X-Attempt-Id': oneProcess.createId(),
+        'Api-Key': oneProcess.KEY,
         'Content-Length': body.length,
       },
     });
@@ -162,9 +79,7 @@
 
 describe('the memory of a process', function () {
   this.timeout(60_000);
-  let store: fakes.ObjectApiServer;
-  let upstream: fakes.ScriptedUpstream;
-  let process: soak.ArtefactProcess;
+  let system: oneProcess.OneProcess;
   let port: number;
 
   before(function () {
@@ -173,60 +88,16 @@
   });
 
   beforeEach(async () => {
-    store = new fakes.ObjectApiServer(ports.systemClock);
-    await store.start();
-    upstream = new fakes.ScriptedUpstream(script);
-    await upstream.start();
-    await store.store.create(
-      'config',
-      'main',
-      soakDocuments.createManifest(1, [KEY]),
-    );
-    await store.store.create('servers', 'i-1', {
-      ...(soakDocuments.createEntry(upstream.address, 'ready') as object),
-      slots: 400,
-    });
-    const draw = () => fakes.drawFreePort();
-    port = await draw();
-    process = new soak.ArtefactProcess(
-      soak.createProcessCommand(
-        {
-          id: 'one',
-          ip: IP,
-          zone: 'zone-a',
-          ports: [port, await draw(), await draw(), await draw()],
-        },
-        {
-          zones: ['zone-a'],
-          store: store.address,
-          seeds: [],
-          memoryMb: MEMORY_MB,
-        },
-      ),
-    );
-    await waitForStatus(200);
-  });
-
-  afterEach(async () => {
-    await process.kill();
-    await upstream.stop();
-    await store.stop();
+    system = await oneProcess.startProcess(script);
+    ({port} = system);
   });
 
-  const waitForStatus = async (wanted: number): Promise<void> => {
-    for (;;) {
-      const {status, socket} = call(port, 'GET', '/read/quick');
-      const found = await status;
-      socket.destroy();
-      if (found === wanted || process.end) {
-        return;
-      }
-      await ports.systemClock.sleep(50);
-    }
-  };
+  afterEach(() => system.stop());
 
   const readHeldBytes = async (): Promise<number> => {
-    const answer = await fetch(`http://${IP}:${METRICS_PORT}/metrics`);
+    const answer = await fetch(
+      `http://${oneProcess.IP}:${METRICS_PORT}/metrics`,
+    );
     const text = await answer.text();
     return Number(/amaranthknot_held_bytes (\d+)/.exec(text)?.[1]);
   };
@@ -241,8 +112,8 @@
   const checkSmallRequests = async (): Promise<void> => {
     const body = Buffer.alloc(2_000, 's');
     const small = [
-      call(port, 'GET', '/read/quick'),
-      call(port, 'POST', '/book/quick', {body}),
+      oneProcess.call(port, 'GET', '/read/quick'),
+      oneProcess.call(port, 'POST', '/book/quick', {body}),
     ];
     chai
       .expect(await Promise.all(small.map(({status}) => status)))
@@ -250,13 +121,13 @@
   };
 
   const checkPeak = (): void => {
-    const peak = process.peakResidentBytes;
-    chai.expect(process.end).equal(undefined);
-    chai.expect(peak, 'peak').lessThan(MAX_RESIDENT_BYTES);
+    const peak = system.process.peakResidentBytes;
+    chai.expect(system.process.end).equal(undefined);
+    chai.expect(peak, 'peak').lessThan(oneProcess.MAX_RESIDENT_BYTES);
   };
 
   const countStatuses = async (
-    callers: readonly RawCaller[],
+    callers: readonly oneProcess.RawCaller[],
   ): Promise<Readonly<Record<number, number>>> => {
     const counts: Record<number, number> = {};
     for (const {status} of callers) {
@@ -272,7 +143,7 @@
       // Guards against a kill at the limit, which loses all that was accepted.
       const options = {body: LARGE_BODY, isChunked};
       const callers = Array.from({length: 150}, () =>
-        call(port, 'POST', '/read/1', options),
+        oneProcess.call(port, 'POST', '/read/1', options),
       );
       await ports.systemClock.sleep(WORK_MS / 4);
       await checkSmallRequests();
@@ -291,23 +162,26 @@
     chai.expect(await Promise.all(kept)).deep.equal(Array(5).fill(200));
     const options = {body: LARGE_BODY, isChunked: true};
     const left = [
-      call(port, 'POST', '/read/1', {body}),
-      call(port, 'POST', '/read/1', options),
-      call(port, 'POST', '/book/large', {body: LARGE_BODY}),
-      call(port, 'GET', '/read/large', {isSlow: true}),
-      call(port, 'POST', '/stream/1', {body, isSlow: true}),
+      oneProcess.call(port, 'POST', '/read/1', {body}),
+      oneProcess.call(port, 'POST', '/read/1', options),
+      oneProcess.call(port, 'POST', '/book/large', {body: LARGE_BODY}),
+      oneProcess.call(port, 'GET', '/read/large', {isSlow: true}),
+      oneProcess.call(port, 'POST', '/stream/1', {body, isSlow: true}),
     ];
-    const cut = call(port, 'POST', '/read/1', {body, declaredBytes: 900_000});
-    const tooLarge = call(port, 'POST', '/read/1', {
+    const cut = oneProcess.call(port, 'POST', '/read/1', {
+      body,
+      declaredBytes: 900_000,
+    });
+    const tooLarge = oneProcess.call(port, 'POST', '/read/1', {
       body,
       declaredBytes: 2_000_000,
     });
     chai.expect(await tooLarge.status).equal(413);
     const tooLong = {body: Buffer.alloc(1_100_000), isChunked: true};
-    const long = call(port, 'POST', '/read/1', tooLong);
+    const long = oneProcess.call(port, 'POST', '/read/1', tooLong);
     chai.expect(await long.status).equal(413);
-    const pipelined = call(port, 'GET', '/read/quick');
-    pipelined.socket.write(formatHead('GET', '/read/quick', {}));
+    const pipelined = oneProcess.call(port, 'GET', '/read/quick');
+    pipelined.socket.write(oneProcess.formatHead('GET', '/read/quick', {}));
     chai.expect(await readHeldBytes()).greaterThan(0);
     await ports.systemClock.sleep(WORK_MS / 2);
     for (const {socket} of [...left.slice(0, 2), cut]) {
@@ -323,7 +197,10 @@
 
   it('holds when callers do not read long streams', async () => {
     const callers = Array.from({length: 60}, () =>
-      call(port, 'POST', '/stream/1', {body: Buffer.from('x'), isSlow: true}),
+      oneProcess.call(port, 'POST', '/stream/1', {
+        body: Buffer.from('x'),
+        isSlow: true,
+      }),
     );
     await countStatuses(callers);
     await ports.systemClock.sleep(WORK_MS);
@@ -333,7 +210,7 @@
 
   it('holds when callers do not read large answers', async () => {
     const callers = Array.from({length: 60}, () =>
-      call(port, 'GET', '/read/large', {isSlow: true}),
+      oneProcess.call(port, 'GET', '/read/large', {isSlow: true}),
     );
     await ports.systemClock.sleep(2 * WORK_MS);
     await checkSmallRequests();
@@ -345,11 +222,13 @@
     // Guards against callers who stay and don't read: the bytes that they hold
     // would be missed by all others for as long as the process runs.
     const callers = Array.from({length: 12}, () =>
-      call(port, 'GET', '/read/large', {isSlow: true}),
+      oneProcess.call(port, 'GET', '/read/large', {isSlow: true}),
+    );
+    await ports.systemClock.sleep(
+      oneProcess.CALLER_TIME_MS + UNREAD_MS + WORK_MS,
     );
-    await ports.systemClock.sleep(CALLER_TIME_MS + UNREAD_MS + WORK_MS);
     const held = await readHeldBytes();
-    const late = await call(port, 'GET', '/read/large').status;
+    const late = await oneProcess.call(port, 'GET', '/read/large').status;
     callers.forEach(({socket}) => socket.destroy());
     chai.expect({late, held}).deep.equal({late: 200, held: 0});
   });
@@ -358,18 +237,18 @@
     // Guards against callers who take the bytes for bodies without a byte sent.
     const options = {body: Buffer.alloc(10), declaredBytes: 900_000};
     const callers = Array.from({length: 60}, () =>
-      call(port, 'POST', '/read/1', options),
+      oneProcess.call(port, 'POST', '/read/1', options),
     );
     await ports.systemClock.sleep(WORK_MS);
     const body = LARGE_BODY;
-    const {status} = call(port, 'POST', '/read/quick', {body});
+    const {status} = oneProcess.call(port, 'POST', '/read/quick', {body});
     chai.expect(await status).equal(200);
     callers.forEach(({socket}) => socket.destroy());
   });
 
   it('delivers an answer that its caller reads slowly, however late', async () => {
     // Guards against answers that are broken off while they are still read.
-    const {socket} = call(port, 'GET', '/read/large');
+    const {socket} = oneProcess.call(port, 'GET', '/read/large');
     let bytes = 0;
     socket.on('data', chunk => {
       bytes += chunk.length;
@@ -389,9 +268,18 @@
 
   it('holds with large bodies, long streams and large answers at once', async () => {
     const callers = Array.from({length: 60}, () => [
-      call(port, 'POST', '/read/large', {body: LARGE_BODY, isSlow: true}),
-      call(port, 'POST', '/book/1', {body: LARGE_BODY, isChunked: true}),
-      call(port, 'POST', '/stream/1', {body: LARGE_BODY, isSlow: true}),
+      oneProcess.call(port, 'POST', '/read/large', {
+        body: LARGE_BODY,
+        isSlow: true,
+      }),
+      oneProcess.call(port, 'POST', '/book/1', {
+        body: LARGE_BODY,
+        isChunked: true,
+      }),
+      oneProcess.call(port, 'POST', '/stream/1', {
+        body: LARGE_BODY,
+        isSlow: true,
+      }),
     ]).flat();
     await ports.systemClock.sleep(2 * WORK_MS);
     await checkSmallRequests();
