Deny a request by its head before its body is read

Cause: the key and the route were looked up once the body was there. Both need the head only, as does a declared length, which was refused at once before. What needs the body: nothing that denies; a body without a declared length is refused at its limit while it comes. While the configuration is too old to deny, the body is read as before, since the request may be accepted.

--- a/packages/gateway/src/accept-request.ts
+++ b/packages/gateway/src/accept-request.ts
@@ -55,28 +55,28 @@
   return targets.at(-1)?.service;
 };
 
-/**
- * Accepts a request or refuses it, by the active configuration.
- *
- * @param random returns a number from 0 up to, but not including, 1.
- */
-export const acceptRequest = (
+/** What the head of a request says, by the active configuration. */
+interface AcceptedHead extends ActiveTable {
+  readonly route: routing.Route;
+  readonly workspace: routing.Workspace | undefined;
+}
+
+/** Accepts the head of a request or refuses the request. */
+const acceptHead = (
   caller: callerRequest.CallerRequest,
   activeTable: ActiveTable | undefined,
   ageLimits: TableAgeLimits,
-  random: () => number,
-): Acceptance => {
+): purify.Either<refusals.Refusal, AcceptedHead> => {
   if (!activeTable) {
     return purify.Left(NOT_READY);
   }
   const {table, ageMs} = activeTable;
   // A newer configuration may have added the route or key. Callers do not
   // retry after a denial, so an old table answers `not_ready` instead.
-  const deny = (reason: refusals.RefusalReason): Acceptance =>
+  const deny = (
+    reason: refusals.RefusalReason,
+  ): purify.Either<refusals.Refusal, AcceptedHead> =>
     purify.Left(ageMs > ageLimits.denialsMs ? NOT_READY : {reason});
-  if (caller.body.length > table.limits.bodyBytes) {
-    return purify.Left({reason: 'too_large'});
-  }
   const path = caller.target.split('?', 1)[0] ?? '';
   const route = routing.findRoute(table, caller.host, path);
   if (!route) {
@@ -90,25 +90,66 @@
   const workspace = needsKey
     ? table.workspaces.get(caller.apiKey ?? '')
     : undefined;
-  if (needsKey && !workspace) {
-    return deny('unknown_key');
-  }
-  const name = chooseService(route.targets, random);
-  const service = name === undefined ? undefined : table.services.get(name);
-  if (!service) {
-    return purify.Left({reason: 'no_upstream', retryAfterMs: 500});
+  return needsKey && !workspace
+    ? deny('unknown_key')
+    : purify.Right({table, ageMs, route, workspace});
+};
+
+/**
+ * Why a request is denied whatever its body is; undefined if it is not, or if a
+ * newer configuration may say otherwise.
+ *
+ * Guards against callers without a key who fill the memory with bodies.
+ */
+export const findHeadDenial = (
+  caller: callerRequest.CallerRequest,
+  activeTable: ActiveTable | undefined,
+  ageLimits: TableAgeLimits,
+): refusals.Refusal | undefined =>
+  acceptHead(caller, activeTable, ageLimits).caseOf<
+    refusals.Refusal | undefined
+  >({
+    Left: refusal => (refusal.reason === 'not_ready' ? undefined : refusal),
+    Right: () => undefined,
+  });
+
+/**
+ * Accepts a request or refuses it, by the active configuration.
+ *
+ * @param random returns a number from 0 up to, but not including, 1.
+ */
+export const acceptRequest = (
+  caller: callerRequest.CallerRequest,
+  activeTable: ActiveTable | undefined,
+  ageLimits: TableAgeLimits,
+  random: () => number,
+): Acceptance => {
+  const isTooLarge =
+    activeTable !== undefined &&
+    caller.body.length > activeTable.table.limits.bodyBytes;
+  if (isTooLarge) {
+    return purify.Left({reason: 'too_large'});
   }
-  const deadlineMs = Math.min(
-    caller.deadlineMs,
-    caller.receivedAtMs + route.timeoutMs,
+  return acceptHead(caller, activeTable, ageLimits).chain(
+    ({table, ageMs, route, workspace}): Acceptance => {
+      const name = chooseService(route.targets, random);
+      const service = name === undefined ? undefined : table.services.get(name);
+      if (!service) {
+        return purify.Left({reason: 'no_upstream', retryAfterMs: 500});
+      }
+      const deadlineMs = Math.min(
+        caller.deadlineMs,
+        caller.receivedAtMs + route.timeoutMs,
+      );
+      return purify.Right({
+        caller,
+        route,
+        service,
+        workspace,
+        deadlineMs,
+        configuration: table.version,
+        configurationAgeMs: ageMs,
+      });
+    },
   );
-  return purify.Right({
-    caller,
-    route,
-    service,
-    workspace,
-    deadlineMs,
-    configuration: table.version,
-    configurationAgeMs: ageMs,
-  });
 };
--- a/packages/gateway/src/caller-request.ts
+++ b/packages/gateway/src/caller-request.ts
@@ -1,4 +1,4 @@
-/** Parses a caller's request, whose body has been read to its end. */
+/** Parses a caller's request. */
 import type * as http from 'node:http';
 import type * as headerNames from './header-names.js';
 import * as rawHeaders from './raw-headers.js';
@@ -110,7 +110,7 @@
     : DEFAULT_CALLER_TIMEOUT_MS;
 };
 
-/** Creates a request from its head and its complete body. */
+/** Creates a request from its head and, once it is read, its complete body. */
 export const createCallerRequest = (
   message: http.IncomingMessage,
   body: Buffer,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,8 @@
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly answer: callerAnswer.CallerAnswer;
+  /** Whether another instance forwards it for its caller. */
+  readonly isForwarded: boolean;
   /** Earliest time at which it may have arrived, by the clock. */
   readonly receivedAtMs: number;
   /** Longest time for which it may have waited before it was read. */
@@ -88,6 +90,8 @@
 /** Largest accepted body before a configuration is known, in bytes. */
 const INITIAL_MAX_BODY_BYTES = 1_048_576;
 
+const NO_BODY = Buffer.alloc(0);
+
 /** Times of a graceful stop, by the instance's clock. */
 export interface StopTimes {
   /** Until then all requests are accepted, also those that may outlive it. */
@@ -199,6 +203,7 @@
         message,
         response,
         answer,
+        isForwarded,
         receivedAtMs,
         waitedMs,
         times,
@@ -226,7 +231,19 @@
   }
 
   private async readAndServe(exchange: Exchange): Promise<void> {
-    const {message, answer, receivedAtMs, memory} = exchange;
+    const {message, answer, receivedAtMs, memory, isForwarded} = exchange;
+    const head = callerRequest.createCallerRequest(
+      message,
+      NO_BODY,
+      receivedAtMs,
+      this.dependencies.headerConventions.headers,
+    );
+    const log = this.dependencies.log.forRequest(head.id);
+    const denial = isForwarded ? undefined : this.findHeadDenial(head);
+    if (denial) {
+      this.refuse(answer, log, denial);
+      return;
+    }
     const body = await readRequestBody.readRequestBody(message, {
       maxBytes: this.bodyLimit(),
       memory,
@@ -235,14 +252,6 @@
     if (body === 'gone') {
       return;
     }
-    const content = typeof body === 'string' ? Buffer.alloc(0) : body;
-    const caller = callerRequest.createCallerRequest(
-      message,
-      content,
-      receivedAtMs,
-      this.dependencies.headerConventions.headers,
-    );
-    const log = this.dependencies.log.forRequest(caller.id);
     if (body === 'closing') {
       this.refuse(answer, log, STOPPING);
       return;
@@ -262,7 +271,14 @@
     if (!this.dependencies.activeTable()) {
       await this.closing.race(this.dependencies.whenSynced());
     }
-    await this.serve(caller, exchange, log);
+    await this.serve({...head, body}, exchange, log);
+  }
+
+  private findHeadDenial(
+    head: callerRequest.CallerRequest,
+  ): refusals.Refusal | undefined {
+    const {activeTable, tableAgeLimits} = this.dependencies;
+    return acceptRequest.findHeadDenial(head, activeTable(), tableAgeLimits);
   }
 
   private idleTimeoutMs(): number | undefined {
