Drop the body of a refusal within bounds

Cause: the body of a refusal, which nobody needs, was read for as long as it came, also after its request had been served elsewhere. The same held for refusals of other instances, and for what is left of a caller's body whose request is refused.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -241,6 +241,7 @@
     const log = this.dependencies.log.forRequest(head.id);
     const denial = isForwarded ? undefined : this.findHeadDenial(head);
     if (denial) {
+      readRequestBody.discardRest(message, this.bodyLimit());
       this.refuse(answer, log, denial);
       return;
     }
--- a/packages/gateway/src/open-forward.ts
+++ b/packages/gateway/src/open-forward.ts
@@ -3,6 +3,7 @@
 import * as protocol from '@amaranthknot/protocol';
 import * as purify from 'purify-ts';
 import type * as connectionPool from './connection-pool.js';
+import * as discardRefusal from './discard-refusal.js';
 import type * as headerNames from './header-names.js';
 import type * as linkMonitor from './link-monitor.js';
 import * as openExchange from './open-exchange.js';
@@ -37,7 +38,7 @@
     const status = response.statusCode ?? 0;
     const refusal = rawHeaders.findHeader(headers, REFUSAL_NAME);
     if (refusal !== undefined) {
-      response.resume();
+      discardRefusal.discardRefusal(response);
       return purify.Left(classifyRefusal(refusal, status, headers));
     }
     if (rawHeaders.findHeader(headers, requestIdName) !== request.requestId) {
--- a/packages/gateway/src/read-request-body.ts
+++ b/packages/gateway/src/read-request-body.ts
@@ -26,14 +26,31 @@
   readonly closing: notice.Notice;
 }
 
+/** Longest time for which the rest of a refused body is read, in ms. */
+const MAX_DISCARD_MS = 5_000;
+
+/**
+ * Reads and drops the rest of a body whose request is refused, so that the caller
+ * gets its answer on an open connection. One that is longer than a request may be
+ * ends with its connection.
+ */
+export const discardRest = (
+  message: http.IncomingMessage,
+  maxBytes: number,
+): void => {
+  const bounds = {maxBytes, maxMs: MAX_DISCARD_MS};
+  ports.discardBody(message, bounds, () => {
+    message.socket.destroySoon();
+  });
+};
+
 /** Bytes that the head declares; 0 if it declares none. */
 const findDeclaredBytes = ({headers}: http.IncomingMessage): number =>
   Number(headers['content-length'] ?? 0);
 
 /**
  * Reads the body to its end. A body that is too long is refused by the length
- * that its head declares, before it is read. Node.js reads and drops the rest of
- * a refused body, so that the caller gets its answer on an open connection.
+ * that its head declares, before it is read.
  */
 export const readRequestBody = (
   message: http.IncomingMessage,
@@ -42,10 +59,12 @@
   new Promise(resolve => {
     const declared = findDeclaredBytes(message);
     if (declared > maxBytes) {
+      discardRest(message, maxBytes);
       resolve('too_large');
       return;
     }
     if (!memory.hasRoomForBody(declared)) {
+      discardRest(message, maxBytes);
       resolve('no_memory');
       return;
     }
@@ -55,7 +74,9 @@
       bytes.clear();
       message.off('data', read);
       unsubscribe();
-      message.resume();
+      if (typeof outcome === 'string' && outcome !== 'gone') {
+        discardRest(message, maxBytes);
+      }
       resolve(outcome);
     };
     const read = (chunk: Buffer) => {
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -11,6 +11,7 @@
 import * as purify from 'purify-ts';
 import type * as routing from '@amaranthknot/routing';
 import type * as connectionPool from './connection-pool.js';
+import * as discardRefusal from './discard-refusal.js';
 import type * as headerNames from './header-names.js';
 import type * as linkMonitor from './link-monitor.js';
 import * as openExchange from './open-exchange.js';
@@ -161,13 +162,13 @@
     }
     if (status === MISDIRECTED) {
       // Its headers are about the upstream that answered, not the expected one.
-      response.resume();
+      discardRefusal.discardRefusal(response);
       return purify.Left({ran: 'not_run', reason: 'other_upstream', status});
     }
     const notices = parseNotices(status, headers);
     recordNotices(request.upstream, notices);
     if (rawHeaders.findHeader(headers, lowerNames.notRun) !== undefined) {
-      response.resume();
+      discardRefusal.discardRefusal(response);
       return purify.Left({
         ran: 'not_run',
         reason: 'refused',
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -3,6 +3,7 @@
 export * from './bound-wait.js';
 export * from './byte-blocks.js';
 export * from './clock.js';
+export * from './discard-body.js';
 export * from './gather-body.js';
 export * from './http-client.js';
 export * from './http-instance-list.js';
--- a/packages/soak/tests/small-pieces.test.ts
+++ b/packages/soak/tests/small-pieces.test.ts
@@ -107,6 +107,13 @@
     head: 'refusal',
     piece: '1\r\nx\r\n',
   },
+  {
+    name: 'refusals without end in large chunks',
+    path: 'book',
+    answers: 25,
+    head: 'refusal',
+    piece: fakes.formatChunk('x'.repeat(16_000)),
+  },
 ];
 
 const HEADS: Readonly<
@@ -274,4 +281,18 @@
       await check(() => Array.from({length: 10}, send));
     });
   });
+
+  it('are dropped with their connection where a caller without a key sends no end', async () => {
+    // Guards against a refused body that is read for as long as it comes.
+    system = await oneProcess.startProcess(createScript(undefined));
+    const {socket, status} = oneProcess.call(system.port, 'POST', '/read/1', {
+      key: UNKNOWN_KEY,
+      body: Buffer.alloc(0),
+      declaredBytes: 1_000_000_000,
+    });
+    writeWithoutEnd(socket, '', 'x');
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    chai.expect(await status).equal(401);
+    await closed;
+  });
 });
