--- a/packages/decisions/tests/answer-framing.test.ts
+++ b/packages/decisions/tests/answer-framing.test.ts
@@ -60,3 +60,41 @@
     },
   );
 });
+
+describe('a final head', () => {
+  const heads: readonly {
+    readonly statusCode: number;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly isFinal: boolean;
+  }[] = [
+    {statusCode: 0, isFinal: false},
+    {statusCode: 42, isFinal: false},
+    {statusCode: 100, isFinal: false},
+    {statusCode: 101, isFinal: false},
+    {statusCode: 199, isFinal: false},
+    {statusCode: 200, isFinal: true},
+    {statusCode: 200, headers: {'content-length': '5'}, isFinal: true},
+    {statusCode: 204, isFinal: true},
+    {statusCode: 204, headers: {'content-length': '0'}, isFinal: true},
+    {statusCode: 204, headers: {'content-length': '5'}, isFinal: false},
+    {
+      statusCode: 204,
+      headers: {'transfer-encoding': 'chunked'},
+      isFinal: false,
+    },
+    {statusCode: 304, headers: {'content-length': '5'}, isFinal: true},
+    {statusCode: 404, isFinal: true},
+    {statusCode: 599, isFinal: true},
+    {statusCode: 600, isFinal: false},
+    {statusCode: 999, isFinal: false},
+  ];
+
+  // Guards against a head that can't be passed on, so that its caller gets a
+  // reset, or takes it for an answer.
+  heads.forEach(({statusCode, headers = {}, isFinal}) => {
+    const name = `${statusCode} ${JSON.stringify(headers)}`;
+    it(`is ${isFinal ? '' : 'not '}one with status ${name}`, () => {
+      chai.expect(decisions.isFinalHead({statusCode, headers})).equal(isFinal);
+    });
+  });
+});
--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -122,6 +122,11 @@
       });
       // A body that breaks before it is read must not end the process.
       response.on('error', () => undefined);
+      if (!decisions.isFinalHead(response)) {
+        response.destroy();
+        resolve(purify.Left({ran: 'unknown', reason: 'invalid_head'}));
+        return;
+      }
       const framing = decisions.findFraming(request.method, response);
       const wasReset =
         framing === 'connection'
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -50,6 +50,7 @@
       return outcomeOfAbort(runContext.abortReasonOf(signal));
     case 'silent':
     case 'broken':
+    case 'invalid_head':
     case 'foreign_answer':
     case 'endless':
       return 'failed';
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -76,6 +76,8 @@
       readonly ran: 'unknown';
       readonly reason:
         | 'broken'
+        /** Its head is not that of a final answer. */
+        | 'invalid_head'
         | 'foreign_answer'
         | 'silent'
         | 'cancelled'
--- a/packages/ports/src/http-client.ts
+++ b/packages/ports/src/http-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the platform, with keep-alive connections, typed failures. */
 import * as http from 'node:http';
+import * as decisions from '@amaranthknot/decisions';
 import * as purify from 'purify-ts';
 import * as wreck from '@hapi/wreck';
 import * as boundAnswer from './bound-answer.js';
@@ -93,6 +94,11 @@
       boundAnswer.boundAnswer(sending.req);
       const {req: request} = sending;
       const response = await boundWait.boundWait(request, sending, timeout);
+      if (!decisions.isFinalHead(response)) {
+        response.destroy();
+        const message = `expected a final answer, got status ${response.statusCode}`;
+        return purify.Left({code: 'unknown', message});
+      }
       const reading: Promise<unknown> = wreck.default.read(response, {
         json: true,
         maxBytes: MAX_RESPONSE_BYTES,
--- a/packages/upstreams/src/service-client.ts
+++ b/packages/upstreams/src/service-client.ts
@@ -70,6 +70,10 @@
   body: Buffer,
 ): purify.Either<ServiceFailure, ServiceAnswer> => {
   const status = response.statusCode ?? 0;
+  if (!decisions.isFinalHead(response)) {
+    const message = `status ${status} is not that of a final answer`;
+    return purify.Left({code: 'broken', ran: 'unknown', message});
+  }
   if (status === 429 && saysNotRun(body)) {
     const message = 'the service is at its limit';
     const backoffMs = decisions.parseRetryAfterMs(
