--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -128,11 +128,11 @@
         return;
       }
       const framing = decisions.findFraming(request.method, response);
-      const wasReset =
+      const endsEarly =
         framing === 'connection'
-          ? ports.watchForReset(response.socket)
+          ? ports.watchForEarlyEnd(sending, response)
           : () => false;
-      const isBroken = () => failedBy !== undefined || wasReset();
+      const isBroken = () => failedBy !== undefined || endsEarly();
       resolve(classify(request, response, {framing, isBroken}));
     });
     // An error after the head concerns the body, whose reader handles it.
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -14,4 +14,5 @@
 export * from './http-rating-service.js';
 export * from './rating-service.js';
 export * from './timeout.js';
+export * from './watch-for-early-end.js';
 export * from './watch-for-reset.js';
--- a/packages/upstreams/src/service-client.ts
+++ b/packages/upstreams/src/service-client.ts
@@ -103,7 +103,8 @@
 /** A response as far as it has arrived. */
 interface ArrivedResponse {
   readonly framing: decisions.AnswerFraming;
-  readonly wasReset: () => boolean;
+  /** Whether its connection broke before its end. */
+  readonly endsEarly: () => boolean;
 }
 
 /**
@@ -114,17 +115,17 @@
  * connection closes as if it had sent everything.
  */
 const findEarlyEnd = async (
-  {framing, wasReset}: ArrivedResponse,
+  {framing, endsEarly}: ArrivedResponse,
   check: () => Promise<decisions.LivenessSign>,
 ): Promise<ServiceFailure | undefined> => {
   if (framing !== 'connection') {
     return undefined;
   }
-  const sign = wasReset() ? undefined : await check();
+  const sign = endsEarly() ? undefined : await check();
   if (sign !== undefined && decisions.judgeAnswerEnd(sign) === 'whole') {
     return undefined;
   }
-  const reason = sign ?? 'its connection was reset';
+  const reason = sign ?? 'its connection broke';
   const message = `the answer has no length and may have ended early: ${reason}`;
   return {code: 'broken', ran: 'unknown', message};
 };
@@ -162,7 +163,7 @@
       const response = await sending;
       const arrived = {
         framing: decisions.findFraming(call.method, response),
-        wasReset: ports.watchForReset(response.socket),
+        endsEarly: ports.watchForEarlyEnd(sending.req, response),
       };
       const body = await wreck.default.read(response, {
         timeout: timeoutMs,
