Believe no end of an answer that lay unread while its upstream may have restarted

What callers saw: an engine that streams without a length crashes while the machine of the instance is suspended, and is back at its address, under its id or under another one and slow.

Cause, the same for both: the check of the end asks who listens now, and took an answer by the right id, or an accepted connection, for a proof that the upstream had not ended. That holds only if the end is read when it comes; it was read 2.4 s later, by when another start listened.

Now the instance weighs how long the end may have lain unread: of half a second or more, the time in which a process may end and start again, signs of life prove nothing (new reason late in answer_end_checked; the end counts as early). The end of a connection is read a turn after its last bytes, when the loop is on time again, so late turns are remembered for a second (ReadLateness.recentMaxWaitMs).

Open: the same by a cut of the network in place of a suspension, where this process is on time, and in serve.

--- a/packages/amaranthknot/src/gateway/wiring/answer-end-factories.ts
+++ b/packages/amaranthknot/src/gateway/wiring/answer-end-factories.ts
@@ -72,6 +72,7 @@
             get('metrics').recordEndCheck(sign, connections, tookMs);
           },
         }),
+        findWaitMs: () => get('loopMonitor').recentMaxWaitMs(),
         onUpstreamEnded: upstream => {
           get('upstreamAbsences').recordOwn(upstream);
         },
--- a/packages/decisions/src/answer-end.ts
+++ b/packages/decisions/src/answer-end.ts
@@ -15,6 +15,8 @@
  * - `accepted`: it accepted a connection after the end, and no more is known.
  * - `doubted`: the same, but it was found away before, or another upstream is
  *   known at its address.
+ * - `late`: one of `answered`, `accepted` and `reset`, but the end was read so long
+ *   after it came that the upstream may have ended and started again.
  * - `reset`: it accepted connections and reset them, twice in a row.
  * - `replaced`: another upstream, or another start of it, has its address.
  * - `refused`: its address refuses connections.
@@ -24,6 +26,7 @@
   | 'answered'
   | 'accepted'
   | 'doubted'
+  | 'late'
   | 'reset'
   | 'replaced'
   | 'refused'
@@ -45,10 +48,26 @@
   // It has as many connections as it takes; without a process it would refuse.
   reset: 'whole',
   doubted: 'early',
+  late: 'early',
   replaced: 'early',
   refused: 'early',
   unreachable: 'early',
 };
 
+/**
+ * Time in which an upstream may end and start again, in milliseconds: a process
+ * takes longer to start.
+ */
+const MIN_RESTART_MS = 500;
+
+/**
+ * The sign where the end may have lain unread for `waitMs`.
+ *
+ * Guards against part of an answer whose upstream ended and was back, while this
+ * process was suspended or busy: what answers then is not what answered before.
+ */
+export const weighSign = (sign: LivenessSign, waitMs: number): LivenessSign =>
+  ENDS[sign] === 'whole' && waitMs >= MIN_RESTART_MS ? 'late' : sign;
+
 /** The end of an answer whose upstream showed this sign after it. */
 export const judgeAnswerEnd = (sign: LivenessSign): AnswerEnd => ENDS[sign];
--- a/packages/decisions/src/answer-framing.ts
+++ b/packages/decisions/src/answer-framing.ts
@@ -37,10 +37,7 @@
  * Guards against heads that can't be passed on, or that a caller takes for an
  * answer which its server never finished.
  */
-export const isFinalHead = ({
-  statusCode = 0,
-  headers,
-}: FramedHead): boolean => {
+export const isFinalHead = ({statusCode = 0, headers}: FramedHead): boolean => {
   if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_FINAL_STATUS) {
     return false;
   }
--- a/packages/decisions/src/read-lateness.ts
+++ b/packages/decisions/src/read-lateness.ts
@@ -17,6 +17,12 @@
  */
 const LATE_MS = 4 * BEAT_INTERVAL_MS;
 
+/**
+ * Time for which a late turn is remembered, in milliseconds: what had arrived by
+ * its end may be read in several turns.
+ */
+const RECENT_MS = 1_000;
+
 /** Bounds the time that input has waited, from regular beats of the loop. */
 export class ReadLateness {
   private lastMs: number;
@@ -25,6 +31,8 @@
    * arrived in the turn of the loop that the first one began.
    */
   private previousMs: number;
+  /** The last late turn: when it ended, and how late it was. */
+  private lastLate = {endedAtMs: -Infinity, waitMs: 0};
 
   constructor(startMs: number) {
     this.lastMs = startMs;
@@ -33,6 +41,7 @@
 
   /** Records that a turn of the loop begins now, before it reads. */
   beat(nowMs: number): void {
+    this.rememberLate(nowMs);
     this.previousMs = this.lastMs;
     this.lastMs = nowMs;
   }
@@ -45,4 +54,24 @@
     const waitMs = nowMs - this.previousMs;
     return waitMs > LATE_MS ? waitMs : 0;
   }
+
+  /**
+   * The same for what is read now or was there shortly before, such as the end
+   * of a connection behind its last bytes.
+   */
+  recentMaxWaitMs(nowMs: number): number {
+    const {endedAtMs, waitMs} = this.lastLate;
+    const recentMs = nowMs - endedAtMs <= RECENT_MS ? waitMs : 0;
+    return Math.max(recentMs, this.maxWaitMs(nowMs));
+  }
+
+  private rememberLate(nowMs: number): void {
+    const waitMs = this.maxWaitMs(nowMs);
+    if (waitMs === 0) {
+      return;
+    }
+    const isRecent = nowMs - this.lastLate.endedAtMs <= RECENT_MS;
+    const longestMs = isRecent ? this.lastLate.waitMs : 0;
+    this.lastLate = {endedAtMs: nowMs, waitMs: Math.max(waitMs, longestMs)};
+  }
 }
--- a/packages/decisions/tests/read-lateness.test.ts
+++ b/packages/decisions/tests/read-lateness.test.ts
@@ -40,4 +40,28 @@
     lateness.beat(1_300);
     chai.expect(lateness.maxWaitMs(1_420)).equal(270);
   });
+
+  it('remembers a long turn while what came in it is read', () => {
+    // Guards against the end of a connection that counts as new, as it is read a
+    // turn after the bytes before it.
+    const lateness = beatUntil(1_000);
+    lateness.beat(3_400);
+    lateness.beat(3_401);
+    chai.expect(lateness.maxWaitMs(3_402)).equal(0);
+    chai.expect(lateness.recentMaxWaitMs(3_402)).within(2_400, 2_460);
+    for (let ms = 3_450; ms <= 5_000; ms += decisions.BEAT_INTERVAL_MS) {
+      lateness.beat(ms);
+    }
+    chai.expect(lateness.recentMaxWaitMs(5_000)).equal(0);
+  });
+
+  it('remembers the longest of several long turns', () => {
+    // Guards against a short late turn that hides a long one before it.
+    const lateness = beatUntil(1_000);
+    lateness.beat(3_400);
+    lateness.beat(3_401);
+    lateness.beat(3_700);
+    lateness.beat(3_701);
+    chai.expect(lateness.recentMaxWaitMs(3_702)).within(2_400, 2_460);
+  });
 });
--- a/packages/gateway/src/answer-ends.ts
+++ b/packages/gateway/src/answer-ends.ts
@@ -32,6 +32,8 @@
 /** Options of the confirmation. */
 export interface ConfirmEndOptions {
   readonly checkLiveness: livenessCheck.CheckLiveness;
+  /** Longest time for which an end that is read now may have lain unread. */
+  readonly findWaitMs: () => number;
   /** Called for each answer that its upstream ended early by ending itself. */
   readonly onUpstreamEnded: (upstream: routing.Upstream) => void;
 }
@@ -44,7 +46,11 @@
 
 /** Creates the confirmation. Framed answers need none, and wait for none. */
 export const createConfirmEnd =
-  ({checkLiveness, onUpstreamEnded}: ConfirmEndOptions): ConfirmEnd =>
+  ({
+    checkLiveness,
+    findWaitMs,
+    onUpstreamEnded,
+  }: ConfirmEndOptions): ConfirmEnd =>
   async ({placed, answer, bytes, signal}, log) => {
     const {framing} = answer;
     if (framing !== 'connection') {
@@ -64,12 +70,15 @@
     if (signal.aborted) {
       return 'early';
     }
-    const {sign, connections, tookMs} = await checkLiveness(upstream);
+    const waitMs = findWaitMs();
+    const {sign: shown, connections, tookMs} = await checkLiveness(upstream);
+    const sign = decisions.weighSign(shown, waitMs);
     const end = decisions.judgeAnswerEnd(sign);
     const line = {
       ...details,
       reason: sign,
       connections,
+      ...(waitMs > 0 ? {waitedMs: Math.round(waitMs)} : {}),
       tookMs: Math.round(tookMs),
       outcome: end,
     };
--- a/packages/gateway/src/loop-monitor.ts
+++ b/packages/gateway/src/loop-monitor.ts
@@ -80,6 +80,11 @@
     return this.lateness?.maxWaitMs(this.options.clock.now()) ?? 0;
   }
 
+  /** The same for what is read now or was there up to a second before. */
+  recentMaxWaitMs(): number {
+    return this.lateness?.recentMaxWaitMs(this.options.clock.now()) ?? 0;
+  }
+
   /**
    * A turn of the loop reads from each connection once, and learns of its end
    * in the next turn. Of two immediates the second runs after a whole turn.
