Take bytes that end no event for silence of a stream

Cause: each chunk reset the watchdog for stalls, also one that completes no event.

Now only a complete event does, so that the stream fails over to another engine after the pause that its route allows. The new row of the table of breaks fails without the change (one event of five until the deadline).

--- a/packages/amaranthknot/tests/gateway/streams.test.ts
+++ b/packages/amaranthknot/tests/gateway/streams.test.ts
@@ -6,6 +6,9 @@
 
 const LENGTH = 5;
 
+/** Pause between two bytes of an event without end, in milliseconds. */
+const BYTE_PAUSE_MS = 50;
+
 /** Longer than the gap target of the routes in the fixture, in milliseconds. */
 const LONG_PAUSE_MS = 800;
 
@@ -202,6 +205,19 @@
         socket.write(fakes.formatStreamHead(request) + text);
       },
     },
+    {
+      name: 'bytes that end no event for longer than the gap target',
+      script: ({request, socket}) => {
+        const text = fakes.formatChunk(fakes.formatEvent(1));
+        socket.write(fakes.formatStreamHead(request) + text);
+        const timer = setInterval(() => {
+          socket.write(fakes.formatChunk('x'));
+        }, BYTE_PAUSE_MS);
+        socket.once('close', () => {
+          clearInterval(timer);
+        });
+      },
+    },
     {
       name: 'a failure of the upstream before the first event',
       script: ({request, socket}) => {
--- a/packages/gateway/src/event-relay.ts
+++ b/packages/gateway/src/event-relay.ts
@@ -60,7 +60,7 @@
   /**
    * Relays complete events as they arrive; resolves when the stream ends.
    *
-   * @param watchdog stall watchdog; each chunk that arrives resets it.
+   * @param watchdog stall watchdog; each event that is complete resets it.
    */
   run(
     {placed, answer, abortController}: RelayedStream,
@@ -95,11 +95,14 @@
       let isInOrder = true;
       let bytes = 0;
       body.on('data', (chunk: Buffer) => {
-        watchdog.reset();
         bytes += chunk.length;
         // Nothing after a gap is relayed, not even the end of the stream.
         if (isInOrder) {
           const events = splitter.push(chunk);
+          // Bytes that end no event are no sign of life for the caller.
+          if (events.length > 0) {
+            watchdog.reset();
+          }
           // An empty event costs as much as one of some tokens.
           ports.countPieces(body, events.length);
           events.forEach(() => {
