--- a/packages/amaranthknot/src/gateway/gateway-instance.ts
+++ b/packages/amaranthknot/src/gateway/gateway-instance.ts
@@ -15,6 +15,7 @@
 import type * as gatewayComponents from './gateway-components.js';
 import * as gatewayWiring from './gateway-wiring.js';
 import type * as stopRequest from '../stop-request.js';
+import * as logHeldBodies from './log-held-bodies.js';
 import * as logInternalError from './log-internal-error.js';
 import * as instanceLoops from './instance-loops.js';
 
@@ -131,6 +132,8 @@
     const {get} = this;
     get('log').info('instance_started', {uptimeMs: instanceLoops.uptimeMs()});
     get('loopMonitor').start();
+    const endLog = logHeldBodies.logHeldBodies(get('log'));
+    this.shutdown.signal.addEventListener('abort', endLog, {once: true});
     const {signal} = this.shutdown;
     // The calls to the store are sent before this instance listens, so that
     // their answers arrive meanwhile.
--- a/packages/gateway/src/open-exchange.ts
+++ b/packages/gateway/src/open-exchange.ts
@@ -124,7 +124,8 @@
       response.on('error', () => undefined);
       if (!decisions.isFinalHead(response)) {
         response.destroy();
-        resolve(purify.Left({ran: 'unknown', reason: 'invalid_head'}));
+        const {statusCode: status = 0} = response;
+        resolve(purify.Left({ran: 'unknown', reason: 'invalid_head', status}));
         return;
       }
       const framing = decisions.findFraming(request.method, response);
--- a/packages/gateway/src/send-attempt.ts
+++ b/packages/gateway/src/send-attempt.ts
@@ -83,10 +83,10 @@
 const describeFailure = (
   failure: upstreamCall.CallFailure,
 ): telemetry.Details => {
-  const {ran, reason} = failure;
+  const {ran, reason, status} = failure;
   return ran === 'not_run'
-    ? {ran, reason, status: failure.status, retryAfterMs: failure.backoffMs}
-    : {ran, reason};
+    ? {ran, reason, status, retryAfterMs: failure.backoffMs}
+    : {ran, reason, status};
 };
 
 /** Creates the call of an attempt: to an upstream, or to another instance. */
--- a/packages/gateway/src/upstream-call.ts
+++ b/packages/gateway/src/upstream-call.ts
@@ -83,6 +83,8 @@
         | 'cancelled'
         /** It sent bytes without end that are no answer. */
         | 'endless';
+      /** Status of a head that is none of a final answer. */
+      readonly status?: number;
     };
 
 /** An answer whose head has arrived. */
--- a/packages/ports/src/gather-body.ts
+++ b/packages/ports/src/gather-body.ts
@@ -26,6 +26,27 @@
 /** All bodies of a process share its event loop, and so its pace. */
 const PROCESS_PACE = new decisions.ReadPace(() => performance.now());
 
+/** A body whose connection is not read for a while, as it has too many pieces. */
+export interface HeldBody {
+  readonly message: http.IncomingMessage;
+  readonly kind: 'answer' | 'request';
+  /** Time until it is read on, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** Called when a body is held for the first time. */
+export type HeldBodyListener = (held: HeldBody) => void;
+
+const heldBodyListeners = new Set<HeldBodyListener>();
+
+/** Watches for bodies of this process that are held; returns what ends that. */
+export const watchHeldBodies = (listener: HeldBodyListener): (() => void) => {
+  heldBodyListeners.add(listener);
+  return () => {
+    heldBodyListeners.delete(listener);
+  };
+};
+
 /** Counts further pieces of a body, such as the events in it. */
 type CountPieces = (pieces: number) => void;
 
@@ -53,7 +74,7 @@
   message: http.IncomingMessage,
   pace: decisions.ReadPace = PROCESS_PACE,
 ): void => {
-  gatherBody(message, pace, flush => {
+  gatherBody(message, 'answer', pace, flush => {
     process.nextTick(flush);
   });
 };
@@ -66,13 +87,14 @@
   message: http.IncomingMessage,
   pace: decisions.ReadPace = PROCESS_PACE,
 ): void => {
-  gatherBody(message, pace, flush => {
+  gatherBody(message, 'request', pace, flush => {
     setImmediate(flush);
   });
 };
 
 const gatherBody = (
   message: http.IncomingMessage,
+  kind: HeldBody['kind'],
   pace: decisions.ReadPace,
   whenParsed: WhenParsed,
 ): void => {
@@ -83,6 +105,7 @@
   const gathered = new byteBlocks.ByteBlocks();
   let pieces = 0;
   let isFlushing = false;
+  let wasHeld = false;
   let cancelRelease: timeouts.CancelTimeout | undefined;
 
   const release = () => {
@@ -96,6 +119,12 @@
     cancelRelease?.();
     cancelRelease = timeouts.startTimeout(release, waitMs);
     message.socket.pause();
+    if (!wasHeld) {
+      wasHeld = true;
+      heldBodyListeners.forEach(listener => {
+        listener({message, kind, waitMs});
+      });
+    }
   };
   const count = (more: number) => {
     const waitMs = body.count(more);
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -16,6 +16,8 @@
 export type RequestEvent =
   /** An accepted request may have waited before it was read. */
   | 'request_waited'
+  /** A body has more pieces than can be afforded, and is read more slowly. */
+  | 'body_held'
   /** An upstream was chosen for an attempt. */
   | 'request_placed'
   /** An attempt goes to another instance, as this one reaches no upstream. */
