--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,18 +2,15 @@
 import type * as http from 'node:http';
 import type * as decisions from '@amaranthknot/decisions';
 import type * as telemetry from '@amaranthknot/telemetry';
-import * as ports from '@amaranthknot/ports';
-import * as protocol from '@amaranthknot/protocol';
-import * as purify from 'purify-ts';
-import * as acceptForwarded from './accept-forwarded.js';
-import * as acceptRequest from './accept-request.js';
+import type * as protocol from '@amaranthknot/protocol';
+import * as breakOffUnread from './break-off-unread.js';
 import * as callerAnswer from './caller-answer.js';
 import * as callerRequest from './caller-request.js';
 import * as exchangeOrder from './exchange-order.js';
 import type * as loopMonitor from './loop-monitor.js';
 import * as notice from './notice.js';
-import * as rawHeaders from './raw-headers.js';
 import * as readRequestBody from './read-request-body.js';
+import * as requestAcceptance from './request-acceptance.js';
 import type * as runContext from './run-context.js';
 import * as bufferedRun from './buffered-run.js';
 import type * as refusals from './refusal.js';
@@ -21,20 +18,14 @@
 import * as streamRun from './stream-run.js';
 
 /** What the gateway needs. */
-export interface GatewayDependencies extends runContext.RunDependencies {
-  readonly log: telemetry.DecisionLog;
-  readonly activeTable: () => acceptRequest.ActiveTable | undefined;
+export interface GatewayDependencies
+  extends runContext.RunDependencies, requestAcceptance.AcceptanceDependencies {
   /** Resolves when this instance has synced, or after a time limit. */
   readonly whenSynced: () => Promise<void>;
   /** The event loop that reads callers' connections. */
   readonly loop: loopMonitor.LoopState;
-  /** Resolves when the configuration is confirmed, or cannot be for now. */
-  readonly refreshTable: () => Promise<void>;
-  readonly tableAgeLimits: acceptRequest.TableAgeLimits;
   /** Bounds the bytes of bodies and answers that are held at once. */
   readonly memory: decisions.MemoryBudget;
-  /** Whether this instance takes another request that is forwarded to it. */
-  readonly hasRoomForForwarded: () => boolean;
   /** Called at the end of each accepted request. */
   readonly onRequestEnd: (sample: telemetry.RequestSample) => void;
 }
@@ -44,49 +35,41 @@
   begunAtMs?: number;
 }
 
-/** Accepts a request or refuses it. */
-type Accept = (
-  caller: callerRequest.CallerRequest,
-  message: http.IncomingMessage,
-) => Promise<acceptRequest.Acceptance>;
-
 /** One exchange with a caller, or with the instance that forwards for it. */
 interface Exchange {
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly answer: callerAnswer.CallerAnswer;
-  /** Whether another instance forwards it for its caller. */
-  readonly isForwarded: boolean;
   /** Earliest time at which it may have arrived, by the clock. */
   readonly receivedAtMs: number;
   /** Longest time for which it may have waited before it was read. */
   readonly waitedMs: number;
   readonly times: AnswerTimes;
-  readonly accept: Accept;
+  readonly acceptance: requestAcceptance.RequestAcceptance;
   readonly memory: decisions.MemoryLease;
 }
 
-/**
- * `Retry-After` where this instance is too busy for forwarded requests, or holds
- * too many bytes, in milliseconds: the time over which its load is averaged.
- */
-const OVERLOADED_RETRY_MS = 1_000;
-
 /**
  * Time before its deadline at which a request is answered at the latest, in
  * milliseconds, so that the answer reaches the caller while it still waits.
  */
 const ANSWER_MARGIN_MS = 20;
 
-/**
- * Time after the deadline of its request in which a caller must read a part of
- * its answer, in milliseconds, and again after each part.
- */
-const UNREAD_ANSWER_MS = 2_000;
-
 /** Another instance takes the request at once. */
 const STOPPING: refusals.Refusal = {reason: 'stopping', retryAfterMs: 0};
 
+/** Refusals of requests whose bodies were not read. */
+const UNREAD_REFUSALS: Readonly<
+  Record<Exclude<readRequestBody.UnreadReason, 'gone'>, refusals.Refusal>
+> = {
+  closing: STOPPING,
+  too_large: {reason: 'too_large'},
+  no_memory: {
+    reason: 'no_memory',
+    retryAfterMs: requestAcceptance.OVERLOADED_RETRY_MS,
+  },
+};
+
 /** Largest accepted body before a configuration is known, in bytes. */
 const INITIAL_MAX_BODY_BYTES = 1_048_576;
 
@@ -110,7 +93,16 @@
   private readonly closing = new notice.Notice();
   private readonly ending = new notice.Notice();
 
-  constructor(private readonly dependencies: GatewayDependencies) {}
+  private readonly ofCallers: requestAcceptance.RequestAcceptance;
+  private readonly ofPeers: requestAcceptance.RequestAcceptance;
+
+  constructor(private readonly dependencies: GatewayDependencies) {
+    this.ofCallers = requestAcceptance.createCallerAcceptance(
+      dependencies,
+      this.closing,
+    );
+    this.ofPeers = requestAcceptance.createForwardedAcceptance(dependencies);
+  }
 
   /** Number of requests in progress. */
   get inProgress(): number {
@@ -189,9 +181,7 @@
       isForwarded,
       () => (isForwarded ? undefined : this.idleTimeoutMs()),
     );
-    const accept: Accept = isForwarded
-      ? (...request) => Promise.resolve(this.acceptForwarded(...request))
-      : caller => this.accept(caller);
+    const acceptance = isForwarded ? this.ofPeers : this.ofCallers;
     const memory = this.dependencies.memory.createLease();
     // An answer is held until the caller has read it.
     response.once('close', () => {
@@ -203,11 +193,10 @@
         message,
         response,
         answer,
-        isForwarded,
         receivedAtMs,
         waitedMs,
         times,
-        accept,
+        acceptance,
         memory,
       });
     } catch (error) {
@@ -231,7 +220,7 @@
   }
 
   private async readAndServe(exchange: Exchange): Promise<void> {
-    const {message, answer, receivedAtMs, memory, isForwarded} = exchange;
+    const {message, answer, receivedAtMs, memory, acceptance} = exchange;
     const head = callerRequest.createCallerRequest(
       message,
       NO_BODY,
@@ -239,7 +228,7 @@
       this.dependencies.headerConventions.headers,
     );
     const log = this.dependencies.log.forRequest(head.id);
-    const denial = isForwarded ? undefined : this.findHeadDenial(head);
+    const denial = acceptance.findDenial(head);
     if (denial) {
       readRequestBody.discardRest(message, this.bodyLimit());
       this.refuse(answer, log, denial);
@@ -253,17 +242,8 @@
     if (body === 'gone') {
       return;
     }
-    if (body === 'closing') {
-      this.refuse(answer, log, STOPPING);
-      return;
-    }
-    if (body === 'too_large') {
-      this.refuse(answer, log, {reason: 'too_large'});
-      return;
-    }
-    if (body === 'no_memory') {
-      const retryAfterMs = OVERLOADED_RETRY_MS;
-      this.refuse(answer, log, {reason: 'no_memory', retryAfterMs});
+    if (typeof body === 'string') {
+      this.refuse(answer, log, UNREAD_REFUSALS[body]);
       return;
     }
     if (this.isHolding) {
@@ -275,13 +255,6 @@
     await this.serve({...head, body}, exchange, log);
   }
 
-  private findHeadDenial(
-    head: callerRequest.CallerRequest,
-  ): refusals.Refusal | undefined {
-    const {activeTable, tableAgeLimits} = this.dependencies;
-    return acceptRequest.findHeadDenial(head, activeTable(), tableAgeLimits);
-  }
-
   private idleTimeoutMs(): number | undefined {
     return this.dependencies.activeTable()?.table.limits.idleTimeoutMs;
   }
@@ -311,10 +284,10 @@
 
   private async serve(
     caller: callerRequest.CallerRequest,
-    {message, response, answer, waitedMs, times, accept, memory}: Exchange,
+    {message, response, answer, waitedMs, times, acceptance, memory}: Exchange,
     log: telemetry.RequestLog,
   ): Promise<void> {
-    const accepted = await accept(caller, message);
+    const accepted = await acceptance.accept(caller, message);
     // A close before `awaitRunEnd` is never told again.
     if (answer.isOver) {
       log.step('caller_left', {});
@@ -345,10 +318,14 @@
       this.refuse(answer, log, {reason: 'expired', retryAfterMs: 0});
       return;
     }
-    breakOffUnread(response, request.deadlineMs - clock.now(), () => {
-      log.failure('answer_broken', {reason: 'unread'});
-      answer.breakOff();
-    });
+    breakOffUnread.breakOffUnread(
+      response,
+      request.deadlineMs - clock.now(),
+      () => {
+        log.failure('answer_broken', {reason: 'unread'});
+        answer.breakOff();
+      },
+    );
     const {signal, isAwaited, stop} = runEnd.awaitRunEnd({
       response,
       connection: message.socket,
@@ -383,57 +360,6 @@
     });
   }
 
-  private acceptForwarded(
-    caller: callerRequest.CallerRequest,
-    message: http.IncomingMessage,
-  ): acceptRequest.Acceptance {
-    const {hasRoomForForwarded, activeTable, links, log} = this.dependencies;
-    if (!hasRoomForForwarded()) {
-      return purify.Left({
-        reason: 'overloaded',
-        retryAfterMs: OVERLOADED_RETRY_MS,
-      });
-    }
-    const value = rawHeaders.findHeader(
-      message.rawHeaders,
-      protocol.FORWARD_HEADERS.request.toLowerCase(),
-    );
-    return protocol
-      .decodeForwardedRequest(value ?? '')
-      .mapLeft((reason): refusals.Refusal => {
-        log.warn('peer_message_refused', {reason, code: 'forwarded_request'});
-        return {reason: 'malformed'};
-      })
-      .chain(forwarded =>
-        acceptForwarded.acceptForwarded(caller, forwarded, {
-          table: activeTable()?.table,
-          isLost: links.isLost,
-        }),
-      );
-  }
-
-  /** Accepts a request, after a refresh if the configuration is too old. */
-  private async accept(
-    caller: callerRequest.CallerRequest,
-  ): Promise<acceptRequest.Acceptance> {
-    const {activeTable, tableAgeLimits, random, refreshTable} =
-      this.dependencies;
-    const accept = () =>
-      acceptRequest.acceptRequest(
-        caller,
-        activeTable(),
-        tableAgeLimits,
-        random,
-      );
-    const first = accept();
-    const isTooOld = first.isLeft() && first.extract().reason === 'not_ready';
-    if (!isTooOld) {
-      return first;
-    }
-    await this.closing.race(refreshTable());
-    return accept();
-  }
-
   private async run(
     context: runContext.RunContext,
     answer: callerAnswer.CallerAnswer,
@@ -490,25 +416,6 @@
   }
 }
 
-/**
- * Calls `breakOff` if the caller reads nothing of its answer for a while, after
- * `afterMs`. An answer of which it still reads is delivered, however late.
- *
- * Guards against callers who stay and don't read: what their answers hold of the
- * bound for memory would be missed by all others, for as long as they stay.
- */
-const breakOffUnread = (
-  response: http.ServerResponse,
-  afterMs: number,
-  breakOff: () => void,
-): void => {
-  const cancel = ports.startTimeout(() => {
-    // Node.js counts the bytes that the system takes as activity.
-    response.setTimeout(UNREAD_ANSWER_MS, breakOff);
-  }, afterMs);
-  response.once('close', cancel);
-};
-
 const describeForwarded = ({
   attempts,
   sends,
