Read the store's answer before a refresh gives up

What callers saw: an instance that was busy for half a second refuses requests with not_ready though the store had answered in milliseconds. The limit of a refresh ran before the answer, which lay unread. Now what has arrived is read first, in two turns of the loop.

--- a/packages/fleet/src/view-refresher.ts
+++ b/packages/fleet/src/view-refresher.ts
@@ -1,5 +1,5 @@
 /** Refreshes a view at once, for requests that need a fresh one. */
-import type * as ports from '@amaranthknot/ports';
+import * as ports from '@amaranthknot/ports';
 import type * as kindView from './kind-view.js';
 
 /** Dependencies of a `ViewRefresher`. */
@@ -50,13 +50,23 @@
       return Promise.resolve();
     }
     this.lastStartedAtMs = clock.now();
-    const held = Promise.race([this.list(), clock.sleep(MAX_HOLD_MS)]);
+    const held = Promise.race([this.list(), this.giveUp()]);
     this.running = held.finally(() => {
       this.running = undefined;
     });
     return this.running;
   }
 
+  /**
+   * Resolves once the store did not answer in time. What came in time is read
+   * first: an answer in one turn of the event loop, its end in the next.
+   */
+  private async giveUp(): Promise<void> {
+    await this.options.clock.sleep(MAX_HOLD_MS);
+    await ports.whenTurnRead();
+    await ports.whenTurnRead();
+  }
+
   private async list(): Promise<void> {
     const {view, store, clock, onUpdate} = this.options;
     const askedAtMs = clock.now();
