--- a/packages/gateway/tests/event-splitter.test.ts
+++ b/packages/gateway/tests/event-splitter.test.ts
@@ -12,10 +12,7 @@
   return {ids, rest: splitter.pendingBytes};
 };
 
-/**
- * Longest time to read the longest event, in milliseconds. It takes some hundred
- * times less; to copy it for each piece takes ten seconds.
- */
+/** Longest time to read the longest event, in milliseconds. */
 const MAX_SPLIT_MS = 3_000;
 
 describe('event splitter', () => {
