Hand on the first piece of a turn at once

Cause: every chunk of a sound stream was copied into a block and handed on a tick later, and the clock was read for each.

Now the first piece of a turn goes to its reader as it came, only what follows it in the same turn is gathered, and a body reads the clock when its own part is used up.

--- a/packages/decisions/src/read-pace.ts
+++ b/packages/decisions/src/read-pace.ts
@@ -50,13 +50,13 @@
 /** What one body may cost. */
 export class BodyPace {
   private left = BURST_PIECES;
-  private countedAtMs: number;
+  private earnedAtMs: number;
 
   constructor(
     private readonly pace: ReadPace,
     private readonly now: () => number,
   ) {
-    this.countedAtMs = now();
+    this.earnedAtMs = now();
   }
 
   /**
@@ -64,10 +64,10 @@
    * any further, in milliseconds.
    */
   count(pieces: number): number {
-    const nowMs = this.now();
-    const earned = ((nowMs - this.countedAtMs) * OWN_PIECES_PER_S) / MS_PER_S;
-    this.countedAtMs = nowMs;
-    this.left = Math.min(BURST_PIECES, this.left + earned) - pieces;
+    this.left -= pieces;
+    if (this.left < 0) {
+      this.earn();
+    }
     if (this.left >= 0) {
       return 0;
     }
@@ -75,4 +75,12 @@
     this.left = 0;
     return this.pace.takeShared(shared);
   }
+
+  /** Adds what the body has earned since it last needed it. */
+  private earn(): void {
+    const nowMs = this.now();
+    const earned = ((nowMs - this.earnedAtMs) * OWN_PIECES_PER_S) / MS_PER_S;
+    this.earnedAtMs = nowMs;
+    this.left += Math.min(BURST_PIECES, earned);
+  }
 }
--- a/packages/ports/src/gather-body.ts
+++ b/packages/ports/src/gather-body.ts
@@ -3,8 +3,8 @@
  * holds bodies that come in more pieces than the process can afford.
  *
  * The HTTP parser hands over each chunk by itself, some ten thousand of one read
- * where they have one byte. Readers get what one turn has read in one piece;
- * what waits for a reader takes as much memory as is counted.
+ * where they have one byte. Readers get the first piece of a turn at once and the
+ * others in one; what waits for a reader takes as much memory as is counted.
  */
 import type * as http from 'node:http';
 import * as decisions from '@amaranthknot/decisions';
@@ -170,11 +170,12 @@
     if (pieces >= MAX_UNCOUNTED_PIECES) {
       countGathered();
     }
-    if (!isFlushing) {
+    const isFirstOfTurn = !isFlushing;
+    if (isFirstOfTurn) {
       isFlushing = true;
       whenParsed(flush);
     }
-    if (chunk.length >= MIN_WHOLE_PIECE_BYTES) {
+    if (isFirstOfTurn || chunk.length >= MIN_WHOLE_PIECE_BYTES) {
       passOn();
       return push(chunk, encoding);
     }
